--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,32 @@
+"""
+Behave's hooks: one event loop and one fleet per scenario.
+"""
+
+import asyncio
+import sys
+import typing
+
+import loguru
+import uvloop
+
+from features.support import fleet
+from spindlenotch import plugins
+
+
+def before_all(context: typing.Any) -> None:
+    """Load the plug-ins and keep the product's log out of the report."""
+    plugins.load()
+    loguru.logger.remove()
+    loguru.logger.add(sys.stderr, level="CRITICAL")
+
+
+def before_scenario(context: typing.Any, scenario: typing.Any) -> None:
+    """Give the scenario a loop of its own."""
+    context.runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+    context.fleet = fleet.Fleet()
+
+
+def after_scenario(context: typing.Any, scenario: typing.Any) -> None:
+    """End what the scenario started."""
+    context.runner.run(context.fleet.close())
+    context.runner.close()
--- /dev/null
+++ b/features/support/fleet.py
@@ -0,0 +1,342 @@
+"""
+Start the whole system as separate processes on loopback ports, for tests.
+
+Every process is started, and ended, by its own id. Nothing here judges; the
+steps do.
+"""
+
+import asyncio
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import time
+import typing
+
+import aiohttp
+
+from spindlenotch import bundle_seal, client, plugins, ports, publishing
+
+ROOT = pathlib.Path(__file__).parents[2]
+LOOPBACK = "127.0.0.1"
+PEER_KEY = "test-peer-key-0123456789"
+START_LIMIT_S = 20.0
+
+BUNDLE = """
+format = 1
+version = {version}
+deployment = "test"
+timezone = "UTC"
+[measuring]
+budget_share = 0.01
+[classes]
+urgent = 0
+browse = 1
+upload = 2
+[unknown_callers]
+class = "browse"
+[callers.hotel]
+key_sha256 = "{key_hash}"
+classes = ["urgent", "browse", "upload"]
+[services.resv]
+zones = ["z1", "z2", "z3"]
+slots = 6
+typical_ms = 10.0
+{extra}
+[[services.resv.operations]]
+name = "read"
+methods = ["GET"]
+prefix = "/"
+class = "browse"
+[[services.resv.operations]]
+name = "book"
+methods = ["POST"]
+prefix = "/bookings"
+class = "urgent"
+repeatable = false
+[[services.resv.operations]]
+name = "upload"
+methods = ["PUT"]
+prefix = "/uploads"
+class = "upload"
+repeatable = true
+"""
+
+KEY = "hotel-key"
+
+
+def bundle_text(version: int, extra: str = "") -> str:
+    """Return a bundle of ``version`` for the service ``resv``."""
+    key_hash = hashlib.sha256(KEY.encode()).hexdigest()
+    return BUNDLE.format(version=version, extra=extra, key_hash=key_hash)
+
+
+def free_port() -> int:
+    """Return a loopback port that is free for TCP and UDP just now."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind((LOOPBACK, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return int(port)
+
+
+class Process:
+    """One process that a test started."""
+
+    def __init__(self, name: str, child: asyncio.subprocess.Process) -> None:
+        self.name = name
+        self.child = child
+        self.log = ""
+        self.reader = asyncio.ensure_future(self._read_log())
+
+    async def _read_log(self) -> None:
+        assert self.child.stderr is not None
+        async for line in self.child.stderr:
+            self.log = (self.log + line.decode(errors="replace"))[-100_000:]
+
+    def send(self, sign: signal.Signals) -> None:
+        """Send a signal to this very process."""
+        if self.child.returncode is None:
+            self.child.send_signal(sign)
+
+    async def ended(self, limit_s: float = 30.0) -> int:
+        """Wait for its end and return the exit code."""
+        async with asyncio.timeout(limit_s):
+            return await self.child.wait()
+
+    async def kill(self) -> None:
+        """End it at once."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        await self.child.wait()
+
+
+class Entry:
+    """Ports and process of one entry."""
+
+    def __init__(self, host: str, zone: str) -> None:
+        self.host = host
+        self.zone = zone
+        self.address = f"{LOOPBACK}:{free_port()}"
+        self.peer_address = f"{LOOPBACK}:{free_port()}"
+        self.operator_address = f"{LOOPBACK}:{free_port()}"
+        self.process: Process | None = None
+
+    def record(self) -> dict[str, typing.Any]:
+        """Return this entry as the host list shows it."""
+        return {
+            "id": self.host,
+            "role": "entry",
+            "zone": self.zone,
+            "address": self.address,
+            "peer_address": self.peer_address,
+        }
+
+
+class Fleet:
+    """Store, host list, upstreams and entries, each a process."""
+
+    def __init__(self) -> None:
+        self.processes: list[Process] = []
+        self.entry_by_host: dict[str, Entry] = {}
+        self.address_by_upstream: dict[str, str] = {}
+        self.store = ""
+        self.hosts = ""
+        self.private, self.public = bundle_seal.generate_key()
+        self.session: aiohttp.ClientSession | None = None
+        self.clients: list[client.Client] = []
+        self.scratch = tempfile.TemporaryDirectory()
+
+    async def start_platform(self, upstreams: int = 3, slots: int = 6) -> None:
+        """Start store, host list and upstreams (zones z1 to z3 in turn)."""
+        plugins.load()
+        self.session = aiohttp.ClientSession()
+        self.store = await self._stand_in("store", [])
+        self.hosts = await self._stand_in("hosts", [])
+        for number in range(upstreams):
+            await self.add_upstream(f"w{number}", f"z{number % 3 + 1}", slots)
+
+    async def add_upstream(self, name: str, zone: str, slots: int = 6) -> None:
+        """Start one upstream and list it."""
+        arguments = ["--name", name, "--slots", str(slots)]
+        address = await self._stand_in("upstream", arguments)
+        self.address_by_upstream[name] = address
+        await self.list_upstream(name, zone)
+
+    async def list_upstream(
+        self, name: str, zone: str, generation: int = 1, state: str = "live"
+    ) -> None:
+        """Put an upstream into the host list."""
+        await self.post(
+            f"{self.hosts}/host",
+            [
+                {
+                    "id": name,
+                    "role": "upstream",
+                    "service": "resv",
+                    "zone": zone,
+                    "address": self.address_by_upstream[name],
+                    "generation": generation,
+                    "state": state,
+                }
+            ],
+        )
+
+    async def start_entries(self, count: int = 3, **flags: str) -> None:
+        """Start entries e0, e1, ... in zones z1 to z3 in turn; wait for ready."""
+        fresh = []
+        for _ in range(count):
+            number = len(self.entry_by_host)
+            entry = Entry(f"e{number}", f"z{number % 3 + 1}")
+            self.entry_by_host[entry.host] = entry
+            fresh.append(entry)
+        await self.post(f"{self.hosts}/host", [e.record() for e in fresh])
+        for entry in fresh:
+            await self.start_entry(entry, **flags)
+        for entry in fresh:
+            await self.until_ready(entry)
+
+    async def start_entry(self, entry: Entry, **flags: str) -> None:
+        """Start the process of one entry."""
+        settings = {
+            "host": entry.host,
+            "zone": entry.zone,
+            "listen": entry.address,
+            "peer_listen": entry.peer_address,
+            "operator_listen": entry.operator_address,
+            "store": self.store,
+            "host_list": self.hosts,
+            "peer_keys": PEER_KEY,
+            "trusted_keys": self.public,
+            "hand_out_s": "1",
+            "peers": ",".join(e.peer_address for e in self.entry_by_host.values()),
+            **flags,
+        }
+        arguments = ["-m", "spindlenotch", "entry"]
+        for name, value in settings.items():
+            arguments += ["--" + name.replace("_", "-"), value]
+        entry.process = await self._spawn(entry.host, arguments)
+
+    async def until_ready(self, entry: Entry) -> None:
+        """Wait until the entry says that it is ready."""
+        await self.until(lambda: self._ready(entry), f"{entry.host} ready")
+
+    async def _ready(self, entry: Entry) -> bool:
+        assert entry.process is not None
+        if entry.process.child.returncode is not None:
+            raise AssertionError(f"{entry.host} ended:\n{entry.process.log[-3000:]}")
+        status, _ = await self.get(f"http://{entry.operator_address}/readyz")
+        return status == 200
+
+    async def until(
+        self,
+        check: typing.Callable[[], typing.Awaitable[bool]],
+        what: str,
+        limit_s: float = START_LIMIT_S,
+    ) -> float:
+        """Wait until ``check`` holds; return how long that took."""
+        began = time.monotonic()
+        while not await check():
+            if time.monotonic() - began > limit_s:
+                raise AssertionError(f"not within {limit_s} s: {what}")
+            await asyncio.sleep(0.05)
+        return time.monotonic() - began
+
+    async def publish(
+        self, version: int, extra: str = "", base: int | None = None
+    ) -> publishing.Published:
+        """Sign and publish a bundle as an operator."""
+        store = ports.STORES.get("http")(self.store)
+        sealed = bundle_seal.seal(bundle_text(version, extra), self.private)
+        try:
+            return await publishing.publish(
+                store, sealed, version, version - 1 if base is None else base, 1.0
+            )
+        finally:
+            await store.close()
+
+    def client(self, **options: typing.Any) -> client.Client:
+        """Return a caller's client that knows all entries as seeds."""
+        seeds = [entry.address for entry in self.entry_by_host.values()]
+        made = client.Client(seeds, "hotel", KEY, **options)
+        self.clients.append(made)
+        return made
+
+    async def state(self, host: str) -> dict[str, typing.Any]:
+        """Return an entry's state dump."""
+        entry = self.entry_by_host[host]
+        status, body = await self.get(f"http://{entry.operator_address}/state")
+        assert status == 200, body
+        return typing.cast(dict[str, typing.Any], json.loads(body))
+
+    async def behave(self, upstream: str, **changes: typing.Any) -> None:
+        """Change how an upstream behaves."""
+        address = self.address_by_upstream[upstream]
+        await self.post(f"http://{address}/-/control", changes)
+
+    async def ledger(self) -> list[dict[str, typing.Any]]:
+        """Return every run of every upstream."""
+        runs = []
+        for address in self.address_by_upstream.values():
+            _, body = await self.get(f"http://{address}/-/ledger")
+            runs += json.loads(body)["runs"]
+        return runs
+
+    async def runs_of(self, work: str) -> int:
+        """Return how often ``work`` began to run anywhere."""
+        return sum(run["work"] == work for run in await self.ledger())
+
+    async def get(self, url: str) -> tuple[int, bytes]:
+        """Fetch a URL; status zero where nothing answers."""
+        assert self.session is not None
+        try:
+            timeout = aiohttp.ClientTimeout(total=5)
+            async with self.session.get(url, timeout=timeout) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return 0, b""
+
+    async def post(self, url: str, body: object) -> None:
+        """Post JSON to a stand-in."""
+        assert self.session is not None
+        async with self.session.post(url, json=body) as response:
+            assert response.status == 200, await response.text()
+
+    async def close(self) -> None:
+        """End every process that is left."""
+        for lib in self.clients:
+            await lib.close()
+        if self.session is not None:
+            await self.session.close()
+        for process in self.processes:
+            await process.kill()
+        self.scratch.cleanup()
+
+    async def _stand_in(self, kind: str, arguments: list[str]) -> str:
+        process = await self._spawn(kind, ["-m", "standins", kind, *arguments])
+        assert process.child.stdout is not None
+        async with asyncio.timeout(START_LIMIT_S):
+            line = await process.child.stdout.readline()
+        assert line, f"{kind} did not start:\n{process.log}"
+        return line.decode().strip()
+
+    async def _spawn(self, name: str, arguments: list[str]) -> Process:
+        child = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *arguments,
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        process = Process(name, child)
+        self.processes.append(process)
+        return process
--- /dev/null
+++ b/spindlenotch/balancer.py
@@ -0,0 +1,296 @@
+"""
+The kernel's front: admission, selection, retries and hedges of one service.
+
+State in, decision and reason out. The daemon and the experiment tool drive
+the very same object: both pass in calls, ends of calls and the instant, and
+carry out the grants it returns. Sits between the data path (above) and pool,
+queue and policies (below).
+"""
+
+import collections
+import dataclasses
+import enum
+import random
+
+from spindlenotch import (
+    budgets,
+    bundle,
+    ids,
+    outcomes,
+    ownership,
+    pool as pools,
+    selection,
+    upstreams,
+    waiting,
+)
+
+#: Decisions kept for ``explain``.
+DECISIONS_KEPT = 2000
+#: An answer is overdue when a healthy upstream would be this unlikely to be
+#: silent for so long: exp(-4) is about 2 in 100.
+SILENCE_EXPONENT = 4.0
+#: The soonest that a waiting caller is told to come back, in seconds.
+LEAST_RETRY_S = 0.05
+
+
+class Kind(enum.Enum):
+    """Which try of a call a grant is."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Leave to send a call to one upstream now."""
+
+    call: waiting.Call
+    upstream: upstreams.Upstream
+    kind: Kind
+    sent_at: ids.Instant
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """
+    The call waits in the queue; a settlement follows.
+
+    ``displaced`` settles a less urgent call whose place it took.
+    """
+
+    call: waiting.Call
+    displaced: "Settlement | None" = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settlement:
+    """What became of a call that waited."""
+
+    call: waiting.Call
+    verdict: Grant | outcomes.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """A decision as remembered for ``explain``."""
+
+    at: ids.Instant
+    call: ids.CallId
+    kind: Kind
+    upstream: ids.UpstreamId | None
+    rule: str
+    candidates: tuple[selection.Candidate, ...]
+
+
+class Balancer:
+    """
+    Decides for one service in one entry.
+
+    Invariants: a grant names an upstream that is listed, not leaving and not
+    ejected; a call is never granted twice to the same upstream; only
+    repeatable calls are granted more than once, from budgets that are a share
+    of the calls offered.
+    """
+
+    def __init__(
+        self,
+        service: bundle.Service,
+        me: ownership.Member,
+        rng: random.Random,
+        now: ids.Instant,
+    ) -> None:
+        self.service = service
+        self.pool = pools.Pool(service, me, rng, now)
+        self.policy = selection.POLICIES.get(service.policy)()
+        self.queue = waiting.WaitQueue(service.queue_limit)
+        self.hedges = budgets.ShareBudget(service.hedge_share)
+        self.retries = budgets.ShareBudget(service.retry_share)
+        self.tried_by_call: dict[ids.CallId, set[ids.UpstreamId]] = {}
+        self.decisions: collections.deque[Decision] = collections.deque(
+            maxlen=DECISIONS_KEPT
+        )
+
+    def update_service(self, service: bundle.Service) -> None:
+        """Take in a new bundle's settings; beliefs and calls stay."""
+        if service.policy != self.service.policy:
+            self.policy = selection.POLICIES.get(service.policy)()
+        self.service = service
+        self.pool.service = service
+        self.queue.limit = service.queue_limit
+        self.hedges.share = service.hedge_share
+        self.retries.share = service.retry_share
+
+    def offer(
+        self, call: waiting.Call, now: ids.Instant
+    ) -> Grant | Waiting | outcomes.Refusal:
+        """Decide on a new call."""
+        self.hedges.earn()
+        self.retries.earn()
+        if call.deadline <= now:
+            return outcomes.not_run(outcomes.Reason.DEADLINE_PASSED)
+        if not self._anyone(now):
+            return outcomes.not_run(outcomes.Reason.NO_UPSTREAM, self.pool.soonest(now))
+        ahead = self.queue.ahead_of(call.rank)
+        if ahead == 0:
+            grant = self._grant(call, Kind.FIRST, 0, now)
+            if grant is not None:
+                return grant
+        wait_s = self.expected_wait(ahead)
+        if call.deadline - now < wait_s + self.pool.usual_of(call.operation):
+            return outcomes.not_run(
+                outcomes.Reason.DEADLINE_HOPELESS, self._come_back(now)
+            )
+        return self._enqueue(call, now)
+
+    def finish(
+        self,
+        grant: Grant,
+        result: upstreams.Result,
+        report: upstreams.LoadReport | None,
+        now: ids.Instant,
+    ) -> list[Settlement]:
+        """Note the end of a grant and hand the freed slot on."""
+        upstream = grant.upstream
+        usual = self.pool.usual_of(grant.call.operation)
+        upstream.ended(grant.call.id, result, usual, now)
+        if report is not None:
+            upstream.reported(report, now)
+            running = min(report.running, upstream.slots)
+            self.pool.use.add(running / upstream.slots)
+        took = now - grant.sent_at
+        self.pool.note(upstream, grant.call.operation, result, took, now)
+        return self.settle(now)
+
+    def forget(self, call_id: ids.CallId) -> None:
+        """Drop what was kept to place further tries of a call."""
+        self.tried_by_call.pop(call_id, None)
+
+    def settle(self, now: ids.Instant) -> list[Settlement]:
+        """Refuse what is too late, then place waiting calls while it goes."""
+        settled = [
+            Settlement(call, outcomes.not_run(outcomes.Reason.DEADLINE_PASSED))
+            for call in self.queue.expired(now)
+        ]
+        while (call := self.queue.turn()) is not None:
+            grant = self._grant(call, Kind.FIRST, 0, now)
+            if grant is None:
+                break
+            self.queue.take(call)
+            settled.append(Settlement(call, grant))
+        if len(self.queue) and not self._anyone(now):
+            settled.extend(self._refuse_all(now))
+        return settled
+
+    def withdraw(self, call_id: ids.CallId) -> None:
+        """Take a call out of the queue; its caller is gone."""
+        self.queue.remove(call_id)
+
+    def retry(self, grant: Grant, now: ids.Instant) -> Grant | None:
+        """Place another try of a failed call, if it may have one."""
+        call = grant.call
+        if not call.repeatable or call.deadline <= now or self.pool.in_trouble():
+            return None
+        if not self.retries.spend():
+            return None
+        return self._grant(call, Kind.RETRY, 0, now)
+
+    def next_check(self, grant: Grant, now: ids.Instant) -> ids.Instant:
+        """Return when to look again whether the answer is overdue."""
+        usual = self.pool.usual_of(grant.call.operation)
+        return ids.later(now, max(0.001, usual))
+
+    def hedge(self, grant: Grant, now: ids.Instant) -> Grant | None:
+        """
+        Place a second copy of a call whose answer is overdue.
+
+        Overdue means: the upstream, not just this call, has been silent for
+        longer than chance explains, or the call is slower than 95 in 100.
+        """
+        self._eject_if_frozen(grant, now)
+        call = grant.call
+        tried = self.tried_by_call.get(call.id, set())
+        if not call.repeatable or len(tried) != 1 or self.pool.in_trouble():
+            return None
+        if not self._overdue(grant, now) or len(self.queue):
+            return None
+        if self.hedges.balance < 1.0:
+            return None
+        hedge = self._grant(call, Kind.HEDGE, 0, now)
+        if hedge is not None:
+            self.hedges.spend()
+        return hedge
+
+    def expected_wait(self, ahead: int) -> float:
+        """Estimate the wait behind ``ahead`` calls, in seconds."""
+        slots = sum(u.owned_slots for u in self.pool.owned)
+        return ahead * self.pool.usual_s.value / max(1.0, slots)
+
+    def _overdue(self, grant: Grant, now: ids.Instant) -> bool:
+        upstream = grant.upstream
+        age = now - grant.sent_at
+        if age > self.pool.slow_of(grant.call.operation):
+            return True
+        pace = upstream.outstanding / self.pool.usual_s.value
+        return upstream.silent_s(now) * pace > SILENCE_EXPONENT
+
+    def _eject_if_frozen(self, grant: Grant, now: ids.Instant) -> None:
+        upstream = grant.upstream
+        if upstream.state in (upstreams.State.EJECTED, upstreams.State.LEAVING):
+            return
+        if self.pool.frozen(upstream, grant.call.operation, now):
+            self.pool.eject(upstream, "silent", now)
+
+    def _anyone(self, now: ids.Instant) -> bool:
+        for upstream in self.pool.usable_order:
+            upstream.tick(now)
+            if upstream.state is not upstreams.State.EJECTED:
+                return True
+        return False
+
+    def _grant(
+        self, call: waiting.Call, kind: Kind, ahead: int, now: ids.Instant
+    ) -> Grant | None:
+        tried = self.tried_by_call.get(call.id, set())
+        choice = self.policy.choose(self.pool, call, ahead, now, tried)
+        if choice is None:
+            return None
+        upstream = choice.upstream
+        self.tried_by_call.setdefault(call.id, set()).add(upstream.spec.id)
+        upstream.sent(call.id, now)
+        self.decisions.append(
+            Decision(
+                now,
+                call.id,
+                kind,
+                upstream.spec.id,
+                choice.rule.value,
+                choice.candidates,
+            )
+        )
+        return Grant(call, upstream, kind, now)
+
+    def _enqueue(
+        self, call: waiting.Call, now: ids.Instant
+    ) -> Waiting | outcomes.Refusal:
+        if len(self.queue) < self.queue.limit:
+            self.queue.push(call)
+            return Waiting(call)
+        victim = self.queue.lowest()
+        refusal = outcomes.not_run(outcomes.Reason.QUEUE_FULL, self._come_back(now))
+        if victim is None or victim.rank <= call.rank:
+            return refusal
+        self.queue.remove(victim.id)
+        self.queue.push(call)
+        return Waiting(call, Settlement(victim, refusal))
+
+    def _refuse_all(self, now: ids.Instant) -> list[Settlement]:
+        refusal = outcomes.not_run(outcomes.Reason.NO_UPSTREAM, self.pool.soonest(now))
+        waiting_calls = list(self.queue)
+        for call in waiting_calls:
+            self.queue.remove(call.id)
+        return [Settlement(call, refusal) for call in waiting_calls]
+
+    def _come_back(self, now: ids.Instant) -> ids.Instant:
+        wait = self.expected_wait(len(self.queue) + 1)
+        return ids.later(now, max(LEAST_RETRY_S, wait))
--- /dev/null
+++ b/spindlenotch/bundle.py
@@ -0,0 +1,101 @@
+"""
+The bundle as the kernel sees it: checked, immutable, keyed by name.
+
+``bundle_check`` builds these objects from TOML and is the only module that
+does. Units: shares are fractions of one, times are seconds unless the name
+says otherwise.
+"""
+
+import dataclasses
+
+from spindlenotch import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """A kind of request: which method and path it has and whether it repeats."""
+
+    name: str
+    methods: frozenset[str]
+    prefix: str
+    class_name: ids.ClassName
+    repeatable: bool
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tell whether a request with ``method`` and ``path`` is of this kind."""
+        return method in self.methods and path.startswith(self.prefix)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DayStep:
+    """Zone weights that hold exactly at ``minute`` of the local day."""
+
+    minute: int
+    weight_by_zone: dict[ids.ZoneName, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """
+    One service and how its traffic is treated.
+
+    ``slots`` is what one upstream runs at once; ``typical_ms`` is the time
+    one request usually takes and seeds every estimate before there are
+    measurements.
+    """
+
+    name: ids.ServiceName
+    zones: tuple[ids.ZoneName, ...]
+    slots: int
+    connections: int
+    typical_ms: float
+    policy: str
+    hedge_share: float
+    retry_share: float
+    queue_limit: int
+    eject_share: float
+    operations: tuple[Operation, ...]
+    day: tuple[DayStep, ...]
+
+    def operation_for(self, method: str, path: str) -> Operation | None:
+        """Return the operation with the longest matching prefix, if any."""
+        fitting = [o for o in self.operations if o.matches(method, path)]
+        if not fitting:
+            return None
+        return max(fitting, key=lambda o: len(o.prefix))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGrant:
+    """Which classes a caller may use; the first is its usual one."""
+
+    name: ids.CallerName
+    key_sha256: str
+    class_names: tuple[ids.ClassName, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bundle:
+    """
+    All that the operators signed off, in one version.
+
+    ``rank_by_class``: a lower rank is served first. ``unknown_class`` is the
+    class of callers without a grant, or None where they are refused.
+    ``measuring_share`` bounds probes as a share of upstream capacity.
+    """
+
+    version: ids.BundleVersion
+    deployment: str
+    timezone: str
+    measuring_share: float
+    probe_ms: float
+    claims_per_second: float
+    claim_keep_s: int
+    rank_by_class: dict[ids.ClassName, int]
+    unknown_class: ids.ClassName | None
+    caller_by_name: dict[ids.CallerName, CallerGrant]
+    service_by_name: dict[ids.ServiceName, Service]
+
+    def lowest_rank(self) -> int:
+        """Return the rank that is served last."""
+        return max(self.rank_by_class.values())
--- /dev/null
+++ b/spindlenotch/claims.py
@@ -0,0 +1,111 @@
+"""
+Claims: give an id that the caller chose its one home, through the store.
+
+A claim is written only if none is there, and names this life of this process.
+Whoever finds it sends the request there. Whether the request runs is then up
+to the home's table alone, so a write whose answer was lost does no harm: it
+can only have named this process.
+"""
+
+import dataclasses
+import enum
+import hashlib
+
+import msgspec
+
+from spindlenotch import budgets, entry_state, ids, once, ports
+
+
+class ClaimFault(enum.Enum):
+    """Why an id has no home yet."""
+
+    UNAVAILABLE = "unavailable"
+    OVER_BUDGET = "over-budget"
+
+
+class Home(msgspec.Struct, frozen=True):
+    """The life of an entry process that alone may run an id."""
+
+    host: str
+    incarnation: str
+
+
+@dataclasses.dataclass(slots=True)
+class ClaimRates:
+    """The claim budget in force and its bucket."""
+
+    per_second: float
+    bucket: budgets.RateBudget
+
+
+class Claims:
+    """Finds or makes the home of caller-chosen ids."""
+
+    def __init__(self, state: entry_state.EntryState, store: ports.Store) -> None:
+        self.state = state
+        self.store = store
+        now = state.clock.now()
+        self.rates = ClaimRates(0.0, budgets.RateBudget(0.0, 1.0, now))
+
+    async def home_of(self, key: once.OnceKey) -> Home | ClaimFault:
+        """Return the home of ``key``, claiming it for this process if free."""
+        mine = Home(self.state.config.host, self.state.incarnation)
+        if key in self.state.once.record_by_key:
+            return mine
+        if not self._may_claim():
+            return ClaimFault.OVER_BUDGET
+        for _ in range(2):
+            result = await self._swap(key, mine)
+            if isinstance(result, ports.Stored):
+                return mine
+            if result is ports.StoreFault.OVER_LIMIT:
+                return ClaimFault.OVER_BUDGET
+            holder = await self._read(key)
+            if holder is not None:
+                return holder
+            # Absent after a lost answer: swapping again is safe, since a
+            # late first write would make the second one lose to ourselves.
+        return ClaimFault.UNAVAILABLE
+
+    async def _swap(
+        self, key: once.OnceKey, mine: Home
+    ) -> ports.Stored | ports.Conflict | ports.StoreFault:
+        bundle = self.state.bundle
+        assert bundle is not None
+        self.state.metrics.store_calls.labels("claim").inc()
+        return await self.store.swap(
+            _store_key(key), msgspec.json.encode(mine), 0, float(bundle.claim_keep_s)
+        )
+
+    async def _read(self, key: once.OnceKey) -> Home | None:
+        self.state.metrics.store_calls.labels("claim").inc()
+        stored = await self.store.get(_store_key(key))
+        if isinstance(stored, ports.StoreFault) or stored.revision == 0:
+            return None
+        try:
+            return msgspec.json.decode(stored.value, type=Home)
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            return None
+
+    def _may_claim(self) -> bool:
+        bundle = self.state.bundle
+        if bundle is None:
+            return False
+        now = self.state.clock.now()
+        share = bundle.claims_per_second / max(
+            1, len(self.state.gossip.ready_members())
+        )
+        if share != self.rates.per_second:
+            tokens = self.rates.bucket.tokens
+            bucket = budgets.RateBudget(share, max(1.0, share), now, tokens)
+            self.rates = ClaimRates(share, bucket)
+        return self.rates.bucket.spend(now)
+
+
+def _store_key(key: once.OnceKey) -> str:
+    return "claims/" + hashlib.sha256(key.encode()).hexdigest()
+
+
+def is_mine(home: Home, host: ids.HostId, incarnation: ids.Incarnation) -> bool:
+    """Tell whether ``home`` is this very process."""
+    return home.host == host and home.incarnation == incarnation
--- /dev/null
+++ b/spindlenotch/cli.py
@@ -0,0 +1,112 @@
+"""
+The command line: one command per role, each a thin wrapper.
+"""
+
+import os
+import sys
+import typing
+
+import cyclopts
+import msgspec
+import rich.console
+import uvloop
+
+from spindlenotch import (
+    __version__,
+    cli_bundle,
+    cli_load,
+    daemon,
+    explain_client,
+    settings,
+)
+
+EXIT_USAGE = 2
+EXIT_FAILED = 1
+
+app = cyclopts.App(
+    name="spindlenotch",
+    help="A load balancer for servers whose load shifts in milliseconds.",
+    version=__version__,
+)
+app.command(cli_bundle.app, name="bundle")
+app.command(cli_load.app, name="caller")
+
+
+def _entry_help() -> str:
+    lines = ["Run the daemon of an entry host.", "", "Settings, as flag or variable:"]
+    for s in settings.SETTINGS:
+        default = "required" if s.default is None else f"default {s.default or 'empty'}"
+        lines.append(
+            f"* `{s.flag}` / `{s.variable}`: {s.meaning} ({s.kind.allowed}; {default})"
+        )
+    return "\n".join(lines)
+
+
+@app.command(name="entry", help=_entry_help())
+def run_entry(**flags: str) -> None:
+    """Check all settings, then run until a signal."""
+    flags = {name.replace("-", "_"): value for name, value in flags.items()}
+    known = {s.name for s in settings.SETTINGS}
+    faults = [
+        settings.Fault(f"--{name.replace('_', '-')}", value, "a known setting")
+        for name, value in flags.items()
+        if name not in known
+    ]
+    config = settings.read(flags, os.environ)
+    if isinstance(config, list):
+        faults += config
+    if faults:
+        for fault in faults:
+            print(fault, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    assert isinstance(config, settings.EntrySettings)
+    daemon.run(config)
+
+
+@app.command(name="explain")
+def run_explain(
+    operator: str, *, service: str = "", call: str = "", json: bool = False
+) -> None:
+    """
+    Say why an entry decides as it does.
+
+    Parameters
+    ----------
+    operator: IP:port of the entry's operator port.
+    service: Show who could take a request of this service now, and why.
+    call: Show what was decided on this request id.
+    json: Print JSON only.
+    """
+    if bool(service) == bool(call):
+        print("give exactly one of --service and --call", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    found = uvloop.run(explain_client.fetch(operator, service, call))
+    if isinstance(found, str):
+        print(found, file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+    if json:
+        print(msgspec.json.format(msgspec.json.encode(found)).decode())
+        return
+    console = rich.console.Console()
+    for line in explain_client.lines(found):
+        console.print(line, highlight=False, markup=False)
+
+
+@app.command(name="demo")
+def run_demo(*, seconds: float = 30.0, plain: bool = False) -> None:
+    """
+    Show the whole system in one process, with faults, and stop by itself.
+
+    Parameters
+    ----------
+    seconds: How long the traffic lasts.
+    plain: Print lines in place of a live table.
+    """
+    # Imported here: the demo needs the stand-ins, the daemons do not.
+    demo = typing.cast(typing.Any, __import__("demo"))
+    sys.exit(uvloop.run(demo.main(seconds, plain=plain)))
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/spindlenotch/latency.py
@@ -0,0 +1,48 @@
+"""
+Estimates of time that cost a few floating-point operations per sample.
+
+Used by the kernel on every answer. Histograms for reports come from the
+HdrHistogram library; these trackers only steer decisions.
+"""
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(slots=True)
+class QuantileTracker:
+    """
+    Follows one quantile of a positive, drifting quantity.
+
+    Invariant: ``value`` stays positive. Each sample moves it by a small
+    factor, up with weight ``quantile`` and down with the rest, so that at
+    balance the wanted share of samples lies below.
+    """
+
+    quantile: float
+    value: float
+    gain: float = 0.05
+
+    def add(self, sample: float) -> None:
+        """Take in one sample (same unit as ``value``)."""
+        if sample > self.value:
+            self.value *= 1.0 + self.gain * self.quantile
+        else:
+            self.value *= 1.0 - self.gain * (1.0 - self.quantile)
+
+
+@dataclasses.dataclass(slots=True)
+class Mean:
+    """Exponentially weighted mean; ``weight`` is that of the newest sample."""
+
+    value: float
+    weight: float = 0.1
+
+    def add(self, sample: float) -> None:
+        """Take in one sample."""
+        self.value += self.weight * (sample - self.value)
+
+
+def decay(age: float, time_constant: float) -> float:
+    """Return how much a belief of this age still counts, from 1 down to 0."""
+    return math.exp(-max(age, 0.0) / time_constant)
--- /dev/null
+++ b/spindlenotch/metrics.py
@@ -0,0 +1,99 @@
+"""
+Prometheus metrics of one process, in a registry of its own.
+
+Rendered in the loop by the operator port. Labels take only names from the
+bundle, so their number is bounded.
+"""
+
+import prometheus_client
+
+MILLISECOND_BUCKETS = (
+    0.0005,
+    0.001,
+    0.0016,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    1.0,
+    5.0,
+)
+
+
+class Metrics:
+    """All metrics of an entry. Times are in seconds."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "spindlenotch_requests_total",
+            "Requests answered, by service, outcome and reason",
+            ("service", "outcome", "reason"),
+            registry=self.registry,
+        )
+        self.request_time = prometheus_client.Histogram(
+            "spindlenotch_request_seconds",
+            "From the head of a request to the end of its answer",
+            ("service",),
+            buckets=MILLISECOND_BUCKETS,
+            registry=self.registry,
+        )
+        self.extra_sends = prometheus_client.Counter(
+            "spindlenotch_extra_sends_total",
+            "Retries and hedges sent",
+            ("service", "kind"),
+            registry=self.registry,
+        )
+        self.probes = prometheus_client.Counter(
+            "spindlenotch_probes_total",
+            "Probes sent",
+            ("service",),
+            registry=self.registry,
+        )
+        self.probe_slot_seconds = prometheus_client.Counter(
+            "spindlenotch_probe_slot_seconds_total",
+            "Upstream slot time that probes took",
+            ("service",),
+            registry=self.registry,
+        )
+        self.peer_bytes = prometheus_client.Counter(
+            "spindlenotch_peer_bytes_total",
+            "Bytes to and from peers",
+            ("direction",),
+            registry=self.registry,
+        )
+        self.peer_drops = prometheus_client.Counter(
+            "spindlenotch_peer_drops_total",
+            "Peer messages dropped, by reason",
+            ("reason",),
+            registry=self.registry,
+        )
+        self.foreign_answers = prometheus_client.Counter(
+            "spindlenotch_foreign_answers_total",
+            "Upstream answers dropped because they belong to another request",
+            ("service",),
+            registry=self.registry,
+        )
+        self.store_calls = prometheus_client.Counter(
+            "spindlenotch_store_calls_total",
+            "Calls to the store, by purpose",
+            ("purpose",),
+            registry=self.registry,
+        )
+        self.bundle_version = prometheus_client.Gauge(
+            "spindlenotch_bundle_version",
+            "Version of the bundle in force",
+            registry=self.registry,
+        )
+        self.in_flight = prometheus_client.Gauge(
+            "spindlenotch_requests_in_flight",
+            "Requests being served",
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return the text format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/spindlenotch/outcomes.py
@@ -0,0 +1,83 @@
+"""
+The one vocabulary in which every answer states what became of a request.
+
+The caller library, the entry and the tests all use these values. ``NOT_RUN``
+may only be built from positive knowledge: the request was never dispatched,
+the connection was never made, or the upstream said so itself.
+"""
+
+import dataclasses
+import enum
+
+from spindlenotch import ids
+
+
+class Outcome(enum.Enum):
+    """What is known of a request when its answer is given."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.Enum):
+    """Why a request was refused or its outcome is what it is."""
+
+    SERVED = "served"
+    KEPT_ANSWER = "kept-answer"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+    UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_OPERATION = "unknown-operation"
+    MISSING_DEADLINE = "missing-deadline"
+    BAD_DEADLINE = "bad-deadline"
+    BAD_ID = "bad-id"
+    BAD_HEADER = "bad-header"
+    TWO_IDS = "two-ids"
+    UNAUTHENTICATED = "unauthenticated"
+    CLASS_NOT_GRANTED = "class-not-granted"
+    ID_EXPIRED = "id-expired"
+    ID_TABLE_FULL = "id-table-full"
+    ATTEMPT_CLOSED = "attempt-closed"
+    HOME_GONE = "home-gone"
+    CLAIM_UNAVAILABLE = "claim-unavailable"
+    CLAIM_OVER_BUDGET = "claim-over-budget"
+    NOT_READY = "not-ready"
+    RESYNCHRONISING = "resynchronising"
+    NO_UPSTREAM = "no-upstream"
+    QUEUE_FULL = "queue-full"
+    DEADLINE_HOPELESS = "deadline-hopeless"
+    DEADLINE_PASSED = "deadline-passed"
+    UPSTREAM_SHED = "upstream-shed"
+    CONNECT_FAILED = "connect-failed"
+    CONNECTION_LOST = "connection-lost"
+    FOREIGN_ANSWER = "foreign-answer"
+    CALLER_GONE = "caller-gone"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """
+    A sentinel returned in place of an answer. It is final when it is made.
+
+    ``retry_at`` is the instant from which asking again makes sense, or None
+    where the same request would be refused again.
+    """
+
+    outcome: Outcome
+    reason: Reason
+    retry_at: ids.Instant | None = None
+    detail: str = ""
+
+
+def not_run(
+    reason: Reason, retry_at: ids.Instant | None = None, detail: str = ""
+) -> Refusal:
+    """Build a refusal of a request that positively did not run."""
+    return Refusal(Outcome.NOT_RUN, reason, retry_at, detail)
+
+
+def unknown(
+    reason: Reason, retry_at: ids.Instant | None = None, detail: str = ""
+) -> Refusal:
+    """Build a refusal of a request that may have run."""
+    return Refusal(Outcome.UNKNOWN, reason, retry_at, detail)
--- /dev/null
+++ b/spindlenotch/peer.capnp
@@ -0,0 +1,46 @@
+@0xc1f4a1d27b5ae9d3;
+# Messages between entries. Every frame and datagram carries one of these,
+# followed by an authentication code (see peer_codec.py).
+
+struct MemberNews {
+  host @0 :Text;
+  zone @1 :Text;
+  incarnation @2 :Text;
+  address @3 :Text;
+  peerAddress @4 :Text;
+  epoch @5 :UInt64;
+  heartbeat @6 :UInt64;
+  status @7 :UInt8;
+  bundleVersion @8 :UInt64;
+}
+
+struct DocumentNews {
+  kind @0 :UInt8;
+  version @1 :UInt64;
+  digest @2 :Text;
+}
+
+struct Mark {
+  service @0 :Text;
+  upstream @1 :Text;
+  generation @2 :UInt64;
+}
+
+struct Gossip {
+  sender @0 :MemberNews;
+  sequence @1 :UInt64;
+  documents @2 :List(DocumentNews);
+  members @3 :List(MemberNews);
+  marks @4 :List(Mark);
+}
+
+# Over TCP: ask for a document, or offer one. The answer is a document too;
+# version zero where the asked peer has none.
+struct DocumentFrame {
+  correlation @0 :UInt64;
+  wanted @1 :Bool;
+  kind @2 :UInt8;
+  version @3 :UInt64;
+  digest @4 :Text;
+  body @5 :Data;
+}
--- /dev/null
+++ b/spindlenotch/peer_codec.py
@@ -0,0 +1,204 @@
+"""
+Peer messages to bytes and back: Cap'n Proto with an authentication code.
+
+Everything that arrives is hostile until its code is right; only then does the
+Cap'n Proto reader see it, with bounds on traversal and nesting. A fault is a
+value that is counted by the caller, never an exception.
+"""
+
+import dataclasses
+import enum
+import hashlib
+import hmac
+import pathlib
+import typing
+
+import capnp
+
+from spindlenotch import documents, gossip, ids
+
+MAC_BYTES = 16
+MAX_DATAGRAM = 8 * 1024
+MAX_FRAME = 2 * 1024 * 1024
+TRAVERSAL_WORDS = MAX_FRAME
+NESTING = 8
+TEXT_LIMIT = 256
+
+_schema: typing.Any = capnp.load(str(pathlib.Path(__file__).parent / "peer.capnp"))
+
+
+class CodecFault(enum.Enum):
+    """Why bytes from a peer were dropped."""
+
+    TOO_SHORT = "too-short"
+    TOO_LONG = "too-long"
+    BAD_CODE = "bad-code"
+    GARBLED = "garbled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentFrame:
+    """A request for a document (``wanted``) or a document."""
+
+    correlation: int
+    wanted: bool
+    document: documents.Document
+
+
+class Sealer:
+    """
+    Adds and checks authentication codes.
+
+    The first key signs; all keys are accepted, so that keys can be rotated
+    host by host: add the new one behind, move it to the front, drop the old.
+    """
+
+    def __init__(self, keys: tuple[bytes, ...]) -> None:
+        self.keys = keys
+
+    def seal(self, payload: bytes) -> bytes:
+        """Return ``payload`` with its code in front."""
+        return self._code(self.keys[0], payload) + payload
+
+    def open(self, data: bytes, limit: int) -> bytes | CodecFault:
+        """Check the code and return the payload."""
+        if len(data) <= MAC_BYTES:
+            return CodecFault.TOO_SHORT
+        if len(data) > limit:
+            return CodecFault.TOO_LONG
+        code, payload = data[:MAC_BYTES], data[MAC_BYTES:]
+        for key in self.keys:
+            if hmac.compare_digest(code, self._code(key, payload)):
+                return payload
+        return CodecFault.BAD_CODE
+
+    def _code(self, key: bytes, payload: bytes) -> bytes:
+        return hmac.new(key, payload, hashlib.sha256).digest()[:MAC_BYTES]
+
+
+def encode_gossip(message: gossip.Message) -> bytes:
+    """Return the wire form of a gossip message, without its code."""
+    wire = _schema.Gossip.new_message()
+    _write_member(wire.sender, message.sender)
+    wire.sequence = message.sequence
+    news = wire.init("documents", len(message.documents))
+    for slot, document in zip(news, message.documents, strict=True):
+        slot.kind = document.kind.value
+        slot.version = document.version
+        slot.digest = document.digest
+    members = wire.init("members", len(message.members))
+    for slot, member in zip(members, message.members, strict=True):
+        _write_member(slot, member)
+    marks = wire.init("marks", len(message.marks))
+    for slot, mark in zip(marks, message.marks, strict=True):
+        slot.service = mark.service
+        slot.upstream = mark.upstream
+        slot.generation = mark.generation
+    return typing.cast(bytes, wire.to_bytes_packed())
+
+
+def decode_gossip(payload: bytes) -> gossip.Message | CodecFault:
+    """Read the wire form of a gossip message."""
+    try:
+        wire = _schema.Gossip.from_bytes_packed(
+            payload,
+            traversal_limit_in_words=MAX_DATAGRAM,
+            nesting_limit=NESTING,
+        )
+        return _read_gossip(wire)
+    except (capnp.KjException, ValueError, UnicodeDecodeError):
+        return CodecFault.GARBLED
+
+
+def encode_frame(frame: DocumentFrame) -> bytes:
+    """Return the wire form of a document frame, without its code."""
+    wire = _schema.DocumentFrame.new_message(
+        correlation=frame.correlation,
+        wanted=frame.wanted,
+        kind=frame.document.kind.value,
+        version=frame.document.version,
+        digest=frame.document.digest,
+        body=frame.document.body,
+    )
+    return typing.cast(bytes, wire.to_bytes_packed())
+
+
+def decode_frame(payload: bytes) -> DocumentFrame | CodecFault:
+    """Read the wire form of a document frame."""
+    try:
+        wire = _schema.DocumentFrame.from_bytes_packed(
+            payload,
+            traversal_limit_in_words=TRAVERSAL_WORDS,
+            nesting_limit=NESTING,
+        )
+        document = documents.Document(
+            documents.DocumentKind(wire.kind),
+            wire.version,
+            ids.Digest(_text(wire.digest)),
+            bytes(wire.body),
+        )
+        return DocumentFrame(wire.correlation, bool(wire.wanted), document)
+    except (capnp.KjException, ValueError, UnicodeDecodeError):
+        return CodecFault.GARBLED
+
+
+def _write_member(slot: typing.Any, member: gossip.MemberNews) -> None:
+    slot.host = member.host
+    slot.zone = member.zone
+    slot.incarnation = member.incarnation
+    slot.address = member.address
+    slot.peerAddress = member.peer_address
+    slot.epoch = member.epoch
+    slot.heartbeat = member.heartbeat
+    slot.status = member.status.value
+    slot.bundleVersion = member.bundle_version
+
+
+def _read_gossip(wire: typing.Any) -> gossip.Message:
+    if len(wire.members) > gossip.MEMBERS_PER_MESSAGE:
+        raise ValueError("members")
+    if len(wire.marks) > gossip.MARKS_PER_MESSAGE:
+        raise ValueError("marks")
+    if len(wire.documents) > len(documents.DocumentKind):
+        raise ValueError("documents")
+    return gossip.Message(
+        _read_member(wire.sender),
+        wire.sequence,
+        tuple(_read_news(n) for n in wire.documents),
+        tuple(_read_member(m) for m in wire.members),
+        tuple(_read_mark(m) for m in wire.marks),
+    )
+
+
+def _read_member(wire: typing.Any) -> gossip.MemberNews:
+    return gossip.MemberNews(
+        ids.HostId(_text(wire.host)),
+        ids.ZoneName(_text(wire.zone)),
+        ids.Incarnation(_text(wire.incarnation)),
+        ids.Address(_text(wire.address)),
+        ids.Address(_text(wire.peerAddress)),
+        wire.epoch,
+        wire.heartbeat,
+        gossip.Status(wire.status),
+        wire.bundleVersion,
+    )
+
+
+def _read_news(wire: typing.Any) -> gossip.DocumentNews:
+    return gossip.DocumentNews(
+        documents.DocumentKind(wire.kind), wire.version, ids.Digest(_text(wire.digest))
+    )
+
+
+def _read_mark(wire: typing.Any) -> gossip.Mark:
+    return gossip.Mark(
+        ids.ServiceName(_text(wire.service)),
+        ids.UpstreamId(_text(wire.upstream)),
+        wire.generation,
+    )
+
+
+def _text(value: str) -> str:
+    if len(value) > TEXT_LIMIT:
+        raise ValueError("text")
+    return value
--- /dev/null
+++ b/spindlenotch/peer_link.py
@@ -0,0 +1,182 @@
+"""
+The link between entries: gossip over UDP, documents over TCP.
+
+Both listen on the same port number. Whatever is garbled, too large or not
+authenticated is counted and dropped; it never grows any state. A document
+connection carries one question and one answer, each with a correlation
+number that must match.
+"""
+
+import asyncio
+import struct
+import typing
+from collections import abc
+
+from spindlenotch import documents, gossip, ids, metrics, peer_codec
+
+LENGTH = struct.Struct("!I")
+CALL_TIMEOUT_S = 2.0
+MAX_CONNECTIONS = 64
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """
+    Sends and receives peer messages.
+
+    ``on_gossip`` gets each authentic message; ``on_frame`` gets each authentic
+    frame and returns the answer to send back.
+    """
+
+    def __init__(
+        self,
+        sealer: peer_codec.Sealer,
+        measured: metrics.Metrics,
+        on_gossip: abc.Callable[[gossip.Message], None],
+        on_frame: abc.Callable[[peer_codec.DocumentFrame], documents.Document],
+    ) -> None:
+        self.sealer = sealer
+        self.metrics = measured
+        self.on_gossip = on_gossip
+        self.on_frame = on_frame
+        self.correlation = 0
+        self.connections = 0
+        self._udp: asyncio.DatagramTransport | None = None
+        self._tcp: asyncio.Server | None = None
+
+    async def start(self, address: ids.Address) -> ids.Address:
+        """Listen on ``address``; return the one in use (port 0: any free)."""
+        host, port = split(address)
+        self._tcp = await asyncio.start_server(self._serve, host, port)
+        bound = self._tcp.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, bound)
+        )
+        self._udp = transport
+        return ids.Address(f"{host}:{bound}")
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._udp is not None:
+            self._udp.close()
+        if self._tcp is not None:
+            self._tcp.close()
+
+    def tell(self, message: gossip.Message, targets: list[ids.Address]) -> None:
+        """Send a gossip message to each target."""
+        if self._udp is None:
+            return
+        data = self.sealer.seal(peer_codec.encode_gossip(message))
+        for target in targets:
+            self._count("sent", len(data))
+            self._udp.sendto(data, split(target))
+
+    async def ask(
+        self, target: ids.Address, kind: documents.DocumentKind
+    ) -> documents.Document | None:
+        """Fetch a peer's document; None where it has none or fails."""
+        nothing = documents.Document(kind, 0, ids.Digest(""), b"")
+        return await self._call(target, nothing, wanted=True)
+
+    async def push(
+        self, target: ids.Address, document: documents.Document
+    ) -> documents.Document | None:
+        """Offer a document; the answer is the one in force there."""
+        return await self._call(target, document, wanted=False)
+
+    def datagram_received(self, data: bytes, addr: typing.Any) -> None:
+        """Take in a datagram."""
+        self._count("received", len(data))
+        payload = self.sealer.open(data, peer_codec.MAX_DATAGRAM)
+        if isinstance(payload, peer_codec.CodecFault):
+            return self._drop(payload)
+        message = peer_codec.decode_gossip(payload)
+        if isinstance(message, peer_codec.CodecFault):
+            return self._drop(message)
+        return self.on_gossip(message)
+
+    async def _call(
+        self, target: ids.Address, document: documents.Document, *, wanted: bool
+    ) -> documents.Document | None:
+        self.correlation += 1
+        frame = peer_codec.DocumentFrame(self.correlation, wanted, document)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await self._exchange(target, frame)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return None
+        if isinstance(answer, peer_codec.CodecFault):
+            self._drop(answer)
+            return None
+        if answer.correlation != frame.correlation or not answer.document.version:
+            return None
+        return answer.document
+
+    async def _exchange(
+        self, target: ids.Address, frame: peer_codec.DocumentFrame
+    ) -> peer_codec.DocumentFrame | peer_codec.CodecFault:
+        reader, writer = await asyncio.open_connection(*split(target))
+        try:
+            await self._write(writer, frame)
+            return await self._read(reader)
+        finally:
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.connections >= MAX_CONNECTIONS:
+            writer.close()
+            return
+        self.connections += 1
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                await self._answer(reader, writer)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.connections -= 1
+            writer.close()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        frame = await self._read(reader)
+        if isinstance(frame, peer_codec.CodecFault):
+            return self._drop(frame)
+        document = self.on_frame(frame)
+        answer = peer_codec.DocumentFrame(frame.correlation, False, document)
+        await self._write(writer, answer)
+
+    async def _write(
+        self, writer: asyncio.StreamWriter, frame: peer_codec.DocumentFrame
+    ) -> None:
+        data = self.sealer.seal(peer_codec.encode_frame(frame))
+        self._count("sent", len(data))
+        writer.write(LENGTH.pack(len(data)) + data)
+        await writer.drain()
+
+    async def _read(
+        self, reader: asyncio.StreamReader
+    ) -> peer_codec.DocumentFrame | peer_codec.CodecFault:
+        (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+        if length > peer_codec.MAX_FRAME:
+            return peer_codec.CodecFault.TOO_LONG
+        data = await reader.readexactly(length)
+        self._count("received", length)
+        payload = self.sealer.open(data, peer_codec.MAX_FRAME)
+        if isinstance(payload, peer_codec.CodecFault):
+            return payload
+        return peer_codec.decode_frame(payload)
+
+    def _count(self, direction: str, size: int) -> None:
+        self.metrics.peer_bytes.labels(direction).inc(size)
+
+    def _drop(self, fault: peer_codec.CodecFault) -> None:
+        self.metrics.peer_drops.labels(fault.value).inc()
+
+
+def split(address: ids.Address) -> tuple[str, int]:
+    """Return host and port of ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/spindlenotch/plugins.py
@@ -0,0 +1,23 @@
+"""
+Import every plug-in module, so that each registers itself.
+
+A bench of somebody else's plugs in the same way: import a module that
+registers its drivers, then start the daemon or the experiment.
+"""
+
+import importlib
+
+MODULES = (
+    "spindlenotch.clock",
+    "spindlenotch.selection",
+    "spindlenotch.selection_owned",
+    "spindlenotch.store_http",
+    "spindlenotch.hostlist_http",
+    "spindlenotch.upstream_http",
+)
+
+
+def load(extra: tuple[str, ...] = ()) -> None:
+    """Import the built-in plug-ins and those named in ``extra``."""
+    for name in (*MODULES, *extra):
+        importlib.import_module(name)
--- /dev/null
+++ b/spindlenotch/pool.py
@@ -0,0 +1,245 @@
+"""
+The upstreams of one service as one entry sees them.
+
+Keeps the set in step with the host list, cuts out the entry's own slots,
+ejects what fails or falls silent, and answers the two questions selection
+asks: which upstreams may take work, and what a request would cost there.
+"""
+
+import random
+from collections import abc
+
+from spindlenotch import bundle, ids, latency, ownership, schedule, upstreams
+
+#: Beliefs about others' requests fade over this many usual request times.
+BELIEF_FADES_AFTER = 2.0
+#: An upstream is taken for frozen after this many times the slow quantile.
+FROZEN_FACTOR = 3.0
+FROZEN_LEAST_S = 0.25
+#: What one millisecond between zones counts, in seconds.
+ZONE_CROSSING_S = 0.001
+#: Failing share of recent answers above which retries would only add load.
+TROUBLE_SHARE = 0.3
+
+
+class Pool:
+    """
+    Upstream beliefs by id, plus what is known of the service as a whole.
+
+    Invariants: ``usable_order`` lists the upstreams that are not leaving;
+    ``owned`` lists those of them in which this entry owns slots; at most
+    ``eject_share`` of the pool (at least one) is ejected at a time.
+    """
+
+    def __init__(
+        self,
+        service: bundle.Service,
+        me: ownership.Member,
+        rng: random.Random,
+        now: ids.Instant,
+    ) -> None:
+        self.service = service
+        self.me = me
+        self.rng = rng
+        self.members: tuple[ownership.Member, ...] = (me,)
+        self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
+        self.usable_order: list[upstreams.Upstream] = []
+        self.owned: list[upstreams.Upstream] = []
+        self.zone_factor: dict[ids.ZoneName, float] = {}
+        self.plan: dict[ids.ZoneName, float] = schedule.planned(service, 0.0)
+        self.use = latency.Mean(0.3, 0.02)
+        self.failing = latency.Mean(0.0, 0.05)
+        usual = service.typical_ms / 1000
+        self.usual_by_operation = {
+            o.name: latency.Mean(usual, 0.05) for o in service.operations
+        }
+        self.slow_by_operation = {
+            o.name: latency.QuantileTracker(0.95, usual * 3) for o in service.operations
+        }
+        self.usual_s = latency.Mean(usual, 0.02)
+
+    def set_members(self, members: abc.Iterable[ownership.Member]) -> None:
+        """Take in the entries that are alive, this one included."""
+        ordered = tuple(sorted({*members, self.me}))
+        if ordered != self.members:
+            self.members = ordered
+            self.refresh()
+
+    def set_listed(
+        self, specs: abc.Iterable[upstreams.UpstreamSpec], now: ids.Instant
+    ) -> None:
+        """
+        Take in the host list.
+
+        An upstream that is no longer listed leaves. One that is listed with a
+        higher generation starts anew. Calls in flight are not touched.
+        """
+        spec_by_id = {s.id: s for s in specs if s.zone in self.service.zones}
+        for upstream_id, known in self.upstream_by_id.items():
+            if upstream_id not in spec_by_id:
+                known.leave("not listed")
+        for spec in spec_by_id.values():
+            known_one = self.upstream_by_id.get(spec.id)
+            if known_one is None or known_one.spec.generation < spec.generation:
+                self.upstream_by_id[spec.id] = upstreams.Upstream(
+                    spec, self.service.slots, now
+                )
+        self._forget_gone(spec_by_id)
+        self.refresh()
+
+    def set_plan(self, plan: dict[ids.ZoneName, float]) -> None:
+        """Take in the day's weights by zone."""
+        if plan != self.plan:
+            self.plan = plan
+            self.refresh()
+
+    def leave(self, upstream_id: ids.UpstreamId, generation: int, reason: str) -> bool:
+        """Mark an upstream as leaving; tell whether that was news."""
+        known = self.upstream_by_id.get(upstream_id)
+        if known is None or known.spec.generation > generation:
+            return False
+        if known.state is upstreams.State.LEAVING:
+            return False
+        known.leave(reason)
+        self.refresh()
+        return True
+
+    def refresh(self) -> None:
+        """Work out anew who is usable and which slots are this entry's own."""
+        self.usable_order = [
+            u
+            for u in self.upstream_by_id.values()
+            if u.state is not upstreams.State.LEAVING
+        ]
+        slots: dict[ids.ZoneName, float] = {}
+        for upstream in self.usable_order:
+            zone = upstream.spec.zone
+            ready = upstream.state is not upstreams.State.EJECTED
+            slots[zone] = slots.get(zone, 0.0) + upstream.slots * ready
+        self.zone_factor = schedule.effective(self.plan, slots)
+        self._cut_slots()
+
+    def _cut_slots(self) -> None:
+        stakes = [
+            ownership.Stake(
+                u.spec.id,
+                u.spec.zone,
+                u.slots * self.zone_factor.get(u.spec.zone, 0.0),
+            )
+            for u in self.usable_order
+            if u.state is not upstreams.State.EJECTED
+        ]
+        own = ownership.owned(stakes, self.members, self.me)
+        for upstream in self.upstream_by_id.values():
+            upstream.owned_slots = own.get(upstream.spec.id, 0.0)
+        self.owned = [u for u in self.usable_order if u.owned_slots > 0]
+
+    def _forget_gone(self, listed: abc.Container[ids.UpstreamId]) -> None:
+        gone = [
+            upstream_id
+            for upstream_id, u in self.upstream_by_id.items()
+            if upstream_id not in listed and not u.sent_at_by_call
+        ]
+        for upstream_id in gone:
+            del self.upstream_by_id[upstream_id]
+
+    def usual_of(self, operation: str) -> float:
+        """Return the usual time of one request of ``operation``, in seconds."""
+        mean = self.usual_by_operation.get(operation, self.usual_s)
+        return mean.value
+
+    def slow_of(self, operation: str) -> float:
+        """Return the time that 95 in 100 requests of it stay under."""
+        tracker = self.slow_by_operation.get(operation)
+        return tracker.value if tracker else 3 * self.usual_s.value
+
+    def believed(self, upstream: upstreams.Upstream, now: ids.Instant) -> float:
+        """Estimate the requests in ``upstream``, those of others included."""
+        fades = BELIEF_FADES_AFTER * self.usual_s.value
+        return upstream.outstanding + upstream.others(now, fades)
+
+    def full_chance(self, upstream: upstreams.Upstream, now: ids.Instant) -> float:
+        """Estimate how likely all its slots are taken, from 0 to 1."""
+        running = self.believed(upstream, now)
+        return float(min(1.0, running / upstream.slots) ** upstream.slots)
+
+    def cost(self, upstream: upstreams.Upstream, now: ids.Instant) -> float:
+        """
+        Estimate what a usual request would take there.
+
+        The unit is the usual request time: one is an idle, healthy upstream
+        in this zone.
+        """
+        slots = upstream.slots
+        running = self.believed(upstream, now)
+        excess = max(0.0, running + 1 - slots)
+        full = min(1.0, running / slots) ** slots
+        # An answer that is overdue says more than those that came.
+        usual = self.usual_s.value
+        overdue = max(0.0, upstream.silent_s(now) * upstream.outstanding / usual - 3)
+        slowness = max(0.5, upstream.slowness.value) + 0.3 * overdue
+        way = 0.0 if upstream.spec.zone == self.me.zone else 2 * ZONE_CROSSING_S
+        return float(slowness * (1 + (excess + full) / slots) + way / usual)
+
+    def note(
+        self,
+        upstream: upstreams.Upstream,
+        operation: str,
+        result: upstreams.Result,
+        took_s: float,
+        now: ids.Instant,
+    ) -> None:
+        """Take in how a request ended, and eject the upstream where needed."""
+        if result is upstreams.Result.CANCELLED:
+            return
+        bad = result not in (upstreams.Result.ANSWERED, upstreams.Result.SHED)
+        self.failing.add(1.0 if bad else 0.0)
+        if result is upstreams.Result.ANSWERED:
+            self.usual_s.add(took_s)
+            if operation in self.usual_by_operation:
+                self.usual_by_operation[operation].add(took_s)
+                self.slow_by_operation[operation].add(took_s)
+        if upstream.failures_in_row >= upstreams.EJECT_AFTER_FAILURES:
+            self.eject(upstream, "failures in a row", now)
+        elif bad and upstream.state is upstreams.State.PROBATION:
+            self.eject(upstream, "failed on probation", now)
+
+    def eject(
+        self, upstream: upstreams.Upstream, reason: str, now: ids.Instant
+    ) -> bool:
+        """Eject an upstream unless too many are out already."""
+        out = sum(u.state is upstreams.State.EJECTED for u in self.usable_order)
+        allowed = max(1, int(self.service.eject_share * len(self.usable_order)))
+        if out >= allowed or len(self.usable_order) < 2:
+            return False
+        upstream.eject(reason, now)
+        self.refresh()
+        return True
+
+    def frozen(
+        self, upstream: upstreams.Upstream, operation: str, now: ids.Instant
+    ) -> bool:
+        """Tell whether its silence can only mean that it has stopped."""
+        limit = max(FROZEN_LEAST_S, FROZEN_FACTOR * self.slow_of(operation))
+        return upstream.silent_s(now) > limit
+
+    def tick(self, now: ids.Instant) -> None:
+        """Let ejections end; called a few times a second."""
+        for upstream in self.usable_order:
+            before = upstream.state
+            upstream.tick(now)
+            if upstream.state is not before:
+                self.refresh()
+
+    def in_trouble(self) -> bool:
+        """Tell whether so much fails that extra requests only add load."""
+        return self.failing.value > TROUBLE_SHARE
+
+    def soonest(self, now: ids.Instant) -> ids.Instant:
+        """Return when an ejected upstream may come back, or a second hence."""
+        ends = [
+            u.state_until
+            for u in self.usable_order
+            if u.state is upstreams.State.EJECTED
+        ]
+        return min(ends, default=ids.later(now, 1.0))
--- /dev/null
+++ b/spindlenotch/store_http.py
@@ -0,0 +1,110 @@
+"""
+Driver for the platform's key-value service over HTTP.
+
+Protocol: ``GET /kv/KEY``, ``PUT /kv/KEY?expected=REVISION[&lease_s=S]``,
+``GET /watch/KEY?after=REVISION&wait_s=S``; the revision travels in the header
+``X-Revision``. Answers 409 (conflict), 413 (too large), 429 (over limit).
+"""
+
+import asyncio
+
+import aiohttp
+
+from spindlenotch import ports
+
+CALL_TIMEOUT_S = 1.5
+WATCH_GRACE_S = 2.0
+REVISION = "X-Revision"
+
+
+@ports.STORES.register("http")
+class HttpStore:
+    """
+    Talks to the store at ``base_url``.
+
+    Invariant: every call ends within its timeout, with a value or a fault.
+    """
+
+    def __init__(self, base_url: str) -> None:
+        self.base_url = base_url.rstrip("/")
+        self._session: aiohttp.ClientSession | None = None
+
+    async def get(self, key: str) -> ports.Stored | ports.StoreFault:
+        """Read ``key``; an absent one has revision zero."""
+        return await self._read(f"/kv/{key}", {}, CALL_TIMEOUT_S)
+
+    async def swap(
+        self, key: str, value: bytes, expected: int, lease_s: float | None = None
+    ) -> ports.Stored | ports.Conflict | ports.StoreFault:
+        """Compare and swap; see ``ports.Store.swap``."""
+        params = {"expected": str(expected)}
+        if lease_s is not None:
+            params["lease_s"] = str(lease_s)
+        try:
+            async with self._open().put(
+                f"{self.base_url}/kv/{key}",
+                params=params,
+                data=value,
+                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+                allow_redirects=False,
+            ) as response:
+                revision = int(response.headers.get(REVISION, "0"))
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return ports.StoreFault.UNAVAILABLE
+        if response.status == 200:
+            return ports.Stored(revision, value)
+        if response.status == 409:
+            return ports.Conflict(revision)
+        return _fault(response.status)
+
+    async def watch(
+        self, key: str, after: int, wait_s: float
+    ) -> ports.Stored | ports.StoreFault:
+        """Wait for a revision above ``after``, at most ``wait_s`` seconds."""
+        params = {"after": str(after), "wait_s": str(wait_s)}
+        return await self._read(f"/watch/{key}", params, wait_s + WATCH_GRACE_S)
+
+    async def close(self) -> None:
+        """Drop all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _read(
+        self, path: str, params: dict[str, str], timeout_s: float
+    ) -> ports.Stored | ports.StoreFault:
+        try:
+            async with self._open().get(
+                self.base_url + path,
+                params=params,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                revision = int(response.headers.get(REVISION, "0"))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return ports.StoreFault.UNAVAILABLE
+        if response.status == 200:
+            return ports.Stored(revision, body)
+        if response.status == 404:
+            return ports.Stored(0, b"")
+        return _fault(response.status)
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            asyncio.get_running_loop()
+            self._session = aiohttp.ClientSession(
+                cookie_jar=aiohttp.DummyCookieJar(),
+                connector=aiohttp.TCPConnector(limit=64, use_dns_cache=False),
+            )
+        return self._session
+
+
+def _fault(status: int) -> ports.StoreFault:
+    if status == 413:
+        return ports.StoreFault.TOO_LARGE
+    if status == 429:
+        return ports.StoreFault.OVER_LIMIT
+    if status >= 500:
+        return ports.StoreFault.UNAVAILABLE
+    return ports.StoreFault.REJECTED
--- /dev/null
+++ b/spindlenotch/waiting.py
@@ -0,0 +1,95 @@
+"""
+The queue of one service in one entry: by rank, then first come, first served.
+
+A request waits here rather than at an upstream, so that a more urgent one can
+still pass it and so that it is bound to a slot as late as possible. The queue
+is bounded by number and by time.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from spindlenotch import ids
+
+#: Every this many turns the longest-waiting request goes first, whatever its
+#: rank, so that the lowest class never starves.
+FAIR_TURN = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A request as the kernel sees it. ``deadline`` is an instant."""
+
+    id: ids.CallId
+    rank: int
+    repeatable: bool
+    deadline: ids.Instant
+    operation: str
+    arrived_at: ids.Instant
+
+
+class WaitQueue:
+    """
+    Calls that wait, by rank.
+
+    Invariant: within a rank the order is that of arrival. ``turn`` names
+    the lowest rank number first, except for every ``FAIR_TURN``-th turn.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.calls_by_rank: dict[int, collections.OrderedDict[ids.CallId, Call]] = {}
+        self.rank_by_call: dict[ids.CallId, int] = {}
+        self.turns = 0
+
+    def __len__(self) -> int:
+        return len(self.rank_by_call)
+
+    def __iter__(self) -> typing.Iterator[Call]:
+        for rank in sorted(self.calls_by_rank):
+            yield from self.calls_by_rank[rank].values()
+
+    def ahead_of(self, rank: int) -> int:
+        """Return how many waiting calls go before a new one of ``rank``."""
+        return sum(len(c) for r, c in self.calls_by_rank.items() if r <= rank)
+
+    def push(self, call: Call) -> None:
+        """Add a call at the end of its rank."""
+        line = self.calls_by_rank.setdefault(call.rank, collections.OrderedDict())
+        line[call.id] = call
+        self.rank_by_call[call.id] = call.rank
+
+    def remove(self, call_id: ids.CallId) -> Call | None:
+        """Take out a call that is served, expired or withdrawn."""
+        rank = self.rank_by_call.pop(call_id, None)
+        return None if rank is None else self.calls_by_rank[rank].pop(call_id)
+
+    def turn(self) -> Call | None:
+        """Return the call whose turn it is, without taking it out."""
+        ranks = sorted(rank for rank, line in self.calls_by_rank.items() if line)
+        if not ranks:
+            return None
+        firsts = [next(iter(self.calls_by_rank[rank].values())) for rank in ranks]
+        if (self.turns + 1) % FAIR_TURN == 0:
+            return min(firsts, key=lambda call: call.arrived_at)
+        return firsts[0]
+
+    def take(self, call: Call) -> None:
+        """Take out the call that ``turn`` returned."""
+        self.turns += 1
+        self.remove(call.id)
+
+    def lowest(self) -> Call | None:
+        """Return the newest call of the least urgent rank."""
+        for rank in sorted(self.calls_by_rank, reverse=True):
+            if self.calls_by_rank[rank]:
+                return next(reversed(self.calls_by_rank[rank].values()))
+        return None
+
+    def expired(self, now: ids.Instant) -> list[Call]:
+        """Take out and return the calls whose deadline has passed."""
+        late = [call for call in self if call.deadline <= now]
+        for call in late:
+            self.remove(call.id)
+        return late
