--- /dev/null
+++ b/features/support/machine.py
@@ -0,0 +1,375 @@
+"""
+The mixed-fault machine: any fault at any moment, against a simple oracle.
+
+Callers, operators and faults are rules that hypothesis plays in any order on
+a virtual fleet; the oracle is the upstreams' ledger and what callers heard.
+"""
+
+import typing
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from features.support import virtual_fleet, world as worlds
+from spindlenotch import headers, measuring, outcomes, plugins
+
+HOSTS = ("e0", "e1", "e2", "e3")
+UPSTREAMS = 3
+MODES = ("good", "shed", "lost", "break", "truncate", "mix", "refuse", "freeze")
+PAUSES = (0.002, 0.02, 0.15, 0.7, 2.5, 6.0)
+TIMEOUTS = (0.05, 0.4, 2.0, 5.0)
+#: A run may begin this long after its caller's deadline: what a stall that
+#: is too short to be told hides, and the way.
+LATE_SLACK_S = 0.15
+LEAVING_LIMIT_S = 5.0
+IN_FORCE_LIMIT_S = 9.0
+
+hosts = strategies.sampled_from(HOSTS)
+upstream_numbers = strategies.integers(0, UPSTREAMS - 1)
+
+
+class MixedFaults(stateful.RuleBasedStateMachine):
+    """Rules and oracle; see the module's docstring."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        plugins.load()
+        self.fleet = virtual_fleet.VirtualFleet(7, UPSTREAMS)
+        self.life_by_host: dict[str, virtual_fleet.VirtualEntry] = {}
+        for number, host in enumerate(HOSTS[:3]):
+            self._start(host, number)
+        self.fleet.world.run(3.0)
+        self.works = 0
+        self.id_by_work: dict[str, tuple[str, str]] = {}
+        self.raw_works: set[str] = set()
+        self.calm_since = self.fleet.world.now
+        self.checked_runs = 0
+
+    # Callers
+
+    @stateful.rule(host=hosts, timeout=strategies.sampled_from(TIMEOUTS))
+    def book_by_ticket(self, host: str, timeout: float) -> None:
+        """A caller books with a ticket of this host."""
+        entry = self._living(host)
+        if entry is None or not entry.state.readiness.serves or entry.loop.frozen:
+            return
+        ticket = entry.state.mint.mint(entry.state.clock.now())
+        self._book(entry, (headers.TICKET, ticket), 1, timeout)
+
+    @stateful.rule(
+        host=hosts,
+        timeout=strategies.sampled_from(TIMEOUTS),
+        declared=strategies.booleans(),
+    )
+    def book_by_key(self, host: str, timeout: float, declared: bool) -> None:
+        """A caller books with an id of its own, saying that it is new or not."""
+        entry = self._living(host)
+        if entry is None:
+            return
+        key = (headers.IDEMPOTENCY_KEY, f"key-{self.works}")
+        self._book(entry, key, 1 if declared else None, timeout)
+
+    @stateful.precondition(lambda self: self.id_by_work)
+    @stateful.rule(
+        host=hosts,
+        data=strategies.data(),
+        timeout=strategies.sampled_from(TIMEOUTS),
+        raise_attempt=strategies.booleans(),
+    )
+    def resend(
+        self,
+        host: str,
+        data: strategies.DataObject,
+        timeout: float,
+        raise_attempt: bool,
+    ) -> None:
+        """A caller sends a booking again through any host."""
+        entry = self._living(host)
+        work = data.draw(strategies.sampled_from(sorted(self.id_by_work)[-4:]))
+        if entry is None:
+            return
+        before = self.fleet.attempts_by_work[work]
+        number: int | None = before[-1].number + (1 if raise_attempt else 0)
+        if work in self.raw_works:
+            number = None
+        elif number == 1:
+            # "First attempt" may be declared only once.
+            number = 2
+        self.fleet.send(entry, work, self.id_by_work[work], number, timeout)
+
+    @stateful.rule(host=hosts, timeout=strategies.sampled_from(TIMEOUTS))
+    def read(self, host: str, timeout: float) -> None:
+        """A caller reads."""
+        entry = self._living(host)
+        if entry is not None:
+            self.fleet.send(entry, f"read-{self._next()}", None, None, timeout)
+
+    # Time
+
+    @stateful.rule(seconds=strategies.sampled_from(PAUSES))
+    def wait(self, seconds: float) -> None:
+        """Time passes."""
+        self.fleet.world.run(seconds)
+
+    # Processes
+
+    @stateful.rule(host=hosts)
+    def kill(self, host: str) -> None:
+        """A process is killed."""
+        entry = self._living(host)
+        if entry is not None:
+            worlds.kill(entry.loop)
+            self.fleet.network.link_by_address.pop(entry.address, None)
+
+    @stateful.rule(host=hosts)
+    def start(self, host: str) -> None:
+        """A host comes up (again)."""
+        if self._living(host) is None:
+            self._start(host, HOSTS.index(host))
+
+    @stateful.rule(host=hosts)
+    def freeze(self, host: str) -> None:
+        """A process is paused."""
+        entry = self._living(host)
+        if entry is not None:
+            entry.loop.frozen = True
+
+    @stateful.rule(host=hosts)
+    def thaw(self, host: str) -> None:
+        """A paused process goes on."""
+        entry = self._living(host)
+        if entry is not None:
+            entry.loop.frozen = False
+
+    # Platform and network
+
+    @stateful.rule(down=strategies.booleans())
+    def store_outage(self, down: bool) -> None:
+        """The store goes down or comes back."""
+        self.fleet.store.down = down
+
+    @stateful.rule(lost=strategies.integers(0, 2), late=strategies.integers(0, 1))
+    def store_loses(self, lost: int, late: int) -> None:
+        """Answers to writes get lost, or writes take effect late."""
+        self.fleet.store.lose_answers = lost
+        self.fleet.store.late_writes = late
+
+    @stateful.rule(down=strategies.booleans())
+    def host_list_outage(self, down: bool) -> None:
+        """The host list goes down or comes back."""
+        self.fleet.hosts.down = down
+
+    @stateful.rule(host=hosts)
+    def cut_off(self, host: str) -> None:
+        """A host is cut off from all peers."""
+        entry = self._living(host)
+        if entry is None:
+            return
+        for other in self.fleet.living():
+            if other is not entry:
+                pair = frozenset({entry.address, other.address})
+                self.fleet.network.cut.add(pair)
+
+    @stateful.rule()
+    def heal_network(self) -> None:
+        """All hosts reach each other again."""
+        self.fleet.network.cut.clear()
+
+    # Upstreams
+
+    @stateful.rule(number=upstream_numbers, mode=strategies.sampled_from(MODES))
+    def upstream_mode(self, number: int, mode: str) -> None:
+        """An upstream changes its behaviour."""
+        self.fleet.upstream(number).mode = mode
+
+    @stateful.rule(number=upstream_numbers, listed=strategies.booleans())
+    def drain(self, number: int, listed: bool) -> None:
+        """An upstream starts to drain; the host list may not show it yet."""
+        state = self.fleet.upstream(number)
+        others = [self.fleet.upstream(n) for n in range(UPSTREAMS) if n != number]
+        if state.leaving_since is None and any(o.leaving_since is None for o in others):
+            state.leaving_since = self.fleet.world.now
+            state.late_requests.clear()
+            if listed:
+                self.fleet.list_upstream(number, "leaving")
+
+    @stateful.rule(number=upstream_numbers)
+    def come_back(self, number: int) -> None:
+        """A drained upstream is restarted: a new generation."""
+        state = self.fleet.upstream(number)
+        if state.leaving_since is not None:
+            state.leaving_since = None
+            self.fleet.generation_by_upstream[state.name] += 1
+            self.fleet.list_upstream(number)
+
+    # Operators
+
+    @stateful.rule(operators=strategies.integers(1, 2))
+    def publish(self, operators: int) -> None:
+        """One or two operators publish from the version in force."""
+        base = self.fleet.stored_version()
+        for number in range(operators):
+            self.fleet.publish(base + 1, base, f"# operator {number}\n")
+
+    # Oracle
+
+    @stateful.invariant()
+    def runs_at_most_once(self) -> None:
+        """A booking runs at most once, and never after "not run"."""
+        runs_by_work: dict[str, list[typing.Any]] = {}
+        for run in self.fleet.upstreams.ledger:
+            runs_by_work.setdefault(run.work, []).append(run)
+        for work in self.id_by_work:
+            runs = runs_by_work.get(work, [])
+            assert len(runs) <= 1, f"{work} ran {len(runs)} times"
+            for attempt in self.fleet.attempts_by_work[work]:
+                self._check_outcome(attempt, runs)
+        for run in self.fleet.upstreams.ledger[self.checked_runs :]:
+            self._check_in_time(run)
+        self.checked_runs = len(self.fleet.upstreams.ledger)
+
+    @stateful.invariant()
+    def own_whole_answers(self) -> None:
+        """Whoever gets an answer gets the whole of its own."""
+        for work, attempts in self.fleet.attempts_by_work.items():
+            for attempt in attempts:
+                if attempt.outcome is outcomes.Outcome.RAN and attempt.body:
+                    assert attempt.body.endswith(f" ran {work}".encode()), attempt
+
+    @stateful.invariant()
+    def versions_never_fall(self) -> None:
+        """No life of an entry goes back to an older bundle."""
+        accepted_ever = self.fleet.stored_version()
+        for entry in self.fleet.entries:
+            version = virtual_fleet.document_version(entry)
+            assert version <= accepted_ever, "a bundle nobody accepted is in force"
+            if entry.versions and version < entry.versions[-1]:
+                raise AssertionError(f"{entry.host} went back to {version}")
+            entry.versions.append(version)
+
+    @stateful.invariant()
+    def probes_stay_in_budget(self) -> None:
+        """No upstream gets more probes in a second than the bundle allows."""
+        entry = self.fleet.entries[0]
+        bundle = entry.state.bundle
+        if bundle is None:
+            return
+        allowed = measuring.per_window(
+            bundle, next(iter(bundle.service_by_name.values()))
+        )
+        for state in self.fleet.upstreams.upstream_by_address.values():
+            times = state.probe_times
+            for first, last in zip(times, times[allowed:], strict=False):
+                assert last - first >= 1.0 - 1e-6, "too many probes in a second"
+
+    def teardown(self) -> None:
+        """Let everything heal, then check that it has repaired itself."""
+        try:
+            self._check_repaired()
+        finally:
+            self.fleet.close()
+
+    def _check_repaired(self) -> None:
+        world = self.fleet.world
+        self.fleet.heal()
+        if not self.fleet.living():
+            self._start("e0", 0)
+        # The last freeze or outage may have to be noticed first.
+        world.run(IN_FORCE_LIMIT_S)
+        newest = self.fleet.stored_version()
+        for entry in self.fleet.living():
+            version = virtual_fleet.document_version(entry)
+            assert version == newest, f"{entry.host} has {version}, not {newest}"
+            assert entry.state.readiness.serves, f"{entry.host} does not serve"
+        self._check_leaving(world.now)
+        world.run(6.0)
+        for entry in self.fleet.living():
+            for service in entry.state.balancer_by_service.values():
+                held = [u.outstanding for u in service.pool.upstream_by_id.values()]
+                assert not any(held), f"slots not given back: {held}"
+                assert not len(service.queue), "calls still wait"
+        self.runs_at_most_once()
+        self.own_whole_answers()
+        self.versions_never_fall()
+        self.probes_stay_in_budget()
+
+    def _check_leaving(self, now: float) -> None:
+        """After a few calm seconds a leaving upstream gets nothing."""
+        for entry in self.fleet.living():
+            self.fleet.send(entry, f"read-{self._next()}", None, None, 1.0)
+        self.fleet.world.run(1.0)
+        for state in self.fleet.upstreams.upstream_by_address.values():
+            late = [when for when, _ in state.late_requests if when > now]
+            calm = state.leaving_since is not None and (
+                now - state.leaving_since > LEAVING_LIMIT_S
+            )
+            if calm and self._known_to_somebody(state.name):
+                assert not late, f"{state.name} got work {late[0] - now} s later"
+
+    def _known_to_somebody(self, name: str) -> bool:
+        record = self.fleet.hosts.record_by_id[name]
+        if record["state"] == "leaving":
+            return True
+        return any(
+            mark.upstream == name and mark.generation == record["generation"]
+            for entry in self.fleet.living()
+            for mark in entry.state.gossip.repeats_by_mark
+        )
+
+    def _check_outcome(
+        self, attempt: virtual_fleet.Attempt, runs: list[typing.Any]
+    ) -> None:
+        if attempt.outcome is outcomes.Outcome.NOT_RUN:
+            wrong = [run for run in runs if run.attempt <= attempt.number]
+            assert not wrong, f"refused as not run, yet it ran: {attempt} {wrong}"
+        if attempt.outcome is outcomes.Outcome.RAN:
+            assert runs, f"said to have run, but did not: {attempt}"
+
+    def _check_in_time(self, run: typing.Any) -> None:
+        attempts = self.fleet.attempts_by_work[run.work]
+        in_time = [
+            a for a in attempts if a.sent_at <= run.at <= a.deadline + LATE_SLACK_S
+        ]
+        assert in_time, f"ran after every caller had gone: {run} {attempts}"
+
+    def _book(
+        self,
+        entry: virtual_fleet.VirtualEntry,
+        header: tuple[str, str],
+        attempt: int | None,
+        timeout: float,
+    ) -> None:
+        work = f"book-{self._next():04}"
+        self.id_by_work[work] = header
+        if attempt is None:
+            self.raw_works.add(work)
+        self.fleet.send(entry, work, header, attempt, timeout)
+
+    def _start(self, host: str, number: int) -> None:
+        zone = virtual_fleet.ZONES[number % 3]
+        self.life_by_host[host] = self.fleet.add_entry(host, zone)
+
+    def _living(self, host: str) -> virtual_fleet.VirtualEntry | None:
+        entry = self.life_by_host.get(host)
+        return entry if entry is not None and entry.alive else None
+
+    def _next(self) -> int:
+        self.works += 1
+        return self.works
+
+
+def play(examples: int, steps: int, seed: int | None = None) -> None:
+    """Play the machine; without a seed always the same plays."""
+    config = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=seed is None,
+        database=None,
+        deadline=None,
+        report_multiple_bugs=False,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    machine: typing.Any = MixedFaults
+    if seed is not None:
+        machine = hypothesis.seed(seed)(MixedFaults)
+    stateful.run_state_machine_as_test(machine, settings=config)
--- /dev/null
+++ b/features/support/virtual_fleet.py
@@ -0,0 +1,345 @@
+"""
+A few entries in a ``world``, with callers and operators to go with them.
+
+The entries run the product's own state, control loops, front, data path, ids
+and measuring; only the ports are fakes.
+"""
+
+import asyncio
+import dataclasses
+import functools
+import typing
+from collections import abc
+
+import msgspec
+
+from features.support import fakes, fleet, world as worlds
+from spindlenotch import (
+    bundle_seal,
+    claims,
+    control,
+    data_path,
+    documents,
+    entry_state,
+    front,
+    headers,
+    ids,
+    measuring,
+    once,
+    once_path,
+    outcomes,
+    ports,
+    publishing,
+    settings,
+    texts,
+)
+
+PEER_KEY = b"a key for the peers"
+ZONES = ("z1", "z2", "z3")
+SEED_KEYS = bundle_seal.generate_key()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One time a caller sent a request, and what it heard."""
+
+    work: str
+    number: int
+    declared: bool
+    host: str
+    sent_at: float
+    deadline: float
+    outcome: outcomes.Outcome | None = None
+    reason: str = ""
+    body: bytes = b""
+    answered_at: float = 0.0
+
+
+class VirtualEntry:
+    """One life of one entry process."""
+
+    def __init__(self, everything: "VirtualFleet", host: str, zone: str) -> None:
+        self.everything = everything
+        self.host = host
+        self.zone = zone
+        self.loop = everything.world.loop()
+        self.address = f"10.0.0.{len(everything.entries) + 1}:{len(host)}"
+        seed = everything.world.rng.getrandbits(32)
+        config = _config(host, zone, self.address, everything.peer_addresses(), seed)
+        self.state = entry_state.EntryState(config, everything.world.clock)
+        self.store = fakes.FakeStore(everything.store, self.loop)
+        port = fakes.FakeUpstreamPort(
+            everything.upstreams, self.loop, everything.network, self.address
+        )
+        make_link = functools.partial(
+            fakes.FakeLink,
+            network=everything.network,
+            loop=self.loop,
+            address=self.address,
+        )
+        self.control = control.Control(
+            self.state,
+            self.store,
+            fakes.FakeHostList(everything.hosts),
+            typing.cast(typing.Any, make_link),
+        )
+        self.path = data_path.DataPath(self.state, port)
+        self.path.on_mark = self.control.spread_mark
+        self.claims = claims.Claims(self.state, self.store)
+        self.once_path = once_path.OncePath(self.state, self.path, self.claims)
+        self.front = front.Front(
+            self.state, self.path, self.once_path, self.control.paused
+        )
+        self.measuring = measuring.Measuring(
+            self.state, self.store, port, self.control.spread_mark
+        )
+        everything.upstreams.forward_by_address[self.address] = self._forwarded
+        everything.upstreams.loop_by_address[self.address] = self.loop
+        self.versions: list[int] = []
+        self.loop.call_soon(lambda: fakes._start(self.loop, self._start()))
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether the process has not been killed."""
+        return not self.loop.dead
+
+    async def _start(self) -> None:
+        await self.control.start()
+        self.state.set_addresses(ids.Address(self.address), ids.Address(self.address))
+        self.measuring.start()
+
+    def record(self) -> dict[str, typing.Any]:
+        """Return this entry as the host list shows it."""
+        return {
+            "id": self.host,
+            "role": "entry",
+            "zone": self.zone,
+            "address": self.address,
+            "peer_address": self.address,
+        }
+
+    async def serve(
+        self, method: str, raw_path: str, pairs: list[tuple[str, str]], body: bytes
+    ) -> fakes.Answer:
+        """Do what the caller port does, without HTTP."""
+        state = self.state
+        sent_at = self.front.arrived()
+        call_id = state.next_call_id()
+        fields = dict(pairs)
+        incoming = front.Incoming(method, raw_path, fields, pairs)
+        admitted = self.front.check(incoming)
+        result: once_path.Result
+        if isinstance(admitted, outcomes.Refusal):
+            result = admitted
+        else:
+            result = await self.front.run(incoming, admitted, call_id, sent_at, body)
+        shown = call_id
+        if headers.FORWARDED in fields:
+            shown = ids.CallId(fields[headers.REQUEST_ID])
+        return await _answer(result, shown)
+
+    async def _forwarded(self, request: ports.UpstreamRequest) -> fakes.Answer:
+        body = request.body if isinstance(request.body, bytes) else b""
+        return await self.serve(request.method, request.target, request.headers, body)
+
+
+async def _answer(result: once_path.Result, call_id: ids.CallId) -> fakes.Answer:
+    marks = [(headers.REQUEST_ID, str(call_id))]
+    if isinstance(result, outcomes.Refusal):
+        marks.append((headers.OUTCOME, result.outcome.value))
+        marks.append((headers.REASON, result.reason.value))
+        return fakes.Answer(texts.status_of(result.reason), marks, b"")
+    if isinstance(result, once.KeptAnswer):
+        home = dict(result.headers)
+        outcome = home.get(headers.OUTCOME, outcomes.Outcome.RAN.value)
+        marks.append((headers.OUTCOME, outcome))
+        marks.append((headers.REASON, home.get(headers.REASON, "served")))
+        return fakes.Answer(result.status, marks, result.body)
+    body = b""
+    while piece := await result.chunk():
+        if isinstance(piece, ports.UpstreamFault):
+            marks.append((headers.OUTCOME, outcomes.Outcome.UNKNOWN.value))
+            return fakes.Answer(502, marks, b"")
+        body += piece
+    marks.append((headers.OUTCOME, outcomes.Outcome.RAN.value))
+    return fakes.Answer(result.answer.status, marks, body)
+
+
+class VirtualFleet:
+    """Entries, store, host list, upstreams, callers and operators of a world."""
+
+    def __init__(self, seed: int, upstream_count: int = 3) -> None:
+        self.world = worlds.World(seed)
+        self.store = fakes.StoreState(self.world)
+        self.hosts = fakes.HostsState()
+        self.network = fakes.Network(self.world)
+        self.upstreams = fakes.Upstreams(self.world)
+        self.entries: list[VirtualEntry] = []
+        self.attempts_by_work: dict[str, list[Attempt]] = {}
+        self.accepted: list[int] = []
+        self.operators: list[asyncio.Task[publishing.Published]] = []
+        self.generation_by_upstream: dict[str, int] = {}
+        self.operator_loop = self.world.loop()
+        for number in range(upstream_count):
+            self.add_upstream(number)
+        self.publish(1, 0)
+        self.world.run(0.1)
+
+    def peer_addresses(self) -> tuple[ids.Address, ...]:
+        """Return the addresses of all entries there have been."""
+        return tuple(ids.Address(entry.address) for entry in self.entries)
+
+    def add_upstream(self, number: int) -> None:
+        """Add one upstream and list it."""
+        name = f"w{number}"
+        address = f"10.1.0.{number}:80"
+        state = fakes.UpstreamState(name, 6)
+        self.upstreams.upstream_by_address[address] = state
+        self.generation_by_upstream[name] = 1
+        self.list_upstream(number)
+
+    def list_upstream(self, number: int, state: str = "live") -> None:
+        """Show an upstream in the host list."""
+        name = f"w{number}"
+        self.hosts.put(
+            id=name,
+            role="upstream",
+            zone=ZONES[number % 3],
+            address=f"10.1.0.{number}:80",
+            service="resv",
+            generation=self.generation_by_upstream[name],
+            state=state,
+        )
+
+    def upstream(self, number: int) -> fakes.UpstreamState:
+        """Return one upstream."""
+        return self.upstreams.upstream_by_address[f"10.1.0.{number}:80"]
+
+    def add_entry(self, host: str, zone: str) -> VirtualEntry:
+        """Start an entry process and list it."""
+        entry = VirtualEntry(self, host, zone)
+        self.entries.append(entry)
+        self.hosts.put(**entry.record())
+        return entry
+
+    def living(self) -> list[VirtualEntry]:
+        """Return the entries whose process lives, frozen or not."""
+        return [entry for entry in self.entries if entry.alive]
+
+    def publish(self, version: int, base: int, text: str = "") -> None:
+        """Let an operator publish; several may be at it at once."""
+        sealed = bundle_seal.seal(fleet.bundle_text(version) + text, SEED_KEYS[0])
+        store = fakes.FakeStore(self.store, self.operator_loop)
+
+        async def run() -> publishing.Published:
+            result = await publishing.publish(
+                store, sealed, version, base, self.world.now
+            )
+            if result.verdict is publishing.Verdict.ACCEPTED:
+                self.accepted.append(version)
+            return result
+
+        self.operators.append(self.operator_loop.create_task(run()))
+
+    def stored_version(self) -> int:
+        """Return the version that the store holds, the truth."""
+        value = self.store.value_by_key.get(publishing.KEY)
+        if value is None:
+            return 0
+        envelope = msgspec.json.decode(value.data, type=bundle_seal.Envelope)
+        return envelope.log[-1].version
+
+    def send(
+        self,
+        entry: VirtualEntry,
+        work: str,
+        id_header: tuple[str, str] | None,
+        attempt: int | None,
+        timeout_s: float,
+    ) -> Attempt:
+        """Let a caller send a booking (or, without an id, a read)."""
+        now = self.world.now
+        made = Attempt(
+            work, attempt or 1, attempt is not None, entry.host, now, now + timeout_s
+        )
+        self.attempts_by_work.setdefault(work, []).append(made)
+        pairs = [
+            (headers.TIMEOUT_MS, str(int(timeout_s * 1000))),
+            (headers.CALLER, "hotel"),
+            (headers.KEY, fleet.KEY),
+            ("X-Work", work),
+        ]
+        if id_header is not None:
+            pairs.append(id_header)
+        if attempt is not None:
+            pairs.append((headers.ATTEMPT, str(attempt)))
+        method, path = (
+            ("POST", "/s/resv/bookings") if id_header else ("GET", "/s/resv/")
+        )
+
+        async def carry_out() -> None:
+            answer = await entry.serve(method, path, pairs, b"one night")
+            body = b"".join([p for p in answer._pieces if isinstance(p, bytes)])
+            # The caller hangs up at its deadline.
+            self.world.after(fakes.WAY_S, lambda: self._heard(made, answer, body))
+
+        self.world.deliver(
+            entry.loop, fakes.WAY_S, lambda: fakes._start(entry.loop, carry_out())
+        )
+        return made
+
+    def _heard(self, attempt: Attempt, answer: fakes.Answer, body: bytes) -> None:
+        fields = dict(answer.headers)
+        attempt.outcome = outcomes.Outcome(fields[headers.OUTCOME])
+        attempt.reason = fields.get(headers.REASON, "")
+        attempt.body = body
+        attempt.answered_at = self.world.now
+
+    def heal(self) -> None:
+        """End every fault that is not a killed process."""
+        self.store.down = False
+        self.store.lose_answers = 0
+        self.store.late_writes = 0
+        self.hosts.down = False
+        self.network.cut.clear()
+        self.network.lose_share = 0.0
+        for state in self.upstreams.upstream_by_address.values():
+            state.mode = "good"
+        for entry in self.entries:
+            entry.loop.frozen = False
+
+    def close(self) -> None:
+        """Drop everything."""
+        self.world.close()
+
+
+def _config(
+    host: str,
+    zone: str,
+    address: str,
+    peers: abc.Sequence[ids.Address],
+    seed: int,
+) -> settings.EntrySettings:
+    return settings.EntrySettings(
+        host=ids.HostId(host),
+        zone=ids.ZoneName(zone),
+        listen=ids.Address(address),
+        peer_listen=ids.Address(address),
+        operator_listen=ids.Address("127.0.0.1:0"),
+        store="",
+        host_list="",
+        peers=tuple(peers),
+        peer_keys=(PEER_KEY,),
+        trusted_keys=frozenset({SEED_KEYS[1]}),
+        once_capacity=50,
+        hand_out_s=1.0,
+        drain_limit_s=0.0,
+        pause_s=2.0,
+        seed=seed or 1,
+        plugins=(),
+    )
+
+
+def document_version(entry: VirtualEntry) -> int:
+    """Return the bundle version in force at an entry."""
+    return entry.state.fence.version(documents.DocumentKind.BUNDLE)
--- a/spindlenotch/caller_port.py
+++ b/spindlenotch/caller_port.py
@@ -19,6 +19,7 @@
     api,
     data_path,
     entry_state,
+    front,
     gossip,
     headers,
     ids,
@@ -28,7 +29,6 @@
     ports,
     texts,
     upstreams,
-    waiting,
 )
 
 #: Bodies up to this size are read whole, so that they can be sent again.
@@ -47,17 +47,9 @@
     a planned stop waits until it is zero.
     """
 
-    def __init__(
-        self,
-        state: entry_state.EntryState,
-        path: data_path.DataPath,
-        ids_path: once_path.OncePath,
-        on_pause: abc.Callable[[], None],
-    ) -> None:
+    def __init__(self, state: entry_state.EntryState, served: front.Front) -> None:
         self.state = state
-        self.path = path
-        self.once_path = ids_path
-        self.on_pause = on_pause
+        self.front = served
         self.in_flight = 0
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
@@ -90,10 +82,9 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        if self.state.readiness.observe(self.state.clock.now()):
-            self.on_pause()
+        sent_at = self.front.arrived()
         if request.raw_path.startswith(admit.SERVICE_PREFIX):
-            return await self._serve(request)
+            return await self._serve(request, sent_at)
         if request.path == "/v1/entries" and request.method == "GET":
             return self._entries(request)
         return web.Response(status=404, text="no such path\n")
@@ -107,7 +98,7 @@
             )
         if not self.state.readiness.serves:
             return self._refuse(
-                request, self._not_ready(None), self.state.next_call_id()
+                request, self.front.not_ready({}), self.state.next_call_id()
             )
         now = self.state.clock.now()
         answer = api.EntriesAnswer(
@@ -132,7 +123,9 @@
         ready.sort(key=lambda e: e.zone != state.config.zone)
         return tuple(ready[:MAX_ENTRIES_NAMED])
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve(
+        self, request: web.BaseRequest, sent_at: ids.Instant
+    ) -> web.StreamResponse:
         state = self.state
         call_id = state.next_call_id()
         began = state.clock.now()
@@ -141,12 +134,20 @@
         service = "-"
         response: web.StreamResponse | None = None
         try:
-            admitted = self._admit(request)
+            incoming = front.Incoming(
+                request.method,
+                request.raw_path,
+                request.headers,
+                list(request.headers.items()),
+            )
+            admitted = self.front.check(incoming)
             if isinstance(admitted, outcomes.Refusal):
                 response = self._refuse(request, admitted, call_id)
                 return response
             service = admitted.service.name
-            response = await self._run(request, admitted, call_id, began)
+            body = await _read_body(request)
+            result = await self.front.run(incoming, admitted, call_id, sent_at, body)
+            response = await self._respond(request, result, call_id)
             return response
         finally:
             self.in_flight -= 1
@@ -163,85 +164,15 @@
         self.state.metrics.requests.labels(service, outcome, reason).inc()
         self.state.metrics.request_time.labels(service).observe(took_s)
 
-    def _admit(self, request: web.BaseRequest) -> admit.Admitted | outcomes.Refusal:
-        current = self.state.bundle
-        if current is None or not self.state.readiness.serves:
-            return self._not_ready(request)
-        return admit.admit(current, request.method, request.raw_path, request.headers)
-
-    def _not_ready(self, request: web.BaseRequest | None) -> outcomes.Refusal:
-        reason = outcomes.Reason.NOT_READY
-        if self.state.bundle is not None:
-            reason = outcomes.Reason.RESYNCHRONISING
-        fields: abc.Mapping[str, str] = request.headers if request is not None else {}
-        has_id = headers.TICKET in fields or headers.IDEMPOTENCY_KEY in fields
-        return once.before_home(
-            reason,
-            has_id=has_id,
-            first_attempt=fields.get(headers.ATTEMPT) == "1",
-            retry_at=ids.later(self.state.clock.now(), 0.5),
-        )
-
-    async def _run(
-        self,
-        request: web.BaseRequest,
-        admitted: admit.Admitted,
-        call_id: ids.CallId,
-        began: ids.Instant,
+    async def _respond(
+        self, request: web.BaseRequest, result: once_path.Result, call_id: ids.CallId
     ) -> web.StreamResponse:
-        body = await _read_body(request)
-        job = self._job(request, admitted, call_id, began, body)
-        result: once_path.Result
-        if admitted.operation.repeatable or not (admitted.ticket or admitted.chosen_id):
-            result = await self.path.dispatch(job)
-        else:
-            identity = once_path.Identity(
-                admitted.caller,
-                admitted.ticket,
-                admitted.chosen_id,
-                admitted.attempt,
-                admitted.first_attempt,
-                admitted.forwarded,
-            )
-            result = await self.once_path.run(job, identity)
         if isinstance(result, outcomes.Refusal):
             return self._refuse(request, result, call_id)
         if isinstance(result, once.KeptAnswer):
             return self._kept(request, result, call_id)
         return await self._relay(request, result, call_id)
 
-    def _job(
-        self,
-        request: web.BaseRequest,
-        admitted: admit.Admitted,
-        call_id: ids.CallId,
-        began: ids.Instant,
-        body: bytes | abc.AsyncIterable[bytes] | None,
-    ) -> data_path.Job:
-        whole = isinstance(body, (bytes, type(None)))
-        may_repeat = admitted.operation.repeatable and whole and not admitted.no_retry
-        call = waiting.Call(
-            call_id,
-            admitted.rank,
-            may_repeat,
-            ids.later(began, admitted.timeout_s),
-            admitted.operation.name,
-            began,
-        )
-        pairs = headers.end_to_end(
-            ((k, v) for k, v in request.headers.items()), headers.OWN
-        )
-        return data_path.Job(
-            service=self.state.balancer_by_service[admitted.service.name],
-            call=call,
-            method=request.method,
-            target=admitted.target,
-            headers=pairs,
-            body=body,
-            hops=admitted.hops + 1,
-            fresh=not (admitted.operation.repeatable and whole),
-        )
-
     async def _relay(
         self,
         request: web.BaseRequest,
--- a/spindlenotch/control.py
+++ b/spindlenotch/control.py
@@ -20,6 +20,7 @@
     peer_codec,
     peer_link,
     ports,
+    readiness,
 )
 
 BUNDLE_KEY = "bundle"
@@ -49,11 +50,12 @@
         state: entry_state.EntryState,
         store: ports.Store,
         host_list: ports.HostList,
+        make_link: abc.Callable[..., peer_link.PeerLink] = peer_link.PeerLink,
     ) -> None:
         self.state = state
         self.store = store
         self.host_list = host_list
-        self.link = peer_link.PeerLink(
+        self.link = make_link(
             peer_codec.Sealer(state.config.peer_keys),
             state.metrics,
             self._on_gossip,
@@ -71,6 +73,7 @@
         address = await self.link.start(self.state.config.peer_listen)
         for loop in (
             self._beat,
+            self._observe,
             self._tick,
             self._read_store,
             self._read_hosts,
@@ -124,12 +127,17 @@
             state.once.sweep(state.clock.now())
             await asyncio.sleep(gossip.PERIOD_S * state.rng.uniform(0.9, 1.1))
 
+    async def _observe(self) -> None:
+        while True:
+            now = self.state.clock.now()
+            if self.state.readiness.observe(now) is readiness.Gap.PAUSE:
+                self.paused()
+            await asyncio.sleep(readiness.OBSERVED_EVERY_S)
+
     async def _tick(self) -> None:
         state = self.state
         while True:
             now = state.clock.now()
-            if state.readiness.observe(now):
-                self.paused()
             for service in state.balancer_by_service.values():
                 service.pool.tick(now)
             await asyncio.sleep(TICK_S)
--- a/spindlenotch/entry.py
+++ b/spindlenotch/entry.py
@@ -16,6 +16,7 @@
     data_path,
     entry_state,
     events,
+    front,
     ids,
     measuring,
     once_path,
@@ -56,9 +57,8 @@
         self.once_path = once_path.OncePath(
             state, self.path, claims.Claims(state, store)
         )
-        self.callers = caller_port.CallerPort(
-            state, self.path, self.once_path, self.control.paused
-        )
+        self.front = front.Front(state, self.path, self.once_path, self.control.paused)
+        self.callers = caller_port.CallerPort(state, self.front)
         self.operators = operator_port.OperatorPort(state)
         self.measuring = measuring.Measuring(
             state, store, upstream_port, self.control.spread_mark
--- /dev/null
+++ b/spindlenotch/front.py
@@ -0,0 +1,147 @@
+"""
+The front of an entry, free of any transport: a request in, a result out.
+
+Checks whether requests may be decided on at all, admits them, gives each its
+deadline and sends it the way its kind needs: straight to the data path, or
+through the path of those that may not be repeated. The caller port wraps it
+in HTTP; tests drive it directly.
+"""
+
+import dataclasses
+from collections import abc
+
+from spindlenotch import (
+    admit,
+    data_path,
+    entry_state,
+    headers,
+    ids,
+    once,
+    once_path,
+    outcomes,
+    readiness,
+    waiting,
+)
+
+#: When a caller that meets an entry which is not ready should come back.
+NOT_READY_S = 0.5
+
+Body = bytes | abc.AsyncIterable[bytes] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incoming:
+    """A request as it came. ``fields`` finds headers whatever their case."""
+
+    method: str
+    raw_path: str
+    fields: abc.Mapping[str, str]
+    pairs: list[tuple[str, str]]
+
+
+class Front:
+    """Brings requests to their results for one entry."""
+
+    def __init__(
+        self,
+        state: entry_state.EntryState,
+        path: data_path.DataPath,
+        ids_path: once_path.OncePath,
+        on_pause: abc.Callable[[], None],
+    ) -> None:
+        self.state = state
+        self.path = path
+        self.once_path = ids_path
+        self.on_pause = on_pause
+
+    def arrived(self) -> ids.Instant:
+        """Note that a request was read; return when it may have been sent."""
+        now = self.state.clock.now()
+        if self.state.readiness.observe(now) is readiness.Gap.PAUSE:
+            self.on_pause()
+        return self.state.readiness.sent_by(now)
+
+    def check(self, incoming: Incoming) -> admit.Admitted | outcomes.Refusal:
+        """Check a request against the bundle in force."""
+        current = self.state.bundle
+        if current is None or not self.state.readiness.serves:
+            return self.not_ready(incoming.fields)
+        admitted = admit.admit(
+            current, incoming.method, incoming.raw_path, incoming.fields
+        )
+        if isinstance(admitted, outcomes.Refusal):
+            return _before_home(incoming.fields, admitted)
+        return admitted
+
+    def not_ready(self, fields: abc.Mapping[str, str]) -> outcomes.Refusal:
+        """Refuse a request because nothing may be decided on now."""
+        reason = outcomes.Reason.NOT_READY
+        if self.state.bundle is not None:
+            reason = outcomes.Reason.RESYNCHRONISING
+        retry_at = ids.later(self.state.clock.now(), NOT_READY_S)
+        return _before_home(fields, outcomes.not_run(reason, retry_at))
+
+    async def run(
+        self,
+        incoming: Incoming,
+        admitted: admit.Admitted,
+        call_id: ids.CallId,
+        sent_at: ids.Instant,
+        body: Body,
+    ) -> once_path.Result:
+        """Carry an admitted request to its result."""
+        job = self._job(incoming, admitted, call_id, sent_at, body)
+        has_id = bool(admitted.ticket or admitted.chosen_id)
+        if admitted.operation.repeatable or not has_id:
+            return await self.path.dispatch(job)
+        identity = once_path.Identity(
+            admitted.caller,
+            admitted.ticket,
+            admitted.chosen_id,
+            admitted.attempt,
+            admitted.first_attempt,
+            admitted.forwarded,
+            incoming.fields.get(headers.KEY, ""),
+        )
+        return await self.once_path.run(job, identity)
+
+    def _job(
+        self,
+        incoming: Incoming,
+        admitted: admit.Admitted,
+        call_id: ids.CallId,
+        sent_at: ids.Instant,
+        body: Body,
+    ) -> data_path.Job:
+        whole = isinstance(body, (bytes, type(None)))
+        operation = admitted.operation
+        call = waiting.Call(
+            call_id,
+            admitted.rank,
+            operation.repeatable and whole and not admitted.no_retry,
+            ids.later(sent_at, admitted.timeout_s),
+            operation.name,
+            sent_at,
+        )
+        return data_path.Job(
+            service=self.state.balancer_by_service[admitted.service.name],
+            call=call,
+            method=incoming.method,
+            target=admitted.target,
+            headers=headers.end_to_end(incoming.pairs, headers.OWN),
+            body=body,
+            hops=admitted.hops + 1,
+            fresh=not (operation.repeatable and whole),
+        )
+
+
+def _before_home(
+    fields: abc.Mapping[str, str], refusal: outcomes.Refusal
+) -> outcomes.Refusal:
+    """Say "unknown" where an earlier attempt may be running elsewhere."""
+    return once.before_home(
+        refusal.reason,
+        has_id=headers.TICKET in fields or headers.IDEMPOTENCY_KEY in fields,
+        first_attempt=fields.get(headers.ATTEMPT) == "1",
+        retry_at=refusal.retry_at,
+    )
--- a/spindlenotch/once_path.py
+++ b/spindlenotch/once_path.py
@@ -29,7 +29,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Identity:
-    """The id a caller gave. Exactly one of the two texts is not empty."""
+    """
+    The id a caller gave. Exactly one of the two texts is not empty.
+
+    ``key`` is the caller's secret, passed on only to the id's home.
+    """
 
     caller: ids.CallerName | None
     ticket: str
@@ -37,6 +41,7 @@
     attempt: int
     first_attempt: bool
     forwarded: bool
+    key: str
 
 
 #: A whole small answer, one that is still streaming, or a refusal.
@@ -236,6 +241,8 @@
             (headers.REQUEST_ID, job.call.id),
             (headers.HOPS, str(job.hops)),
         ]
+        if identity.key:
+            extra.append((headers.KEY, identity.key))
         if identity.ticket:
             extra.append((headers.TICKET, identity.ticket))
         if identity.first_attempt or identity.attempt > 1:
