--- a/spindlenotch/balancer.py
+++ b/spindlenotch/balancer.py
@@ -131,17 +131,10 @@
             return outcomes.not_run(outcomes.Reason.DEADLINE_PASSED)
         if not self._anyone(now):
             return outcomes.not_run(outcomes.Reason.NO_UPSTREAM, self.pool.soonest(now))
-        ahead = self.queue.ahead_of(call.rank)
-        if ahead == 0:
-            grant = self._grant(call, Kind.FIRST, 0, now)
-            if grant is not None:
-                return grant
-        wait_s = self.expected_wait(ahead)
-        if call.deadline - now < wait_s + self.pool.usual_of(call.operation):
-            return outcomes.not_run(
-                outcomes.Reason.DEADLINE_HOPELESS, self._come_back(now)
-            )
-        return self._enqueue(call, now)
+        verdict = self._place(call, now)
+        refused = isinstance(verdict, outcomes.Refusal)
+        self.pool.refusing.add(1.0 if refused else 0.0)
+        return verdict
 
     def finish(
         self,
@@ -154,10 +147,10 @@
         upstream = grant.upstream
         usual = self.pool.usual_of(grant.call.operation)
         upstream.ended(grant.call.id, result, usual, now)
+        self.pool.under_way -= 1
         if report is not None:
-            upstream.reported(report, now)
-            running = min(report.running, upstream.slots)
-            self.pool.use.add(running / upstream.slots)
+            self.pool.reported(upstream, report, now)
+            self.policy.reported(self.pool, upstream, report.queued)
         took = now - grant.sent_at
         self.pool.note(upstream, grant.call.operation, result, took, now)
         return self.settle(now)
@@ -173,7 +166,7 @@
             for call in self.queue.expired(now)
         ]
         while (call := self.queue.turn()) is not None:
-            grant = self._grant(call, Kind.FIRST, 0, now)
+            grant = self._grant(call, Kind.FIRST, now)
             if grant is None:
                 break
             self.queue.take(call)
@@ -193,7 +186,7 @@
             return None
         if not self.retries.spend():
             return None
-        return self._grant(call, Kind.RETRY, 0, now)
+        return self._grant(call, Kind.RETRY, now)
 
     def next_check(self, grant: Grant, now: ids.Instant) -> ids.Instant:
         """Return when to look again whether the answer is overdue."""
@@ -216,15 +209,29 @@
             return None
         if self.hedges.balance < 1.0:
             return None
-        hedge = self._grant(call, Kind.HEDGE, 0, now)
+        hedge = self._grant(call, Kind.HEDGE, now)
         if hedge is not None:
             self.hedges.spend()
         return hedge
 
     def expected_wait(self, ahead: int) -> float:
         """Estimate the wait behind ``ahead`` calls, in seconds."""
-        slots = sum(u.owned_slots for u in self.pool.owned)
-        return ahead * self.pool.usual_s.value / max(1.0, slots)
+        return ahead * self.pool.usual_s.value / max(1.0, self.pool.owned_total)
+
+    def _place(
+        self, call: waiting.Call, now: ids.Instant
+    ) -> Grant | Waiting | outcomes.Refusal:
+        ahead = self.queue.ahead_of(call.rank)
+        if ahead == 0:
+            grant = self._grant(call, Kind.FIRST, now)
+            if grant is not None:
+                return grant
+        wait_s = self.expected_wait(ahead)
+        if call.deadline - now < wait_s + self.pool.usual_of(call.operation):
+            return outcomes.not_run(
+                outcomes.Reason.DEADLINE_HOPELESS, self._come_back(now)
+            )
+        return self._enqueue(call, now)
 
     def _overdue(self, grant: Grant, now: ids.Instant) -> bool:
         upstream = grant.upstream
@@ -248,16 +255,16 @@
                 return True
         return False
 
-    def _grant(
-        self, call: waiting.Call, kind: Kind, ahead: int, now: ids.Instant
-    ) -> Grant | None:
+    def _grant(self, call: waiting.Call, kind: Kind, now: ids.Instant) -> Grant | None:
         tried = self.tried_by_call.get(call.id, set())
-        choice = self.policy.choose(self.pool, call, ahead, now, tried)
+        self.pool.waiting = len(self.queue)
+        choice = self.policy.choose(self.pool, call, now, tried)
         if choice is None:
             return None
         upstream = choice.upstream
         self.tried_by_call.setdefault(call.id, set()).add(upstream.spec.id)
         upstream.sent(call.id, now)
+        self.pool.under_way += 1
         self.decisions.append(
             Decision(
                 now,
--- a/spindlenotch/pool.py
+++ b/spindlenotch/pool.py
@@ -20,6 +20,9 @@
 ZONE_CROSSING_S = 0.001
 #: Failing share of recent answers above which retries would only add load.
 TROUBLE_SHARE = 0.3
+#: Overload: this share of calls refused, or so many waiting per own slot.
+OVERLOAD_SHARE = 0.05
+OVERLOAD_WAITING = 5.0
 
 
 class Pool:
@@ -27,8 +30,12 @@
     Upstream beliefs by id, plus what is known of the service as a whole.
 
     Invariants: ``usable_order`` lists the upstreams that are not leaving;
-    ``owned`` lists those of them in which this entry owns slots; at most
+    ``owned`` lists those of them in which this entry owns slots, in all
+    ``owned_total``; ``under_way`` counts the calls sent and not ended,
+    ``waiting`` those in the queue; at most
     ``eject_share`` of the pool (at least one) is ejected at a time.
+    ``strangers`` is what other entries usually have in an upstream where this
+    one owns no slots; ``refusing`` the share of calls refused for overload.
     """
 
     def __init__(
@@ -47,7 +54,11 @@
         self.owned: list[upstreams.Upstream] = []
         self.zone_factor: dict[ids.ZoneName, float] = {}
         self.plan: dict[ids.ZoneName, float] = schedule.planned(service, 0.0)
-        self.use = latency.Mean(0.3, 0.02)
+        self.strangers = latency.Mean(0.0, 0.02)
+        self.refusing = latency.Mean(0.0, 0.01)
+        self.under_way = 0
+        self.waiting = 0
+        self.owned_total = 0.0
         self.failing = latency.Mean(0.0, 0.05)
         usual = service.typical_ms / 1000
         self.usual_by_operation = {
@@ -133,6 +144,7 @@
         for upstream in self.upstream_by_id.values():
             upstream.owned_slots = own.get(upstream.spec.id, 0.0)
         self.owned = [u for u in self.usable_order if u.owned_slots > 0]
+        self.owned_total = sum(own.values())
 
     def _forget_gone(self, listed: abc.Container[ids.UpstreamId]) -> None:
         gone = [
@@ -154,14 +166,29 @@
         return tracker.value if tracker else 3 * self.usual_s.value
 
     def believed(self, upstream: upstreams.Upstream, now: ids.Instant) -> float:
-        """Estimate the requests in ``upstream``, those of others included."""
+        """
+        Estimate the requests in ``upstream``, those of others included.
+
+        Of an upstream where this entry owns slots it has heard enough to know
+        what others usually have there; of the rest only what is usual for all.
+        """
         fades = BELIEF_FADES_AFTER * self.usual_s.value
-        return upstream.outstanding + upstream.others(now, fades)
+        usual = self.strangers.value
+        if upstream.owned_slots > 0:
+            usual = upstream.foreign_use.value
+        return upstream.outstanding + upstream.others(now, fades, usual)
 
-    def full_chance(self, upstream: upstreams.Upstream, now: ids.Instant) -> float:
-        """Estimate how likely all its slots are taken, from 0 to 1."""
-        running = self.believed(upstream, now)
-        return float(min(1.0, running / upstream.slots) ** upstream.slots)
+    def reported(
+        self,
+        upstream: upstreams.Upstream,
+        report: upstreams.LoadReport,
+        now: ids.Instant,
+    ) -> None:
+        """Take in a load report that came with an answer or a probe."""
+        upstream.reported(report, now)
+        if upstream.owned_slots <= 0:
+            total = report.running + report.queued
+            self.strangers.add(max(0, total - upstream.outstanding))
 
     def cost(self, upstream: upstreams.Upstream, now: ids.Instant) -> float:
         """
@@ -231,6 +258,12 @@
             if upstream.state is not before:
                 self.refresh()
 
+    def overloaded(self) -> bool:
+        """Tell whether more is asked for than the upstreams can bear."""
+        if self.refusing.value > OVERLOAD_SHARE:
+            return True
+        return self.waiting > OVERLOAD_WAITING * self.owned_total
+
     def in_trouble(self) -> bool:
         """Tell whether so much fails that extra requests only add load."""
         return self.failing.value > TROUBLE_SHARE
--- a/spindlenotch/selection.py
+++ b/spindlenotch/selection.py
@@ -19,8 +19,7 @@
     """Why an upstream was chosen."""
 
     OWN_SLOT = "own slot free"
-    SPILL = "own slots busy, another believed free"
-    LAST_RESORT = "nothing better could take it"
+    CHEAPEST = "own slots busy or slow, cheapest of a few"
     RANDOM = "picked at random"
     ROUND_ROBIN = "next in turn"
     LEAST_OUTSTANDING = "fewest own requests in flight"
@@ -57,11 +56,15 @@
         self,
         pool: pools.Pool,
         call: waiting.Call,
-        ahead: int,
         now: ids.Instant,
         exclude: Exclusion,
     ) -> Choice | None:
-        """Decide on one call; ``ahead`` calls wait in front of it."""
+        """Decide on one call."""
+
+    def reported(
+        self, pool: pools.Pool, upstream: upstreams.Upstream, queued: int
+    ) -> None:
+        """Take in what an upstream said of its queue."""
 
 
 POLICIES: registry.Registry[abc.Callable[[], Policy]] = registry.Registry("policy")
@@ -108,15 +111,23 @@
     )
 
 
+class _Heedless:
+    """A policy that makes nothing of reports."""
+
+    def reported(
+        self, pool: pools.Pool, upstream: upstreams.Upstream, queued: int
+    ) -> None:
+        """Do nothing."""
+
+
 @POLICIES.register("random")
-class RandomPolicy:
+class RandomPolicy(_Heedless):
     """Baseline: any upstream that may take work."""
 
     def choose(
         self,
         pool: pools.Pool,
         call: waiting.Call,
-        ahead: int,
         now: ids.Instant,
         exclude: Exclusion,
     ) -> Choice | None:
@@ -126,7 +137,7 @@
 
 
 @POLICIES.register("round-robin")
-class RoundRobinPolicy:
+class RoundRobinPolicy(_Heedless):
     """Baseline: each upstream in turn, from a random start."""
 
     def __init__(self) -> None:
@@ -136,7 +147,6 @@
         self,
         pool: pools.Pool,
         call: waiting.Call,
-        ahead: int,
         now: ids.Instant,
         exclude: Exclusion,
     ) -> Choice | None:
@@ -151,14 +161,13 @@
 
 
 @POLICIES.register("least-outstanding")
-class LeastOutstandingPolicy:
+class LeastOutstandingPolicy(_Heedless):
     """Baseline: fewest own requests in flight, ties broken at random."""
 
     def choose(
         self,
         pool: pools.Pool,
         call: waiting.Call,
-        ahead: int,
         now: ids.Instant,
         exclude: Exclusion,
     ) -> Choice | None:
@@ -172,14 +181,13 @@
 
 
 @POLICIES.register("two-choices")
-class TwoChoicesPolicy:
+class TwoChoicesPolicy(_Heedless):
     """Baseline: the better of two at random, by own requests in flight."""
 
     def choose(
         self,
         pool: pools.Pool,
         call: waiting.Call,
-        ahead: int,
         now: ids.Instant,
         exclude: Exclusion,
     ) -> Choice | None:
--- a/spindlenotch/selection_owned.py
+++ b/spindlenotch/selection_owned.py
@@ -1,53 +1,75 @@
 """
-The recommended policy: own slots first, then a guarded spill, else wait.
+The recommended policy: own slots first, then the cheapest of a few, in limits.
 
 Work goes to the slots this entry owns (see ``ownership``), where its own
 count is nearly exact without any measuring. When those are busy it compares
-two costs in the same unit: waiting in the entry's queue for an own slot, and
-sending the call to another upstream that is believed to have room. It never
-spills to one that is probably full, so under overload calls wait in the
-entry, where the more urgent can still pass.
+the own upstreams with a few others by believed cost. How much an entry may
+have under way follows what answers say of queues at the upstreams; beyond it
+calls wait in the entry, where the more urgent can still pass. While calls are
+being refused for overload, the limit is the own slots: then no queue forms at
+the upstreams, and urgent calls find a slot as soon as one is free.
 """
 
 from spindlenotch import ids, pool as pools, selection, upstreams, waiting
 
-#: Foreign upstreams looked at for one spill. Few, and random, so that many
+#: Upstreams looked at besides the own ones. Few, and random, so that many
 #: entries with the same stale belief do not all pick the same one.
-SPILL_SAMPLE = 3
-#: Spill only where all slots are less likely than this to be taken.
-SPILL_FULL_CHANCE = 0.5
+SAMPLE = 8
 #: An own upstream this much slower than usual competes with the others.
 SLOW_COST = 1.6
+#: Calls under way per own slot: bounds, and steps per answer. The least is
+#: above one so that a slot does not idle while its answer is on the way.
+LEAST_FACTOR = 1.15
+MOST_FACTOR = 6.0
+FACTOR_GROWS = 0.01
+FACTOR_SHRINKS = 0.99
+#: Calls queued per slot of an upstream above which the factor shrinks.
+QUEUE_TARGET = 2.0
 
 
 @selection.POLICIES.register("owned")
 class OwnedPolicy:
-    """Chooses by ownership, then by expected cost."""
+    """
+    Chooses by ownership, then by expected cost, within a limit.
+
+    Invariant: with own slots at hand, calls under way never exceed the own
+    slots times the factor (at least one).
+    """
+
+    def __init__(self) -> None:
+        self.factor = MOST_FACTOR
 
     def choose(
         self,
         pool: pools.Pool,
         call: waiting.Call,
-        ahead: int,
         now: ids.Instant,
         exclude: selection.Exclusion,
     ) -> selection.Choice | None:
-        """Take an own slot, spill, or let the call wait."""
+        """Take an own slot, the cheapest of a few, or let the call wait."""
         own, own_cost = self._best_own(pool, now, exclude)
         if own is not None and own_cost <= SLOW_COST:
             return _choice(pool, own, selection.Rule.OWN_SLOT, [own], now)
-        others = selection.sample(pool, SPILL_SAMPLE, now, exclude)
-        spill = self._best_spill(pool, others, now)
-        # Without a free own slot the rival is the wait for one.
-        rival = 1 + self._wait_cost(pool, ahead) if own is None else own_cost
-        if spill is not None and pool.cost(spill, now) < rival:
-            return _choice(pool, spill, selection.Rule.SPILL, others, now)
-        if own is not None:
-            return _choice(pool, own, selection.Rule.OWN_SLOT, [own], now)
-        if not pool.owned and others:
-            best = min(others, key=lambda u: pool.cost(u, now))
-            return _choice(pool, best, selection.Rule.LAST_RESORT, others, now)
-        return None
+        overloaded = pool.overloaded()
+        factor = LEAST_FACTOR if overloaded else self.factor
+        limit = max(1.0, pool.owned_total * factor)
+        if pool.owned and pool.under_way >= limit:
+            return None
+        sampled = 0 if overloaded and pool.owned else SAMPLE
+        options = self._options(pool, sampled, now, exclude)
+        if not options:
+            return None
+        best = min(options, key=lambda u: pool.cost(u, now))
+        return _choice(pool, best, selection.Rule.CHEAPEST, options, now)
+
+    def reported(
+        self, pool: pools.Pool, upstream: upstreams.Upstream, queued: int
+    ) -> None:
+        """Let the limit follow what an upstream says of its queue."""
+        if queued > QUEUE_TARGET * upstream.slots:
+            self.factor = max(LEAST_FACTOR, self.factor * FACTOR_SHRINKS)
+        else:
+            self.factor = min(MOST_FACTOR, self.factor + FACTOR_GROWS)
 
     def _best_own(
         self, pool: pools.Pool, now: ids.Instant, exclude: selection.Exclusion
@@ -64,15 +86,20 @@
                 best, best_cost = upstream, cost
         return best, best_cost
 
-    def _best_spill(
-        self, pool: pools.Pool, others: list[upstreams.Upstream], now: ids.Instant
-    ) -> upstreams.Upstream | None:
-        roomy = [u for u in others if pool.full_chance(u, now) < SPILL_FULL_CHANCE]
-        return min(roomy, key=lambda u: pool.cost(u, now), default=None)
-
-    def _wait_cost(self, pool: pools.Pool, ahead: int) -> float:
-        own_slots = sum(u.owned_slots for u in pool.owned)
-        return (ahead + 1) / max(own_slots, 0.5)
+    def _options(
+        self,
+        pool: pools.Pool,
+        sampled: int,
+        now: ids.Instant,
+        exclude: selection.Exclusion,
+    ) -> list[upstreams.Upstream]:
+        options = selection.sample(pool, sampled, now, exclude)
+        for upstream in pool.owned:
+            if upstream in options or upstream.spec.id in exclude:
+                continue
+            if upstream.may_take(now):
+                options.append(upstream)
+        return options
 
 
 def _has_room(upstream: upstreams.Upstream) -> bool:
--- a/spindlenotch/upstreams.py
+++ b/spindlenotch/upstreams.py
@@ -119,13 +119,16 @@
         self.report = report
         self.report_at = now
         self.own_at_report = self.outstanding
-        others = max(0, report.running + report.queued - self.outstanding)
+        others = max(0, report.running + report.queued - self.own_at_report)
         self.foreign_use.add(others)
 
-    def others(self, now: ids.Instant, time_constant: float) -> float:
-        """Estimate how many requests of other entries are in it now."""
+    def others(self, now: ids.Instant, time_constant: float, usual: float) -> float:
+        """
+        Estimate how many requests of other entries are in it now.
+
+        What it last said fades towards ``usual`` as it ages.
+        """
         said = self.report.running + self.report.queued - self.own_at_report
-        usual = self.foreign_use.value
         weight = latency.decay(now - self.report_at, time_constant)
         return usual + (max(0, said) - usual) * weight
 
