--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,3 @@
+"""
+The whole system in one process: both sample deployments, traffic and faults.
+"""
--- a/spindlenotch/cli.py
+++ b/spindlenotch/cli.py
@@ -2,9 +2,9 @@
 The command line: one command per role, each a thin wrapper.
 """
 
+import importlib
 import os
 import sys
-import typing
 
 import cyclopts
 import msgspec
@@ -103,7 +103,7 @@
     plain: Print lines in place of a live table.
     """
     # Imported here: the demo needs the stand-ins, the daemons do not.
-    demo = typing.cast(typing.Any, __import__("demo"))
+    demo = importlib.import_module("demo.main")
     sys.exit(uvloop.run(demo.main(seconds, plain=plain)))
 
 
