--- a/experiment/run.py
+++ b/experiment/run.py
@@ -310,6 +310,7 @@
             self.poking.discard(entry)
             now = ids.Instant(self.simulation.now)
             self.settle(self.balancers[entry].settle(now))
+            self.settle(self.balancers[entry].give_up(now))
             if len(self.balancers[entry].queue):
                 self._poke(entry)
 
--- a/features/steps/whole_path.py
+++ b/features/steps/whole_path.py
@@ -82,7 +82,7 @@
 
 @behave.when("{count:d} requests are sent over {seconds:d} seconds")
 def many(context: typing.Any, count: int, seconds: int) -> None:
-    context.results = context.runner.run(_many(context.fleet, count, seconds, None))
+    context.results = context.runner.run(send_many(context.fleet, count, seconds, None))
 
 
 @behave.when(
@@ -93,7 +93,7 @@
     async def stop() -> None:
         context.fleet.entry_by_host[host].process.send(signal.SIGTERM)
 
-    context.results = context.runner.run(_many(context.fleet, count, seconds, stop))
+    context.results = context.runner.run(send_many(context.fleet, count, seconds, stop))
 
 
 @behave.when(
@@ -104,10 +104,10 @@
     async def kill() -> None:
         await context.fleet.entry_by_host[host].process.kill()
 
-    context.results = context.runner.run(_many(context.fleet, count, seconds, kill))
+    context.results = context.runner.run(send_many(context.fleet, count, seconds, kill))
 
 
-async def _many(
+async def send_many(
     fleet: typing.Any,
     count: int,
     seconds: float,
--- a/spindlenotch/balancer.py
+++ b/spindlenotch/balancer.py
@@ -175,6 +175,26 @@
             settled.extend(self._refuse_all(now))
         return settled
 
+    def give_up(self, now: ids.Instant) -> list[Settlement]:
+        """
+        Refuse the waiting calls that can no longer make their deadlines.
+
+        Called while calls wait. They get their final answer now rather than
+        at the deadline, with the time at which the queue will have passed.
+        """
+        hopeless = [
+            call
+            for ahead, call in enumerate(self.queue)
+            if call.deadline - now
+            < self.expected_wait(ahead) + self.pool.usual_of(call.operation)
+        ]
+        come_back = self._come_back(now)
+        for call in hopeless:
+            self.queue.remove(call.id)
+            self.pool.refusing.add(1.0)
+        refusal = outcomes.not_run(outcomes.Reason.DEADLINE_HOPELESS, come_back)
+        return [Settlement(call, refusal) for call in hopeless]
+
     def withdraw(self, call_id: ids.CallId) -> None:
         """Take a call out of the queue; its caller is gone."""
         self.queue.remove(call_id)
--- a/spindlenotch/data_path.py
+++ b/spindlenotch/data_path.py
@@ -173,6 +173,7 @@
         for service in self.state.balancer_by_service.values():
             if len(service.queue):
                 self.settle(service.settle(now))
+                self.settle(service.give_up(now))
         if self.future_by_call:
             self._poke_later()
 
--- a/spindlenotch/pool.py
+++ b/spindlenotch/pool.py
@@ -224,16 +224,23 @@
         The unit is the usual request time: one is an idle, healthy upstream
         in this zone.
         """
+        return self.cost_of(upstream, self.believed(upstream, now), now)
+
+    def cost_of(
+        self, upstream: upstreams.Upstream, running: float, now: ids.Instant
+    ) -> float:
+        """Estimate the same, with so many requests believed to be in it."""
         slots = upstream.slots
-        running = self.believed(upstream, now)
-        excess = max(0.0, running + 1 - slots)
-        full = min(1.0, running / slots) ** slots
-        # An answer that is overdue says more than those that came.
         usual = self.usual_s.value
-        overdue = max(0.0, upstream.silent_s(now) * upstream.outstanding / usual - 3)
-        slowness = max(0.5, upstream.slowness.value) + 0.3 * overdue
+        full = min(1.0, running / slots) ** slots
+        waiting = full + max(0.0, running + 1 - slots)
+        slowness = max(0.5, upstream.slowness.value)
+        if upstream.sent_at_by_call:
+            # An answer that is overdue says more than those that came.
+            silent = upstream.silent_s(now) * upstream.outstanding / usual
+            slowness += 0.3 * max(0.0, silent - 3)
         way = 0.0 if upstream.spec.zone == self.me.zone else 2 * ZONE_CROSSING_S
-        return float(slowness * (1 + (excess + full) / slots) + way / usual)
+        return float(slowness * (1 + waiting / slots) + way / usual)
 
     def note(
         self,
--- a/spindlenotch/selection.py
+++ b/spindlenotch/selection.py
@@ -26,8 +26,7 @@
     TWO_CHOICES = "better of two picked at random"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(typing.NamedTuple):
     """One upstream that was considered, and what was believed of it."""
 
     upstream: ids.UpstreamId
@@ -98,14 +97,15 @@
     return found
 
 
-def describe(
+def appraise(
     pool: pools.Pool, upstream: upstreams.Upstream, now: ids.Instant
 ) -> Candidate:
-    """Return what is believed of ``upstream`` for the record."""
+    """Return what is believed of ``upstream`` and what it would cost."""
+    running = pool.believed(upstream, now)
     return Candidate(
         upstream.spec.id,
-        pool.cost(upstream, now),
-        pool.believed(upstream, now),
+        pool.cost_of(upstream, running, now),
+        running,
         now - upstream.report_at,
         upstream.owned_slots,
     )
--- a/spindlenotch/selection_owned.py
+++ b/spindlenotch/selection_owned.py
@@ -10,11 +10,18 @@
 the upstreams, and urgent calls find a slot as soon as one is free.
 """
 
+import itertools
+from collections import abc
+
 from spindlenotch import ids, pool as pools, selection, upstreams, waiting
 
 #: Upstreams looked at besides the own ones. Few, and random, so that many
 #: entries with the same stale belief do not all pick the same one.
 SAMPLE = 8
+#: Own upstreams with room that are compared, and own ones when all are busy.
+#: Bounds the time of a decision where an entry owns slots in many.
+OWN_SEEN = 4
+OWN_SEEN_BUSY = 4
 #: An own upstream this much slower than usual competes with the others.
 SLOW_COST = 1.6
 #: Calls under way per own slot: bounds, and steps per answer. The least is
@@ -47,9 +54,9 @@
         exclude: selection.Exclusion,
     ) -> selection.Choice | None:
         """Take an own slot, the cheapest of a few, or let the call wait."""
-        own, own_cost = self._best_own(pool, now, exclude)
-        if own is not None and own_cost <= SLOW_COST:
-            return _choice(pool, own, selection.Rule.OWN_SLOT, [own], now)
+        own = self._best_own(pool, now, exclude)
+        if own is not None and own.cost <= SLOW_COST:
+            return _choice(pool, own, selection.Rule.OWN_SLOT, (own,))
         overloaded = pool.overloaded()
         factor = LEAST_FACTOR if overloaded else self.factor
         limit = max(1.0, pool.owned_total * factor)
@@ -59,8 +66,9 @@
         options = self._options(pool, sampled, now, exclude)
         if not options:
             return None
-        best = min(options, key=lambda u: pool.cost(u, now))
-        return _choice(pool, best, selection.Rule.CHEAPEST, options, now)
+        candidates = tuple(selection.appraise(pool, u, now) for u in options)
+        best = min(candidates, key=_cost)
+        return _choice(pool, best, selection.Rule.CHEAPEST, candidates)
 
     def reported(
         self, pool: pools.Pool, upstream: upstreams.Upstream, queued: int
@@ -73,18 +81,22 @@
 
     def _best_own(
         self, pool: pools.Pool, now: ids.Instant, exclude: selection.Exclusion
-    ) -> tuple[upstreams.Upstream | None, float]:
-        best = None
-        best_cost = float("inf")
-        for upstream in pool.owned:
+    ) -> selection.Candidate | None:
+        """Return the cheapest of a few own upstreams with room."""
+        best: selection.Candidate | None = None
+        seen = 0
+        for upstream in _from_anywhere(pool):
             if not _has_room(upstream) or upstream.spec.id in exclude:
                 continue
             if not upstream.may_take(now):
                 continue
-            cost = pool.cost(upstream, now)
-            if cost < best_cost:
-                best, best_cost = upstream, cost
-        return best, best_cost
+            candidate = selection.appraise(pool, upstream, now)
+            if best is None or candidate.cost < best.cost:
+                best = candidate
+            seen += 1
+            if seen == OWN_SEEN:
+                break
+        return best
 
     def _options(
         self,
@@ -94,7 +106,7 @@
         exclude: selection.Exclusion,
     ) -> list[upstreams.Upstream]:
         options = selection.sample(pool, sampled, now, exclude)
-        for upstream in pool.owned:
+        for upstream in itertools.islice(_from_anywhere(pool), OWN_SEEN_BUSY):
             if upstream in options or upstream.spec.id in exclude:
                 continue
             if upstream.may_take(now):
@@ -102,6 +114,20 @@
         return options
 
 
+def _from_anywhere(pool: pools.Pool) -> abc.Iterator[upstreams.Upstream]:
+    """Go through the own upstreams once, from a random one on."""
+    own = pool.owned
+    if not own:
+        return
+    start = int(pool.rng.random() * len(own))
+    yield from itertools.islice(own, start, None)
+    yield from itertools.islice(own, start)
+
+
+def _cost(candidate: selection.Candidate) -> float:
+    return candidate.cost
+
+
 def _has_room(upstream: upstreams.Upstream) -> bool:
     trusted = max(1.0, upstream.owned_slots * upstream.warmth())
     return upstream.outstanding + 0.5 <= trusted
@@ -109,10 +135,8 @@
 
 def _choice(
     pool: pools.Pool,
-    chosen: upstreams.Upstream,
+    best: selection.Candidate,
     rule: selection.Rule,
-    considered: list[upstreams.Upstream],
-    now: ids.Instant,
+    candidates: tuple[selection.Candidate, ...],
 ) -> selection.Choice:
-    candidates = tuple(selection.describe(pool, u, now) for u in considered)
-    return selection.Choice(chosen, rule, candidates)
+    return selection.Choice(pool.upstream_by_id[best.upstream], rule, candidates)
--- a/spindlenotch/upstreams.py
+++ b/spindlenotch/upstreams.py
@@ -161,9 +161,9 @@
 
     def may_take(self, now: ids.Instant) -> bool:
         """Tell whether it may get one more request."""
-        self.tick(now)
         if self.state is State.ACTIVE:
             return True
+        self.tick(now)
         return self.state is State.PROBATION and not self.sent_at_by_call
 
     def warmth(self) -> float:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -68,7 +68,8 @@
         result = step.get("result", {})
         if result.get("status") in ("failed", "error", "undefined"):
             report.append(f"{step['keyword']} {step['name']}")
-            report += result.get("error_message", [])
+            message = result.get("error_message", "")
+            report.append(message if isinstance(message, str) else "\n".join(message))
     name = f"{feature['name']}: {element['name']}"
     return name, element["status"] == "passed", "\n".join(report)
 
