Claims: the bucket fills from the start of the process; homes are found in the host list too

Found by the process scenarios: the first claim of every process was refused as over budget, because its bucket began to fill only when it was first asked for; a resend to a peer that had not yet met the home by gossip was 'unknown'.

--- a/spindlenotch/claims.py
+++ b/spindlenotch/claims.py
@@ -96,8 +96,10 @@
             1, len(self.state.gossip.ready_members())
         )
         if share != self.rates.per_second:
-            tokens = self.rates.bucket.tokens
-            bucket = budgets.RateBudget(share, max(1.0, share), now, tokens)
+            old = self.rates.bucket
+            bucket = budgets.RateBudget(
+                share, max(1.0, share), old.filled_at, old.tokens
+            )
             self.rates = ClaimRates(share, bucket)
         return self.rates.bucket.spend(now)
 
--- a/spindlenotch/entry_state.py
+++ b/spindlenotch/entry_state.py
@@ -129,6 +129,17 @@
         for service in self.balancer_by_service.values():
             service.pool.set_members(members)
 
+    def address_of(self, host: ids.HostId) -> ids.Address | None:
+        """Return where an entry serves callers, by its peers' word or the list."""
+        known = self.gossip.known_by_host.get(host)
+        if known is not None:
+            return known.news.address
+        listed = hostlist.entries(self.hosts) if self.hosts else []
+        for record in listed:
+            if record.id == host:
+                return ids.Address(record.address)
+        return None
+
     def follow_day(self) -> None:
         """Set each service's zone weights for this moment of the day."""
         current = self.bundle
--- a/spindlenotch/once_path.py
+++ b/spindlenotch/once_path.py
@@ -214,11 +214,11 @@
             has_id=True,
             first_attempt=False,
         )
-        known = self.state.gossip.known_by_host.get(ids.HostId(home.host))
-        if identity.forwarded or known is None:
+        address = self.state.address_of(ids.HostId(home.host))
+        if identity.forwarded or address is None:
             return gone
         self.state.counters.forwarded += 1
-        request = self._forward_request(job, identity, known.news.address)
+        request = self._forward_request(job, identity, address)
         left_s = max(0.0, job.call.deadline - self.state.clock.now())
         try:
             async with asyncio.timeout(left_s):
