--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -435,6 +435,9 @@
         """Count the probe and answer it."""
         one = self.everyone.upstream_by_address[address]
         one.probe_times.append(self.everyone.world.now)
+        if one.mode in ("freeze", "refuse", "lost"):
+            await asyncio.sleep(timeout_s)
+            return ports.UpstreamFault.CONNECTION_LOST
         await asyncio.sleep(0.006)
         if one.leaving_since is not None:
             return ports.UpstreamFault.DRAINING
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -32,7 +32,7 @@
 deployment = "test"
 timezone = "UTC"
 [measuring]
-budget_share = 0.01
+budget_share = 0.002
 [classes]
 urgent = 0
 browse = 1
--- a/features/support/machine.py
+++ b/features/support/machine.py
@@ -106,6 +106,15 @@
         if entry is not None:
             self.fleet.send(entry, f"read-{self._next()}", None, None, timeout)
 
+    @stateful.rule(host=hosts)
+    def read_often(self, host: str) -> None:
+        """A caller reads again and again through one host."""
+        entry = self._living(host)
+        for _ in range(8 if entry is not None else 0):
+            assert entry is not None
+            self.fleet.send(entry, f"read-{self._next()}", None, None, 1.0)
+            self.fleet.world.run(0.04)
+
     # Time
 
     @stateful.rule(seconds=strategies.sampled_from(PAUSES))
@@ -425,6 +434,7 @@
     """Bookings, resends and what can go wrong with them, and nothing else."""
 
     read = None  # type: ignore[assignment]
+    read_often = None  # type: ignore[assignment]
     cut_off = None  # type: ignore[assignment]
     host_list_outage = None  # type: ignore[assignment]
     upstream_mode = None  # type: ignore[assignment]
@@ -447,11 +457,11 @@
     book_by_key = None  # type: ignore[assignment]
     resend = None  # type: ignore[assignment]
     read = None  # type: ignore[assignment]
+    read_often = None  # type: ignore[assignment]
     stall = None  # type: ignore[assignment]
     drain = None  # type: ignore[assignment]
     come_back = None  # type: ignore[assignment]
     upstream_mode = None  # type: ignore[assignment]
-    all_upstreams_mode = None  # type: ignore[assignment]
     publish = None  # type: ignore[assignment]
     push_again = None  # type: ignore[assignment]
     host_list_outage = None  # type: ignore[assignment]
