--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 PY := .venv/bin/python
 
-.PHONY: demo test format docs soak clean
+.PHONY: demo test format docs soak mutants measure-path measure-capacity measure-policies clean
 
 .venv/ready: requirements.txt
 	$(PYTHON) -m venv .venv
@@ -19,5 +19,27 @@
 	.venv/bin/ruff format .
 	.venv/bin/ruff check --fix .
 
+# Play the mixed-fault machine with a fresh seed for so many seconds.
+SECONDS ?= 300
+soak: .venv/ready
+	$(PY) -m tools.soak $(SECONDS)
+
+# Break each mechanism in a scratch copy; the machines must go red.
+mutants: .venv/ready
+	$(PY) -m tools.mutants
+
+# The pages that are made from the code.
+docs: .venv/ready
+	$(PY) -m tools.make_docs
+
+measure-path: .venv/ready
+	$(PY) -m tools.measure_path
+
+measure-capacity: .venv/ready
+	$(PY) -m tools.measure_capacity
+
+measure-policies: .venv/ready
+	$(PY) -m experiment report
+
 clean:
 	rm -rf .venv .mypy_cache .ruff_cache .hypothesis .import_linter_cache
--- /dev/null
+++ b/features/kernel.feature
@@ -0,0 +1,22 @@
+Feature: Properties of the decision code, by hypothesis
+
+  Scenario Outline: <property>
+    Then the property "<property>" holds
+
+    Examples:
+      | property                                          |
+      | own slots of all entries add up to all slots      |
+      | zone weights move without a jump                  |
+      | a spaced budget holds in every window             |
+      | extra sends stay within their share               |
+      | a higher class never waits behind a lower one     |
+      | nobody unfit is chosen                            |
+      | a decision follows from state, time and seed      |
+      | an older document never replaces a newer one      |
+      | what is explained is what was done                |
+
+  Scenario: Every mistake in a bundle is reported at once
+    Then a bundle with 12 mistakes gets 12 reports with their paths
+
+  Scenario: Waiting calls that cannot make it are refused before their deadline
+    Then a call that falls hopelessly behind is refused at once
--- /dev/null
+++ b/features/steps/kernel.py
@@ -0,0 +1,362 @@
+"""Property tests of the pure modules, without any input or output."""
+
+import random
+import typing
+from collections import abc
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from spindlenotch import (
+    balancer,
+    budgets,
+    bundle,
+    bundle_check,
+    documents,
+    ids,
+    outcomes,
+    ownership,
+    registry,
+    schedule,
+    selection,
+    upstreams,
+    waiting,
+)
+
+PROPERTIES: registry.Registry[abc.Callable[[], None]] = registry.Registry("property")
+SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=100
+)
+NOW = ids.Instant(1000.0)
+ZONES = tuple(ids.ZoneName(z) for z in ("a", "b", "c"))
+small = strategies.integers(1, 12)
+
+
+@behave.then('the property "{name}" holds')
+def holds(context: typing.Any, name: str) -> None:
+    PROPERTIES.get(name)()
+
+
+def service(policy: str = "owned", queue_limit: int = 50) -> bundle.Service:
+    """Return a service with a read that repeats and a booking that does not."""
+    operations = tuple(
+        bundle.Operation(name, frozenset({"GET"}), "/", ids.ClassName("c"), repeatable)
+        for name, repeatable in (("read", True), ("book", False))
+    )
+    return bundle.Service(
+        ids.ServiceName("s"),
+        ZONES,
+        2,
+        10,
+        10.0,
+        policy,
+        0.05,
+        0.05,
+        queue_limit,
+        0.3,
+        operations,
+        (),
+    )
+
+
+def loaded(seed: int, count: int, policy: str = "owned") -> balancer.Balancer:
+    """Return a balancer with ``count`` upstreams that are warm."""
+    me = ownership.Member(ZONES[0], ids.HostId("e0"))
+    made = balancer.Balancer(service(policy), me, random.Random(seed), NOW)
+    specs = [
+        upstreams.UpstreamSpec(
+            ids.UpstreamId(f"u{n}"), ZONES[n % 3], ids.Address(""), 1
+        )
+        for n in range(count)
+    ]
+    made.pool.set_listed(specs, NOW)
+    for known in made.pool.upstream_by_id.values():
+        known.answers = upstreams.WARM_AFTER_ANSWERS
+    return made
+
+
+def call(number: int, rank: int = 1, deadline: float = 60.0) -> waiting.Call:
+    """Return a repeatable call."""
+    name = ids.CallId(f"c{number}")
+    return waiting.Call(name, rank, True, ids.later(NOW, deadline), "read", NOW)
+
+
+@PROPERTIES.register("own slots of all entries add up to all slots")
+def ownership_adds_up() -> None:
+    @SETTINGS
+    @hypothesis.given(strategies.lists(small, min_size=1, max_size=20), small)
+    def check(slots: list[int], entries: int) -> None:
+        stakes = [
+            ownership.Stake(ids.UpstreamId(f"u{n}"), ZONES[n % 3], float(s))
+            for n, s in enumerate(slots)
+        ]
+        members = [
+            ownership.Member(ZONES[n % 3], ids.HostId(f"e{n}")) for n in range(entries)
+        ]
+        sums = dict.fromkeys((s.upstream for s in stakes), 0.0)
+        for me in members:
+            own = ownership.owned(stakes, members, me)
+            assert abs(sum(own.values()) - sum(slots) / entries) < 1e-6
+            for upstream, share in own.items():
+                sums[upstream] += share
+        for stake in stakes:
+            assert abs(sums[stake.upstream] - stake.slots) < 1e-6
+
+    check()
+
+
+@PROPERTIES.register("zone weights move without a jump")
+def no_jump() -> None:
+    weights = strategies.lists(strategies.floats(0.1, 10), min_size=3, max_size=3)
+    steps = strategies.lists(
+        strategies.tuples(strategies.integers(0, 1439), weights),
+        min_size=1,
+        max_size=5,
+        unique_by=lambda pair: pair[0],
+    )
+
+    @SETTINGS
+    @hypothesis.given(steps, strategies.floats(0, 1439.9))
+    def check(drawn: list[tuple[int, list[float]]], minute: float) -> None:
+        day = tuple(
+            bundle.DayStep(at, dict(zip(ZONES, values, strict=True)))
+            for at, values in sorted(drawn)
+        )
+        made = service()
+        planned = bundle.Service(
+            **{f: getattr(made, f) for f in made.__slots__ if f != "day"}, day=day
+        )
+        before = schedule.planned(planned, minute)
+        after = schedule.planned(planned, (minute + 0.01) % 1440)
+        assert abs(sum(before.values()) - 1) < 1e-9
+        steepest = 0.01 * 100 / max(1, _shortest(day)) + 1e-6
+        for zone in ZONES:
+            assert abs(before[zone] - after[zone]) <= steepest, (zone, before, after)
+
+    check()
+
+
+def _shortest(day: tuple[bundle.DayStep, ...]) -> float:
+    minutes = [step.minute for step in day]
+    if len(minutes) == 1:
+        return 1440
+    gaps = [b - a for a, b in zip(minutes, minutes[1:], strict=False)]
+    return min([*gaps, 1440 - minutes[-1] + minutes[0]])
+
+
+@PROPERTIES.register("a spaced budget holds in every window")
+def spaced() -> None:
+    @SETTINGS
+    @hypothesis.given(
+        strategies.integers(1, 10),
+        strategies.lists(strategies.floats(0, 0.5), max_size=200),
+    )
+    def check(allowed: int, gaps: list[float]) -> None:
+        budget = budgets.SpacedBudget(allowed, 1.0, NOW)
+        now, used = NOW, []
+        for gap in gaps:
+            now = ids.later(now, gap)
+            if budget.spend(now):
+                used.append(now)
+        assert not used or used[0] >= NOW + 1.0
+        for first, last in zip(used, used[allowed:], strict=False):
+            assert last - first >= 1.0 - 1e-6
+
+    check()
+
+
+@PROPERTIES.register("extra sends stay within their share")
+def shares() -> None:
+    @SETTINGS
+    @hypothesis.given(
+        strategies.floats(0, 0.1), strategies.lists(strategies.booleans(), max_size=400)
+    )
+    def check(share: float, order: list[bool]) -> None:
+        budget = budgets.ShareBudget(share)
+        earned = spent = 0
+        for ordinary in order:
+            if ordinary:
+                budget.earn()
+                earned += 1
+            else:
+                spent += budget.spend()
+            assert spent <= share * earned + 1 + 1e-6
+
+    check()
+
+
+@PROPERTIES.register("a higher class never waits behind a lower one")
+def ranks() -> None:
+    @SETTINGS
+    @hypothesis.given(strategies.lists(strategies.integers(0, 3), max_size=100))
+    def check(order: list[int]) -> None:
+        queue = waiting.WaitQueue(1000)
+        for number, rank in enumerate(order):
+            queue.push(call(number, rank))
+        turns = 0
+        while (chosen := queue.turn()) is not None:
+            turns += 1
+            ahead = min(c.rank for c in queue)
+            fair = turns % waiting.FAIR_TURN == 0
+            assert fair or chosen.rank == ahead
+            queue.take(chosen)
+        assert turns == len(order)
+
+    check()
+
+
+@PROPERTIES.register("nobody unfit is chosen")
+def fit() -> None:
+    @SETTINGS
+    @hypothesis.given(
+        strategies.integers(0, 1000),
+        strategies.lists(strategies.sampled_from(("leave", "eject", "fail"))),
+        strategies.sampled_from(
+            ("owned", "random", "round-robin", "least-outstanding", "two-choices")
+        ),
+    )
+    def check(seed: int, troubles: list[str], policy: str) -> None:
+        made = loaded(seed, 8, policy)
+        rng = random.Random(seed)
+        for number, trouble in enumerate(troubles):
+            victim = made.pool.upstream_by_id[ids.UpstreamId(f"u{rng.randrange(8)}")]
+            if trouble == "leave":
+                made.pool.leave(victim.spec.id, 1, "test")
+            elif trouble == "eject":
+                made.pool.eject(victim, "test", NOW)
+            offered = made.offer(call(number), NOW)
+            if isinstance(offered, balancer.Grant):
+                state = offered.upstream.state
+                assert state is upstreams.State.ACTIVE, state
+                failed = upstreams.Result.FAILED
+                made.finish(offered, failed, None, NOW)
+        ejected = [
+            u for u in made.pool.usable_order if u.state is upstreams.State.EJECTED
+        ]
+        assert len(ejected) <= max(1, int(0.3 * 8))
+
+    check()
+
+
+@PROPERTIES.register("a decision follows from state, time and seed")
+def deterministic() -> None:
+    @SETTINGS
+    @hypothesis.given(strategies.integers(0, 1000), strategies.integers(1, 60))
+    def check(seed: int, calls: int) -> None:
+        def play() -> list[object]:
+            made = loaded(seed, 8)
+            for number in range(calls):
+                made.offer(call(number), ids.later(NOW, number / 1000))
+            return [(d.call, d.upstream, d.rule) for d in made.decisions]
+
+        assert play() == play()
+
+    check()
+
+
+@PROPERTIES.register("an older document never replaces a newer one")
+def fenced() -> None:
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(strategies.integers(1, 9), strategies.booleans())
+        )
+    )
+    def check(offers: list[tuple[int, bool]]) -> None:
+        fence = documents.Fence()
+        kind = documents.DocumentKind.BUNDLE
+        highest = 0
+        for version, authoritative in offers:
+            digest = ids.Digest(f"d{version}")
+            document = documents.Document(kind, version, digest, b"")
+            fence.offer(document, authoritative=authoritative)
+            highest = max(highest, version)
+            assert fence.version(kind) == highest
+
+    check()
+
+
+@PROPERTIES.register("what is explained is what was done")
+def explained() -> None:
+    @SETTINGS
+    @hypothesis.given(strategies.integers(0, 1000), strategies.integers(1, 60))
+    def check(seed: int, calls: int) -> None:
+        made = loaded(seed, 8)
+        for number in range(calls):
+            offered = made.offer(call(number), NOW)
+            if not isinstance(offered, balancer.Grant):
+                continue
+            last = made.decisions[-1]
+            assert (last.call, last.upstream) == (
+                offered.call.id,
+                offered.upstream.spec.id,
+            )
+            cheapest = min(last.candidates, key=lambda c: c.cost)
+            assert cheapest.upstream == last.upstream
+
+    check()
+
+
+MISTAKEN = """
+format = 2
+version = "one"
+timezone = "Mars/Olympus"
+colour = "blue"
+[classes]
+browse = 11
+[services.Bad_Name]
+slots = 0
+policy = "magic"
+zones = ["a", "a"]
+[[services.Bad_Name.operations]]
+name = "read"
+methods = ["FETCH"]
+class = "nobody"
+"""
+PATHS = {
+    "format",
+    "version",
+    "deployment",
+    "timezone",
+    "colour",
+    "classes.browse.rank",
+    "services",
+    "services.Bad_Name.slots",
+    "services.Bad_Name.policy",
+    "services.Bad_Name.zones",
+    "services.Bad_Name.operations[0].methods",
+    "services.Bad_Name.operations[0].class",
+}
+
+
+@behave.then("a bundle with {count:d} mistakes gets {again:d} reports with their paths")
+def mistakes(context: typing.Any, count: int, again: int) -> None:
+    found = bundle_check.check(MISTAKEN, selection.POLICIES.names())
+    assert isinstance(found, list)
+    paths = {mistake.path for mistake in found}
+    assert paths >= PATHS, PATHS - paths
+    assert all(m.found and m.allowed for m in found), found
+
+
+@behave.then("a call that falls hopelessly behind is refused at once")
+def hopeless(context: typing.Any) -> None:
+    made = loaded(1, 1)
+    grants = []
+    number = 0
+    while True:
+        number += 1
+        offered = made.offer(call(number, rank=2, deadline=0.5), NOW)
+        if not isinstance(offered, balancer.Grant):
+            break
+        grants.append(offered)
+    assert isinstance(offered, balancer.Waiting)
+    # The upstream turns slow: what waits can no longer be answered in time.
+    made.pool.usual_s.value = 0.6
+    made.pool.usual_by_operation["read"].value = 0.6
+    later = ids.later(NOW, 0.1)
+    (settled,) = made.give_up(later)
+    assert isinstance(settled.verdict, outcomes.Refusal)
+    assert settled.verdict.outcome is outcomes.Outcome.NOT_RUN
+    assert settled.verdict.retry_at is not None and settled.verdict.retry_at > later
+    assert not len(made.queue)
--- a/spindlenotch/explain.py
+++ b/spindlenotch/explain.py
@@ -133,7 +133,7 @@
         "try": decision.kind.value,
         "upstream": decision.upstream,
         "why": decision.rule,
-        "candidates": [_plain(c) for c in decision.candidates],
+        "candidates": [c._asdict() for c in decision.candidates],
     }
 
 
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Checks, measurements and page makers of the project; no part of the product."""
