--- a/experiment/__main__.py
+++ b/experiment/__main__.py
@@ -2,6 +2,7 @@
 ``python -m experiment``: run a table of experiments and print it.
 """
 
+import importlib
 import itertools
 import statistics
 import sys
@@ -117,5 +118,13 @@
     )
 
 
+@app.command(name="report")
+def make_report() -> None:
+    """Run all cells and write the table and the plots into docs/measurements."""
+    # Imported here: plotting is slow to load and only this command draws.
+    report = importlib.import_module("experiment.report")
+    report.main()
+
+
 if __name__ == "__main__":
     app()
