--- a/spindlenotch/pool.py
+++ b/spindlenotch/pool.py
@@ -67,6 +67,7 @@
         self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
         self.usable_order: list[upstreams.Upstream] = []
         self.owned: list[upstreams.Upstream] = []
+        self.ejected: list[upstreams.Upstream] = []
         self.zone_factor: dict[ids.ZoneName, float] = {}
         self.plan: dict[ids.ZoneName, float] = schedule.planned(service, 0.0)
         self.strangers = latency.Mean(0.0, 0.02)
@@ -149,6 +150,9 @@
             for u in self.upstream_by_id.values()
             if u.state is not upstreams.State.LEAVING
         ]
+        self.ejected = [
+            u for u in self.usable_order if u.state is upstreams.State.EJECTED
+        ]
         slots: dict[ids.ZoneName, float] = {}
         for upstream in self.usable_order:
             zone = upstream.spec.zone
@@ -269,7 +273,7 @@
         self, upstream: upstreams.Upstream, reason: str, now: ids.Instant
     ) -> bool:
         """Eject an upstream unless too many are out already."""
-        out = sum(u.state is upstreams.State.EJECTED for u in self.usable_order)
+        out = sum(u.state is upstreams.State.EJECTED for u in self.ejected)
         allowed = max(1, int(self.service.eject_share * len(self.usable_order)))
         if out >= allowed or len(self.usable_order) < 2:
             return False
@@ -292,6 +296,10 @@
             if upstream.state is not before:
                 self.refresh()
 
+    def busy(self) -> int:
+        """Count the calls under way but for those stuck in ejected upstreams."""
+        return self.under_way - sum(u.outstanding for u in self.ejected)
+
     def overloaded(self) -> bool:
         """Tell whether more is asked for than the upstreams can bear."""
         if self.refusing.value > OVERLOAD_SHARE:
--- a/spindlenotch/selection_owned.py
+++ b/spindlenotch/selection_owned.py
@@ -60,7 +60,7 @@
         overloaded = pool.overloaded()
         factor = LEAST_FACTOR if overloaded else self.factor
         limit = max(1.0, pool.owned_total * factor)
-        if pool.owned and pool.under_way >= limit:
+        if pool.owned and pool.busy() >= limit:
             return None
         sampled = 0 if overloaded and pool.owned else SAMPLE
         options = self._options(pool, sampled, now, exclude)
