--- a/spindlenotch/selection_owned.py
+++ b/spindlenotch/selection_owned.py
@@ -27,11 +27,11 @@
 #: Calls under way per own slot: bounds, and steps per answer. The least is
 #: above one so that a slot does not idle while its answer is on the way.
 LEAST_FACTOR = 1.15
-MOST_FACTOR = 6.0
+MOST_FACTOR = 8.0
 FACTOR_GROWS = 0.01
 FACTOR_SHRINKS = 0.99
 #: Calls queued per slot of an upstream above which the factor shrinks.
-QUEUE_TARGET = 2.0
+QUEUE_TARGET = 3.0
 
 
 @selection.POLICIES.register("owned")
