--- a/spindlenotch/peer_codec.py
+++ b/spindlenotch/peer_codec.py
@@ -12,6 +12,7 @@
 import hmac
 import pathlib
 import typing
+import zlib
 
 import capnp
 
@@ -125,7 +126,7 @@
         kind=frame.document.kind.value,
         version=frame.document.version,
         digest=frame.document.digest,
-        body=frame.document.body,
+        body=zlib.compress(frame.document.body),
     )
     return typing.cast(bytes, wire.to_bytes_packed())
 
@@ -142,13 +143,22 @@
             documents.DocumentKind(wire.kind),
             wire.version,
             ids.Digest(_text(wire.digest)),
-            bytes(wire.body),
+            _inflate(bytes(wire.body)),
         )
         return DocumentFrame(wire.correlation, bool(wire.wanted), document)
-    except (capnp.KjException, ValueError, UnicodeDecodeError):
+    except (capnp.KjException, ValueError, UnicodeDecodeError, zlib.error):
         return CodecFault.GARBLED
 
 
+def _inflate(data: bytes) -> bytes:
+    """Decompress a body of bounded size."""
+    stream = zlib.decompressobj()
+    body = stream.decompress(data, MAX_FRAME)
+    if stream.unconsumed_tail or not stream.eof:
+        raise ValueError("body")
+    return body
+
+
 def _write_member(slot: typing.Any, member: gossip.MemberNews) -> None:
     slot.host = member.host
     slot.zone = member.zone
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -8,6 +8,7 @@
 """
 
 import gc
+import hashlib
 import logging
 import random
 import sys
@@ -345,7 +346,9 @@
     ]
     for n in range(20):
         parts.append(
-            f'[callers.caller-{n}]\nkey_sha256 = "{n:064x}"\nclasses = ["browse"]'
+            f"[callers.caller-{n}]\n"
+            f'key_sha256 = "{hashlib.sha256(str(n).encode()).hexdigest()}"\n'
+            'classes = ["browse"]'
         )
     for n in range(services):
         parts.append(
@@ -384,9 +387,26 @@
             * 1e3
         )
     show("bundle with 20 callers, by services, bytes", "B", SERVICES, sizes)
+    sent = [
+        float(
+            _frame_bytes(bundle_seal.encode(bundle_seal.seal(bundle_text(n), private)))
+        )
+        for n in SERVICES
+    ]
+    show("the same between peers, bytes", "B", SERVICES, sent)
+    sent = [float(_frame_bytes(_listing(n))) for n in POOLS]
+    show("host list between peers, by upstreams, bytes", "B", POOLS, sent)
     show("opening a bundle, by services, ms", "ms", SERVICES, cpu)
 
 
+def _frame_bytes(body: bytes) -> int:
+    document = documents.Document(
+        documents.DocumentKind.BUNDLE, 1, ids.Digest("a" * 64), body
+    )
+    frame = peer_codec.DocumentFrame(1, False, document)
+    return len(peer_codec.encode_frame(frame)) + peer_codec.MAC_BYTES
+
+
 def memory() -> None:
     """Bytes of state per remembered id, upstream and member."""
     per_id = []
