--- a/features/steps/invariants.py
+++ b/features/steps/invariants.py
@@ -4,9 +4,9 @@
 
 import behave
 
-from features.support import machine
+from features.support import machines
 
 
 @behave.then('the "{name}" machine holds over {plays:d} plays of {steps:d} steps')
 def holds(context: typing.Any, name: str, plays: int, steps: int) -> None:
-    machine.play(name, plays, steps)
+    machines.play(name, plays, steps)
--- a/features/support/virtual_fleet.py
+++ b/features/support/virtual_fleet.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from features.support import fakes, fleet, world as worlds
+from features.support import fake_upstreams, fakes, fleet, world as worlds
 from spindlenotch import (
     bundle_seal,
     claims,
@@ -70,7 +70,7 @@
         config = _config(host, zone, self.address, everything.peer_addresses(), seed)
         self.state = entry_state.EntryState(config, everything.world.clock)
         self.store = fakes.FakeStore(everything.store, self.loop)
-        port = fakes.FakeUpstreamPort(
+        port = fake_upstreams.FakeUpstreamPort(
             everything.upstreams, self.loop, everything.network, self.address
         )
         make_link = functools.partial(
@@ -98,7 +98,7 @@
         everything.upstreams.forward_by_address[self.address] = self._forwarded
         everything.upstreams.loop_by_address[self.address] = self.loop
         self.versions: list[int] = []
-        self.loop.call_soon(lambda: fakes._start(self.loop, self._start()))
+        self.loop.call_soon(lambda: fake_upstreams._start(self.loop, self._start()))
 
     @property
     def alive(self) -> bool:
@@ -122,7 +122,7 @@
 
     async def serve(
         self, method: str, raw_path: str, pairs: list[tuple[str, str]], body: bytes
-    ) -> fakes.Answer:
+    ) -> fake_upstreams.Answer:
         """Do what the caller port does, without HTTP."""
         state = self.state
         sent_at = self.front.arrived()
@@ -140,31 +140,33 @@
             shown = ids.CallId(fields[headers.REQUEST_ID])
         return await _answer(result, shown)
 
-    async def _forwarded(self, request: ports.UpstreamRequest) -> fakes.Answer:
+    async def _forwarded(self, request: ports.UpstreamRequest) -> fake_upstreams.Answer:
         body = request.body if isinstance(request.body, bytes) else b""
         return await self.serve(request.method, request.target, request.headers, body)
 
 
-async def _answer(result: once_path.Result, call_id: ids.CallId) -> fakes.Answer:
+async def _answer(
+    result: once_path.Result, call_id: ids.CallId
+) -> fake_upstreams.Answer:
     marks = [(headers.REQUEST_ID, str(call_id))]
     if isinstance(result, outcomes.Refusal):
         marks.append((headers.OUTCOME, result.outcome.value))
         marks.append((headers.REASON, result.reason.value))
-        return fakes.Answer(texts.status_of(result.reason), marks, b"")
+        return fake_upstreams.Answer(texts.status_of(result.reason), marks, b"")
     if isinstance(result, once.KeptAnswer):
         home = dict(result.headers)
         outcome = home.get(headers.OUTCOME, outcomes.Outcome.RAN.value)
         marks.append((headers.OUTCOME, outcome))
         marks.append((headers.REASON, home.get(headers.REASON, "served")))
-        return fakes.Answer(result.status, marks, result.body)
+        return fake_upstreams.Answer(result.status, marks, result.body)
     body = b""
     while piece := await result.chunk():
         if isinstance(piece, ports.UpstreamFault):
             marks.append((headers.OUTCOME, outcomes.Outcome.UNKNOWN.value))
-            return fakes.Answer(502, marks, b"")
+            return fake_upstreams.Answer(502, marks, b"")
         body += piece
     marks.append((headers.OUTCOME, outcomes.Outcome.RAN.value))
-    return fakes.Answer(result.answer.status, marks, body)
+    return fake_upstreams.Answer(result.answer.status, marks, body)
 
 
 class VirtualFleet:
@@ -175,7 +177,7 @@
         self.store = fakes.StoreState(self.world)
         self.hosts = fakes.HostsState()
         self.network = fakes.Network(self.world)
-        self.upstreams = fakes.Upstreams(self.world)
+        self.upstreams = fake_upstreams.Upstreams(self.world)
         self.entries: list[VirtualEntry] = []
         self.attempts_by_work: dict[str, list[Attempt]] = {}
         #: What operators know to be accepted, in the order they heard of it.
@@ -196,7 +198,7 @@
         """Add one upstream and list it."""
         name = f"w{number}"
         address = f"10.1.0.{number}:80"
-        state = fakes.UpstreamState(name, 6)
+        state = fake_upstreams.UpstreamState(name, 6)
         self.upstreams.upstream_by_address[address] = state
         self.generation_by_upstream[name] = 1
         self.list_upstream(number)
@@ -214,7 +216,7 @@
             state=state,
         )
 
-    def upstream(self, number: int) -> fakes.UpstreamState:
+    def upstream(self, number: int) -> fake_upstreams.UpstreamState:
         """Return one upstream."""
         return self.upstreams.upstream_by_address[f"10.1.0.{number}:80"]
 
@@ -299,11 +301,15 @@
             self.world.after(fakes.WAY_S, lambda: self._heard(made, answer, body))
 
         self.world.deliver(
-            entry.loop, fakes.WAY_S, lambda: fakes._start(entry.loop, carry_out())
+            entry.loop,
+            fakes.WAY_S,
+            lambda: fake_upstreams._start(entry.loop, carry_out()),
         )
         return made
 
-    def _heard(self, attempt: Attempt, answer: fakes.Answer, body: bytes) -> None:
+    def _heard(
+        self, attempt: Attempt, answer: fake_upstreams.Answer, body: bytes
+    ) -> None:
         fields = dict(answer.headers)
         attempt.outcome = outcomes.Outcome(fields[headers.OUTCOME])
         attempt.reason = fields.get(headers.REASON, "")
--- a/spindlenotch/cli.py
+++ b/spindlenotch/cli.py
@@ -11,8 +11,8 @@
 import rich.console
 import uvloop
 
+import spindlenotch
 from spindlenotch import (
-    __version__,
     cli_bundle,
     cli_load,
     daemon,
@@ -26,7 +26,7 @@
 app = cyclopts.App(
     name="spindlenotch",
     help="A load balancer for servers whose load shifts in milliseconds.",
-    version=__version__,
+    version=spindlenotch.__version__,
 )
 app.command(cli_bundle.app, name="bundle")
 app.command(cli_load.app, name="caller")
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -6,11 +6,10 @@
 is 1. Not run in CI: ``make mutants`` takes some minutes.
 """
 
-import concurrent.futures
+import asyncio
 import dataclasses
 import pathlib
 import shutil
-import subprocess
 import sys
 import tempfile
 
@@ -21,9 +20,9 @@
 RUN = """
 import sys, loguru
 loguru.logger.remove()
-from features.support import machine
+from features.support import machines
 for name in ("id", "measuring", "mixed-fault"):
-    machine.play(name, {plays}, {steps}, shrink=False)
+    machines.play(name, {plays}, {steps}, shrink=False)
 """
 
 
@@ -128,8 +127,8 @@
 )
 
 
-def survives(mutant: Mutant) -> tuple[Mutant, bool, str]:
-    """Run the machine on a mutated copy; tell whether it stayed green."""
+async def survives(mutant: Mutant) -> tuple[bool, str]:
+    """Run the machines on a mutated copy; tell whether they stayed green."""
     with tempfile.TemporaryDirectory() as scratch:
         copy = pathlib.Path(scratch)
         for tree in ("spindlenotch", "features"):
@@ -137,35 +136,48 @@
         path = copy / "spindlenotch" / f"{mutant.module}.py"
         text = path.read_text()
         if text.count(mutant.old) != 1:
-            return mutant, True, "the text to replace is not there exactly once"
+            return True, "the text to replace is not there exactly once"
         path.write_text(text.replace(mutant.old, mutant.new))
-        code = RUN.format(plays=PLAYS, steps=STEPS)
-        try:
-            done = subprocess.run(
-                [sys.executable, "-c", code],
-                cwd=copy,
-                capture_output=True,
-                text=True,
-                timeout=LIMIT_S,
-            )
-        except subprocess.TimeoutExpired:
-            return mutant, True, f"no verdict within {LIMIT_S} s"
-    lines = [line for line in done.stderr.splitlines() if "AssertionError" in line]
-    return mutant, done.returncode == 0, lines[-1] if lines else done.stderr[-300:]
-
-
-def main() -> int:
+        return await played(copy)
+
+
+async def played(copy: pathlib.Path) -> tuple[bool, str]:
+    """Play the machines in ``copy``; return whether green, and the error."""
+    child = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        RUN.format(plays=PLAYS, steps=STEPS),
+        cwd=copy,
+        stdout=asyncio.subprocess.DEVNULL,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            _, errors = await child.communicate()
+    except TimeoutError:
+        child.kill()
+        return True, f"no verdict within {LIMIT_S} s"
+    text = errors.decode(errors="replace")
+    lines = [line for line in text.splitlines() if "AssertionError" in line]
+    return child.returncode == 0, lines[-1] if lines else text[-300:]
+
+
+async def main() -> int:
     """Try all mutants, or those whose name holds a given word."""
     chosen = [m for m in MUTANTS if not sys.argv[1:] or sys.argv[1] in m.name]
-    alive = 0
-    with concurrent.futures.ThreadPoolExecutor(SIDE_BY_SIDE) as pool:
-        for mutant, green, why in pool.map(survives, chosen):
-            alive += green
-            print(f"{'SURVIVED' if green else 'caught'}  {mutant.name}: {why[:160]}")
-            sys.stdout.flush()
+    room = asyncio.Semaphore(SIDE_BY_SIDE)
+
+    async def one(mutant: Mutant) -> bool:
+        async with room:
+            green, why = await survives(mutant)
+        verdict = "SURVIVED" if green else "caught"
+        print(f"{verdict}  {mutant.name}: {why[:160]}", flush=True)
+        return green
+
+    alive = sum(await asyncio.gather(*(one(m) for m in chosen)))
     print(f"{len(chosen) - alive} of {len(chosen)} mutants caught")
     return 1 if alive else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(asyncio.run(main()))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,7 +12,7 @@
 
 import loguru
 
-from features.support import machine
+from features.support import machines
 
 PLAYS = 50
 STEPS = 50
@@ -27,9 +27,9 @@
     plays = 0
     while time.monotonic() < until or seeds:
         seed = seeds.pop(0) if seeds else random.SystemRandom().getrandbits(32)
-        for name in machine.MACHINES:
+        for name in machines.MACHINES:
             print(f"seed {seed}, {name}", flush=True)
-            machine.play(name, PLAYS, STEPS, seed)
+            machines.play(name, PLAYS, STEPS, seed)
             plays += PLAYS
         if len(sys.argv) > 2 and not seeds:
             break
