--- a/features/kernel.feature
+++ b/features/kernel.feature
@@ -20,3 +20,6 @@
 
   Scenario: Waiting calls that cannot make it are refused before their deadline
     Then a call that falls hopelessly behind is refused at once
+
+  Scenario: A zone that has lost most of its upstreams does not shrink the others
+    Then ejecting nearly all of one zone leaves the others' own slots as they are
--- a/features/steps/kernel.py
+++ b/features/steps/kernel.py
@@ -360,3 +360,15 @@
     assert settled.verdict.outcome is outcomes.Outcome.NOT_RUN
     assert settled.verdict.retry_at is not None and settled.verdict.retry_at > later
     assert not len(made.queue)
+
+
+@behave.then("ejecting nearly all of one zone leaves the others' own slots as they are")
+def zone_lost(context: typing.Any) -> None:
+    made = loaded(1, 30)
+    before = {u.spec.id: u.owned_slots for u in made.pool.owned}
+    victims = [u for u in made.pool.usable_order if u.spec.zone == ZONES[0]][1:]
+    for victim in victims:
+        assert made.pool.eject(victim, "test", NOW)
+    for upstream in made.pool.owned:
+        if upstream.spec.zone != ZONES[0]:
+            assert upstream.owned_slots >= before[upstream.spec.id], upstream.spec
