The measuring machine plays all upstream modes; a mutant counts as caught only by an oracle

The garbage scenario counted datagrams that the kernel had dropped under load; it is paced now and waits for all 200.

--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -117,6 +117,8 @@
     )
     for number in range(count):
         transport.sendto(os.urandom(number * 7 % 1400 + 1))
+        # Paced, so that no datagram is lost before it reaches the entry.
+        await asyncio.sleep(0.002)
     transport.close()
     for length in (0, 10, 5_000_000):
         _, writer = await asyncio.open_connection(*target)
@@ -142,15 +144,17 @@
 
 @behave.then("the entry counted dropped peer messages")
 def counted(context: typing.Any) -> None:
-    entry = context.fleet.entry_by_host["e0"]
-    url = f"http://{entry.operator_address}/metrics"
-    _, body = context.runner.run(context.fleet.get(url))
-    lines = [
-        line
-        for line in body.decode().splitlines()
-        if line.startswith("spindlenotch_peer_drops_total")
-    ]
-    assert sum(float(line.split()[-1]) for line in lines) >= 190, lines
+    async def counted_all() -> bool:
+        entry = context.fleet.entry_by_host["e0"]
+        _, body = await context.fleet.get(f"http://{entry.operator_address}/metrics")
+        lines = [
+            line
+            for line in body.decode().splitlines()
+            if line.startswith("spindlenotch_peer_drops_total")
+        ]
+        return sum(float(line.split()[-1]) for line in lines) >= 200
+
+    context.runner.run(context.fleet.until(counted_all, "all garbage is counted"))
 
 
 @behave.then("the entry knows no peers")
--- a/features/support/machine.py
+++ b/features/support/machine.py
@@ -215,7 +215,7 @@
     def all_upstreams_mode(self, mode: str) -> None:
         """All upstreams change their behaviour alike."""
         for number in range(UPSTREAMS):
-            self.upstream_mode(number, mode)
+            self.fleet.upstream(number).mode = mode
 
     @stateful.rule(number=upstream_numbers, listed=strategies.booleans())
     def drain(self, number: int, listed: bool) -> None:
--- a/features/support/machines.py
+++ b/features/support/machines.py
@@ -26,12 +26,6 @@
     publish = None  # type: ignore[assignment]
     push_again = None  # type: ignore[assignment]
 
-    @stateful.rule(mode=strategies.sampled_from(machine.MODES))
-    def all_upstreams_mode(self, mode: str) -> None:
-        """All upstreams change their behaviour alike."""
-        for number in range(machine.UPSTREAMS):
-            self.fleet.upstream(number).mode = mode
-
 
 class MeasuringFaults(machine.MixedFaults):
     """Holders of the right to probe come, go, freeze and wake; no callers."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -159,7 +159,10 @@
         return True, f"no verdict within {LIMIT_S} s"
     text = errors.decode(errors="replace")
     lines = [line for line in text.splitlines() if "AssertionError" in line]
-    return child.returncode == 0, lines[-1] if lines else text[-300:]
+    if child.returncode != 0 and not lines:
+        # It broke, but not by an oracle: that proves nothing.
+        return True, text[-300:]
+    return child.returncode == 0, lines[-1] if lines else ""
 
 
 async def main() -> int:
