--- a/experiment/workloads.py
+++ b/experiment/workloads.py
@@ -63,14 +63,6 @@
     mean_work_s: float = MEAN_WORK_S
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Workload:
-    """A mix of kinds, and what happens on the way."""
-
-    mix: tuple[Kind, ...]
-    trouble: abc.Callable[[worker.Simulation, list[worker.Worker], Setup], None]
-
-
 #: Most requests may be repeated; bookings may not.
 USUAL = (Kind("browse", 0.85, 1, True), Kind("booking", 0.15, 0, False))
 WITH_UPLOADS = (
--- a/features/kernel.feature
+++ b/features/kernel.feature
@@ -14,6 +14,8 @@
       | a decision follows from state, time and seed      |
       | an older document never replaces a newer one      |
       | what is explained is what was done                |
+      | hostile peer bytes are refused and bounded        |
+      | peer keys can be rotated                          |
 
   Scenario: Every mistake in a bundle is reported at once
     Then a bundle with 12 mistakes gets 12 reports with their paths
--- /dev/null
+++ b/features/steps/codec.py
@@ -0,0 +1,87 @@
+"""Property tests of the peer codec: hostile bytes and key rotation."""
+
+import zlib
+
+import hypothesis
+from hypothesis import strategies
+
+from features.steps import kernel
+from spindlenotch import documents, gossip, ids, peer_codec
+
+FIRST, SECOND = b"the first peer key", b"the second peer key"
+
+
+def news(number: int) -> gossip.MemberNews:
+    """Return a member's news."""
+    return gossip.MemberNews(
+        ids.HostId(f"e{number}"),
+        ids.ZoneName("z1"),
+        ids.Incarnation("a" * 16),
+        ids.Address("127.0.0.1:1"),
+        ids.Address("127.0.0.1:2"),
+        1,
+        number,
+        gossip.Status.READY,
+        1,
+    )
+
+
+def frame(body: bytes) -> bytes:
+    """Return a document frame whose body goes over the wire as it is."""
+    document = documents.Document(
+        documents.DocumentKind.BUNDLE, 1, ids.Digest("d"), b"placeholder"
+    )
+    good = peer_codec.encode_frame(peer_codec.DocumentFrame(1, False, document))
+    wire = peer_codec._schema.DocumentFrame.from_bytes_packed(good).as_builder()
+    wire.body = body
+    return bytes(wire.to_bytes_packed())
+
+
+@kernel.PROPERTIES.register("hostile peer bytes are refused and bounded")
+def hostile() -> None:
+    message = gossip.Message(news(0), 1, (), tuple(news(n) for n in range(4)))
+    good = peer_codec.encode_gossip(message)
+
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.binary(max_size=2000),
+        strategies.integers(0, len(good) - 1),
+        strategies.integers(0, 255),
+    )
+    def check(garbage: bytes, place: int, value: int) -> None:
+        flipped = good[:place] + bytes([value]) + good[place + 1 :]
+        for data in (garbage, flipped, good[:place]):
+            read = peer_codec.decode_gossip(data)
+            assert isinstance(read, (gossip.Message, peer_codec.CodecFault))
+            whole = peer_codec.decode_frame(data)
+            assert isinstance(whole, (peer_codec.DocumentFrame, peer_codec.CodecFault))
+
+    check()
+    many = gossip.Message(news(0), 1, (), tuple(news(n) for n in range(50)))
+    crowd = peer_codec.encode_gossip(many)
+    assert peer_codec.decode_gossip(crowd) is peer_codec.CodecFault.GARBLED
+    bomb = zlib.compress(b"0" * (8 * peer_codec.MAX_FRAME))
+    assert len(bomb) < 100_000
+    assert peer_codec.decode_frame(frame(bomb)) is peer_codec.CodecFault.GARBLED
+    cut = zlib.compress(b"a body")[:-3]
+    assert peer_codec.decode_frame(frame(cut)) is peer_codec.CodecFault.GARBLED
+
+
+@kernel.PROPERTIES.register("peer keys can be rotated")
+def rotation() -> None:
+    old = peer_codec.Sealer((FIRST,))
+    both = peer_codec.Sealer((FIRST, SECOND))
+    turned = peer_codec.Sealer((SECOND, FIRST))
+    new = peer_codec.Sealer((SECOND,))
+    for sender, receiver, heard in (
+        (old, both, True),
+        (both, old, True),
+        (both, turned, True),
+        (turned, both, True),
+        (turned, new, True),
+        (new, turned, True),
+        (old, new, False),
+        (new, old, False),
+    ):
+        opened = receiver.open(sender.seal(b"hello"), 1000)
+        assert (opened == b"hello") is heard, (sender.keys, receiver.keys)
--- a/spindlenotch/bundle.py
+++ b/spindlenotch/bundle.py
@@ -95,7 +95,3 @@
     unknown_class: ids.ClassName | None
     caller_by_name: dict[ids.CallerName, CallerGrant]
     service_by_name: dict[ids.ServiceName, Service]
-
-    def lowest_rank(self) -> int:
-        """Return the rank that is served last."""
-        return max(self.rank_by_class.values())
--- a/spindlenotch/entry_state.py
+++ b/spindlenotch/entry_state.py
@@ -30,10 +30,6 @@
     upstreams,
 )
 
-#: Repeatable requests in flight are bounded by the queue; these by the table.
-SCHEDULE_STEP_S = 5.0
-
-
 _EVENT_BY_STATE = {
     upstreams.State.ACTIVE: events.Event.UPSTREAM_BACK,
     upstreams.State.PROBATION: events.Event.UPSTREAM_PROBATION,
@@ -48,7 +44,6 @@
 
     forwarded: int = 0
     pauses: int = 0
-    late_answers: int = 0
 
 
 class EntryState:
@@ -90,10 +85,6 @@
         """Return the bundle in force."""
         return self.opened.bundle if self.opened else None
 
-    def judge(self, document: documents.Document) -> documents.Offer:
-        """Say whether ``document`` would be news."""
-        return self.fence.judge(document)
-
     def offer_document(
         self, document: documents.Document, *, authoritative: bool = False
     ) -> documents.Offer | bundle_seal.SealFault:
--- a/spindlenotch/headers.py
+++ b/spindlenotch/headers.py
@@ -6,7 +6,6 @@
 
 from collections import abc
 
-PREFIX = "Spindlenotch-"
 TIMEOUT_MS = "Spindlenotch-Timeout-Ms"
 CALLER = "Spindlenotch-Caller"
 KEY = "Spindlenotch-Key"
--- a/spindlenotch/once.py
+++ b/spindlenotch/once.py
@@ -21,8 +21,6 @@
 #: A kept answer is given again for this long after the id's last use.
 MAX_KEPT_BODY = 64 * 1024
 MAC_BYTES = 12
-#: Attempt numbers a caller may give.
-MAX_ATTEMPT = 1_000_000
 
 OnceKey = typing.NewType("OnceKey", str)
 
--- a/spindlenotch/peer_link.py
+++ b/spindlenotch/peer_link.py
@@ -12,7 +12,7 @@
 import typing
 from collections import abc
 
-from spindlenotch import documents, gossip, ids, metrics, peer_codec
+from spindlenotch import documents, events, gossip, ids, metrics, peer_codec
 
 LENGTH = struct.Struct("!I")
 CALL_TIMEOUT_S = 2.0
@@ -40,6 +40,7 @@
         self.on_frame = on_frame
         self.correlation = 0
         self.connections = 0
+        self.faults_logged: set[peer_codec.CodecFault] = set()
         self._udp: asyncio.DatagramTransport | None = None
         self._tcp: asyncio.Server | None = None
 
@@ -174,6 +175,10 @@
 
     def _drop(self, fault: peer_codec.CodecFault) -> None:
         self.metrics.peer_drops.labels(fault.value).inc()
+        # Logged once for each reason: the counter has the rest.
+        if fault not in self.faults_logged:
+            self.faults_logged.add(fault)
+            events.emit(events.Event.PEER_DROPPED, reason=fault.value)
 
 
 def split(address: ids.Address) -> tuple[str, int]:
--- a/spindlenotch/store_http.py
+++ b/spindlenotch/store_http.py
@@ -6,8 +6,6 @@
 ``X-Revision``. Answers 409 (conflict), 413 (too large), 429 (over limit).
 """
 
-import asyncio
-
 import aiohttp
 
 from spindlenotch import ports
@@ -92,7 +90,6 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            asyncio.get_running_loop()
             self._session = aiohttp.ClientSession(
                 cookie_jar=aiohttp.DummyCookieJar(),
                 connector=aiohttp.TCPConnector(limit=64, use_dns_cache=False),
