--- a/features/defaults.feature
+++ b/features/defaults.feature
@@ -38,3 +38,6 @@
     When an echoing upstream is asked for a redirect, a gzip body and a cookie
     Then each came back as the upstream sent it
     And no hop-by-hop header and no secret reached the upstream
+
+  Scenario: The sessions towards upstreams have every default set
+    Then both sessions have no total timeout, no cookies, no resend, no unpacking
--- a/features/steps/defaults.py
+++ b/features/steps/defaults.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from features.support import fleet as fleets
-from spindlenotch import client
+from spindlenotch import client, upstream_http
 from standins import server
 
 MARKS = ("Spindlenotch-Request-Id",)
@@ -101,3 +101,22 @@
         lower = {name.lower() for name in fields}
         for name in ("x-private", "te", "spindlenotch-key", "cookie"):
             assert name not in lower, fields
+
+
+@behave.then("both sessions have no total timeout, no cookies, no resend, no unpacking")
+def sessions(context: typing.Any) -> None:
+    async def check() -> None:
+        port = upstream_http.HttpUpstreamPort()
+        for fresh in (False, True):
+            session = port._session(fresh=fresh)
+            # Five minutes by default, which would cut long uploads.
+            assert session.timeout.total is None
+            assert session.timeout.sock_read is None
+            assert isinstance(session.cookie_jar, aiohttp.DummyCookieJar)
+            assert session.auto_decompress is False
+            assert session._retry_connection is False
+            assert session.connector is not None
+            assert session.connector.force_close is fresh
+        await port.close()
+
+    context.runner.run(check())
