Marks are applied in one place; ready zones without a detour

Three places looked a service up and told its pool to heed a mark, now EntryState.apply_mark; control set a mark's repeats anew that gossip had just set; the zones with a usable upstream were worked out by way of those without.

--- a/spindlenotch/control.py
+++ b/spindlenotch/control.py
@@ -163,19 +163,13 @@
             events.emit(events.Event.PEER_SEEN, host=message.sender.host)
             state.members_changed()
         for mark in taken.marks:
-            state.gossip.repeats_by_mark[mark] = gossip.MARK_REPEATS
-            self._apply_mark(mark)
+            state.apply_mark(mark, "told by a peer")
         if taken.marks:
             self._tell()
         for news in taken.newer:
             if news.kind not in self._pulling:
                 self._spawn(self._pull(message.sender.peer_address, news.kind))
 
-    def _apply_mark(self, mark: gossip.Mark) -> None:
-        service = self.state.balancer_by_service.get(mark.service)
-        if service is not None:
-            service.pool.leave(mark.upstream, mark.generation, "told by a peer")
-
     def spread_mark(self) -> None:
         """Pass on a fresh mark at once."""
         self._tell()
--- a/spindlenotch/entry_state.py
+++ b/spindlenotch/entry_state.py
@@ -96,12 +96,15 @@
     def mark_leaving(self, mark: gossip.Mark, reason: str) -> bool:
         """Give an upstream no new work; tell whether that was news."""
         fresh = self.gossip.mark(mark)
-        service = self.balancer_by_service.get(mark.service)
-        if service is None:
-            return fresh
-        service.pool.leave(mark.upstream, mark.generation, reason)
+        self.apply_mark(mark, reason)
         return fresh
 
+    def apply_mark(self, mark: gossip.Mark, reason: str) -> None:
+        """Let the service's pool heed a mark that gossip already holds."""
+        service = self.balancer_by_service.get(mark.service)
+        if service is not None:
+            service.pool.leave(mark.upstream, mark.generation, reason)
+
     def tick(self, now: ids.Instant) -> None:
         """Let ejections end and log what changed; a few times a second."""
         for name, service in self.balancer_by_service.items():
@@ -226,9 +229,7 @@
             ):
                 stale.append(mark)
                 continue
-            service = self.balancer_by_service.get(mark.service)
-            if service is not None:
-                service.pool.leave(mark.upstream, mark.generation, "marked earlier")
+            self.apply_mark(mark, "marked earlier")
         self.gossip.forget_marks(stale)
 
     def _news(self) -> gossip.MemberNews:
--- a/spindlenotch/pool.py
+++ b/spindlenotch/pool.py
@@ -156,7 +156,11 @@
         # Ejected slots count here: a zone that has lost most of its own must
         # not make the plan shrink the others.
         slots: dict[ids.ZoneName, float] = {}
-        ready = {u.spec.zone for u in self.usable_order} - self._zones_all_ejected()
+        ready = {
+            u.spec.zone
+            for u in self.usable_order
+            if u.state is not upstreams.State.EJECTED
+        }
         for upstream in self.usable_order:
             zone = upstream.spec.zone
             if zone in ready:
@@ -164,14 +168,6 @@
         self.zone_factor = schedule.effective(self.plan, slots)
         self._cut_slots()
 
-    def _zones_all_ejected(self) -> set[ids.ZoneName]:
-        alive = {
-            u.spec.zone
-            for u in self.usable_order
-            if u.state is not upstreams.State.EJECTED
-        }
-        return {u.spec.zone for u in self.ejected} - alive
-
     def _cut_slots(self) -> None:
         stakes = [
             ownership.Stake(
