Client: when all named entries have failed, ask others which to use

Cause: an entry asked early may name only those it has met; with those two killed the client tried the dead again until its tries were used up, though a seed was alive.

--- a/spindlenotch/client.py
+++ b/spindlenotch/client.py
@@ -218,6 +218,10 @@
                 if self.clock.now() >= self.directory.deadline:
                     await self._ask(0)
         fresh = [e for e in self.directory.entries if e not in avoid]
+        if not fresh:
+            # All that were named have failed: others may know of more.
+            await self._ask(0)
+            fresh = [e for e in self.directory.entries if e not in avoid]
         options = fresh or self.directory.entries
         return self.rng.choice(options) if options else None
 
