One gateway a zone reads the store; the entries share what probes say

Now a follower asks its zone's reader three times a second over UDP, fetches documents by TCP, and reads for itself after 0.8 s of silence; an entry probes the workers of its own zone and tells the others.

--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import abc
 
 from spindlenotch import (
     documents,
@@ -27,11 +28,16 @@
 
     def __init__(self, state: states.GatewayState) -> None:
         self.state = state
+        self.on_message: abc.Callable[[gossip.Message, gossip.Taken], None] = _ignore
+        self.on_loads: abc.Callable[[gossip.Message], None] = _no_loads
+        self.on_frame: abc.Callable[[peer_codec.DocumentFrame], documents.Document] = (
+            _nothing_held
+        )
         self.link = peer_link.PeerLink(
             peer_codec.Sealer(state.config.peer_keys),
             state.metrics,
             self._on_gossip,
-            self._on_frame,
+            lambda frame: self.on_frame(frame),
         )
 
     async def start(self) -> None:
@@ -61,29 +67,31 @@
         ]
         self.link.tell(self.state.gossip.compose(), everyone)
 
+    def members(self) -> list[ownership.Member]:
+        """Return the gateways that are believed to serve, this one included."""
+        return [
+            ownership.Member(zone, host) for host, (zone, _) in self._usable().items()
+        ]
+
     def entries(self) -> dict[ids.HostId, ids.Address]:
         """Return the gateways that callers are sent to."""
-        state = self.state
         address_by_host = self._usable()
-        zones = {zone for zone, _ in address_by_host.values()}
-        members = [
-            ownership.Member(zone, host) for host, (zone, _) in address_by_host.items()
-        ]
-        chosen: dict[ids.HostId, ids.Address] = {}
-        for zone in sorted(zones):
-            count = state.config.entries_per_zone
-            for host in gossip.readers(members, zone, DUTY, count):
-                chosen[host] = address_by_host[host][1]
-        return chosen
+        return {host: address_by_host[host][1] for host in self.entry_zones()}
+
+    def entry_zones(self) -> dict[ids.HostId, ids.ZoneName]:
+        """Return the zones of the gateways that callers are sent to."""
+        members = self.members()
+        count = self.state.config.entries_per_zone
+        return {
+            host: zone
+            for zone in sorted({member.zone for member in members})
+            for host in gossip.readers(members, zone, DUTY, count)
+        }
 
     def addresses_for(self, zone: ids.ZoneName) -> list[ids.Address]:
         """Return the addresses that callers in ``zone`` are told to use."""
         return sorted(self.entries().values())
 
-    def is_entry(self) -> bool:
-        """Tell whether callers are sent here."""
-        return self.state.config.host in self.entries()
-
     def _usable(self) -> dict[ids.HostId, tuple[ids.ZoneName, ids.Address]]:
         state = self.state
         found = {
@@ -101,6 +109,9 @@
         taken = self.state.gossip.take(message, self.state.clock.now())
         if taken.reply is not None:
             self.link.tell(taken.reply, [message.sender.peer_address])
+        self.on_message(message, taken)
+        if message.loads:
+            self.on_loads(message)
         if taken.members_changed:
             events.emit(
                 events.Event.PEER_SEEN,
@@ -108,6 +119,15 @@
                 status=message.sender.status.name,
             )
 
-    def _on_frame(self, frame: peer_codec.DocumentFrame) -> documents.Document:
-        kind = frame.document.kind
-        return documents.Document(kind, 0, ids.Digest(""), b"")
+
+def _ignore(message: gossip.Message, taken: gossip.Taken) -> None:
+    """Stand in for a listener that is not set."""
+
+
+def _no_loads(message: gossip.Message) -> None:
+    """Stand in for a listener that is not set."""
+
+
+def _nothing_held(frame: peer_codec.DocumentFrame) -> documents.Document:
+    """Stand in for a holder of documents that is not set."""
+    return documents.Document(frame.document.kind, 0, ids.Digest(""), b"")
--- a/spindlenotch/gateway/follower.py
+++ b/spindlenotch/gateway/follower.py
@@ -1,19 +1,22 @@
 """
 Keeps the beliefs in step with the source of configuration and upstreams.
 
-One loop: read everything, then follow what changes. The wait of one call is
-bounded, so that an answer that was lost on the way blinds the gateway for a
-known time only.
+While it is this gateway's turn to read (see ``relay``): read everything, then
+follow what changes. The wait of one call is bounded, so that an answer that
+was lost on the way blinds the gateway for a known time only.
 """
 
 import asyncio
 import random
+from collections import abc
 
 from spindlenotch import events
 from spindlenotch.gateway import sources, state as states
 
 #: Longest wait of one call; also bounds how long a lost answer goes unseen.
-WAIT_S = 3.5
+WAIT_S = 1.2
+#: How often a gateway that does not read looks whether it must.
+OFF_DUTY_S = 0.1
 BACKOFF_LEAST_S = 0.15
 BACKOFF_MOST_S = 0.8
 
@@ -26,9 +29,15 @@
     changed meanwhile is read when the source answers again.
     """
 
-    def __init__(self, state: states.GatewayState, source: sources.Source) -> None:
+    def __init__(
+        self,
+        state: states.GatewayState,
+        source: sources.Source,
+        must_read: abc.Callable[[], bool],
+    ) -> None:
         self.state = state
         self.source = source
+        self.must_read = must_read
         self.revision: int | None = None
         self.lost = False
         self._backoff = Backoff(state.rng)
@@ -36,7 +45,14 @@
     async def run(self) -> None:
         """Follow the source until cancelled."""
         while True:
+            if not self.must_read():
+                # What changes meanwhile comes from peers.
+                self.state.reads_source = False
+                self.revision = None
+                await asyncio.sleep(OFF_DUTY_S)
+                continue
             fault = await self._step()
+            self.state.reads_source = fault is None
             if fault is None:
                 self._backoff.reset()
                 self._note(lost=False, reason="")
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -12,6 +12,7 @@
     follower,
     ingress,
     prober,
+    relay,
     settings,
     side_ports,
     sources,
@@ -49,8 +50,10 @@
         self.ingress = ingress.Ingress(state, path, dialect)
         self.fleet = fleets.Fleet(state)
         self.side_ports = side_ports.SidePorts(state, self.fleet, dialect)
-        self.follower = follower.Follower(state, source)
+        self.relay = relay.Relay(state, self.fleet)
+        self.follower = follower.Follower(state, source, self.relay.must_read)
         self.prober = prober.Prober(state, self.fleet, port)
+        self.fleet.on_loads = self.prober.take
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -58,7 +61,15 @@
         await self.ingress.start()
         await self.side_ports.start()
         await self.fleet.start()
-        for loop in (self.fleet.run, self.follower.run, self.prober.run, self._tick):
+        loops = (
+            self.fleet.run,
+            self.relay.run,
+            self.follower.run,
+            self.prober.run,
+            self.prober.tell,
+            self._tick,
+        )
+        for loop in loops:
             self._tasks.append(asyncio.ensure_future(_guarded(loop)))
         events.emit(
             events.Event.STARTED,
--- a/spindlenotch/gateway/listing.py
+++ b/spindlenotch/gateway/listing.py
@@ -56,6 +56,24 @@
         self.add(listed_by_id.values(), now)
         self.remove(missing, now)
 
+    def replace_by_peer(
+        self, listed: abc.Iterable[sources.ListedUpstream], now: ids.Instant
+    ) -> None:
+        """Take in a peer's whole list, in which what lapsed is judged already."""
+        listed_by_id = {one.id: one for one in listed}
+        for upstream_id in [i for i in self.known_by_id if i not in listed_by_id]:
+            del self.known_by_id[upstream_id]
+        self.add(listed_by_id.values(), now)
+
+    def listed(self, now: ids.Instant) -> tuple[sources.ListedUpstream, ...]:
+        """Return the whole list for a peer; cold times count from now."""
+        return tuple(
+            dataclasses.replace(
+                known.listed, cold_s=max(0.0, known.spec.cold_until - now)
+            )
+            for known in self.known_by_id.values()
+        )
+
     def add(
         self, listed: abc.Iterable[sources.ListedUpstream], now: ids.Instant
     ) -> None:
--- /dev/null
+++ b/spindlenotch/gateway/relay.py
@@ -0,0 +1,186 @@
+"""
+What gateways pass on to each other, so that few of them read the source.
+
+In each zone one gateway reads; the others ask it a few times a second whether
+there is news and fetch documents from it or from whoever has newer ones. A
+gateway that hears no reader for a while reads for itself. Readers that are too
+many or none for a moment do no harm: versions only grow.
+"""
+
+import asyncio
+from collections import abc
+
+import msgspec
+
+from spindlenotch import documents, events, gossip, ids, peer_codec
+from spindlenotch.gateway import (
+    fleet as fleets,
+    routing,
+    sources,
+    state as states,
+)
+
+DUTY = "source"
+#: A follower asks its reader this often, and reads for itself when it has
+#: heard nothing for the second time.
+ASK_S = 0.3
+READER_LOST_S = 0.8
+#: News is passed on at once, and so many times again.
+EAGER_ROUNDS = 2
+EAGER_PAUSE_S = 0.1
+#: Changes of the list that no revision of the source stands for.
+SWEEPS_PER_REVISION = 256
+
+
+class Relay:
+    """
+    Hands documents around.
+
+    Invariant: a document replaces only one of a lower version.
+    """
+
+    def __init__(self, state: states.GatewayState, fleet: fleets.Fleet) -> None:
+        self.state = state
+        self.fleet = fleet
+        self.fence = documents.Fence()
+        self.heard_reader_at = ids.Instant(float("-inf"))
+        self._pulling: set[documents.DocumentKind] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        fleet.on_message = self._on_message
+        fleet.on_frame = self._on_frame
+        state.on_change = self.publish
+
+    def must_read(self) -> bool:
+        """Tell whether this gateway has to read the source itself."""
+        reader = self._reader()
+        if reader is None:
+            return True
+        return self.state.clock.now() - self.heard_reader_at > READER_LOST_S
+
+    async def run(self) -> None:
+        """Ask the zone's reader for news until cancelled."""
+        while True:
+            reader = self._reader()
+            if reader is not None:
+                message = self.state.gossip.compose(wants_reply=True)
+                self.fleet.link.tell(message, [reader.peer_address])
+            await asyncio.sleep(ASK_S * self.state.rng.uniform(0.9, 1.1))
+
+    def publish(self, revision: int, *, swept: bool = False) -> None:
+        """
+        Offer what was read from the source up to ``revision`` to the peers.
+
+        ``swept``: the list has changed since without a change in the source.
+        """
+        state = self.state
+        if state.table is not None:
+            configuration = state.table.configuration
+            self._offer_own(
+                documents.DocumentKind.BUNDLE, configuration.version, configuration
+            )
+        if not state.listed_once:
+            return
+        listed = state.listing.listed(state.clock.now())
+        kind = documents.DocumentKind.HOSTS
+        version = revision * SWEEPS_PER_REVISION
+        if swept:
+            version = self.fence.version(kind) + 1
+        body = msgspec.json.encode(listed)
+        self._offer(documents.Document(kind, version, ids.Digest(""), body))
+
+    def _reader(self) -> gossip.MemberNews | None:
+        """Return the reader of this zone, or None where it is this gateway."""
+        state = self.state
+        members = self.fleet.members()
+        chosen = gossip.readers(members, state.config.zone, DUTY, 1)
+        if not chosen or chosen[0] == state.config.host:
+            return None
+        known = state.gossip.known_by_host.get(chosen[0])
+        return None if known is None else known.news
+
+    def _offer_own(
+        self, kind: documents.DocumentKind, version: int, content: object
+    ) -> None:
+        if version > self.fence.version(kind):
+            body = msgspec.json.encode(content)
+            self._offer(documents.Document(kind, version, ids.Digest(""), body))
+
+    def _offer(self, document: documents.Document) -> bool:
+        if self.fence.offer(document) is not documents.Offer.APPLIED:
+            return False
+        news = documents_news(document)
+        self.state.gossip.have(news)
+        self._spawn(self._spread())
+        return True
+
+    async def _spread(self) -> None:
+        """Tell those who follow this gateway, and a few others."""
+        for _ in range(EAGER_ROUNDS):
+            state = self.state
+            targets = set(state.gossip.random_targets(gossip.FANOUT))
+            if self.state.reads_source:
+                targets.update(self._zone_addresses())
+            self.fleet.link.tell(state.gossip.compose(), sorted(targets))
+            await asyncio.sleep(EAGER_PAUSE_S)
+
+    def _zone_addresses(self) -> list[ids.Address]:
+        return [
+            known.news.peer_address
+            for known in self.state.gossip.known_by_host.values()
+            if known.news.zone == self.state.config.zone
+        ]
+
+    def _on_message(self, message: gossip.Message, taken: gossip.Taken) -> None:
+        reader = self._reader()
+        sender = message.sender
+        if reader is not None and sender.host == reader.host and message.reads_source:
+            self.heard_reader_at = self.state.clock.now()
+        for news in taken.newer:
+            if news.kind not in self._pulling:
+                self._spawn(self._pull(sender.peer_address, news.kind))
+
+    async def _pull(self, source: ids.Address, kind: documents.DocumentKind) -> None:
+        self._pulling.add(kind)
+        try:
+            document = await self.fleet.link.ask(source, kind)
+        finally:
+            self._pulling.discard(kind)
+        if document is not None and document.kind is kind:
+            self._take(document)
+
+    def _take(self, document: documents.Document) -> None:
+        """Put a peer's document in force where it is newer."""
+        if document.version <= self.fence.version(document.kind):
+            return
+        try:
+            if document.kind is documents.DocumentKind.BUNDLE:
+                configuration = msgspec.json.decode(
+                    document.body, type=routing.Configuration
+                )
+                self.state.apply_configuration(configuration)
+            else:
+                listed = msgspec.json.decode(
+                    document.body, type=tuple[sources.ListedUpstream, ...]
+                )
+                self.state.apply_listing(listed)
+        except msgspec.MsgspecError as error:
+            events.emit(
+                events.Event.PEER_DROPPED, reason=f"{document.kind.name}: {error}"
+            )
+            return
+        self._offer(document)
+
+    def _on_frame(self, frame: peer_codec.DocumentFrame) -> documents.Document:
+        kind = frame.document.kind
+        nothing = documents.Document(kind, 0, ids.Digest(""), b"")
+        return self.fence.document_by_kind.get(kind, nothing)
+
+    def _spawn(self, work: "abc.Coroutine[None, None, None]") -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def documents_news(document: documents.Document) -> gossip.DocumentNews:
+    """Return what peers are told of a document."""
+    return gossip.DocumentNews(document.kind, document.version, document.digest)
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -8,6 +8,8 @@
 import dataclasses
 import enum
 import random
+import typing
+from collections import abc
 
 from spindlenotch import (
     balancer,
@@ -49,6 +51,13 @@
     LEAVING = "leaving"
 
 
+class ChangeListener(typing.Protocol):
+    """Is told the revision of the source after a change was taken from it."""
+
+    def __call__(self, revision: int, *, swept: bool = False) -> None:
+        """Take note; ``swept``: the list changed without the source."""
+
+
 class GatewayState:
     """
     The beliefs of one process.
@@ -70,12 +79,24 @@
         self.me = ownership.Member(config.zone, config.host)
         self.gossip = gossip.Gossip(self._news(), self.rng, TEMPO)
         self.listed_once = False
+        #: Told the revision of the source after a change was taken from it.
+        self.on_change: ChangeListener = _nothing
+        self.source_revision = 0
 
     @property
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return self.phase is Phase.SERVING
 
+    @property
+    def reads_source(self) -> bool:
+        """Tell whether this gateway hears from the source itself just now."""
+        return self.gossip.reads_source
+
+    @reads_source.setter
+    def reads_source(self, reads: bool) -> None:
+        self.gossip.reads_source = reads
+
     @property
     def version(self) -> int:
         """Return the version in force; zero where there is none."""
@@ -114,6 +135,13 @@
             self.apply_configuration(snapshot.configuration)
         self.listing.replace(snapshot.upstream_by_id.values(), self.clock.now())
         self._listed()
+        self.source_revision = snapshot.revision
+        self.on_change(snapshot.revision)
+
+    def apply_listing(self, listed: abc.Iterable[sources.ListedUpstream]) -> None:
+        """Take in the whole list that a peer holds."""
+        self.listing.replace_by_peer(listed, self.clock.now())
+        self._listed()
 
     def apply_changes(self, changes: sources.Changes) -> None:
         """Take in what has changed in the source."""
@@ -125,6 +153,9 @@
             self.listing.add(changes.listed, now)
             self.listing.remove(changes.gone, now)
             self._listed()
+        if changes.configuration is not None or changes.listed or changes.gone:
+            self.source_revision = changes.revision
+            self.on_change(changes.revision)
 
     def leave_upstream(
         self, service: ids.ServiceName, spec: upstreams.UpstreamSpec, reason: str
@@ -140,6 +171,8 @@
         now = self.clock.now()
         if self.listing.sweep(now):
             self._refresh_upstreams()
+            if self.reads_source:
+                self.on_change(self.source_revision, swept=True)
         for service in self.balancer_by_service.values():
             service.pool.tick(now)
         self._report_changes()
@@ -238,6 +271,10 @@
         )
 
 
+def _nothing(revision: int, *, swept: bool = False) -> None:
+    """Stand in for a listener that is not set."""
+
+
 _EVENT_BY_STATE = {
     upstreams.State.EJECTED: events.Event.UPSTREAM_EJECTED,
     upstreams.State.ACTIVE: events.Event.UPSTREAM_BACK,
--- a/spindlenotch/gossip.py
+++ b/spindlenotch/gossip.py
@@ -44,6 +44,7 @@
 MAX_MEMBERS = 4096
 MAX_BURIED = 4096
 DIGEST_DIGITS = 16
+LOADS_PER_MESSAGE = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,13 +111,25 @@
     heartbeat: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadNews:
+    """What an upstream said of its load, ``age_s`` before this was sent."""
+
+    upstream: ids.UpstreamId
+    running: int
+    queued: int
+    pace: float
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Message:
     """
     One datagram between entries.
 
     ``wants_reply`` asks for one back; ``hungry`` says that the sender knows
-    too few members.
+    too few members; ``reads_source`` that it hears what is accepted from the
+    store itself.
     """
 
     sender: MemberNews
@@ -127,6 +140,8 @@
     wants_reply: bool = False
     hungry: bool = False
     suspicions: tuple[Suspicion, ...] = ()
+    reads_source: bool = False
+    loads: tuple[LoadNews, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -178,6 +193,7 @@
         self.tempo = tempo or Tempo()
         self.sequence = 0
         self.listed = 0
+        self.reads_source = False
         self.swept_at = ids.NEVER
         self.known_by_host: dict[ids.HostId, Known] = {}
         self.due_by_host: dict[ids.HostId, ids.Instant] = {}
@@ -260,6 +276,7 @@
             wants_reply,
             len(self.known_by_host) + 1 < self.listed,
             self._suspicions_to_send(),
+            self.reads_source,
         )
 
     def take(self, message: Message, now: ids.Instant) -> Taken:
--- a/spindlenotch/peer.capnp
+++ b/spindlenotch/peer.capnp
@@ -32,6 +32,15 @@
   heartbeat @2 :UInt64;
 }
 
+# What an upstream said of its load, ageMs before this was sent.
+struct Load {
+  upstream @0 :Text;
+  running @1 :UInt32;
+  queued @2 :UInt32;
+  pacePercent @3 :UInt32;
+  ageMs @4 :UInt32;
+}
+
 struct Gossip {
   sender @0 :MemberNews;
   sequence @1 :UInt64;
@@ -41,6 +50,8 @@
   wantsReply @5 :Bool;
   hungry @6 :Bool;
   suspicions @7 :List(Suspicion);
+  readsSource @8 :Bool;
+  loads @9 :List(Load);
 }
 
 # Over TCP: ask for a document, or offer one. The answer is a document too;
--- a/spindlenotch/peer_codec.py
+++ b/spindlenotch/peer_codec.py
@@ -24,6 +24,8 @@
 TRAVERSAL_WORDS = MAX_FRAME
 NESTING = 8
 TEXT_LIMIT = 256
+PERCENT = 100.0
+MS_PER_S = 1000.0
 
 _schema: typing.Any = capnp.load(str(pathlib.Path(__file__).parent / "peer.capnp"))
 
@@ -84,6 +86,14 @@
     wire.sequence = message.sequence
     wire.wantsReply = message.wants_reply
     wire.hungry = message.hungry
+    wire.readsSource = message.reads_source
+    loads = wire.init("loads", len(message.loads))
+    for slot, load in zip(loads, message.loads, strict=True):
+        slot.upstream = load.upstream
+        slot.running = load.running
+        slot.queued = load.queued
+        slot.pacePercent = int(load.pace * PERCENT)
+        slot.ageMs = int(load.age_s * MS_PER_S)
     news = wire.init("documents", len(message.documents))
     for slot, document in zip(news, message.documents, strict=True):
         slot.kind = document.kind.value
@@ -176,6 +186,8 @@
         raise ValueError("members")
     if len(wire.suspicions) > gossip.SUSPICIONS_PER_MESSAGE:
         raise ValueError("suspicions")
+    if len(wire.loads) > gossip.LOADS_PER_MESSAGE:
+        raise ValueError("loads")
     if len(wire.marks) > gossip.MARKS_PER_MESSAGE:
         raise ValueError("marks")
     if len(wire.documents) > len(documents.DocumentKind):
@@ -189,6 +201,8 @@
         bool(wire.wantsReply),
         bool(wire.hungry),
         tuple(_read_suspicion(s) for s in wire.suspicions),
+        bool(wire.readsSource),
+        tuple(_read_load(load) for load in wire.loads),
     )
 
 
@@ -220,6 +234,16 @@
     )
 
 
+def _read_load(wire: typing.Any) -> gossip.LoadNews:
+    return gossip.LoadNews(
+        ids.UpstreamId(_text(wire.upstream)),
+        wire.running,
+        wire.queued,
+        wire.pacePercent / PERCENT,
+        wire.ageMs / MS_PER_S,
+    )
+
+
 def _read_suspicion(wire: typing.Any) -> gossip.Suspicion:
     return gossip.Suspicion(ids.HostId(_text(wire.host)), wire.epoch, wire.heartbeat)
 
