A planned stop refuses what comes late on open connections

Now nothing is taken in the last 3 s of a stop: such a request is refused as not run, with a time to come back.

--- a/features/environment.py
+++ b/features/environment.py
@@ -28,5 +28,10 @@
 
 def after_scenario(context: typing.Any, scenario: typing.Any) -> None:
     """End what the scenario started."""
+    platform = getattr(context, "platform", None)
+    if platform is not None:
+        if scenario.status.has_failed():
+            platform.print_logs()
+        context.runner.run(platform.close())
     context.runner.run(context.fleet.close())
     context.runner.close()
--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,135 @@
+Feature: The whole path on the users' platform, against stand-ins
+
+  Background:
+    Given a platform store with a configuration and 3 workers
+    And 2 gateways
+
+  Scenario: A request gets its worker's whole answer
+    When a client sends GET "/read/a%2Fb?x=1" as "one"
+    Then the client gets status 200
+    And "one" ran 1 time with that very target
+    And the worker was told its own id and no more time than the client has
+
+  Scenario: What no route leads to is not found, and what no worker serves is refused at once
+    When a client sends GET "/nowhere/" as "lost"
+    Then the client gets status 404
+    When a client sends GET "/empty/x" as "unserved"
+    Then the client gets status 503 with a time to come back
+
+  Scenario Outline: A fault of one worker is covered for requests that may be repeated
+    Given one worker is "<mode>"
+    When 30 requests GET "/read/x" are sent
+    Then all of them get status 200 with their own target
+
+    Examples:
+      | mode           |
+      | shed           |
+      | error          |
+      | cut            |
+      | reset-unframed |
+      | unframed       |
+      | foreign        |
+      | unstamped      |
+      | garbage        |
+      | surplus        |
+      | late-surplus   |
+      | lost           |
+
+  Scenario Outline: A fault of a worker is never hidden for what may run once
+    Given all workers are "<mode>"
+    When a client sends POST "/book/x" as "booking"
+    Then the client gets status <status>
+    And "booking" ran <runs> times
+    And the answer bears a stamp only if a worker gave that status
+
+    Examples:
+      | mode           | status | runs |
+      | good           | 200    | 1    |
+      | shed           | 503    | 0    |
+      | bare-503       | 502    | 1    |
+      | error          | 500    | 1    |
+      | cut            | 502    | 1    |
+      | reset-unframed | 502    | 1    |
+      | foreign        | 502    | 1    |
+      | unstamped      | 502    | 1    |
+      | garbage        | 502    | 1    |
+      | lost           | 502    | 1    |
+
+  Scenario: An answer that comes before the whole body was read does not spoil the next
+    Given all workers are "early"
+    When a client uploads 900000 bytes as "photos"
+    Then the client gets status 200
+    When all workers are "good"
+    And 20 requests GET "/read/x" are sent
+    Then all of them get status 200 with their own target
+
+  Scenario: The route's time ends with a final answer, and the worker is let go
+    Given all workers are "hang"
+    When a client sends POST "/brief/x" as "slow"
+    Then the client gets status 504
+    And the worker's work was broken off
+
+  Scenario: A client that leaves ends the work
+    Given all workers are "hang"
+    When a client sends POST "/book/x" as "left" and leaves
+    Then the worker's work was broken off
+
+  Scenario: A new configuration is in force on every gateway, and an older one never again
+    When the operator adds a route "/new/" in version 9
+    Then every gateway serves "/new/x"
+    When the operator removes it again in version 4
+    Then every gateway still serves "/new/x"
+
+  Scenario: Bad items in the store change nothing
+    When the store holds a configuration that is cut short and a worker without slots
+    Then every gateway still serves "/read/x"
+    And a gateway's log has event 210 for "op/config"
+    And a gateway's log has event 210 for "servers/bad"
+
+  Scenario: A worker that drains gets nothing new
+    When all workers but one say that they drain
+    Then only that one runs what is sent from then on
+
+  Scenario: An address that another worker took over runs nothing that was meant for the first
+    When a worker's address is taken by one with another id
+    And 20 requests GET "/read/x" are sent
+    Then all of them get status 200 with their own target
+    And the new worker ran nothing
+
+  Scenario: The store forgets its history and a worker leaves in the gap
+    When the store forgets its history while a worker is taken away
+    Then that worker gets nothing new
+
+  Scenario Outline: The store is out of reach and comes back
+    When the store is "<trouble>" for a while
+    Then every gateway still serves "/read/x"
+    When the store is sound again
+    And the operator adds a route "/new/" in version 9
+    Then every gateway serves "/new/x"
+
+    Examples:
+      | trouble |
+      | refuse  |
+      | busy    |
+      | silent  |
+
+  Scenario: Few gateways read the store, and the others step in
+    Given 2 more gateways of the first zone
+    Then only one of the first zone's gateways goes on reading the store
+    When that gateway is killed
+    And the operator adds a route "/new/" in version 9
+    Then every gateway that lives serves "/new/x"
+
+  Scenario: The standard library's module "platform" is not hidden
+    Then the started program finds the standard library's "platform"
+
+  Scenario: Settings that are cut short are named and end the start
+    When a gateway is started with settings that are cut short
+    Then it ends with code 2 and a line that names the file
+
+  Scenario: Callers are told ready gateways, and a stopping one is told no more
+    Then the directory names 2 addresses
+    When a gateway gets SIGTERM while 40 slow requests are sent through it
+    Then all of them get status 200 with their own target
+    And the directory names 1 address
+    And that gateway ended with code 0
--- a/features/steps/codec.py
+++ b/features/steps/codec.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from features.steps import kernel
-from spindlenotch import documents, gossip, ids, peer_codec
+from spindlenotch import documents, gossip, ids, peer_codec, peer_seal
 
 FIRST, SECOND = b"the first peer key", b"the second peer key"
 
@@ -31,7 +31,7 @@
     document = documents.Document(
         documents.DocumentKind.BUNDLE, 1, ids.Digest("d"), b"placeholder"
     )
-    good = peer_codec.encode_frame(peer_codec.DocumentFrame(1, False, document))
+    good = peer_codec.encode_frame(peer_seal.DocumentFrame(1, False, document))
     wire = peer_codec._schema.DocumentFrame.from_bytes_packed(good).as_builder()
     wire.body = body
     return bytes(wire.to_bytes_packed())
@@ -52,27 +52,27 @@
         flipped = good[:place] + bytes([value]) + good[place + 1 :]
         for data in (garbage, flipped, good[:place]):
             read = peer_codec.decode_gossip(data)
-            assert isinstance(read, (gossip.Message, peer_codec.CodecFault))
+            assert isinstance(read, (gossip.Message, peer_seal.CodecFault))
             whole = peer_codec.decode_frame(data)
-            assert isinstance(whole, (peer_codec.DocumentFrame, peer_codec.CodecFault))
+            assert isinstance(whole, (peer_seal.DocumentFrame, peer_seal.CodecFault))
 
     check()
     many = gossip.Message(news(0), 1, (), tuple(news(n) for n in range(50)))
     crowd = peer_codec.encode_gossip(many)
-    assert peer_codec.decode_gossip(crowd) is peer_codec.CodecFault.GARBLED
-    bomb = zlib.compress(b"0" * (8 * peer_codec.MAX_FRAME))
+    assert peer_codec.decode_gossip(crowd) is peer_seal.CodecFault.GARBLED
+    bomb = zlib.compress(b"0" * (8 * peer_seal.MAX_FRAME))
     assert len(bomb) < 100_000
-    assert peer_codec.decode_frame(frame(bomb)) is peer_codec.CodecFault.GARBLED
+    assert peer_codec.decode_frame(frame(bomb)) is peer_seal.CodecFault.GARBLED
     cut = zlib.compress(b"a body")[:-3]
-    assert peer_codec.decode_frame(frame(cut)) is peer_codec.CodecFault.GARBLED
+    assert peer_codec.decode_frame(frame(cut)) is peer_seal.CodecFault.GARBLED
 
 
 @kernel.PROPERTIES.register("peer keys can be rotated")
 def rotation() -> None:
-    old = peer_codec.Sealer((FIRST,))
-    both = peer_codec.Sealer((FIRST, SECOND))
-    turned = peer_codec.Sealer((SECOND, FIRST))
-    new = peer_codec.Sealer((SECOND,))
+    old = peer_seal.Sealer((FIRST,))
+    both = peer_seal.Sealer((FIRST, SECOND))
+    turned = peer_seal.Sealer((SECOND, FIRST))
+    new = peer_seal.Sealer((SECOND,))
     for sender, receiver, heard in (
         (old, both, True),
         (both, old, True),
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -19,6 +19,7 @@
     ids,
     metrics,
     peer_codec,
+    peer_seal,
     ports,
 )
 
@@ -237,10 +238,10 @@
 
     def __init__(
         self,
-        sealer: peer_codec.Sealer,
+        sealer: peer_seal.Sealer,
         measured: metrics.Metrics,
         on_gossip: abc.Callable[[gossip.Message], None],
-        on_frame: abc.Callable[[peer_codec.DocumentFrame], documents.Document],
+        on_frame: abc.Callable[[peer_seal.DocumentFrame], documents.Document],
         *,
         network: Network,
         loop: worlds.WorldLoop,
@@ -281,16 +282,16 @@
     ) -> documents.Document | None:
         """Fetch a peer's document."""
         nothing = documents.Document(kind, 0, ids.Digest(""), b"")
-        return await self._call(target, peer_codec.DocumentFrame(1, True, nothing))
+        return await self._call(target, peer_seal.DocumentFrame(1, True, nothing))
 
     async def push(
         self, target: ids.Address, document: documents.Document
     ) -> documents.Document | None:
         """Offer a document."""
-        return await self._call(target, peer_codec.DocumentFrame(1, False, document))
+        return await self._call(target, peer_seal.DocumentFrame(1, False, document))
 
     async def _call(
-        self, target: ids.Address, frame: peer_codec.DocumentFrame
+        self, target: ids.Address, frame: peer_seal.DocumentFrame
     ) -> documents.Document | None:
         world = self.network.world
         other = self.network.link_by_address.get(target)
@@ -306,7 +307,7 @@
         return document if document.version else None
 
     def _heard(self, data: bytes) -> None:
-        payload = self.sealer.open(data, peer_codec.MAX_DATAGRAM)
+        payload = self.sealer.open(data, peer_seal.MAX_DATAGRAM)
         assert isinstance(payload, bytes)
         message = peer_codec.decode_gossip(payload)
         assert isinstance(message, gossip.Message)
--- /dev/null
+++ b/features/support/platform_fleet.py
@@ -0,0 +1,249 @@
+"""
+Gateways as separate processes, with stand-ins for the platform around them.
+
+Each gateway has a loopback address of its own and the ports of the others, as
+machines have. Every process is ended by its own id.
+"""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import typing
+
+import aiohttp
+
+from features.support import platform_store, platform_worker
+
+ROOT = pathlib.Path(__file__).parents[2]
+LIMIT_S = 20.0
+LOG_TAIL = 30
+ZONES = ("z1", "z2", "z3")
+HOST = "shop.example"
+
+SETTINGS = """
+node = "{node}"
+role = "gateway"
+ip = "{ip}"
+zone = "{zone}"
+region = "r"
+portRange = [{peer},{peer}]
+seeds = ["127.0.1.1:{control}"]
+bounds = ["graceS={grace}","retryBudgetRatio=0.2","budgetWindowS=10","retrySlack=64",
+  "ttl_max_s=1","probesPerS=60"]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+directory = "{ip}:{directory}"
+[provider]
+address = "{store}"
+"""
+
+
+def route(
+    name: str, prefix: str, kind: str = "safe", **options: typing.Any
+) -> dict[str, typing.Any]:
+    """Return a route as the operator writes it."""
+    found = {
+        "name": name,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutS": 3.0,
+        "targetLatencyS": 0.5,
+        "priority": 1,
+        "service": "core",
+        "maxAttempts": 2,
+    }
+    found.update(options)
+    if "backends" in options:
+        del found["service"]
+    return found
+
+
+def configuration(
+    version: int, routes: list[dict[str, typing.Any]], services: tuple[str, ...]
+) -> dict[str, typing.Any]:
+    """Return a configuration as it lies in the store."""
+    return {
+        "version": f"{version:08x}",
+        "services": [
+            {"name": name, "healthPath": "/health", "maxConns": 100}
+            for name in services
+        ],
+        "limits": {"maxBodyBytes": 1_000_000},
+        "hosts": [{"host": HOST, "paths": routes}],
+        "unknown": "fields are passed over",
+    }
+
+
+class PlatformFleet:
+    """The processes and stand-ins of one scenario."""
+
+    def __init__(self) -> None:
+        self.store = platform_store.PlatformStore()
+        self.worker_by_id: dict[str, platform_worker.PlatformWorker] = {}
+        self.process_by_node: dict[str, asyncio.subprocess.Process] = {}
+        self.ip_by_node: dict[str, str] = {}
+        self.logs: dict[str, pathlib.Path] = {}
+        self.folder = tempfile.TemporaryDirectory()
+        names = ("front", "ready", "control", "directory", "peer")
+        self.port_by_name = dict(zip(names, free_ports(len(names)), strict=True))
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the caller's session."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True)
+            )
+        return self._session
+
+    async def add_worker(
+        self, worker_id: str, service: str = "core", zone: str = "z1"
+    ) -> platform_worker.PlatformWorker:
+        """Start a worker and list it."""
+        worker = platform_worker.PlatformWorker(worker_id)
+        await worker.start()
+        self.worker_by_id[worker_id] = worker
+        self.list_worker(worker, service, zone)
+        return worker
+
+    def list_worker(
+        self,
+        worker: platform_worker.PlatformWorker,
+        service: str = "core",
+        zone: str = "z1",
+        state: str = "ready",
+    ) -> None:
+        """Write a worker's entry."""
+        self.store.put(
+            f"servers/{worker.id}",
+            {
+                "service": service,
+                "address": worker.address,
+                "zone": zone,
+                "version": "v1",
+                "slots": 4,
+                "state": state,
+                "coldLeftS": 0,
+                "callSeq": 1,
+            },
+        )
+
+    async def start_gateway(self, number: int, grace_s: float = 6.0) -> str:
+        """Start a gateway; return its node name once it is ready."""
+        node = f"node-{number}"
+        self.ip_by_node[node] = f"127.0.1.{number}"
+        path = pathlib.Path(self.folder.name) / f"{node}.toml"
+        path.write_text(
+            SETTINGS.format(
+                node=node,
+                ip=self.ip_by_node[node],
+                zone=ZONES[(number - 1) % len(ZONES)],
+                store=self.store.address,
+                grace=grace_s,
+                **self.port_by_name,
+            )
+        )
+        self.logs[node] = path.with_suffix(".log")
+        with self.logs[node].open("ab") as log:
+            self.process_by_node[node] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "platform/start.py",
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "SPINDLENOTCH_SETTINGS": str(path)},
+            )
+        return node
+
+    async def until_ready(self, node: str) -> None:
+        """Wait until a gateway says that it is ready."""
+        url = self.url(node, "ready", "/readiness")
+        await self.until(lambda: self._answers_200(url))
+
+    async def until(self, test: typing.Callable[[], typing.Any]) -> None:
+        """Wait until ``test`` is true."""
+        async with asyncio.timeout(LIMIT_S):
+            while not await test():
+                await asyncio.sleep(0.05)
+
+    async def _answers_200(self, url: str) -> bool:
+        try:
+            async with self.session.get(url) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+    def url(self, node: str, port: str, path: str) -> str:
+        """Return the address of a page of a gateway."""
+        return f"http://{self.ip_by_node[node]}:{self.port_by_name[port]}{path}"
+
+    async def send(
+        self,
+        node: str,
+        target: str,
+        request_id: str,
+        method: str = "GET",
+        body: bytes | None = None,
+        deadline_ms: int = 5000,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request as a client does; return status, headers and body."""
+        fields = {
+            "Host": HOST,
+            "X-Spindlenotch-Request-Id": request_id,
+            "X-Spindlenotch-Deadline-Ms": str(deadline_ms),
+        }
+        async with self.session.request(
+            method,
+            self.url(node, "front", target),
+            headers=fields,
+            data=body,
+            timeout=aiohttp.ClientTimeout(total=deadline_ms / 1000),
+        ) as answer:
+            return answer.status, dict(answer.headers), await answer.read()
+
+    def runs_of(self, request_id: str) -> list[str]:
+        """Return the workers that ran a request, one for each run."""
+        return [
+            worker.id
+            for worker in self.worker_by_id.values()
+            for ran, _, _ in worker.runs
+            if ran == request_id
+        ]
+
+    def print_logs(self) -> None:
+        """Show what the gateways of a failed scenario wrote last."""
+        for node, path in self.logs.items():
+            print(f"{node}, code {self.process_by_node[node].returncode}:")
+            print("\n".join(path.read_text().splitlines()[-LOG_TAIL:]))
+
+    async def close(self) -> None:
+        """End everything that this object started."""
+        for process in self.process_by_node.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGKILL)
+                await process.wait()
+        if self._session is not None:
+            await self._session.close()
+        for worker in self.worker_by_id.values():
+            await worker.close()
+        await self.store.close()
+        self.folder.cleanup()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free on loopback just now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
--- a/features/support/virtual_fleet.py
+++ b/features/support/virtual_fleet.py
@@ -28,7 +28,7 @@
     once,
     once_path,
     outcomes,
-    peer_codec,
+    peer_seal,
     ports,
     publishing,
     selection,
@@ -253,7 +253,7 @@
             envelope, frozenset({SEED_KEYS[1]}), selection.POLICIES.names()
         )
         assert isinstance(opened, bundle_seal.Opened)
-        frame = peer_codec.DocumentFrame(1, False, entry_state.document_of(opened))
+        frame = peer_seal.DocumentFrame(1, False, entry_state.document_of(opened))
         self.world.deliver(
             entry.loop, fakes.WAY_S, lambda: entry.control._on_frame(frame) and None
         )
--- a/spindlenotch/cli_bundle.py
+++ b/spindlenotch/cli_bundle.py
@@ -24,6 +24,7 @@
     metrics,
     peer_codec,
     peer_link,
+    peer_seal,
     plugins,
     ports,
     publishing,
@@ -186,10 +187,11 @@
 async def _push(order: _Order) -> int:
     """Offer the accepted bundle to entries; return how many took it."""
     link = peer_link.PeerLink(
-        peer_codec.Sealer((order.peer_key.encode(),)),
+        peer_seal.Sealer((order.peer_key.encode(),)),
         metrics.Metrics(),
         lambda message: None,
         lambda frame: frame.document,
+        peer_codec.CAPNP,
     )
     document = entry_state.document_of(order.opened)
     targets = [ids.Address(peer) for peer in order.peers.split(",") if peer]
@@ -280,10 +282,11 @@
 
 async def _status(peers: str, peer_key: str) -> dict[str, int | None]:
     link = peer_link.PeerLink(
-        peer_codec.Sealer((peer_key.encode(),)),
+        peer_seal.Sealer((peer_key.encode(),)),
         metrics.Metrics(),
         lambda message: None,
         lambda frame: frame.document,
+        peer_codec.CAPNP,
     )
     targets = [ids.Address(peer) for peer in peers.split(",") if peer]
     kind = documents.DocumentKind.BUNDLE
--- a/spindlenotch/control.py
+++ b/spindlenotch/control.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 import random
 from collections import abc
 
@@ -19,6 +20,7 @@
     ids,
     peer_codec,
     peer_link,
+    peer_seal,
     ports,
     readiness,
 )
@@ -36,6 +38,10 @@
 EAGER_ROUNDS = 3
 
 
+#: The link that entries of the daemon speak over.
+CAPNP_LINK = functools.partial(peer_link.PeerLink, codec=peer_codec.CAPNP)
+
+
 class Control:
     """
     Runs the loops of one entry.
@@ -50,13 +56,13 @@
         state: entry_state.EntryState,
         store: ports.Store,
         host_list: ports.HostList,
-        make_link: abc.Callable[..., peer_link.PeerLink] = peer_link.PeerLink,
+        make_link: abc.Callable[..., peer_link.PeerLink] = CAPNP_LINK,
     ) -> None:
         self.state = state
         self.store = store
         self.host_list = host_list
         self.link = make_link(
-            peer_codec.Sealer(state.config.peer_keys),
+            peer_seal.Sealer(state.config.peer_keys),
             state.metrics,
             self._on_gossip,
             self._on_frame,
@@ -183,7 +189,7 @@
         if document is not None and document.kind is kind:
             self._offer(document)
 
-    def _on_frame(self, frame: peer_codec.DocumentFrame) -> documents.Document:
+    def _on_frame(self, frame: peer_seal.DocumentFrame) -> documents.Document:
         kind = frame.document.kind
         if not frame.wanted:
             self._offer(frame.document)
--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -15,8 +15,9 @@
     gossip,
     ids,
     ownership,
-    peer_codec,
+    peer_codec_msgpack,
     peer_link,
+    peer_seal,
 )
 from spindlenotch.gateway import state as states
 
@@ -30,14 +31,15 @@
         self.state = state
         self.on_message: abc.Callable[[gossip.Message, gossip.Taken], None] = _ignore
         self.on_loads: abc.Callable[[gossip.Message], None] = _no_loads
-        self.on_frame: abc.Callable[[peer_codec.DocumentFrame], documents.Document] = (
+        self.on_frame: abc.Callable[[peer_seal.DocumentFrame], documents.Document] = (
             _nothing_held
         )
         self.link = peer_link.PeerLink(
-            peer_codec.Sealer(state.config.peer_keys),
+            peer_seal.Sealer(state.config.peer_keys),
             state.metrics,
             self._on_gossip,
             lambda frame: self.on_frame(frame),
+            peer_codec_msgpack.MSGPACK,
         )
 
     async def start(self) -> None:
@@ -128,6 +130,6 @@
     """Stand in for a listener that is not set."""
 
 
-def _nothing_held(frame: peer_codec.DocumentFrame) -> documents.Document:
+def _nothing_held(frame: peer_seal.DocumentFrame) -> documents.Document:
     """Stand in for a holder of documents that is not set."""
     return documents.Document(frame.document.kind, 0, ids.Digest(""), b"")
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -22,8 +22,9 @@
 TICK_S = 0.1
 #: Callers may keep an answer this many times as long as they were told.
 KEPT_FACTOR = 3.0
-#: Left of the longest planned stop when callers' connections are closed.
-CLOSING_S = 2.0
+#: Left of the longest planned stop when nothing more is taken, so that what
+#: was taken comes to its end.
+CLOSING_S = 3.0
 #: Left of it when the process ends whatever is in flight.
 MARGIN_S = 0.4
 
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -101,7 +101,7 @@
         )
 
     def stop_listening(self) -> None:
-        """Take no new connections."""
+        """Take no new connections; refuse what comes on those that are open."""
         self.closing = True
         if self._listener is not None:
             self._listener.close()
@@ -124,7 +124,8 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         table = self.state.table
-        if table is None or not self.state.listed_once:
+        if self.closing or table is None or not self.state.listed_once:
+            # Too late in a planned stop, or too early in this life: not run.
             return _refused(outcomes.Reason.NOT_READY, LEAST_RETRY_AFTER_S)
         target = request.raw_path
         route = table.find(request.headers.get("Host", ""), target)
--- a/spindlenotch/gateway/prober.py
+++ b/spindlenotch/gateway/prober.py
@@ -1,20 +1,21 @@
 """
 Asks upstreams how fast they work just now, and passes the answers on.
 
-Only gateways that callers are sent to ask: each the upstreams of its own zone
-(and those of zones without such a gateway), so that an upstream is asked by
-few and little of it crosses zones. What they hear they tell each other.
+Each upstream is asked by one gateway of its own zone, one that callers are not
+sent to if there is any: probing then takes no time from requests, and does not
+cross zones. What is heard goes to the entries of the zone, and from there to
+those of the others.
 """
 
 import asyncio
 
-from spindlenotch import balancer, gossip, ids, ports, upstreams
+from spindlenotch import balancer, gossip, ids, ownership, ports, upstreams
 from spindlenotch.gateway import fleet as fleets, state as states
 
 PROBE_TIMEOUT_S = 0.3
 IDLE_S = 0.25
 #: How often what was heard is passed on to the other entries.
-TELL_S = 0.06
+TELL_S = 0.04
 #: Reports older than this are not passed on.
 TELL_FRESH_S = 0.5
 
@@ -23,8 +24,8 @@
     """
     Probes each upstream on its own schedule.
 
-    Invariant: this gateway asks one upstream at most ``probes_per_s`` times a
-    second, divided by the number of gateways that ask it too.
+    Invariant: this gateway asks an upstream at most ``probes_per_s`` times a
+    second; with equal views, no other gateway asks it too.
     """
 
     def __init__(
@@ -37,7 +38,7 @@
         self._told_by_id: dict[ids.UpstreamId, ids.Instant] = {}
 
     async def run(self) -> None:
-        """Keep one task for each upstream, while callers are sent here."""
+        """Keep one task for each upstream that falls to this gateway."""
         try:
             while True:
                 self._match_tasks()
@@ -50,8 +51,7 @@
         """Pass on what was heard to the other entries until cancelled."""
         while True:
             await asyncio.sleep(TELL_S)
-            if self._task_by_id:
-                self._tell()
+            self._tell()
 
     def take(self, message: gossip.Message) -> None:
         """Take in what another entry heard."""
@@ -69,16 +69,13 @@
 
     def _tell(self) -> None:
         now = self.state.clock.now()
+        zone_by_host = self.fleet.entry_zones()
+        targets = self._audience(zone_by_host)
         news: list[gossip.LoadNews] = []
         for service in self.state.balancer_by_service.values():
             for upstream in service.pool.usable_order:
-                if upstream.spec.id in self._task_by_id:
+                if self._speaks_for(upstream, zone_by_host):
                     self._add_news(news, upstream, now)
-        if not news:
-            return
-        entries = self.fleet.entries()
-        known = self.state.gossip.known_by_host
-        targets = [known[h].news.peer_address for h in entries if h in known]
         for start in range(0, len(news), gossip.LOADS_PER_MESSAGE):
             loads = tuple(news[start : start + gossip.LOADS_PER_MESSAGE])
             message = gossip.Message(
@@ -89,6 +86,29 @@
             )
             self.fleet.link.tell(message, targets)
 
+    def _audience(
+        self, zone_by_host: dict[ids.HostId, ids.ZoneName]
+    ) -> list[ids.Address]:
+        """Return whom to tell: entries tell entries, others those of their zone."""
+        me = self.state.me
+        known = self.state.gossip.known_by_host
+        return [
+            known[host].news.peer_address
+            for host, zone in zone_by_host.items()
+            if host in known and (me.host in zone_by_host or zone == me.zone)
+        ]
+
+    def _speaks_for(
+        self,
+        upstream: upstreams.Upstream,
+        zone_by_host: dict[ids.HostId, ids.ZoneName],
+    ) -> bool:
+        """Tell whether news of an upstream is passed on from here."""
+        if upstream.spec.id in self._task_by_id:
+            return True
+        me = self.state.me
+        return me.host in zone_by_host and upstream.spec.zone == me.zone
+
     def _add_news(
         self,
         news: list[gossip.LoadNews],
@@ -110,30 +130,47 @@
         )
 
     def _match_tasks(self) -> None:
-        zone_by_host = self.fleet.entry_zones()
-        me = self.state.me
-        zones = set(zone_by_host.values())
-        beside = sum(zone == me.zone for zone in zone_by_host.values())
-        wanted: dict[
-            ids.UpstreamId, tuple[balancer.Balancer, upstreams.Upstream, int]
-        ] = {}
-        if me.host in zone_by_host and self.state.config.probes_per_s > 0:
+        wanted: dict[ids.UpstreamId, tuple[balancer.Balancer, upstreams.Upstream]] = {}
+        if self.state.config.probes_per_s > 0 and self.state.ready:
+            probers = self._probers()
             for service in self.state.balancer_by_service.values():
                 for upstream in service.pool.usable_order:
-                    if upstream.spec.zone == me.zone:
-                        wanted[upstream.spec.id] = (service, upstream, beside)
-                    elif upstream.spec.zone not in zones:
-                        everyone = len(zone_by_host)
-                        wanted[upstream.spec.id] = (service, upstream, everyone)
+                    if self._is_mine(upstream, probers):
+                        wanted[upstream.spec.id] = (service, upstream)
+        period_s = 1.0 / max(0.001, self.state.config.probes_per_s)
         for gone in set(self._task_by_id) - set(wanted):
             self._task_by_id.pop(gone).cancel()
-        for upstream_id, (service, upstream, askers) in wanted.items():
+        for upstream_id, (service, upstream) in wanted.items():
             task = self._task_by_id.get(upstream_id)
             if task is None or task.done():
-                period_s = askers / max(0.001, self.state.config.probes_per_s)
                 work = self._probe(service, upstream, period_s)
                 self._task_by_id[upstream_id] = asyncio.ensure_future(work)
 
+    def _probers(self) -> dict[ids.ZoneName, list[ids.HostId]]:
+        """Return who probes in each zone: those that stand by, if there are any."""
+        entries = self.fleet.entry_zones()
+        hosts_by_zone: dict[ids.ZoneName, list[ids.HostId]] = {}
+        for member in self.fleet.members():
+            hosts_by_zone.setdefault(member.zone, []).append(member.host)
+        return {
+            zone: sorted(h for h in hosts if h not in entries) or sorted(hosts)
+            for zone, hosts in hosts_by_zone.items()
+        }
+
+    def _is_mine(
+        self,
+        upstream: upstreams.Upstream,
+        probers: dict[ids.ZoneName, list[ids.HostId]],
+    ) -> bool:
+        hosts = probers.get(upstream.spec.zone)
+        if hosts is None:
+            hosts = sorted(h for some in probers.values() for h in some)
+        if self.state.me.host not in hosts:
+            return False
+        members = [ownership.Member(self.state.me.zone, host) for host in hosts]
+        chosen = gossip.readers(members, self.state.me.zone, upstream.spec.id, 1)
+        return chosen == [self.state.me.host]
+
     async def _probe(
         self,
         service: balancer.Balancer,
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from spindlenotch import documents, events, gossip, ids, peer_codec
+from spindlenotch import documents, events, gossip, ids, peer_seal
 from spindlenotch.gateway import (
     fleet as fleets,
     routing,
@@ -170,7 +170,7 @@
             return
         self._offer(document)
 
-    def _on_frame(self, frame: peer_codec.DocumentFrame) -> documents.Document:
+    def _on_frame(self, frame: peer_seal.DocumentFrame) -> documents.Document:
         kind = frame.document.kind
         nothing = documents.Document(kind, 0, ids.Digest(""), b"")
         return self.fence.document_by_kind.get(kind, nothing)
--- a/spindlenotch/gateway/side_ports.py
+++ b/spindlenotch/gateway/side_ports.py
@@ -96,6 +96,7 @@
         "host": state.config.host,
         "phase": state.phase.value,
         "version": state.version,
+        "reads_source": state.reads_source,
         "entries": sorted(fleet.entries()),
         "peers": {
             host: {
--- a/spindlenotch/gossip.py
+++ b/spindlenotch/gossip.py
@@ -13,6 +13,7 @@
 import collections
 import dataclasses
 import enum
+import functools
 import math
 import random
 from collections import abc
@@ -44,6 +45,7 @@
 MAX_MEMBERS = 4096
 MAX_BURIED = 4096
 DIGEST_DIGITS = 16
+SCORES_KEPT = 65_536
 LOADS_PER_MESSAGE = 64
 
 
@@ -466,5 +468,6 @@
     return scored[:count]
 
 
+@functools.lru_cache(SCORES_KEPT)
 def _score(duty: str, host: ids.HostId) -> tuple[int, str]:
     return random.Random(f"{duty}/{host}").getrandbits(64), host
--- a/spindlenotch/peer_codec.py
+++ b/spindlenotch/peer_codec.py
@@ -1,84 +1,26 @@
 """
-Peer messages to bytes and back: Cap'n Proto with an authentication code.
+Peer messages to bytes and back in Cap'n Proto.
 
-Everything that arrives is hostile until its code is right; only then does the
-Cap'n Proto reader see it, with bounds on traversal and nesting. A fault is a
-value that is counted by the caller, never an exception.
+The reader is bounded in traversal and nesting. See ``peer_seal`` for what all
+codecs share.
 """
 
-import dataclasses
-import enum
-import hashlib
-import hmac
 import pathlib
 import typing
 import zlib
 
 import capnp
 
-from spindlenotch import documents, gossip, ids
+from spindlenotch import documents, gossip, ids, peer_seal
 
-MAC_BYTES = 16
-MAX_DATAGRAM = 8 * 1024
-MAX_FRAME = 2 * 1024 * 1024
-TRAVERSAL_WORDS = MAX_FRAME
+TRAVERSAL_WORDS = peer_seal.MAX_FRAME
 NESTING = 8
-TEXT_LIMIT = 256
 PERCENT = 100.0
 MS_PER_S = 1000.0
 
 _schema: typing.Any = capnp.load(str(pathlib.Path(__file__).parent / "peer.capnp"))
 
 
-class CodecFault(enum.Enum):
-    """Why bytes from a peer were dropped."""
-
-    TOO_SHORT = "too-short"
-    TOO_LONG = "too-long"
-    BAD_CODE = "bad-code"
-    GARBLED = "garbled"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DocumentFrame:
-    """A request for a document (``wanted``) or a document."""
-
-    correlation: int
-    wanted: bool
-    document: documents.Document
-
-
-class Sealer:
-    """
-    Adds and checks authentication codes.
-
-    The first key signs; all keys are accepted, so that keys can be rotated
-    host by host: add the new one behind, move it to the front, drop the old.
-    """
-
-    def __init__(self, keys: tuple[bytes, ...]) -> None:
-        self.keys = keys
-
-    def seal(self, payload: bytes) -> bytes:
-        """Return ``payload`` with its code in front."""
-        return self._code(self.keys[0], payload) + payload
-
-    def open(self, data: bytes, limit: int) -> bytes | CodecFault:
-        """Check the code and return the payload."""
-        if len(data) <= MAC_BYTES:
-            return CodecFault.TOO_SHORT
-        if len(data) > limit:
-            return CodecFault.TOO_LONG
-        code, payload = data[:MAC_BYTES], data[MAC_BYTES:]
-        for key in self.keys:
-            if hmac.compare_digest(code, self._code(key, payload)):
-                return payload
-        return CodecFault.BAD_CODE
-
-    def _code(self, key: bytes, payload: bytes) -> bytes:
-        return hmac.new(key, payload, hashlib.sha256).digest()[:MAC_BYTES]
-
-
 def encode_gossip(message: gossip.Message) -> bytes:
     """Return the wire form of a gossip message, without its code."""
     wire = _schema.Gossip.new_message()
@@ -115,20 +57,20 @@
     return typing.cast(bytes, wire.to_bytes_packed())
 
 
-def decode_gossip(payload: bytes) -> gossip.Message | CodecFault:
+def decode_gossip(payload: bytes) -> gossip.Message | peer_seal.CodecFault:
     """Read the wire form of a gossip message."""
     try:
         wire = _schema.Gossip.from_bytes_packed(
             payload,
-            traversal_limit_in_words=MAX_DATAGRAM,
+            traversal_limit_in_words=peer_seal.MAX_DATAGRAM,
             nesting_limit=NESTING,
         )
         return _read_gossip(wire)
     except (capnp.KjException, ValueError, UnicodeDecodeError):
-        return CodecFault.GARBLED
+        return peer_seal.CodecFault.GARBLED
 
 
-def encode_frame(frame: DocumentFrame) -> bytes:
+def encode_frame(frame: peer_seal.DocumentFrame) -> bytes:
     """Return the wire form of a document frame, without its code."""
     wire = _schema.DocumentFrame.new_message(
         correlation=frame.correlation,
@@ -141,7 +83,7 @@
     return typing.cast(bytes, wire.to_bytes_packed())
 
 
-def decode_frame(payload: bytes) -> DocumentFrame | CodecFault:
+def decode_frame(payload: bytes) -> peer_seal.DocumentFrame | peer_seal.CodecFault:
     """Read the wire form of a document frame."""
     try:
         wire = _schema.DocumentFrame.from_bytes_packed(
@@ -155,15 +97,15 @@
             ids.Digest(_text(wire.digest)),
             _inflate(bytes(wire.body)),
         )
-        return DocumentFrame(wire.correlation, bool(wire.wanted), document)
+        return peer_seal.DocumentFrame(wire.correlation, bool(wire.wanted), document)
     except (capnp.KjException, ValueError, UnicodeDecodeError, zlib.error):
-        return CodecFault.GARBLED
+        return peer_seal.CodecFault.GARBLED
 
 
 def _inflate(data: bytes) -> bytes:
     """Decompress a body of bounded size."""
     stream = zlib.decompressobj()
-    body = stream.decompress(data, MAX_FRAME)
+    body = stream.decompress(data, peer_seal.MAX_FRAME)
     if stream.unconsumed_tail or not stream.eof:
         raise ValueError("body")
     return body
@@ -249,6 +191,18 @@
 
 
 def _text(value: str) -> str:
-    if len(value) > TEXT_LIMIT:
+    if len(value) > peer_seal.TEXT_LIMIT:
         raise ValueError("text")
     return value
+
+
+class CapnpCodec:
+    """The codec of the entry daemon."""
+
+    encode_gossip = staticmethod(encode_gossip)
+    decode_gossip = staticmethod(decode_gossip)
+    encode_frame = staticmethod(encode_frame)
+    decode_frame = staticmethod(decode_frame)
+
+
+CAPNP: peer_seal.Codec = CapnpCodec()
--- /dev/null
+++ b/spindlenotch/peer_codec_msgpack.py
@@ -0,0 +1,67 @@
+"""
+Peer messages to bytes and back in MessagePack.
+
+The codec of the gateway, whose price is its memory: Cap'n Proto with its
+schema takes 4 MB more in each process. See ``peer_seal`` for what all codecs
+share.
+"""
+
+import zlib
+
+import msgspec
+
+from spindlenotch import gossip, peer_seal
+
+_gossip_decoder: msgspec.msgpack.Decoder[gossip.Message] = msgspec.msgpack.Decoder(
+    gossip.Message
+)
+_frame_decoder: msgspec.msgpack.Decoder[peer_seal.DocumentFrame] = (
+    msgspec.msgpack.Decoder(peer_seal.DocumentFrame)
+)
+
+
+class MsgpackCodec:
+    """
+    Writes each message as one MessagePack map, frames compressed.
+
+    Invariant: what is decoded has at most as many parts as a sender may put
+    into one message.
+    """
+
+    def encode_gossip(self, message: gossip.Message) -> bytes:
+        """Return the wire form of a gossip message."""
+        return msgspec.msgpack.encode(message)
+
+    def decode_gossip(self, payload: bytes) -> gossip.Message | peer_seal.CodecFault:
+        """Read the wire form of a gossip message."""
+        try:
+            message = _gossip_decoder.decode(payload)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            return peer_seal.CodecFault.GARBLED
+        crowded = (
+            len(message.members) > gossip.MEMBERS_FOR_HUNGRY
+            or len(message.suspicions) > gossip.SUSPICIONS_PER_MESSAGE
+            or len(message.marks) > gossip.MARKS_PER_MESSAGE
+            or len(message.loads) > gossip.LOADS_PER_MESSAGE
+        )
+        return peer_seal.CodecFault.GARBLED if crowded else message
+
+    def encode_frame(self, frame: peer_seal.DocumentFrame) -> bytes:
+        """Return the wire form of a document frame."""
+        return zlib.compress(msgspec.msgpack.encode(frame), 1)
+
+    def decode_frame(
+        self, payload: bytes
+    ) -> peer_seal.DocumentFrame | peer_seal.CodecFault:
+        """Read the wire form of a document frame."""
+        try:
+            stream = zlib.decompressobj()
+            body = stream.decompress(payload, peer_seal.MAX_FRAME)
+            if stream.unconsumed_tail or not stream.eof:
+                return peer_seal.CodecFault.TOO_LONG
+            return _frame_decoder.decode(body)
+        except (msgspec.MsgspecError, ValueError, RecursionError, zlib.error):
+            return peer_seal.CodecFault.GARBLED
+
+
+MSGPACK: peer_seal.Codec = MsgpackCodec()
--- a/spindlenotch/peer_link.py
+++ b/spindlenotch/peer_link.py
@@ -12,7 +12,7 @@
 import typing
 from collections import abc
 
-from spindlenotch import documents, events, gossip, ids, metrics, peer_codec
+from spindlenotch import documents, events, gossip, ids, metrics, peer_seal
 
 LENGTH = struct.Struct("!I")
 CALL_TIMEOUT_S = 2.0
@@ -29,18 +29,20 @@
 
     def __init__(
         self,
-        sealer: peer_codec.Sealer,
+        sealer: peer_seal.Sealer,
         measured: metrics.Metrics,
         on_gossip: abc.Callable[[gossip.Message], None],
-        on_frame: abc.Callable[[peer_codec.DocumentFrame], documents.Document],
+        on_frame: abc.Callable[[peer_seal.DocumentFrame], documents.Document],
+        codec: peer_seal.Codec,
     ) -> None:
+        self.codec = codec
         self.sealer = sealer
         self.metrics = measured
         self.on_gossip = on_gossip
         self.on_frame = on_frame
         self.correlation = 0
         self.connections = 0
-        self.faults_logged: set[peer_codec.CodecFault] = set()
+        self.faults_logged: set[peer_seal.CodecFault] = set()
         self._udp: asyncio.DatagramTransport | None = None
         self._tcp: asyncio.Server | None = None
 
@@ -67,7 +69,7 @@
         """Send a gossip message to each target."""
         if self._udp is None:
             return
-        data = self.sealer.seal(peer_codec.encode_gossip(message))
+        data = self.sealer.seal(self.codec.encode_gossip(message))
         for target in targets:
             self._count("sent", len(data))
             self._udp.sendto(data, split(target))
@@ -88,11 +90,11 @@
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
         """Take in a datagram."""
         self._count("received", len(data))
-        payload = self.sealer.open(data, peer_codec.MAX_DATAGRAM)
-        if isinstance(payload, peer_codec.CodecFault):
+        payload = self.sealer.open(data, peer_seal.MAX_DATAGRAM)
+        if isinstance(payload, peer_seal.CodecFault):
             return self._drop(payload)
-        message = peer_codec.decode_gossip(payload)
-        if isinstance(message, peer_codec.CodecFault):
+        message = self.codec.decode_gossip(payload)
+        if isinstance(message, peer_seal.CodecFault):
             return self._drop(message)
         return self.on_gossip(message)
 
@@ -100,13 +102,13 @@
         self, target: ids.Address, document: documents.Document, *, wanted: bool
     ) -> documents.Document | None:
         self.correlation += 1
-        frame = peer_codec.DocumentFrame(self.correlation, wanted, document)
+        frame = peer_seal.DocumentFrame(self.correlation, wanted, document)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 answer = await self._exchange(target, frame)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return None
-        if isinstance(answer, peer_codec.CodecFault):
+        if isinstance(answer, peer_seal.CodecFault):
             self._drop(answer)
             return None
         if answer.correlation != frame.correlation or not answer.document.version:
@@ -114,8 +116,8 @@
         return answer.document
 
     async def _exchange(
-        self, target: ids.Address, frame: peer_codec.DocumentFrame
-    ) -> peer_codec.DocumentFrame | peer_codec.CodecFault:
+        self, target: ids.Address, frame: peer_seal.DocumentFrame
+    ) -> peer_seal.DocumentFrame | peer_seal.CodecFault:
         reader, writer = await asyncio.open_connection(*split(target))
         try:
             await self._write(writer, frame)
@@ -143,37 +145,37 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         frame = await self._read(reader)
-        if isinstance(frame, peer_codec.CodecFault):
+        if isinstance(frame, peer_seal.CodecFault):
             return self._drop(frame)
         document = self.on_frame(frame)
-        answer = peer_codec.DocumentFrame(frame.correlation, False, document)
+        answer = peer_seal.DocumentFrame(frame.correlation, False, document)
         await self._write(writer, answer)
 
     async def _write(
-        self, writer: asyncio.StreamWriter, frame: peer_codec.DocumentFrame
+        self, writer: asyncio.StreamWriter, frame: peer_seal.DocumentFrame
     ) -> None:
-        data = self.sealer.seal(peer_codec.encode_frame(frame))
+        data = self.sealer.seal(self.codec.encode_frame(frame))
         self._count("sent", len(data))
         writer.write(LENGTH.pack(len(data)) + data)
         await writer.drain()
 
     async def _read(
         self, reader: asyncio.StreamReader
-    ) -> peer_codec.DocumentFrame | peer_codec.CodecFault:
+    ) -> peer_seal.DocumentFrame | peer_seal.CodecFault:
         (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
-        if length > peer_codec.MAX_FRAME:
-            return peer_codec.CodecFault.TOO_LONG
+        if length > peer_seal.MAX_FRAME:
+            return peer_seal.CodecFault.TOO_LONG
         data = await reader.readexactly(length)
         self._count("received", length)
-        payload = self.sealer.open(data, peer_codec.MAX_FRAME)
-        if isinstance(payload, peer_codec.CodecFault):
+        payload = self.sealer.open(data, peer_seal.MAX_FRAME)
+        if isinstance(payload, peer_seal.CodecFault):
             return payload
-        return peer_codec.decode_frame(payload)
+        return self.codec.decode_frame(payload)
 
     def _count(self, direction: str, size: int) -> None:
         self.metrics.peer_bytes.labels(direction).inc(size)
 
-    def _drop(self, fault: peer_codec.CodecFault) -> None:
+    def _drop(self, fault: peer_seal.CodecFault) -> None:
         self.metrics.peer_drops.labels(fault.value).inc()
         # Logged once for each reason: the counter has the rest.
         if fault not in self.faults_logged:
--- a/spindlenotch/selection_paced.py
+++ b/spindlenotch/selection_paced.py
@@ -18,6 +18,10 @@
 KNEE_EXTRA = 0.7
 #: How many times as long work takes in an upstream that has just started.
 COLD_FACTOR = 2.0
+#: An answer that is overdue says more than those that came: beyond this many
+#: usual times each counts so much.
+SILENT_USUAL = 3.0
+SILENT_COST = 0.3
 #: Least and most that the ratio of observed to expected times counts.
 LEAST_SLOWNESS = 0.7
 #: Costs this close to the least, as a share, are taken for equal.
@@ -46,11 +50,12 @@
             options = selection.sample(pool, MOST_COMPARED, now, exclude)
         else:
             options = selection.eligible(pool, now, exclude)
+        usual_s = pool.usual_of(call.operation)
         cost_by_id: dict[ids.UpstreamId, float] = {}
         for upstream in options:
             running = pool.believed(upstream, now)
             if has_room(upstream, running):
-                cost = expected_s(pool, call, upstream, running, now)
+                cost = expected_s(pool, call, upstream, running, usual_s, now)
                 cost_by_id[upstream.spec.id] = cost
         if not cost_by_id:
             return None
@@ -82,18 +87,26 @@
     call: waiting.Call,
     upstream: upstreams.Upstream,
     running: float,
+    usual_s: float,
     now: ids.Instant,
 ) -> float:
-    """Estimate how long the call would take there, in seconds."""
+    """
+    Estimate how long the call would take there, in seconds.
+
+    ``usual_s`` is the usual time of its kind.
+    """
     slots = upstream.slots
-    work = pool.usual_of(call.operation) * upstream.pace(now)
+    work = usual_s * upstream.pace(now)
     work *= max(LEAST_SLOWNESS, upstream.slowness.value)
     if now < upstream.spec.cold_until:
         work *= COLD_FACTOR
     full = min(1.0, (running + 1) / slots)
-    work *= 1.0 + KNEE_EXTRA * max(0.0, full - KNEE) / (1.0 - KNEE)
+    if full > KNEE:
+        work *= 1.0 + KNEE_EXTRA * (full - KNEE) / (1.0 - KNEE)
     ahead = max(0.0, running + 1 - slots)
-    silent = upstream.silent_s(now) * upstream.outstanding / pool.usual_s.value
-    work *= 1.0 + 0.3 * max(0.0, silent - 3)
+    if upstream.sent_at_by_call:
+        silent = upstream.silent_s(now) * upstream.outstanding / pool.usual_s.value
+        if silent > SILENT_USUAL:
+            work *= 1.0 + SILENT_COST * (silent - SILENT_USUAL)
     far = 0.0 if upstream.spec.zone == pool.me.zone else call.far_s
     return work * (1.0 + ahead / slots) + far
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -32,6 +32,7 @@
     outcomes,
     ownership,
     peer_codec,
+    peer_seal,
     plugins,
     selection,
     upstreams,
@@ -249,8 +250,8 @@
     document = documents.Document(
         documents.DocumentKind.BUNDLE, 1, ids.Digest("a" * 64), body
     )
-    frame = peer_codec.DocumentFrame(1, False, document)
-    return len(peer_codec.encode_frame(frame)) + peer_codec.MAC_BYTES
+    frame = peer_seal.DocumentFrame(1, False, document)
+    return len(peer_codec.encode_frame(frame)) + peer_seal.MAC_BYTES
 
 
 def memory() -> None:
--- a/tools/measure_gossip.py
+++ b/tools/measure_gossip.py
@@ -6,7 +6,7 @@
 
 import random
 
-from spindlenotch import documents, gossip, ids, peer_codec
+from spindlenotch import documents, gossip, ids, peer_codec, peer_seal
 from tools import slopes
 
 
@@ -83,7 +83,7 @@
 
 def gossip_costs() -> None:
     """Bytes and processor time of gossip per second and node."""
-    sealer = peer_codec.Sealer((slopes.KEY,))
+    sealer = peer_seal.Sealer((slopes.KEY,))
     sizes, cpu, drops = [], [], []
     for fleet in slopes.FLEETS:
         everyone = Fleet(fleet)
@@ -103,7 +103,7 @@
             g.due_by_host.clear()
             sealer.seal(peer_codec.encode_gossip(g.compose(wants_reply=True)))
             for _ in range(2 * gossip.FANOUT):
-                payload = sealer.open(d, peer_codec.MAX_DATAGRAM)
+                payload = sealer.open(d, peer_seal.MAX_DATAGRAM)
                 assert isinstance(payload, bytes)
                 heard = peer_codec.decode_gossip(payload)
                 assert isinstance(heard, gossip.Message)
