--- a/features/environment.py
+++ b/features/environment.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import pathlib
 import sys
 import typing
 
@@ -12,6 +13,9 @@
 from features.support import fleet
 from spindlenotch import plugins
 
+# The adapter is started from its own folder; tests import it from there too.
+sys.path.append(str(pathlib.Path(__file__).parents[1] / "platform"))
+
 
 def before_all(context: typing.Any) -> None:
     """Load the plug-ins and keep the product's log out of the report."""
--- /dev/null
+++ b/features/gateway.feature
@@ -0,0 +1,24 @@
+Feature: The gateway's decisions and its adapter, without any process
+
+  Scenario Outline: <property>
+    Then the property "<property>" holds
+
+    Examples:
+      | property                                                   |
+      | the longest prefix of the host is the route                |
+      | weights are kept to within one request                     |
+      | the fleet's extra sends keep to share and reserve          |
+      | an upstream without room or leaving is never chosen        |
+      | a slowed upstream is passed over while another has room    |
+      | only what is known not to have run is sent again           |
+      | no call is sent to more upstreams than it may be           |
+      | a call that waits too long for room is refused             |
+      | entries that lapse with the store are kept for a while     |
+      | entries that leave a sound store are dropped at once       |
+      | a probed upstream has one prober with equal views          |
+      | hostile bytes of gateways are refused and bounded          |
+      | peer messages come out as they went in                     |
+      | bad documents of the platform are named                    |
+      | all mistakes in the gateway's settings are told at once    |
+      | a load header is read whatever it holds                    |
+      | a full pipe drops lines and says how many                  |
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -133,3 +133,7 @@
     Then all of them get status 200 with their own target
     And the directory names 1 address
     And that gateway ended with code 0
+
+  Scenario: What comes late in a planned stop on an open connection is refused, not cut
+    When a gateway gets SIGTERM and a slow request follows late on an open connection
+    Then that request gets status 503 and a time to come back
--- /dev/null
+++ b/features/steps/gateway.py
@@ -0,0 +1,407 @@
+"""Property tests of the gateway's pure parts and of the adapter."""
+
+import dataclasses
+import json
+import os
+import types
+import typing
+
+import hypothesis
+from hypothesis import strategies
+
+from features.steps import kernel
+from features.support import platform_fleet
+from spindlenotch import (
+    balancer,
+    budgets,
+    events,
+    gossip,
+    ids,
+    ownership,
+    peer_codec_msgpack,
+    peer_seal,
+    selection_paced,
+    upstreams,
+)
+from spindlenotch.gateway import listing, log_sink, prober, routing, settings, sources
+from spindlenotch_platform import documents, speech
+
+NOW = kernel.NOW
+SERVICE = ids.ServiceName("s")
+ZONE = kernel.ZONES[0]
+names = strategies.text("ab/", max_size=6)
+
+
+def route(prefix: str, parts: tuple[routing.Part, ...] = ()) -> routing.Route:
+    """Return a route of host ``h``."""
+    return routing.Route(
+        routing.RouteName(prefix),
+        "h",
+        prefix,
+        routing.RequestKind.SAFE,
+        1.0,
+        0.5,
+        1,
+        2,
+        parts or (routing.Part(SERVICE, 1.0),),
+    )
+
+
+def paced(slots: list[int]) -> balancer.Balancer:
+    """Return a balancer by the policy of the gateway."""
+    made = kernel.loaded(1, 0, selection_paced.NAME)
+    specs = [
+        upstreams.UpstreamSpec(ids.UpstreamId(f"u{n}"), ZONE, ids.Address(""), 1, count)
+        for n, count in enumerate(slots)
+    ]
+    made.pool.set_listed(specs, NOW)
+    made.retries = made.hedges = budgets.SlidingShareBudget(0.0, 1000, 10.0)
+    return made
+
+
+def news(number: int) -> gossip.MemberNews:
+    """Return a member's news."""
+    return gossip.MemberNews(
+        ids.HostId(f"g{number}"),
+        ZONE,
+        ids.Incarnation("a" * 16),
+        ids.Address("127.0.0.1:1"),
+        ids.Address("127.0.0.1:2"),
+        1,
+        number,
+        gossip.Status.READY,
+        1,
+    )
+
+
+def listed(name: str, state: str = "ready") -> sources.ListedUpstream:
+    """Return an entry of the source."""
+    return sources.ListedUpstream(
+        ids.UpstreamId(name),
+        SERVICE,
+        ids.Address("127.0.0.1:1"),
+        ZONE,
+        4,
+        sources.UpstreamState(state),
+        0.0,
+    )
+
+
+@kernel.PROPERTIES.register("the longest prefix of the host is the route")
+def longest_prefix() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(strategies.sets(names, max_size=8), names)
+    def check(prefixes: set[str], path: str) -> None:
+        routes = tuple(route(f"/{prefix}/") for prefix in prefixes)
+        table = routing.RouteTable(
+            routing.Configuration(1, routes, {}, routing.Limits())
+        )
+        found = table.find("H:80", f"/{path}?x=/a/")
+        fitting = [r for r in routes if f"/{path}".startswith(r.prefix)]
+        longest = max(fitting, key=lambda r: len(r.prefix), default=None)
+        assert (found and found.prefix) == (longest and longest.prefix)
+        assert table.find("other", f"/{path}") is None
+
+    check()
+
+
+@kernel.PROPERTIES.register("weights are kept to within one request")
+def weights() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.lists(strategies.integers(1, 100), min_size=1, max_size=5),
+        strategies.integers(1, 300),
+    )
+    def check(found: list[int], count: int) -> None:
+        parts = tuple(
+            routing.Part(ids.ServiceName(f"s{n}"), float(weight))
+            for n, weight in enumerate(found)
+        )
+        turns = routing.WeightedTurns()
+        picked = [turns.next(route("/", parts)) for _ in range(count)]
+        for part in parts:
+            share = count * part.weight / sum(found)
+            assert abs(picked.count(part.service) - share) <= len(parts) - 1 + 1e-6
+
+    check()
+
+
+@kernel.PROPERTIES.register("the fleet's extra sends keep to share and reserve")
+def fleet_budget() -> None:
+    event = strategies.tuples(
+        strategies.integers(0, 3), strategies.booleans(), strategies.floats(0, 2)
+    )
+
+    @kernel.SETTINGS
+    @hypothesis.given(strategies.lists(event, max_size=300))
+    def check(story: list[tuple[int, bool, float]]) -> None:
+        share, reserve, window_s = 0.2, 2, 10.0
+        nodes = [budgets.SlidingShareBudget(share, reserve, window_s) for _ in range(4)]
+        now = NOW
+        earned: list[float] = []
+        spent: list[float] = []
+        for node, ordinary, pause in story:
+            now = ids.later(now, pause)
+            if ordinary:
+                nodes[node].earn(now)
+                earned.append(now)
+            elif nodes[node].spend(now):
+                spent.append(now)
+        for end in spent:
+            extra = sum(end - window_s < at <= end for at in spent)
+            # Ordinary ones count that came in the same window or the one before.
+            usual = sum(end - 2 * window_s < at <= end for at in earned)
+            assert extra <= share * usual + reserve * len(nodes) + 1e-6
+
+    check()
+
+
+@kernel.PROPERTIES.register("an upstream without room or leaving is never chosen")
+def room() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.lists(strategies.integers(1, 4), min_size=1, max_size=5),
+        strategies.integers(1, 40),
+    )
+    def check(slots: list[int], calls: int) -> None:
+        made = paced(slots)
+        made.pool.leave(ids.UpstreamId("u0"), 1, "leaving")
+        for number in range(calls):
+            made.offer(kernel.call(number), NOW)
+        for name, upstream in made.pool.upstream_by_id.items():
+            most = upstream.slots + max(1.0, 0.34 * upstream.slots)
+            assert upstream.outstanding <= (0 if name == "u0" else most)
+
+    check()
+
+
+@kernel.PROPERTIES.register("a slowed upstream is passed over while another has room")
+def slowed() -> None:
+    made = paced([4, 4])
+    slow = made.pool.upstream_by_id[ids.UpstreamId("u0")]
+    made.pool.reported(slow, upstreams.LoadReport(0, 0, 7.0), NOW)
+    for number in range(4):
+        grant = made.offer(kernel.call(number), NOW)
+        assert isinstance(grant, balancer.Grant)
+        assert grant.upstream.spec.id == "u1"
+
+
+@kernel.PROPERTIES.register("only what is known not to have run is sent again")
+def sent_again() -> None:
+    for repeatable in (True, False):
+        for not_run in (True, False):
+            made = paced([4, 4])
+            call = dataclasses.replace(kernel.call(0), repeatable=repeatable)
+            grant = made.offer(call, NOW)
+            assert isinstance(grant, balancer.Grant)
+            retry = made.retry(grant, NOW, known_not_run=not_run)
+            assert (retry is not None) is (repeatable or not_run)
+
+
+@kernel.PROPERTIES.register("no call is sent to more upstreams than it may be")
+def most_tries() -> None:
+    made = paced([4, 4, 4])
+    call = dataclasses.replace(kernel.call(0), most_tries=2)
+    grant = made.offer(call, NOW)
+    assert isinstance(grant, balancer.Grant)
+    second = made.retry(grant, NOW, known_not_run=True)
+    assert second is not None
+    assert made.retry(second, NOW, known_not_run=True) is None
+    assert made.hedge(second, ids.later(NOW, 5.0)) is None
+
+
+@kernel.PROPERTIES.register("a call that waits too long for room is refused")
+def waits_too_long() -> None:
+    made = paced([1])
+    for number in range(2):
+        made.offer(kernel.call(number), NOW)
+    until = ids.later(NOW, 0.1)
+    call = dataclasses.replace(kernel.call(9), wait_until=until)
+    assert isinstance(made.offer(call, NOW), balancer.Waiting)
+    assert made.give_up(ids.later(NOW, 0.05)) == []
+    (settled,) = made.give_up(ids.later(NOW, 0.1))
+    assert settled.call is call
+
+
+@kernel.PROPERTIES.register("entries that lapse with the store are kept for a while")
+def lapse() -> None:
+    found = listing.Listing()
+    found.replace([listed(f"w{n}") for n in range(6)], NOW)
+    found.note_fault(NOW)
+    back = ids.later(NOW, 1.0)
+    found.replace([listed("w0")], back)
+    assert len(found.specs()[SERVICE]) == 6
+    found.sweep(ids.later(back, listing.LAPSED_KEPT_S + 0.1))
+    assert len(found.specs()[SERVICE]) == 1
+
+
+@kernel.PROPERTIES.register("entries that leave a sound store are dropped at once")
+def leave_at_once() -> None:
+    found = listing.Listing()
+    found.replace([listed(f"w{n}") for n in range(6)], NOW)
+    found.remove([ids.UpstreamId("w1")], NOW)
+    found.add([listed("w2", "draining")], NOW)
+    assert {spec.id for spec in found.specs()[SERVICE]} == {"w0", "w3", "w4", "w5"}
+    found.note_fault(NOW)
+    # One that vanishes alone after an outage has left.
+    found.remove([ids.UpstreamId("w3")], ids.later(NOW, 1.0))
+    assert {spec.id for spec in found.specs()[SERVICE]} == {"w0", "w4", "w5"}
+    before = found.known_by_id[ids.UpstreamId("w2")].spec.generation
+    found.add([listed("w2")], NOW)
+    assert found.known_by_id[ids.UpstreamId("w2")].spec.generation > before
+
+
+@kernel.PROPERTIES.register("a probed upstream has one prober with equal views")
+def one_prober() -> None:
+    hosts = {ZONE: [ids.HostId(f"g{n}") for n in range(5)]}
+    for zone in (ZONE, kernel.ZONES[1]):
+        spec = upstreams.UpstreamSpec(ids.UpstreamId("u"), zone, ids.Address(""), 1)
+        one = upstreams.Upstream(spec, 1, NOW)
+        asking = 0
+        for host in hosts[ZONE]:
+            me = ownership.Member(ZONE, host)
+            state = types.SimpleNamespace(me=me)
+            made = prober.Prober(
+                typing.cast(typing.Any, state),
+                typing.cast(typing.Any, None),
+                typing.cast(typing.Any, None),
+            )
+            asking += made._is_mine(one, hosts)
+        assert asking == 1
+
+
+def message() -> gossip.Message:
+    """Return a message with something in every field."""
+    load = gossip.LoadNews(ids.UpstreamId("u"), 1, 2, 1.5, 0.25)
+    return gossip.Message(
+        news(0),
+        1,
+        members=tuple(news(n) for n in range(4)),
+        wants_reply=True,
+        suspicions=(gossip.Suspicion(ids.HostId("h"), 1, 2),),
+        reads_source=True,
+        loads=(load,),
+    )
+
+
+@kernel.PROPERTIES.register("hostile bytes of gateways are refused and bounded")
+def hostile() -> None:
+    wire = peer_codec_msgpack.MSGPACK
+    good = wire.encode_gossip(message())
+
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.binary(max_size=2000),
+        strategies.integers(0, len(good) - 1),
+        strategies.integers(0, 255),
+    )
+    def check(garbage: bytes, place: int, value: int) -> None:
+        flipped = good[:place] + bytes([value]) + good[place + 1 :]
+        for data in (garbage, flipped, good[:place]):
+            read = wire.decode_gossip(data)
+            assert isinstance(read, (gossip.Message, peer_seal.CodecFault))
+            whole = wire.decode_frame(data)
+            assert isinstance(whole, (peer_seal.DocumentFrame, peer_seal.CodecFault))
+
+    check()
+    crowd = gossip.Message(news(0), 1, (), tuple(map(news, range(50))))
+    read = wire.decode_gossip(wire.encode_gossip(crowd))
+    assert read is peer_seal.CodecFault.GARBLED
+
+
+@kernel.PROPERTIES.register("peer messages come out as they went in")
+def round_trip() -> None:
+    wire = peer_codec_msgpack.MSGPACK
+    assert wire.decode_gossip(wire.encode_gossip(message())) == message()
+
+
+@kernel.PROPERTIES.register("bad documents of the platform are named")
+def bad_documents() -> None:
+    good = platform_fleet.configuration(
+        3, [platform_fleet.route("r", "/r/")], ("core",)
+    )
+    assert isinstance(
+        documents.read_configuration(json.dumps(good).encode()), routing.Configuration
+    )
+    text = json.dumps(good)
+    for bad, word in (
+        (text[:40], "truncated"),
+        (text.replace('"safe"', '"unheard"'), "kind"),
+        (text.replace('"service": "core"', '"service": "gone"'), "unknown service"),
+        (text.replace('"version": "00000003"', '"version": "no"'), "no"),
+        (text.replace('"pathPrefix"', '"prefix"'), "pathPrefix"),
+    ):
+        found = documents.read_configuration(bad.encode())
+        assert isinstance(found, sources.BadItem), bad
+        assert word in found.reason, found
+    worker = {"service": "s", "address": "a:1", "zone": "z", "state": "ready"}
+    for slots, word in ((0, "slots"), ("x", "slots")):
+        body = json.dumps({**worker, "slots": slots}).encode()
+        bad_worker = documents.read_worker("servers/i", body)
+        assert isinstance(bad_worker, sources.BadItem) and word in bad_worker.reason
+
+
+@kernel.PROPERTIES.register("all mistakes in the gateway's settings are told at once")
+def settings_mistakes() -> None:
+    found = settings.read({"listen": "nowhere", "seed": "-1", "hand_out_s": "x"}, {})
+    assert isinstance(found, list)
+    flags = {fault.flag.split()[0] for fault in found}
+    wanted = {"--listen", "--seed", "--hand-out-s", "--host", "--zone", "--source"}
+    assert wanted <= flags, flags
+    variable = {"SPINDLENOTCH_HOST": "from-variable"}
+    given = {
+        "zone": "z",
+        "source": "http://127.0.0.1:1",
+        "source_driver": "platform",
+        "peer_keys": "0123456789abcdef",
+    }
+    read = settings.read(given, variable, {"host": "from-file", "seed": "7"})
+    assert isinstance(read, settings.GatewaySettings), read
+    assert (read.host, read.seed) == ("from-variable", 7)
+
+
+@kernel.PROPERTIES.register("a load header is read whatever it holds")
+def load_header() -> None:
+    assert speech.read_load("3,1,8,250") == upstreams.LoadReport(3, 1, 2.5)
+    assert speech.read_load("3,0,8") == upstreams.LoadReport(3, 0, 1.0)
+
+    @kernel.SETTINGS
+    @hypothesis.given(strategies.text("0123456789,-.einfa ", max_size=30))
+    def check(text: str) -> None:
+        read = speech.read_load(text)
+        assert read is None or (read.running >= 0 and read.pace > 0)
+
+    check()
+
+
+@kernel.PROPERTIES.register("a full pipe drops lines and says how many")
+def full_pipe() -> None:
+    reader, writer = os.pipe()
+    try:
+        sink = log_sink.LogSink(writer)
+        filler = b"x" * 4096
+        written = 0
+        try:
+            while True:
+                written += os.write(writer, filler)
+        except BlockingIOError:
+            pass
+        record = {
+            "extra": {"event": 601},
+            "level": types.SimpleNamespace(name="INFO"),
+            "message": "E601 text",
+        }
+        for _ in range(3):
+            sink(types.SimpleNamespace(record=record))
+        assert sink.dropped == 3
+        os.read(reader, written)
+        sink(types.SimpleNamespace(record=record))
+        lines = [json.loads(line) for line in os.read(reader, 4096).splitlines()]
+    finally:
+        os.close(reader)
+        os.close(writer)
+    assert [line["event"] for line in lines] == [
+        events.Event.LINES_DROPPED.value.number,
+        601,
+    ]
+    assert lines[0]["lines"] == 3
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -2,17 +2,16 @@
 
 import asyncio
 import json
-import os
-import pathlib
-import signal
-import sys
 import typing
 
 import behave
 
-from features.support import platform_fleet, platform_worker
+from features.support import platform_context, platform_fleet, platform_worker
 
 Fleet = platform_fleet.PlatformFleet
+fleet_of = platform_context.fleet_of
+living = platform_context.living
+run = platform_context.run
 ROUTES = [
     platform_fleet.route("read", "/read/"),
     platform_fleet.route("book", "/book/", "unsafe"),
@@ -23,22 +22,6 @@
 SERVICES = ("core", "nobody")
 
 
-def run(context: typing.Any, work: typing.Any) -> typing.Any:
-    """Run a coroutine in the scenario's loop."""
-    return context.runner.run(work)
-
-
-def fleet_of(context: typing.Any) -> Fleet:
-    """Return the scenario's fleet."""
-    return typing.cast(Fleet, context.platform)
-
-
-def living(context: typing.Any) -> list[str]:
-    """Return the nodes whose processes run."""
-    processes = fleet_of(context).process_by_node
-    return [node for node, p in processes.items() if p.returncode is None]
-
-
 @behave.given("a platform store with a configuration and {count:d} workers")
 def platform_store(context: typing.Any, count: int) -> None:
     async def start() -> None:
@@ -328,120 +311,3 @@
     store = fleet_of(context).store
     store.trouble.refuse = 0
     store.trouble.silent = False
-
-
-@behave.then("only one of the first zone's gateways goes on reading the store")
-def one_reads(context: typing.Any) -> None:
-    fleet = fleet_of(context)
-
-    async def readers() -> list[str]:
-        found = []
-        for node in ("node-1", "node-4", "node-7"):
-            async with fleet.session.get(fleet.url(node, "control", "/state")) as page:
-                if (await page.json())["reads_source"]:
-                    found.append(node)
-        return found
-
-    async def one() -> bool:
-        return len(await readers()) == 1
-
-    run(context, fleet.until(one))
-    context.readers = run(context, readers())
-
-
-@behave.when("that gateway is killed")
-def kill_reader(context: typing.Any) -> None:
-    async def kill() -> None:
-        process = fleet_of(context).process_by_node[context.readers[0]]
-        process.send_signal(signal.SIGKILL)
-        await process.wait()
-
-    run(context, kill())
-
-
-@behave.then('the started program finds the standard library\'s "platform"')
-def standard_platform(context: typing.Any) -> None:
-    async def ask() -> bytes:
-        code = "import runpy, sys; sys.argv = ['x']; sys.path.insert(0, 'platform');"
-        code += "runpy.run_path('platform/start.py', run_name='loaded');"
-        code += "import platform; print(platform.system(), platform.__file__)"
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-c", code, stdout=asyncio.subprocess.PIPE
-        )
-        return (await process.communicate())[0]
-
-    text = run(context, ask()).decode()
-    assert text.startswith("Linux ") and "platform.py" in text, text
-
-
-@behave.when("a gateway is started with settings that are cut short")
-def cut_settings(context: typing.Any) -> None:
-    async def start() -> tuple[int | None, bytes]:
-        path = pathlib.Path(fleet_of(context).folder.name) / "cut.toml"
-        path.write_text('node = "n"\nzone = "z')
-        context.settings_path = str(path)
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "platform/start.py",
-            stdout=asyncio.subprocess.PIPE,
-            env={**os.environ, "SPINDLENOTCH_SETTINGS": str(path)},
-        )
-        out, _ = await process.communicate()
-        return process.returncode, out
-
-    context.ended = run(context, start())
-
-
-@behave.then("it ends with code 2 and a line that names the file")
-def ended_badly(context: typing.Any) -> None:
-    code, out = context.ended
-    assert code == 2, context.ended
-    assert context.settings_path in json.loads(out.splitlines()[0])["fault"]
-
-
-async def named(fleet: Fleet, node: str) -> list[str]:
-    """Return what a directory tells callers of the first zone."""
-    url = fleet.url(node, "directory", f"/resolve?name={platform_fleet.HOST}&zone=z1")
-    async with fleet.session.get(url) as page:
-        answer = await page.json(content_type=None)
-    assert 0 < answer["ttlS"] <= 1, answer
-    return typing.cast(list[str], answer["addresses"])
-
-
-@behave.then("the directory names {count:d} address")
-@behave.then("the directory names {count:d} addresses")
-def directory_names(context: typing.Any, count: int) -> None:
-    fleet = fleet_of(context)
-
-    async def right() -> bool:
-        return len(await named(fleet, "node-2")) == count
-
-    run(context, fleet.until(right))
-
-
-@behave.when("a gateway gets SIGTERM while {count:d} slow requests are sent through it")
-def stop_under_load(context: typing.Any, count: int) -> None:
-    fleet = fleet_of(context)
-    for worker in fleet.worker_by_id.values():
-        worker.work_s = 0.3
-
-    async def send() -> list[tuple[int, dict[str, str], bytes]]:
-        sending = []
-        process = fleet.process_by_node["node-1"]
-        for number in range(count):
-            work = fleet.send("node-1", f"/read/x?n={number}", f"s{number}")
-            sending.append(asyncio.ensure_future(work))
-            await asyncio.sleep(0.02)
-            if number == count // 2:
-                process.send_signal(signal.SIGTERM)
-        answers = await asyncio.gather(*sending)
-        await process.wait()
-        return answers
-
-    context.answers = run(context, send())
-    context.target = "/read/x"
-
-
-@behave.then("that gateway ended with code 0")
-def ended_well(context: typing.Any) -> None:
-    assert fleet_of(context).process_by_node["node-1"].returncode == 0
--- /dev/null
+++ b/features/steps/platform_life.py
@@ -0,0 +1,178 @@
+"""Steps of the gateway on stand-ins: readers, settings, planned stops."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+import typing
+
+import behave
+
+from features.support import platform_context, platform_fleet
+
+Fleet = platform_fleet.PlatformFleet
+fleet_of = platform_context.fleet_of
+run = platform_context.run
+
+
+@behave.then("only one of the first zone's gateways goes on reading the store")
+def one_reads(context: typing.Any) -> None:
+    fleet = fleet_of(context)
+
+    async def readers() -> list[str]:
+        found = []
+        for node in ("node-1", "node-4", "node-7"):
+            async with fleet.session.get(fleet.url(node, "control", "/state")) as page:
+                if (await page.json())["reads_source"]:
+                    found.append(node)
+        return found
+
+    async def one() -> bool:
+        return len(await readers()) == 1
+
+    run(context, fleet.until(one))
+    context.readers = run(context, readers())
+
+
+@behave.when("that gateway is killed")
+def kill_reader(context: typing.Any) -> None:
+    async def kill() -> None:
+        process = fleet_of(context).process_by_node[context.readers[0]]
+        process.send_signal(signal.SIGKILL)
+        await process.wait()
+
+    run(context, kill())
+
+
+@behave.then('the started program finds the standard library\'s "platform"')
+def standard_platform(context: typing.Any) -> None:
+    async def ask() -> bytes:
+        code = "import runpy, sys; sys.argv = ['x']; sys.path.insert(0, 'platform');"
+        code += "runpy.run_path('platform/start.py', run_name='loaded');"
+        code += "import platform; print(platform.system(), platform.__file__)"
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", code, stdout=asyncio.subprocess.PIPE
+        )
+        return (await process.communicate())[0]
+
+    text = run(context, ask()).decode()
+    assert text.startswith("Linux ") and "platform.py" in text, text
+
+
+@behave.when("a gateway is started with settings that are cut short")
+def cut_settings(context: typing.Any) -> None:
+    async def start() -> tuple[int | None, bytes]:
+        path = pathlib.Path(fleet_of(context).folder.name) / "cut.toml"
+        path.write_text('node = "n"\nzone = "z')
+        context.settings_path = str(path)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "platform/start.py",
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "SPINDLENOTCH_SETTINGS": str(path)},
+        )
+        out, _ = await process.communicate()
+        return process.returncode, out
+
+    context.ended = run(context, start())
+
+
+@behave.then("it ends with code 2 and a line that names the file")
+def ended_badly(context: typing.Any) -> None:
+    code, out = context.ended
+    assert code == 2, context.ended
+    assert context.settings_path in json.loads(out.splitlines()[0])["fault"]
+
+
+async def named(fleet: Fleet, node: str) -> list[str]:
+    """Return what a directory tells callers of the first zone."""
+    url = fleet.url(node, "directory", f"/resolve?name={platform_fleet.HOST}&zone=z1")
+    async with fleet.session.get(url) as page:
+        answer = await page.json(content_type=None)
+    assert 0 < answer["ttlS"] <= 1, answer
+    return typing.cast(list[str], answer["addresses"])
+
+
+@behave.then("the directory names {count:d} address")
+@behave.then("the directory names {count:d} addresses")
+def directory_names(context: typing.Any, count: int) -> None:
+    fleet = fleet_of(context)
+
+    async def right() -> bool:
+        return len(await named(fleet, "node-2")) == count
+
+    run(context, fleet.until(right))
+
+
+@behave.when("a gateway gets SIGTERM while {count:d} slow requests are sent through it")
+def stop_under_load(context: typing.Any, count: int) -> None:
+    fleet = fleet_of(context)
+    for worker in fleet.worker_by_id.values():
+        worker.work_s = 0.3
+
+    async def send() -> list[tuple[int, dict[str, str], bytes]]:
+        sending = []
+        process = fleet.process_by_node["node-1"]
+        for number in range(count):
+            work = fleet.send("node-1", f"/read/x?n={number}", f"s{number}")
+            sending.append(asyncio.ensure_future(work))
+            await asyncio.sleep(0.02)
+            if number == count // 2:
+                process.send_signal(signal.SIGTERM)
+        answers = await asyncio.gather(*sending)
+        await process.wait()
+        return answers
+
+    context.answers = run(context, send())
+    context.target = "/read/x"
+
+
+@behave.then("that gateway ended with code 0")
+def ended_well(context: typing.Any) -> None:
+    assert fleet_of(context).process_by_node["node-1"].returncode == 0
+
+
+@behave.when(
+    "a gateway gets SIGTERM and a slow request follows late on an open connection"
+)
+def late_request(context: typing.Any) -> None:
+    fleet = fleet_of(context)
+    for worker in fleet.worker_by_id.values():
+        worker.work_s = 2.5
+
+    async def send() -> bytes:
+        ip, port = fleet.ip_by_node["node-1"], fleet.port_by_name["front"]
+        reader, writer = await asyncio.open_connection(ip, port)
+        process = fleet.process_by_node["node-1"]
+        process.send_signal(signal.SIGTERM)
+
+        async def port_closed() -> bool:
+            try:
+                _, probe = await asyncio.open_connection(ip, port)
+            except OSError:
+                return True
+            probe.close()
+            return False
+
+        await fleet.until(port_closed)
+        fields = (
+            f"GET /read/x HTTP/1.1\r\nHost: {platform_fleet.HOST}\r\n"
+            "X-Spindlenotch-Request-Id: late\r\n"
+            "X-Spindlenotch-Deadline-Ms: 5000\r\n\r\n"
+        )
+        writer.write(fields.encode())
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+    context.late = run(context, send())
+
+
+@behave.then("that request gets status 503 and a time to come back")
+def refused_late(context: typing.Any) -> None:
+    assert context.late.startswith(b"HTTP/1.1 503"), context.late
+    assert b"Retry-After: " in context.late
+    assert fleet_of(context).runs_of("late") == []
--- a/spindlenotch/gateway/log_sink.py
+++ b/spindlenotch/gateway/log_sink.py
@@ -56,22 +56,25 @@
         return self._lines_by_event[event] <= LINES_PER_EVENT
 
     def _write(self, data: bytes) -> None:
+        told = 0
         if self.dropped and not self._rest:
-            data = self._notice() + data
+            told = self.dropped
+            data = _notice(told) + data
+        pending = self._rest + data if self._rest else data
         try:
-            pending = self._rest + data if self._rest else data
             written = os.write(self.descriptor, pending)
         except OSError:
             self.dropped += 1
             return
+        self.dropped -= told
         # A line that was cut is finished first; nothing comes in between.
         self._rest = pending[written:]
 
-    def _notice(self) -> bytes:
-        entry = events.Event.LINES_DROPPED.value
-        line = {"event": entry.number, "level": entry.level, "lines": self.dropped}
-        self.dropped = 0
-        return msgspec.json.encode(line) + b"\n"
+
+def _notice(lines: int) -> bytes:
+    entry = events.Event.LINES_DROPPED.value
+    line = {"event": entry.number, "level": entry.level, "lines": lines}
+    return msgspec.json.encode(line) + b"\n"
 
 
 def install() -> LogSink:
--- a/tools/import_rule.py
+++ b/tools/import_rule.py
@@ -10,7 +10,15 @@
 import pathlib
 import sys
 
-ROOTS = ("spindlenotch", "standins", "experiment", "demo", "features", "tools")
+ROOTS = (
+    "spindlenotch",
+    "standins",
+    "experiment",
+    "demo",
+    "features",
+    "tools",
+    "platform",
+)
 
 
 def is_module(package: str, name: str) -> bool:
@@ -37,7 +45,7 @@
 
 def main() -> int:
     """Check the whole tree."""
-    sys.path.insert(0, ".")
+    sys.path[:0] = [".", "platform"]
     paths = [p for root in ROOTS for p in sorted(pathlib.Path(root).rglob("*.py"))]
     found = [line for path in paths for line in breaches(path)]
     print("\n".join(found) or f"import rule holds in {len(paths)} files")
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -24,6 +24,7 @@
     "mypy": [str(BIN / "mypy")],
     "import layers": [str(BIN / "lint-imports")],
     "import rule": [sys.executable, "tools/import_rule.py"],
+    "platform names": [sys.executable, "tools/platform_names.py"],
 }
 
 
