Test: what comes late in a planned stop is refused, not cut

Fails without the refusal (the connection is closed with no answer). The ports of the test's gateways now lie below those of outgoing connections: two scenarios of one run had failed with 'address already in use', since a port found free on 127.0.0.1 was then taken by a connection.

--- a/features/steps/platform_life.py
+++ b/features/steps/platform_life.py
@@ -15,6 +15,8 @@
 Fleet = platform_fleet.PlatformFleet
 fleet_of = platform_context.fleet_of
 run = platform_context.run
+#: Well before a stop of 6 s takes nothing more.
+TAKEN_AFTER_S = 1.5
 
 
 @behave.then("only one of the first zone's gateways goes on reading the store")
@@ -142,20 +144,22 @@
     for worker in fleet.worker_by_id.values():
         worker.work_s = 2.5
 
-    async def send() -> bytes:
+    async def port_closed() -> bool:
         ip, port = fleet.ip_by_node["node-1"], fleet.port_by_name["front"]
-        reader, writer = await asyncio.open_connection(ip, port)
-        process = fleet.process_by_node["node-1"]
-        process.send_signal(signal.SIGTERM)
-
-        async def port_closed() -> bool:
-            try:
-                _, probe = await asyncio.open_connection(ip, port)
-            except OSError:
-                return True
-            probe.close()
-            return False
+        try:
+            _, probe = await asyncio.open_connection(ip, port)
+        except OSError:
+            return True
+        probe.close()
+        return False
 
+    async def send() -> tuple[bytes, int]:
+        ip, port = fleet.ip_by_node["node-1"], fleet.port_by_name["front"]
+        reader, writer = await asyncio.open_connection(ip, port)
+        fleet.process_by_node["node-1"].send_signal(signal.SIGTERM)
+        # Under way when the port closes, and well past that.
+        await asyncio.sleep(TAKEN_AFTER_S)
+        taken = asyncio.ensure_future(fleet.send("node-1", "/read/x", "taken"))
         await fleet.until(port_closed)
         fields = (
             f"GET /read/x HTTP/1.1\r\nHost: {platform_fleet.HOST}\r\n"
@@ -164,15 +168,16 @@
         )
         writer.write(fields.encode())
         try:
-            return await reader.read()
+            return await reader.read(), (await taken)[0]
         finally:
             writer.close()
 
-    context.late = run(context, send())
+    context.late, context.taken = run(context, send())
 
 
 @behave.then("that request gets status 503 and a time to come back")
 def refused_late(context: typing.Any) -> None:
+    assert context.taken == 200
     assert context.late.startswith(b"HTTP/1.1 503"), context.late
     assert b"Retry-After: " in context.late
     assert fleet_of(context).runs_of("late") == []
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -21,6 +22,8 @@
 ROOT = pathlib.Path(__file__).parents[2]
 LIMIT_S = 20.0
 LOG_TAIL = 30
+PORTS = (12_000, 30_000)
+MOST_GATEWAYS = 8
 ZONES = ("z1", "z2", "z3")
 HOST = "shop.example"
 
@@ -238,12 +241,26 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free on loopback just now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """
+    Return ports that are free on every gateway's address just now.
+
+    They lie below those that the system gives to outgoing connections, so
+    that none of them is taken before a gateway listens.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        if port not in found and _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    for number in range(1, MOST_GATEWAYS + 1):
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(type=kind) as one:
+                try:
+                    one.bind((f"127.0.1.{number}", port))
+                except OSError:
+                    return False
+    return True
