--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -1,12 +1,16 @@
 Feature: The command line and the pages made from the code
 
   Scenario: Help reads well for every command
-    Then help is printed for "entry,caller,bundle,explain,demo,bundle check,bundle publish"
+    Then help is printed for "entry,gateway,caller,bundle,explain,demo,bundle check,bundle publish"
 
   Scenario: Bad settings are all reported at once
     When the entry is started with bad settings
     Then the exit code is 2 and 4 flags are named
 
+  Scenario: Bad settings of a gateway are all reported at once, from flags and file
+    When a gateway's settings are checked with a bad file and a bad flag
+    Then the exit code is 2 and the faults name "--listen,--host,--zone,--source,--nonsense"
+
   Scenario: A bundle goes the operators' way
     Given a platform with 1 upstreams
     When an operator checks, signs and publishes version 1 by the command line
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -137,3 +137,10 @@
   Scenario: What comes late in a planned stop on an open connection is refused, not cut
     When a gateway gets SIGTERM and a slow request follows late on an open connection
     Then that request gets status 503 and a time to come back
+
+  Scenario: Changed settings are taken in, with a signal or without one
+    When the settings file of a gateway changes without a signal
+    Then that gateway tells callers the new time
+    When its settings file is cut short and it gets SIGHUP
+    Then a gateway's log has event 212 that names the file
+    And that gateway tells callers the new time
--- a/features/steps/command_line.py
+++ b/features/steps/command_line.py
@@ -166,3 +166,20 @@
     for name, text in make_docs.pages().items():
         committed = (make_docs.DOCS / name).read_text()
         assert committed == text, f"docs/{name}: run `make docs`"
+
+
+@behave.when("a gateway's settings are checked with a bad file and a bad flag")
+def gateway_settings(context: typing.Any) -> None:
+    path = pathlib.Path(context.fleet.scratch.name) / "gateway.toml"
+    path.write_text('listen = "nowhere"\nsource_driver = "none"\npeer_keys = "short"\n')
+    context.result = context.runner.run(
+        _run("gateway", "--check", f"--settings-file={path}", "--nonsense=1")
+    )
+
+
+@behave.then('the exit code is {code:d} and the faults name "{flags}"')
+def faults_named(context: typing.Any, code: int, flags: str) -> None:
+    found, _, err = context.result
+    assert found == code, context.result
+    for flag in flags.split(","):
+        assert any(line.startswith(flag) for line in err.splitlines()), (flag, err)
--- a/features/steps/platform_life.py
+++ b/features/steps/platform_life.py
@@ -181,3 +181,43 @@
     assert context.late.startswith(b"HTTP/1.1 503"), context.late
     assert b"Retry-After: " in context.late
     assert fleet_of(context).runs_of("late") == []
+
+
+@behave.when("the settings file of a gateway changes without a signal")
+def settings_change(context: typing.Any) -> None:
+    path = fleet_of(context).logs["node-2"].with_suffix(".toml")
+    path.write_text(path.read_text().replace("ttl_max_s=1", "ttl_max_s=0.5"))
+
+
+@behave.then("that gateway tells callers the new time")
+def new_time(context: typing.Any) -> None:
+    fleet = fleet_of(context)
+    url = fleet.url("node-2", "directory", f"/resolve?name={platform_fleet.HOST}")
+
+    async def told() -> bool:
+        async with fleet.session.get(url) as page:
+            return bool((await page.json(content_type=None))["ttlS"] == 0.5)
+
+    run(context, fleet.until(told))
+
+
+@behave.when("its settings file is cut short and it gets SIGHUP")
+def settings_cut(context: typing.Any) -> None:
+    fleet = fleet_of(context)
+    path = fleet.logs["node-2"].with_suffix(".toml")
+    path.write_text(path.read_text()[:100])
+    fleet.process_by_node["node-2"].send_signal(signal.SIGHUP)
+
+
+@behave.then("a gateway's log has event 212 that names the file")
+def refused_settings(context: typing.Any) -> None:
+    log = fleet_of(context).logs["node-2"]
+
+    async def logged() -> bool:
+        lines = [json.loads(line) for line in log.read_text().splitlines()]
+        return any(
+            line["event"] == 212 and str(log.with_suffix(".toml")) in line["fault"]
+            for line in lines
+        )
+
+    run(context, fleet_of(context).until(logged))
--- a/spindlenotch/cli.py
+++ b/spindlenotch/cli.py
@@ -19,6 +19,7 @@
     explain_client,
     settings,
 )
+from spindlenotch.gateway import daemon as gateway_daemon, settings as gateway_settings
 
 EXIT_USAGE = 2
 EXIT_FAILED = 1
@@ -63,6 +64,58 @@
     daemon.run(config)
 
 
+def _gateway_help() -> str:
+    lines = [
+        "Run a gateway, for callers that run nothing of ours.",
+        "",
+        "A flag goes before a variable, that before the file of `--settings`.",
+    ]
+    for s in gateway_settings.SETTINGS:
+        default = "required" if s.default is None else f"default {s.default or 'empty'}"
+        lines.append(
+            f"* `{s.flag}` / `{s.variable}`: {s.meaning} ({s.kind.allowed}; {default})"
+        )
+    return "\n".join(lines)
+
+
+@app.command(name="gateway", help=_gateway_help())
+def run_gateway(
+    *, settings_file: str | None = None, check: bool = False, **flags: str
+) -> None:
+    """
+    Check all settings, then run until a signal.
+
+    Parameters
+    ----------
+    settings_file: TOML file of settings, by the names of the flags.
+    check: Check the settings and stop.
+    """
+    given = {name.replace("-", "_"): value for name, value in flags.items()}
+    known = {s.name for s in gateway_settings.SETTINGS}
+    faults = [
+        settings.Fault(f"--{name.replace('_', '-')}", value, "a known setting")
+        for name, value in given.items()
+        if name not in known
+    ]
+
+    def read() -> gateway_settings.GatewaySettings | list[settings.Fault]:
+        values = gateway_settings.read_file(settings_file) if settings_file else {}
+        if isinstance(values, list):
+            return values
+        return gateway_settings.read(given, os.environ, values)
+
+    config = read()
+    if isinstance(config, list):
+        faults += config
+    for fault in faults:
+        print(fault, file=sys.stderr)
+    if faults:
+        sys.exit(EXIT_USAGE)
+    if not check:
+        source = gateway_daemon.SettingsSource(read, settings_file)
+        sys.exit(gateway_daemon.run(source))
+
+
 @app.command(name="explain")
 def run_explain(
     operator: str, *, service: str = "", call: str = "", json: bool = False
