--- a/spindlenotch/settings.py
+++ b/spindlenotch/settings.py
@@ -234,13 +234,13 @@
         return Fault(name, shown, setting.kind.allowed)
 
 
-def reference() -> str:
-    """Return the settings as a table for the operators' page."""
+def reference(table: abc.Iterable[Setting]) -> str:
+    """Return settings as a table for the operators' pages."""
     lines = [
         "| flag | variable | default | allowed | meaning |",
         "|---|---|---|---|---|",
     ]
-    for s in SETTINGS:
+    for s in table:
         default = "required" if s.default is None else s.default or "(empty)"
         lines.append(
             f"| `{s.flag}` | `{s.variable}` | {default}"
--- a/tools/make_docs.py
+++ b/tools/make_docs.py
@@ -8,6 +8,7 @@
 from collections import abc
 
 from spindlenotch import bundle_check, events, settings
+from spindlenotch.gateway import settings as gateway_settings
 
 DOCS = pathlib.Path(__file__).parents[1] / "docs"
 BEGIN = "<!-- made from the code: begin -->"
@@ -48,7 +49,12 @@
     """Return the whole text of every page with a part made from the code."""
     return {
         "EVENTS.md": events.catalogue(),
-        "OPERATIONS.md": _filled("OPERATIONS.md", settings.reference()),
+        "OPERATIONS.md": _filled(
+            "OPERATIONS.md", settings.reference(settings.SETTINGS)
+        ),
+        "GATEWAY.md": _filled(
+            "GATEWAY.md", settings.reference(gateway_settings.SETTINGS)
+        ),
         "BUNDLE.md": _filled("BUNDLE.md", bundle_reference()),
     }
 
