Gateway: only aiohttp's server modules that are used

Tried beside it and reverted: sources copied and compiled by the build, so that a process needn't compile them at start.

--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -12,7 +12,7 @@
 from collections import abc
 
 import multidict
-from aiohttp import web
+from aiohttp import web_request, web_response, web_server
 
 from spindlenotch import (
     balancer,
@@ -82,7 +82,7 @@
         self.in_flight = 0
         self.closing = False
         self._numbers = itertools.count()
-        self._server = web.Server(
+        self._server = web_server.Server(
             self.handle,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_S,
@@ -111,7 +111,9 @@
         self.stop_listening()
         await self._server.shutdown(limit_s)
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(
+        self, request: web_request.BaseRequest
+    ) -> web_response.StreamResponse:
         """Serve one request."""
         self.in_flight += 1
         try:
@@ -122,7 +124,9 @@
         finally:
             self.in_flight -= 1
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve(
+        self, request: web_request.BaseRequest
+    ) -> web_response.StreamResponse:
         table = self.state.table
         if self.closing or table is None or not self.state.listed_once:
             # Too late in a planned stop, or too early in this life: not run.
@@ -130,18 +134,18 @@
         target = request.raw_path
         route = table.find(request.headers.get("Host", ""), target)
         if route is None:
-            return web.Response(status=404, text="no route\n")
+            return web_response.Response(status=404, text="no route\n")
         body = await self._body(request, table.configuration.limits)
-        if isinstance(body, web.Response):
+        if isinstance(body, web_response.Response):
             return body
         return await self._forward(request, route, body)
 
     async def _forward(
         self,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         route: routing.Route,
         body: "bytes | abc.AsyncIterable[bytes] | None",
-    ) -> web.StreamResponse:
+    ) -> web_response.StreamResponse:
         job = self._job(request, route, body)
         try:
             async with asyncio.timeout_at(self._loop_time(job.call.deadline)):
@@ -157,8 +161,8 @@
         return answer
 
     async def _answer(
-        self, request: web.BaseRequest, job: data_path.Job
-    ) -> web.StreamResponse | outcomes.Refusal:
+        self, request: web_request.BaseRequest, job: data_path.Job
+    ) -> web_response.StreamResponse | outcomes.Refusal:
         found = await self.path.dispatch(job)
         while not isinstance(found, outcomes.Refusal):
             exchange = found
@@ -196,11 +200,11 @@
 
     def _pass_on(
         self,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         job: data_path.Job,
         exchange: data_path.Exchange,
         whole: WholeAnswer,
-    ) -> web.Response | outcomes.Refusal:
+    ) -> web_response.Response | outcomes.Refusal:
         if whole.status in PROMISES:
             # The upstream did not say that it has not run, and would have.
             return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
@@ -214,17 +218,20 @@
                 status=whole.status,
                 reason="the upstream's own answer",
             )
-        return web.Response(
+        return web_response.Response(
             status=whole.status,
             headers=multidict.CIMultiDict(whole.headers),
             body=whole.body,
         )
 
     async def _stream(
-        self, request: web.BaseRequest, exchange: data_path.Exchange, first: bytes
-    ) -> web.StreamResponse:
+        self,
+        request: web_request.BaseRequest,
+        exchange: data_path.Exchange,
+        first: bytes,
+    ) -> web_response.StreamResponse:
         answer = exchange.answer
-        response = web.StreamResponse(
+        response = web_response.StreamResponse(
             status=answer.status,
             headers=multidict.CIMultiDict(
                 headers.end_to_end(answer.headers, {"content-length"})
@@ -253,7 +260,7 @@
 
     def _job(
         self,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         route: routing.Route,
         body: "bytes | abc.AsyncIterable[bytes] | None",
     ) -> data_path.Job:
@@ -294,13 +301,13 @@
         )
 
     async def _body(
-        self, request: web.BaseRequest, limits: routing.Limits
-    ) -> "bytes | abc.AsyncIterable[bytes] | web.Response | None":
+        self, request: web_request.BaseRequest, limits: routing.Limits
+    ) -> "bytes | abc.AsyncIterable[bytes] | web_response.Response | None":
         if not request.body_exists:
             return None
         length = request.content_length
         if length is not None and length > limits.body_bytes:
-            return web.Response(status=413, text="body too long\n")
+            return web_response.Response(status=413, text="body too long\n")
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if length is not None and length > WHOLE_BODY:
@@ -314,7 +321,7 @@
                 return _pieces(request, pieces)
         return b"".join(pieces)
 
-    def _patience_s(self, request: web.BaseRequest) -> float:
+    def _patience_s(self, request: web_request.BaseRequest) -> float:
         text = request.headers.get(self.dialect.deadline_ms)
         try:
             return max(0.0, float(text) / 1000) if text else PATIENCE_UNKNOWN_S
@@ -326,8 +333,11 @@
         return loop.time() + (instant - self.state.clock.now())
 
     def _refuse(
-        self, request: web.BaseRequest, job: data_path.Job, refusal: outcomes.Refusal
-    ) -> web.Response:
+        self,
+        request: web_request.BaseRequest,
+        job: data_path.Job,
+        refusal: outcomes.Refusal,
+    ) -> web_response.Response:
         if refusal.outcome is outcomes.Outcome.UNKNOWN:
             late = refusal.reason is outcomes.Reason.DEADLINE_PASSED
             return self._failed(request, job, 504 if late else 502, refusal.reason)
@@ -347,11 +357,11 @@
 
     def _failed(
         self,
-        request: web.BaseRequest,
+        request: web_request.BaseRequest,
         job: data_path.Job,
         status: int,
         reason: outcomes.Reason,
-    ) -> web.Response:
+    ) -> web_response.Response:
         self._count(job, outcomes.Outcome.UNKNOWN, reason)
         events.emit(
             events.Event.REQUEST_FAILED,
@@ -360,7 +370,7 @@
             status=status,
             reason=reason.value,
         )
-        return web.Response(status=status, text=f"{reason.value}\n")
+        return web_response.Response(status=status, text=f"{reason.value}\n")
 
     def _count(
         self, job: data_path.Job, outcome: outcomes.Outcome, reason: outcomes.Reason
@@ -390,7 +400,7 @@
 
 
 async def _pieces(
-    request: web.BaseRequest, first: list[bytes]
+    request: web_request.BaseRequest, first: list[bytes]
 ) -> abc.AsyncIterator[bytes]:
     for piece in first:
         yield piece
@@ -398,8 +408,8 @@
         yield piece
 
 
-def _refused(reason: outcomes.Reason, wait_s: float) -> web.Response:
-    return web.Response(
+def _refused(reason: outcomes.Reason, wait_s: float) -> web_response.Response:
+    return web_response.Response(
         status=503,
         headers={"Retry-After": f"{wait_s:.3f}"},
         text=f"{reason.value}\n",
--- a/spindlenotch/gateway/side_ports.py
+++ b/spindlenotch/gateway/side_ports.py
@@ -6,7 +6,7 @@
 import typing
 
 import msgspec
-from aiohttp import web
+from aiohttp import web_request, web_response, web_server
 
 from spindlenotch import ids, peer_link
 from spindlenotch.gateway import (
@@ -15,7 +15,7 @@
     state as states,
 )
 
-Answer = typing.Callable[[web.BaseRequest], web.Response]
+Answer = typing.Callable[[web_request.BaseRequest], web_response.Response]
 
 
 class SidePorts:
@@ -30,7 +30,7 @@
         self.state = state
         self.fleet = fleet
         self.dialect = dialect
-        self._server = web.Server(self._handle, access_log=None)
+        self._server = web_server.Server(self._handle, access_log=None)
         self._listeners: list[asyncio.Server] = []
         self._answer_by_path: dict[str, Answer] = {
             dialect.ready_path: self._ready,
@@ -59,31 +59,35 @@
             listener.close()
         await self._server.shutdown(0.1)
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle(
+        self, request: web_request.BaseRequest
+    ) -> web_response.StreamResponse:
         answer = self._answer_by_path.get(request.path)
         if answer is None:
-            return web.Response(status=404, text="no such page\n")
+            return web_response.Response(status=404, text="no such page\n")
         return answer(request)
 
-    def _ready(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if self.state.ready else 503)
+    def _ready(self, request: web_request.BaseRequest) -> web_response.Response:
+        return web_response.Response(status=200 if self.state.ready else 503)
 
-    def _directory(self, request: web.BaseRequest) -> web.Response:
+    def _directory(self, request: web_request.BaseRequest) -> web_response.Response:
         zone = ids.ZoneName(request.query.get(self.dialect.zone_parameter, ""))
         addresses = self.fleet.addresses_for(zone)
         if not addresses:
-            return web.Response(status=503, text="no gateway is ready\n")
+            return web_response.Response(status=503, text="no gateway is ready\n")
         directory = dialects.Directory(tuple(addresses), self.state.config.hand_out_s)
-        return web.Response(
+        return web_response.Response(
             body=self.dialect.render_directory(directory),
             content_type="application/json",
         )
 
-    def _metrics(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(body=self.state.metrics.render(), content_type="text/plain")
+    def _metrics(self, request: web_request.BaseRequest) -> web_response.Response:
+        return web_response.Response(
+            body=self.state.metrics.render(), content_type="text/plain"
+        )
 
-    def _state(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(
+    def _state(self, request: web_request.BaseRequest) -> web_response.Response:
+        return web_response.Response(
             body=msgspec.json.encode(dump(self.state, self.fleet)),
             content_type="application/json",
         )
