--- a/features/platform.feature
+++ b/features/platform.feature
@@ -144,3 +144,8 @@
     When its settings file is cut short and it gets SIGHUP
     Then a gateway's log has event 212 that names the file
     And that gateway tells callers the new time
+
+  Scenario: A planned stop ends open connections that rest, and with them the process
+    Given a gateway that may take 60 seconds to stop, and a connection to it that rests
+    When that gateway gets SIGTERM
+    Then the connection is closed and the process ends with code 0
--- a/features/steps/platform_life.py
+++ b/features/steps/platform_life.py
@@ -221,3 +221,39 @@
         )
 
     run(context, fleet_of(context).until(logged))
+
+
+@behave.given(
+    "a gateway that may take 60 seconds to stop, and a connection to it that rests"
+)
+def resting(context: typing.Any) -> None:
+    fleet = fleet_of(context)
+
+    async def start() -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        node = await fleet.start_gateway(5, grace_s=60.0)
+        await fleet.until_ready(node)
+        reader, writer = await asyncio.open_connection(
+            fleet.ip_by_node[node], fleet.port_by_name["front"]
+        )
+        writer.write(b"GET /nowhere HTTP/1.1\r\nHost: nobody\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        return reader, writer
+
+    context.resting = run(context, start())
+
+
+@behave.when("that gateway gets SIGTERM")
+def stop_it(context: typing.Any) -> None:
+    fleet_of(context).process_by_node["node-5"].send_signal(signal.SIGTERM)
+
+
+@behave.then("the connection is closed and the process ends with code 0")
+def closed_and_ended(context: typing.Any) -> None:
+    async def end() -> int:
+        reader, writer = context.resting
+        async with asyncio.timeout(platform_fleet.LIMIT_S):
+            await reader.read()
+            writer.close()
+            return await fleet_of(context).process_by_node["node-5"].wait()
+
+    assert run(context, end()) == 0
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -109,6 +109,10 @@
     async def stop(self, limit_s: float) -> None:
         """Close all connections when their requests are answered."""
         self.stop_listening()
+        for connection in self._server.connections:
+            # ``shutdown`` alone leaves those that rest open until its limit,
+            # and what is sent over them without an answer.
+            connection.close()
         await self._server.shutdown(limit_s)
 
     async def handle(
