--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -169,8 +169,8 @@
         for number in range(calls):
             made.offer(kernel.call(number), NOW)
         for name, upstream in made.pool.upstream_by_id.items():
-            most = upstream.slots + max(1.0, 0.34 * upstream.slots)
-            assert upstream.outstanding <= (0 if name == "u0" else most)
+            most = 0 if name == "u0" else upstream.slots
+            assert upstream.outstanding <= most
 
     check()
 
--- a/spindlenotch/selection_paced.py
+++ b/spindlenotch/selection_paced.py
@@ -10,8 +10,9 @@
 from spindlenotch import ids, pool as pools, selection, upstreams, waiting
 
 NAME = "paced"
-#: Requests beyond its slots that an upstream is given, as a share of them.
-QUEUE_SHARE = 0.34
+#: How far the estimate of an upstream's requests may lie above its slots for it
+#: to have room: estimates of others' requests are fractions.
+ROOM_MARGIN = 0.25
 #: Above this share of its slots in use an upstream works slower; at all of
 #: them, by this much.
 KNEE = 0.7
@@ -78,8 +79,8 @@
 
 
 def has_room(upstream: upstreams.Upstream, running: float) -> bool:
-    """Tell whether one more request would start there at once or soon."""
-    return running + 1 <= upstream.slots + max(1.0, QUEUE_SHARE * upstream.slots)
+    """Tell whether one more request would start there at once."""
+    return running + 1 <= upstream.slots + ROOM_MARGIN
 
 
 def expected_s(
