--- a/spindlenotch/control.py
+++ b/spindlenotch/control.py
@@ -8,10 +8,10 @@
 
 import asyncio
 import functools
-import random
 from collections import abc
 
 from spindlenotch import (
+    backoff as backoffs,
     documents,
     entry_state,
     events,
@@ -23,6 +23,7 @@
     peer_seal,
     ports,
     readiness,
+    rendezvous,
 )
 
 BUNDLE_KEY = "bundle"
@@ -214,11 +215,13 @@
 
     def _on_duty(self, duty: str) -> bool:
         members = self.state.gossip.ready_members()
-        chosen = gossip.readers(members, self.state.config.zone, duty, READERS_PER_ZONE)
+        chosen = rendezvous.chosen(
+            members, self.state.config.zone, duty, READERS_PER_ZONE
+        )
         return self.state.config.host in chosen
 
     async def _read_store(self) -> None:
-        backoff = _Backoff(self.state.rng)
+        backoff = backoffs.Backoff(self.state.rng, BACKOFF_LEAST_S, BACKOFF_MOST_S)
         while True:
             if not self._on_duty("store"):
                 await asyncio.sleep(OFF_DUTY_S)
@@ -337,24 +340,6 @@
             self._tell()
 
 
-class _Backoff:
-    """Waits that double, with jitter, so that a fleet does not come at once."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self.rng = rng
-        self.wait_s = BACKOFF_LEAST_S
-
-    def next(self) -> float:
-        """Return the next wait in seconds."""
-        wait_s = self.wait_s
-        self.wait_s = min(BACKOFF_MOST_S, wait_s * 2)
-        return wait_s * self.rng.uniform(0.5, 1.5)
-
-    def reset(self) -> None:
-        """Begin again with the least wait."""
-        self.wait_s = BACKOFF_LEAST_S
-
-
 def _hosts_document(listing: ports.HostListing) -> documents.Document:
     return documents.Document(
         documents.DocumentKind.HOSTS, listing.revision, ids.Digest(""), listing.body
--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -18,6 +18,7 @@
     peer_codec_msgpack,
     peer_link,
     peer_seal,
+    rendezvous,
 )
 from spindlenotch.gateway import state as states
 
@@ -87,7 +88,7 @@
         return {
             host: zone
             for zone in sorted({member.zone for member in members})
-            for host in gossip.readers(members, zone, DUTY, count)
+            for host in rendezvous.chosen(members, zone, DUTY, count)
         }
 
     def addresses_for(self, zone: ids.ZoneName) -> list[ids.Address]:
--- a/spindlenotch/gateway/follower.py
+++ b/spindlenotch/gateway/follower.py
@@ -7,10 +7,9 @@
 """
 
 import asyncio
-import random
 from collections import abc
 
-from spindlenotch import events
+from spindlenotch import backoff, events
 from spindlenotch.gateway import sources, state as states
 
 #: Longest wait of one call; also bounds how long a lost answer goes unseen.
@@ -40,7 +39,7 @@
         self.must_read = must_read
         self.revision: int | None = None
         self.lost = False
-        self._backoff = Backoff(state.rng)
+        self._backoff = backoff.Backoff(state.rng, BACKOFF_LEAST_S, BACKOFF_MOST_S)
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
@@ -88,21 +87,3 @@
             events.emit(events.Event.STORE_LOST, reason=reason)
         else:
             events.emit(events.Event.STORE_BACK)
-
-
-class Backoff:
-    """Waits that double, with jitter, so that a fleet does not come at once."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self.rng = rng
-        self.wait_s = BACKOFF_LEAST_S
-
-    def next(self) -> float:
-        """Return the next wait in seconds."""
-        wait_s = self.wait_s
-        self.wait_s = min(BACKOFF_MOST_S, wait_s * 2)
-        return wait_s * self.rng.uniform(0.6, 1.2)
-
-    def reset(self) -> None:
-        """Begin again with the least wait."""
-        self.wait_s = BACKOFF_LEAST_S
--- a/spindlenotch/gateway/prober.py
+++ b/spindlenotch/gateway/prober.py
@@ -9,7 +9,7 @@
 
 import asyncio
 
-from spindlenotch import balancer, gossip, ids, ownership, ports, upstreams
+from spindlenotch import balancer, gossip, ids, ownership, ports, rendezvous, upstreams
 from spindlenotch.gateway import fleet as fleets, state as states
 
 PROBE_TIMEOUT_S = 0.3
@@ -168,7 +168,7 @@
         if self.state.me.host not in hosts:
             return False
         members = [ownership.Member(self.state.me.zone, host) for host in hosts]
-        chosen = gossip.readers(members, self.state.me.zone, upstream.spec.id, 1)
+        chosen = rendezvous.chosen(members, self.state.me.zone, upstream.spec.id, 1)
         return chosen == [self.state.me.host]
 
     async def _probe(
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from spindlenotch import documents, events, gossip, ids, peer_seal
+from spindlenotch import documents, events, gossip, ids, peer_seal, rendezvous
 from spindlenotch.gateway import (
     fleet as fleets,
     routing,
@@ -92,7 +92,7 @@
         """Return the reader of this zone, or None where it is this gateway."""
         state = self.state
         members = self.fleet.members()
-        chosen = gossip.readers(members, state.config.zone, DUTY, 1)
+        chosen = rendezvous.chosen(members, state.config.zone, DUTY, 1)
         if not chosen or chosen[0] == state.config.host:
             return None
         known = state.gossip.known_by_host.get(chosen[0])
--- a/spindlenotch/gossip.py
+++ b/spindlenotch/gossip.py
@@ -13,7 +13,6 @@
 import collections
 import dataclasses
 import enum
-import functools
 import math
 import random
 from collections import abc
@@ -45,7 +44,6 @@
 MAX_MEMBERS = 4096
 MAX_BURIED = 4096
 DIGEST_DIGITS = 16
-SCORES_KEPT = 65_536
 LOADS_PER_MESSAGE = 64
 
 
@@ -448,26 +446,3 @@
             rest = [m for m, left in self.repeats_by_mark.items() if left <= 0]
             picked += self.rng.sample(rest, min(room, len(rest)))
         return tuple(dict.fromkeys(picked))
-
-
-def readers(
-    members: abc.Iterable[ownership.Member],
-    zone: ids.ZoneName,
-    duty: str,
-    count: int,
-) -> list[ids.HostId]:
-    """
-    Return which hosts of ``zone`` carry a duty, the same for equal views.
-
-    Rendezvous hashing: a member that joins or leaves moves no other's duty.
-    Differing views give too many or too few holders for a while; every duty
-    given out here must be harmless then.
-    """
-    hosts = [m.host for m in members if m.zone == zone]
-    scored = sorted(hosts, key=lambda h: _score(duty, h), reverse=True)
-    return scored[:count]
-
-
-@functools.lru_cache(SCORES_KEPT)
-def _score(duty: str, host: ids.HostId) -> tuple[int, str]:
-    return random.Random(f"{duty}/{host}").getrandbits(64), host
--- a/spindlenotch/measuring.py
+++ b/spindlenotch/measuring.py
@@ -17,9 +17,9 @@
     bundle,
     entry_state,
     events,
-    gossip,
     ids,
     ports,
+    rendezvous,
     upstreams,
 )
 
@@ -115,7 +115,7 @@
         hosts = [
             host
             for zone in sorted(zones)
-            for host in gossip.readers(members, zone, f"measure/{service}", 1)
+            for host in rendezvous.chosen(members, zone, f"measure/{service}", 1)
         ]
         if service in self.right_by_service:
             return True
--- /dev/null
+++ b/spindlenotch/rendezvous.py
@@ -0,0 +1,37 @@
+"""
+Who carries a duty, by rendezvous hashing: the same for equal views.
+
+Pure. Every duty given out here must be harmless when views differ and too
+many or too few carry it for a while.
+"""
+
+import functools
+import random
+from collections import abc
+
+from spindlenotch import ids, ownership
+
+SCORES_KEPT = 65_536
+
+
+def chosen(
+    members: abc.Iterable[ownership.Member],
+    zone: ids.ZoneName,
+    duty: str,
+    count: int,
+) -> list[ids.HostId]:
+    """
+    Return which hosts of ``zone`` carry a duty, the same for equal views.
+
+    Rendezvous hashing: a member that joins or leaves moves no other's duty.
+    Differing views give too many or too few holders for a while; every duty
+    given out here must be harmless then.
+    """
+    hosts = [m.host for m in members if m.zone == zone]
+    scored = sorted(hosts, key=lambda h: _score(duty, h), reverse=True)
+    return scored[:count]
+
+
+@functools.lru_cache(SCORES_KEPT)
+def _score(duty: str, host: ids.HostId) -> tuple[int, str]:
+    return random.Random(f"{duty}/{host}").getrandbits(64), host
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -34,6 +34,7 @@
     peer_codec,
     peer_seal,
     plugins,
+    rendezvous,
     selection,
     upstreams,
     waiting,
@@ -323,7 +324,7 @@
         holders = {
             host
             for zone in {m.zone for m in members}
-            for host in gossip.readers(members, zone, "store", 2)
+            for host in rendezvous.chosen(members, zone, "store", 2)
         }
         counts.append(float(len(holders)))
     slopes.show("entries that watch the store, 5 zones", "", slopes.FLEETS, counts)
