Test: a planned stop under a load that the workers can bear

The scenario is about the stop: now 6 at once, and still every one of them must be answered with 200.

--- a/features/steps/platform_life.py
+++ b/features/steps/platform_life.py
@@ -17,6 +17,8 @@
 run = platform_context.run
 #: Well before a stop of 6 s takes nothing more.
 TAKEN_AFTER_S = 1.5
+#: Between slow requests: six of them at once, half of what the workers bear.
+APART_S = 0.05
 
 
 @behave.then("only one of the first zone's gateways goes on reading the store")
@@ -120,7 +122,7 @@
         for number in range(count):
             work = fleet.send("node-1", f"/read/x?n={number}", f"s{number}")
             sending.append(asyncio.ensure_future(work))
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(APART_S)
             if number == count // 2:
                 process.send_signal(signal.SIGTERM)
         answers = await asyncio.gather(*sending)
