Tries of one request count together when a cut answer is replaced

Cause: the tries were forgotten with each dispatch, and the replacement of a cut answer noted only the last upstream, so that a request whose answers were cut again and again went to more upstreams than its route allows (BUDGET), as far as the budget of repeats went. Ruled out by the test before the mend: that the limit held by itself ('cut-often' ran more than twice). Now they are kept until the request ends; the balancer's method that patched it is gone.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -55,6 +55,12 @@
       | garbage        | 502    | 1    |
       | lost           | 502    | 1    |
 
+  Scenario: Answers that are cut short again and again take no more workers than allowed
+    Given all workers are "cut"
+    When a client sends GET "/read/x" as "cut-often"
+    Then the client gets status 502
+    And "cut-often" ran 2 times
+
   Scenario: An answer that comes before the whole body was read does not spoil the next
     Given all workers are "early"
     When a client uploads 900000 bytes as "photos"
--- a/spindlenotch/balancer.py
+++ b/spindlenotch/balancer.py
@@ -173,10 +173,6 @@
         self.pool.note(upstream, grant.call.operation, result, took, now)
         return self.settle(now)
 
-    def tried(self, call_id: ids.CallId, upstream_id: ids.UpstreamId) -> None:
-        """Note that a call has been sent to an upstream before."""
-        self.tried_by_call.setdefault(call_id, set()).add(upstream_id)
-
     def forget(self, call_id: ids.CallId) -> None:
         """Drop what was kept to place further tries of a call."""
         self.tried_by_call.pop(call_id, None)
--- a/spindlenotch/data_path.py
+++ b/spindlenotch/data_path.py
@@ -141,28 +141,32 @@
     async def dispatch(self, job: Job) -> Exchange | outcomes.Refusal:
         """Get a request its answer's head, or a final refusal."""
         try:
-            offered = job.service.offer(job.call, self.state.clock.now())
-            if isinstance(offered, balancer.Waiting):
-                offered = await self._wait(job, offered)
-            if isinstance(offered, outcomes.Refusal):
-                return offered
-            return await _Race(self, job).run(offered)
+            return await self.begin(job)
         finally:
             job.service.forget(job.call.id)
 
-    async def dispatch_again(
+    async def begin(self, job: Job) -> Exchange | outcomes.Refusal:
+        """
+        Do the same for a request that may go on with ``again``.
+
+        The caller ends it with ``job.service.forget``: until then the tries of
+        the call count together.
+        """
+        offered = job.service.offer(job.call, self.state.clock.now())
+        if isinstance(offered, balancer.Waiting):
+            offered = await self._wait(job, offered)
+        if isinstance(offered, outcomes.Refusal):
+            return offered
+        return await _Race(self, job).run(offered)
+
+    async def again(
         self, job: Job, failed: balancer.Grant
     ) -> Exchange | outcomes.Refusal:
         """Get another answer in place of one whose body came to a bad end."""
-        call = job.call
-        job.service.tried(call.id, failed.upstream.spec.id)
-        try:
-            grant = job.service.retry(failed, self.state.clock.now())
-            if grant is None:
-                return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
-            return await _Race(self, job).run(grant)
-        finally:
-            job.service.forget(call.id)
+        grant = job.service.retry(failed, self.state.clock.now())
+        if grant is None:
+            return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
+        return await _Race(self, job).run(grant)
 
     def finish(
         self,
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -160,6 +160,8 @@
             if request.transport is not None:
                 request.transport.abort()
             raise asyncio.CancelledError from None
+        finally:
+            job.service.forget(job.call.id)
         if isinstance(answer, outcomes.Refusal):
             return self._refuse(request, job, answer)
         return answer
@@ -167,7 +169,7 @@
     async def _answer(
         self, request: web_request.BaseRequest, job: data_path.Job
     ) -> web_response.StreamResponse | outcomes.Refusal:
-        found = await self.path.dispatch(job)
+        found = await self.path.begin(job)
         while not isinstance(found, outcomes.Refusal):
             exchange = found
             whole = await self._whole(exchange)
@@ -177,7 +179,7 @@
                 return await self._stream(request, exchange, whole)
             if not job.call.repeatable:
                 return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
-            found = await self.path.dispatch_again(job, exchange.grant)
+            found = await self.path.again(job, exchange.grant)
         return found
 
     async def _whole(
