--- a/spindlenotch/cli.py
+++ b/spindlenotch/cli.py
@@ -5,6 +5,7 @@
 import importlib
 import os
 import sys
+from collections import abc
 
 import cyclopts
 import msgspec
@@ -33,9 +34,9 @@
 app.command(cli_load.app, name="caller")
 
 
-def _entry_help() -> str:
-    lines = ["Run the daemon of an entry host.", "", "Settings, as flag or variable:"]
-    for s in settings.SETTINGS:
+def _help(head: str, table: abc.Iterable[settings.Setting]) -> str:
+    lines = [head, "", "Settings, as flag or variable:"]
+    for s in table:
         default = "required" if s.default is None else f"default {s.default or 'empty'}"
         lines.append(
             f"* `{s.flag}` / `{s.variable}`: {s.meaning} ({s.kind.allowed}; {default})"
@@ -43,16 +44,24 @@
     return "\n".join(lines)
 
 
-@app.command(name="entry", help=_entry_help())
-def run_entry(**flags: str) -> None:
-    """Check all settings, then run until a signal."""
-    flags = {name.replace("-", "_"): value for name, value in flags.items()}
-    known = {s.name for s in settings.SETTINGS}
-    faults = [
+def _unknown(
+    flags: abc.Mapping[str, str], table: abc.Iterable[settings.Setting]
+) -> list[settings.Fault]:
+    known = {s.name for s in table}
+    return [
         settings.Fault(f"--{name.replace('_', '-')}", value, "a known setting")
         for name, value in flags.items()
         if name not in known
     ]
+
+
+@app.command(
+    name="entry", help=_help("Run the daemon of an entry host.", settings.SETTINGS)
+)
+def run_entry(**flags: str) -> None:
+    """Check all settings, then run until a signal."""
+    flags = {name.replace("-", "_"): value for name, value in flags.items()}
+    faults = _unknown(flags, settings.SETTINGS)
     config = settings.read(flags, os.environ)
     if isinstance(config, list):
         faults += config
@@ -64,21 +73,13 @@
     daemon.run(config)
 
 
-def _gateway_help() -> str:
-    lines = [
-        "Run a gateway, for callers that run nothing of ours.",
-        "",
-        "A flag goes before a variable, that before the file of `--settings`.",
-    ]
-    for s in gateway_settings.SETTINGS:
-        default = "required" if s.default is None else f"default {s.default or 'empty'}"
-        lines.append(
-            f"* `{s.flag}` / `{s.variable}`: {s.meaning} ({s.kind.allowed}; {default})"
-        )
-    return "\n".join(lines)
+GATEWAY_HELP = (
+    "Run a gateway, for callers that run nothing of ours. A flag goes before a"
+    " variable, that before the file of `--settings-file`."
+)
 
 
-@app.command(name="gateway", help=_gateway_help())
+@app.command(name="gateway", help=_help(GATEWAY_HELP, gateway_settings.SETTINGS))
 def run_gateway(
     *, settings_file: str | None = None, check: bool = False, **flags: str
 ) -> None:
@@ -91,12 +92,7 @@
     check: Check the settings and stop.
     """
     given = {name.replace("-", "_"): value for name, value in flags.items()}
-    known = {s.name for s in gateway_settings.SETTINGS}
-    faults = [
-        settings.Fault(f"--{name.replace('_', '-')}", value, "a known setting")
-        for name, value in given.items()
-        if name not in known
-    ]
+    faults = _unknown(given, gateway_settings.SETTINGS)
 
     def read() -> gateway_settings.GatewaySettings | list[settings.Fault]:
         values = gateway_settings.read_file(settings_file) if settings_file else {}
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -80,13 +80,11 @@
             )
         if not state.listed_once:
             return
-        listed = state.listing.listed(state.clock.now())
         kind = documents.DocumentKind.HOSTS
         version = revision * SWEEPS_PER_REVISION
         if swept:
             version = self.fence.version(kind) + 1
-        body = msgspec.json.encode(listed)
-        self._offer(documents.Document(kind, version, ids.Digest(""), body))
+        self._offer_own(kind, version, state.listing.listed(state.clock.now()))
 
     def _reader(self) -> gossip.MemberNews | None:
         """Return the reader of this zone, or None where it is this gateway."""
@@ -105,13 +103,13 @@
             body = msgspec.json.encode(content)
             self._offer(documents.Document(kind, version, ids.Digest(""), body))
 
-    def _offer(self, document: documents.Document) -> bool:
+    def _offer(self, document: documents.Document) -> None:
         if self.fence.offer(document) is not documents.Offer.APPLIED:
-            return False
-        news = documents_news(document)
-        self.state.gossip.have(news)
+            return
+        self.state.gossip.have(
+            gossip.DocumentNews(document.kind, document.version, document.digest)
+        )
         self._spawn(self._spread())
-        return True
 
     async def _spread(self) -> None:
         """Tell those who follow this gateway, and a few others."""
@@ -179,8 +177,3 @@
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def documents_news(document: documents.Document) -> gossip.DocumentNews:
-    """Return what peers are told of a document."""
-    return gossip.DocumentNews(document.kind, document.version, document.digest)
