--- a/spindlenotch/gateway/dialect.py
+++ b/spindlenotch/gateway/dialect.py
@@ -37,7 +37,6 @@
     expect_upstream: str | None
     replaced: frozenset[str]
     directory_path: str
-    zone_parameter: str
     ready_path: str
     render_directory: abc.Callable[[Directory], bytes]
 
@@ -55,7 +54,6 @@
         expect_upstream=headers.UPSTREAM,
         replaced=headers.OWN | {headers.UPSTREAM.lower()},
         directory_path="/v1/entries",
-        zone_parameter="zone",
         ready_path="/ready",
         render_directory=_render,
     )
--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -91,10 +91,6 @@
             for host in rendezvous.chosen(members, zone, DUTY, count)
         }
 
-    def addresses_for(self, zone: ids.ZoneName) -> list[ids.Address]:
-        """Return the addresses that callers in ``zone`` are told to use."""
-        return sorted(self.entries().values())
-
     def _usable(self) -> dict[ids.HostId, tuple[ids.ZoneName, ids.Address]]:
         state = self.state
         found = {
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -129,10 +129,11 @@
         ]
 
     def _on_message(self, message: gossip.Message, taken: gossip.Taken) -> None:
-        reader = self._reader()
         sender = message.sender
-        if reader is not None and sender.host == reader.host and message.reads_source:
-            self.heard_reader_at = self.state.clock.now()
+        if message.reads_source and sender.zone == self.state.config.zone:
+            reader = self._reader()
+            if reader is not None and sender.host == reader.host:
+                self.heard_reader_at = self.state.clock.now()
         for news in taken.newer:
             if news.kind not in self._pulling:
                 self._spawn(self._pull(sender.peer_address, news.kind))
--- a/spindlenotch/gateway/side_ports.py
+++ b/spindlenotch/gateway/side_ports.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web_request, web_response, web_server
 
-from spindlenotch import ids, peer_link
+from spindlenotch import peer_link
 from spindlenotch.gateway import (
     dialect as dialects,
     fleet as fleets,
@@ -71,8 +71,7 @@
         return web_response.Response(status=200 if self.state.ready else 503)
 
     def _directory(self, request: web_request.BaseRequest) -> web_response.Response:
-        zone = ids.ZoneName(request.query.get(self.dialect.zone_parameter, ""))
-        addresses = self.fleet.addresses_for(zone)
+        addresses = sorted(self.fleet.entries().values())
         if not addresses:
             return web_response.Response(status=503, text="no gateway is ready\n")
         directory = dialects.Directory(tuple(addresses), self.state.config.hand_out_s)
