Tests: one finder of free ports, below those of outgoing connections

The port had been free and was taken by an outgoing connection (ports from 32768 on) before the entry listened. Now both use one finder.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -11,7 +11,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -19,6 +18,7 @@
 
 import aiohttp
 
+from features.support import free_ports
 from spindlenotch import bundle_seal, client, plugins, ports, publishing
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -75,19 +75,6 @@
     return BUNDLE.format(version=version, extra=extra, key_hash=key_hash)
 
 
-def free_port() -> int:
-    """Return a loopback port that is free for TCP and UDP just now."""
-    while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((LOOPBACK, 0))
-            port = tcp.getsockname()[1]
-            try:
-                udp.bind((LOOPBACK, port))
-            except OSError:
-                continue
-            return int(port)
-
-
 class Process:
     """One process that a test started."""
 
@@ -125,9 +112,10 @@
     def __init__(self, host: str, zone: str) -> None:
         self.host = host
         self.zone = zone
-        self.address = f"{LOOPBACK}:{free_port()}"
-        self.peer_address = f"{LOOPBACK}:{free_port()}"
-        self.operator_address = f"{LOOPBACK}:{free_port()}"
+        listen, peer, operator = free_ports.find(3)
+        self.address = f"{LOOPBACK}:{listen}"
+        self.peer_address = f"{LOOPBACK}:{peer}"
+        self.operator_address = f"{LOOPBACK}:{operator}"
         self.process: Process | None = None
 
     def record(self) -> dict[str, typing.Any]:
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -8,21 +8,18 @@
 import asyncio
 import os
 import pathlib
-import random
 import signal
-import socket
 import sys
 import tempfile
 import typing
 
 import aiohttp
 
-from features.support import platform_store, platform_worker
+from features.support import free_ports, platform_store, platform_worker
 
 ROOT = pathlib.Path(__file__).parents[2]
 LIMIT_S = 20.0
 LOG_TAIL = 30
-PORTS = (12_000, 30_000)
 MOST_GATEWAYS = 8
 ZONES = ("z1", "z2", "z3")
 HOST = "shop.example"
@@ -95,7 +92,9 @@
         self.logs: dict[str, pathlib.Path] = {}
         self.folder = tempfile.TemporaryDirectory()
         names = ("front", "ready", "control", "directory", "peer")
-        self.port_by_name = dict(zip(names, free_ports(len(names)), strict=True))
+        hosts = [f"127.0.1.{number + 1}" for number in range(MOST_GATEWAYS)]
+        ports = free_ports.find(len(names), hosts)
+        self.port_by_name = dict(zip(names, ports, strict=True))
         self._session: aiohttp.ClientSession | None = None
 
     @property
@@ -239,29 +238,3 @@
             await worker.close()
         await self.store.close()
         self.folder.cleanup()
-
-
-def free_ports(count: int) -> list[int]:
-    """
-    Return ports that are free on every gateway's address just now.
-
-    They lie below those that the system gives to outgoing connections, so
-    that none of them is taken before a gateway listens.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = random.randrange(*PORTS)
-        if port not in found and _is_free(port):
-            found.append(port)
-    return found
-
-
-def _is_free(port: int) -> bool:
-    for number in range(1, MOST_GATEWAYS + 1):
-        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-            with socket.socket(type=kind) as one:
-                try:
-                    one.bind((f"127.0.1.{number}", port))
-                except OSError:
-                    return False
-    return True
