--- a/features/steps/codec.py
+++ b/features/steps/codec.py
@@ -2,10 +2,8 @@
 
 import zlib
 
-import hypothesis
-from hypothesis import strategies
-
 from features.steps import kernel
+from features.support import hostile as hostile_bytes
 from spindlenotch import documents, gossip, ids, peer_codec, peer_seal
 
 FIRST, SECOND = b"the first peer key", b"the second peer key"
@@ -42,21 +40,7 @@
     message = gossip.Message(news(0), 1, (), tuple(news(n) for n in range(4)))
     good = peer_codec.encode_gossip(message)
 
-    @kernel.SETTINGS
-    @hypothesis.given(
-        strategies.binary(max_size=2000),
-        strategies.integers(0, len(good) - 1),
-        strategies.integers(0, 255),
-    )
-    def check(garbage: bytes, place: int, value: int) -> None:
-        flipped = good[:place] + bytes([value]) + good[place + 1 :]
-        for data in (garbage, flipped, good[:place]):
-            read = peer_codec.decode_gossip(data)
-            assert isinstance(read, (gossip.Message, peer_seal.CodecFault))
-            whole = peer_codec.decode_frame(data)
-            assert isinstance(whole, (peer_seal.DocumentFrame, peer_seal.CodecFault))
-
-    check()
+    hostile_bytes.check(peer_codec.CAPNP, good)
     many = gossip.Message(news(0), 1, (), tuple(news(n) for n in range(50)))
     crowd = peer_codec.encode_gossip(many)
     assert peer_codec.decode_gossip(crowd) is peer_seal.CodecFault.GARBLED
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies
 
 from features.steps import kernel
-from features.support import platform_fleet
+from features.support import hostile as hostile_bytes, platform_fleet
 from spindlenotch import (
     balancer,
     budgets,
@@ -289,21 +289,7 @@
     wire = peer_codec_msgpack.MSGPACK
     good = wire.encode_gossip(message())
 
-    @kernel.SETTINGS
-    @hypothesis.given(
-        strategies.binary(max_size=2000),
-        strategies.integers(0, len(good) - 1),
-        strategies.integers(0, 255),
-    )
-    def check(garbage: bytes, place: int, value: int) -> None:
-        flipped = good[:place] + bytes([value]) + good[place + 1 :]
-        for data in (garbage, flipped, good[:place]):
-            read = wire.decode_gossip(data)
-            assert isinstance(read, (gossip.Message, peer_seal.CodecFault))
-            whole = wire.decode_frame(data)
-            assert isinstance(whole, (peer_seal.DocumentFrame, peer_seal.CodecFault))
-
-    check()
+    hostile_bytes.check(wire, good)
     crowd = gossip.Message(news(0), 1, (), tuple(map(news, range(50))))
     read = wire.decode_gossip(wire.encode_gossip(crowd))
     assert read is peer_seal.CodecFault.GARBLED
--- /dev/null
+++ b/features/support/hostile.py
@@ -0,0 +1,32 @@
+"""
+The check that every codec of peer messages must pass: hostile bytes.
+"""
+
+import hypothesis
+from hypothesis import strategies
+
+from spindlenotch import gossip, peer_seal
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=100
+)
+
+
+def check(codec: peer_seal.Codec, good: bytes) -> None:
+    """Feed garbage, and ``good`` with a byte changed or cut off, to ``codec``."""
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.binary(max_size=2000),
+        strategies.integers(0, len(good) - 1),
+        strategies.integers(0, 255),
+    )
+    def feed(garbage: bytes, place: int, value: int) -> None:
+        flipped = good[:place] + bytes([value]) + good[place + 1 :]
+        for data in (garbage, flipped, good[:place]):
+            read = codec.decode_gossip(data)
+            assert isinstance(read, (gossip.Message, peer_seal.CodecFault))
+            whole = codec.decode_frame(data)
+            assert isinstance(whole, (peer_seal.DocumentFrame, peer_seal.CodecFault))
+
+    feed()
