--- a/features/platform.feature
+++ b/features/platform.feature
@@ -61,6 +61,11 @@
     Then the client gets status 502
     And "cut-often" ran 2 times
 
+  Scenario: A kept connection that holds bytes nobody asked for is not used again
+    Given one worker is "late-surplus"
+    When its surplus answers lie unread before each of 6 requests to it
+    Then each of these requests gets the worker's own answer
+
   Scenario: An answer that comes before the whole body was read does not spoil the next
     Given all workers are "early"
     When a client uploads 900000 bytes as "photos"
--- a/spindlenotch/upstream_http.py
+++ b/spindlenotch/upstream_http.py
@@ -50,6 +50,25 @@
     """Raised inside aiohttp's hooks when the first byte may not be sent."""
 
 
+class _StaleConnectionError(Exception):
+    """Raised before the first byte where a kept connection can't be used."""
+
+
+class _CheckedRequest(aiohttp.ClientRequest):
+    """
+    A request that is sent only over a connection on which nothing lies unread.
+
+    What came while a connection rested belongs to no request; read as the next
+    answer, it would be a foreign one.
+    """
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Send the request, or raise where the connection can't be used."""
+        if conn.protocol is None or conn.protocol.should_close:
+            raise _StaleConnectionError
+        return await super().send(conn)
+
+
 class HttpAnswer:
     """
     An answer whose head has come.
@@ -100,20 +119,10 @@
         self, request: ports.UpstreamRequest
     ) -> ports.UpstreamAnswer | ports.UpstreamFault:
         """Send a request and wait for the head of its answer."""
-        session = self._session(fresh=request.fresh)
-        context = types.SimpleNamespace(may_send=request.may_send)
         if not request.may_send():
             return ports.UpstreamFault.TOO_LATE
         try:
-            response = await session.request(
-                request.method,
-                yarl.URL(f"http://{request.address}{request.target}", encoded=True),
-                headers=request.headers,
-                data=request.body,
-                allow_redirects=False,
-                skip_auto_headers=SKIPPED,
-                trace_request_ctx=context,
-            )
+            response = await self._respond(request)
         except _TooLateError:
             return ports.UpstreamFault.TOO_LATE
         except aiohttp.ClientConnectorError:
@@ -129,6 +138,24 @@
             return ports.UpstreamFault.FOREIGN_ANSWER
         return HttpAnswer(response, self.dialect)
 
+    async def _respond(self, request: ports.UpstreamRequest) -> aiohttp.ClientResponse:
+        """Send over the first kept connection that is sound, or a new one."""
+        session = self._session(fresh=request.fresh)
+        while True:
+            try:
+                return await session.request(
+                    request.method,
+                    yarl.URL(f"http://{request.address}{request.target}", encoded=True),
+                    headers=request.headers,
+                    data=request.body,
+                    allow_redirects=False,
+                    skip_auto_headers=SKIPPED,
+                    trace_request_ctx=types.SimpleNamespace(may_send=request.may_send),
+                )
+            except _StaleConnectionError:
+                # aiohttp has closed it, and nothing was sent.
+                continue
+
     async def probe(
         self, address: ids.Address, timeout_s: float, path: str | None = None
     ) -> upstreams.LoadReport | ports.UpstreamFault:
@@ -144,7 +171,7 @@
                 trace_request_ctx=types.SimpleNamespace(may_send=lambda: True),
             ) as response:
                 await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except (_StaleConnectionError, aiohttp.ClientError, OSError, TimeoutError):
             return ports.UpstreamFault.CONNECTION_LOST
         if self.dialect.leaving(response.status, response.headers):
             return ports.UpstreamFault.DRAINING
@@ -221,6 +248,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        request_class=_CheckedRequest,
         trace_configs=[trace],
     )
     # aiohttp resends idempotent methods when a kept connection drops. Here
