--- a/features/kernel.feature
+++ b/features/kernel.feature
@@ -9,6 +9,7 @@
       | zone weights move without a jump                  |
       | a spaced budget holds in every window             |
       | extra sends stay within their share               |
+      | a rate holds in every span, early uses wait       |
       | a higher class never waits behind a lower one     |
       | nobody unfit is chosen                            |
       | a decision follows from state, time and seed      |
--- a/features/steps/kernel.py
+++ b/features/steps/kernel.py
@@ -166,6 +166,35 @@
     check()
 
 
+@PROPERTIES.register("a rate holds in every span, early uses wait")
+def rates() -> None:
+    @SETTINGS
+    @hypothesis.given(
+        strategies.floats(0.5, 50),
+        strategies.lists(strategies.floats(0, 0.3), min_size=1, max_size=100),
+    )
+    def check(per_second: float, gaps: list[float]) -> None:
+        burst = max(1.0, per_second)
+        budget = budgets.RateBudget(per_second, burst, NOW)
+        now, uses = NOW, []
+        for gap in gaps:
+            now = ids.later(now, gap)
+            use_at = budget.reserve(now, 0.2)
+            if use_at is None:
+                early = len(uses) + 1 > per_second * (now + 0.2 - NOW) - 1e-6
+                assert early or budget.tokens < 1.0
+                continue
+            assert now <= use_at <= now + 0.2 + 1e-6
+            uses.append(use_at)
+        for number, use_at in enumerate(uses):
+            assert number + 1 <= per_second * (use_at - NOW) + 1e-6
+            for earlier in uses[:number]:
+                span = sum(earlier <= u <= use_at for u in uses)
+                assert span <= burst + per_second * (use_at - earlier) + 1 + 1e-6
+
+    check()
+
+
 @PROPERTIES.register("extra sends stay within their share")
 def shares() -> None:
     @SETTINGS
--- a/spindlenotch/budgets.py
+++ b/spindlenotch/budgets.py
@@ -132,19 +132,30 @@
 
 @dataclasses.dataclass(slots=True)
 class RateBudget:
-    """A token bucket that starts empty; ``burst`` tokens at the most."""
+    """
+    A token bucket that starts empty; ``burst`` tokens at the most.
+
+    Invariant: up to any instant at most ``per_second`` uses for each second
+    since the start, and in any span at most ``burst`` more than that.
+    ``tokens`` is negative while uses are promised for later.
+    """
 
     per_second: float
     burst: float
     filled_at: ids.Instant
     tokens: float = 0.0
 
-    def spend(self, now: ids.Instant) -> bool:
-        """Take one token, or say that there is none."""
+    def reserve(self, now: ids.Instant, longest_wait_s: float) -> ids.Instant | None:
+        """
+        Promise one use and return when it is due, at the soonest now.
+
+        None where that would be more than ``longest_wait_s`` seconds away.
+        """
         elapsed = max(0.0, now - self.filled_at)
         self.tokens = min(self.burst, self.tokens + elapsed * self.per_second)
         self.filled_at = max(self.filled_at, now)
-        if self.tokens < 1.0:
-            return False
+        missing = 1.0 - self.tokens
+        if missing > longest_wait_s * self.per_second:
+            return None
         self.tokens -= 1.0
-        return True
+        return now if missing <= 0.0 else ids.later(now, missing / self.per_second)
--- a/spindlenotch/claims.py
+++ b/spindlenotch/claims.py
@@ -7,6 +7,7 @@
 can only have named this process.
 """
 
+import asyncio
 import dataclasses
 import enum
 import hashlib
@@ -15,6 +16,9 @@
 
 from spindlenotch import budgets, entry_state, ids, once, ports
 
+#: Longest that a claim waits for its turn within the claim budget, seconds.
+LONGEST_TURN_S = 0.25
+
 
 class ClaimFault(enum.Enum):
     """Why an id has no home yet."""
@@ -52,8 +56,10 @@
         mine = Home(self.state.config.host, self.state.incarnation)
         if key in self.state.once.record_by_key:
             return mine
-        if not self._may_claim():
+        turn_at = self._turn()
+        if turn_at is None:
             return ClaimFault.OVER_BUDGET
+        await asyncio.sleep(max(0.0, turn_at - self.state.clock.now()))
         for _ in range(2):
             result = await self._swap(key, mine)
             if isinstance(result, ports.Stored):
@@ -87,10 +93,11 @@
         except (msgspec.DecodeError, msgspec.ValidationError):
             return None
 
-    def _may_claim(self) -> bool:
+    def _turn(self) -> ids.Instant | None:
+        """Return when one claim may be written; None if that is too far off."""
         bundle = self.state.bundle
         if bundle is None:
-            return False
+            return None
         now = self.state.clock.now()
         share = bundle.claims_per_second / max(
             1, len(self.state.gossip.ready_members())
@@ -101,7 +108,7 @@
                 share, max(1.0, share), old.filled_at, old.tokens
             )
             self.rates = ClaimRates(share, bucket)
-        return self.rates.bucket.spend(now)
+        return self.rates.bucket.reserve(now, LONGEST_TURN_S)
 
 
 def _store_key(key: once.OnceKey) -> str:
