--- a/features/platform.feature
+++ b/features/platform.feature
@@ -131,6 +131,11 @@
     And the operator adds a route "/new/" in version 9
     Then every gateway that lives serves "/new/x"
 
+  Scenario: A gateway whose seeds are all gone meets the fleet through the store
+    When a gateway is started whose only seed is dead
+    Then that gateway and the others name each other to callers
+    And each zone's place for newcomers was written at most 2 times
+
   Scenario: The standard library's module "platform" is not hidden
     Then the started program finds the standard library's "platform"
 
--- a/features/steps/platform_life.py
+++ b/features/steps/platform_life.py
@@ -50,6 +50,37 @@
     run(context, kill())
 
 
+@behave.when("a gateway is started whose only seed is dead")
+def dead_seed(context: typing.Any) -> None:
+    async def start() -> None:
+        fleet = fleet_of(context)
+        node = await fleet.start_gateway(3, seed=platform_fleet.DEAD_IP)
+        await fleet.until_ready(node)
+
+    run(context, start())
+
+
+@behave.then("that gateway and the others name each other to callers")
+def name_each_other(context: typing.Any) -> None:
+    fleet = fleet_of(context)
+
+    async def named(node: str) -> int:
+        url = fleet.url(node, "directory", "/resolve?name=h&region=r&zone=z1")
+        async with fleet.session.get(url) as page:
+            return len((await page.json())["addresses"])
+
+    async def all_named() -> bool:
+        return [await named(node) for node in fleet.ip_by_node] == [3, 3, 3]
+
+    run(context, fleet.until(all_named))
+
+
+@behave.then("each zone's place for newcomers was written at most {most:d} times")
+def few_writes(context: typing.Any, most: int) -> None:
+    store = fleet_of(context).store
+    assert store.calls_by_name["txn"] <= most * len(platform_fleet.ZONES)
+
+
 @behave.then('the started program finds the standard library\'s "platform"')
 def standard_platform(context: typing.Any) -> None:
     async def ask() -> bytes:
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -23,6 +23,9 @@
 MOST_GATEWAYS = 8
 ZONES = ("z1", "z2", "z3")
 HOST = "shop.example"
+FIRST_IP = "127.0.1.1"
+#: Nothing listens here.
+DEAD_IP = "127.0.1.99"
 
 #: The reserve of repeats is large: what these scenarios prove does not hang on it.
 SETTINGS = """
@@ -32,7 +35,7 @@
 zone = "{zone}"
 region = "r"
 portRange = [{peer},{peer}]
-seeds = ["127.0.1.1:{control}"]
+seeds = ["{seed}:{control}"]
 bounds = ["graceS={grace}","retryBudgetRatio=0.2","budgetWindowS=10","retrySlack=2400",
   "ttl_max_s=1","probesPerS=60"]
 [listen]
@@ -138,8 +141,10 @@
             },
         )
 
-    async def start_gateway(self, number: int, grace_s: float = 6.0) -> str:
-        """Start a gateway; return its node name once it is ready."""
+    async def start_gateway(
+        self, number: int, grace_s: float = 6.0, seed: str = FIRST_IP
+    ) -> str:
+        """Start a gateway and return its node name."""
         node = f"node-{number}"
         self.ip_by_node[node] = f"127.0.1.{number}"
         path = pathlib.Path(self.folder.name) / f"{node}.toml"
@@ -150,6 +155,7 @@
                 zone=ZONES[(number - 1) % len(ZONES)],
                 store=self.store.address,
                 grace=grace_s,
+                seed=seed,
                 **self.port_by_name,
             )
         )
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -77,6 +77,9 @@
         "the changed settings can't be used; those in force stay",
         "mend the settings that the line names",
     )
+    INTRODUCED = Entry(
+        213, "INFO", "a gateway wrote where peers find it into the source", "none"
+    )
     HOSTS_APPLIED = Entry(206, "INFO", "a new host list is in force", "none")
     HOSTS_LOST = Entry(
         207, "WARNING", "the host list does not answer", "see the platform's alarms"
--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -56,6 +56,7 @@
         state = self.state
         while True:
             targets = state.gossip.targets(state.config.peers, state.clock.now())
+            targets += self._introduced_strangers(targets)
             self.link.tell(state.gossip.compose(wants_reply=True), targets)
             for news in state.gossip.sweep(state.clock.now()):
                 events.emit(events.Event.PEER_GONE, host=news.host)
@@ -91,6 +92,30 @@
             for host in rendezvous.chosen(members, zone, DUTY, count)
         }
 
+    def standing_by(self) -> dict[ids.ZoneName, list[ids.HostId]]:
+        """
+        Return who takes on a zone's other duties: those that callers are not
+        sent to, or all where there are no others.
+        """
+        entries = self.entry_zones()
+        hosts_by_zone: dict[ids.ZoneName, list[ids.HostId]] = {}
+        for member in self.members():
+            hosts_by_zone.setdefault(member.zone, []).append(member.host)
+        return {
+            zone: sorted(h for h in hosts if h not in entries) or sorted(hosts)
+            for zone, hosts in hosts_by_zone.items()
+        }
+
+    def _introduced_strangers(self, asked: list[ids.Address]) -> list[ids.Address]:
+        """Return the peers that the source names and nobody else has yet."""
+        gossip_state = self.state.gossip
+        met = {k.news.peer_address for k in gossip_state.known_by_host.values()}
+        met.update(asked, [gossip_state.me.peer_address])
+        introductions = self.state.introduction_by_zone.values()
+        return [
+            one.peer_address for one in introductions if one.peer_address not in met
+        ]
+
     def _usable(self) -> dict[ids.HostId, tuple[ids.ZoneName, ids.Address]]:
         state = self.state
         found = {
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -11,6 +11,7 @@
     fleet as fleets,
     follower,
     ingress,
+    introducer,
     prober,
     relay,
     settings,
@@ -53,6 +54,7 @@
         self.side_ports = side_ports.SidePorts(state, self.fleet, dialect)
         self.relay = relay.Relay(state, self.fleet)
         self.follower = follower.Follower(state, source, self.relay.must_read)
+        self.introducer = introducer.Introducer(state, source, self.relay.is_reader)
         self.prober = prober.Prober(state, self.fleet, port)
         self.fleet.on_loads = self.prober.take
         self._tasks: list[asyncio.Task[None]] = []
@@ -66,6 +68,7 @@
             self.fleet.run,
             self.relay.run,
             self.follower.run,
+            self.introducer.run,
             self.prober.run,
             self.prober.tell,
             self._tick,
--- a/spindlenotch/gateway/prober.py
+++ b/spindlenotch/gateway/prober.py
@@ -132,7 +132,7 @@
     def _match_tasks(self) -> None:
         wanted: dict[ids.UpstreamId, tuple[balancer.Balancer, upstreams.Upstream]] = {}
         if self.state.config.probes_per_s > 0 and self.state.ready:
-            probers = self._probers()
+            probers = self.fleet.standing_by()
             for service in self.state.balancer_by_service.values():
                 for upstream in service.pool.usable_order:
                     if self._is_mine(upstream, probers):
@@ -146,17 +146,6 @@
                 work = self._probe(service, upstream, period_s)
                 self._task_by_id[upstream_id] = asyncio.ensure_future(work)
 
-    def _probers(self) -> dict[ids.ZoneName, list[ids.HostId]]:
-        """Return who probes in each zone: those that stand by, if there are any."""
-        entries = self.fleet.entry_zones()
-        hosts_by_zone: dict[ids.ZoneName, list[ids.HostId]] = {}
-        for member in self.fleet.members():
-            hosts_by_zone.setdefault(member.zone, []).append(member.host)
-        return {
-            zone: sorted(h for h in hosts if h not in entries) or sorted(hosts)
-            for zone, hosts in hosts_by_zone.items()
-        }
-
     def _is_mine(
         self,
         upstream: upstreams.Upstream,
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -12,7 +12,15 @@
 
 import msgspec
 
-from spindlenotch import documents, events, gossip, ids, peer_seal, rendezvous
+from spindlenotch import (
+    documents,
+    events,
+    gossip,
+    ids,
+    ownership,
+    peer_seal,
+    rendezvous,
+)
 from spindlenotch.gateway import (
     fleet as fleets,
     routing,
@@ -57,6 +65,10 @@
             return True
         return self.state.clock.now() - self.heard_reader_at > READER_LOST_S
 
+    def is_reader(self) -> bool:
+        """Tell whether reading for its zone is this gateway's duty."""
+        return self._reading_host() == self.state.config.host
+
     async def run(self) -> None:
         """Ask the zone's reader for news until cancelled."""
         while True:
@@ -88,14 +100,19 @@
 
     def _reader(self) -> gossip.MemberNews | None:
         """Return the reader of this zone, or None where it is this gateway."""
-        state = self.state
-        members = self.fleet.members()
-        chosen = rendezvous.chosen(members, state.config.zone, DUTY, 1)
-        if not chosen or chosen[0] == state.config.host:
+        host = self._reading_host()
+        if host is None or host == self.state.config.host:
             return None
-        known = state.gossip.known_by_host.get(chosen[0])
+        known = self.state.gossip.known_by_host.get(host)
         return None if known is None else known.news
 
+    def _reading_host(self) -> ids.HostId | None:
+        """Return who should read for this zone; one that stands by, if any."""
+        zone = self.state.config.zone
+        hosts = self.fleet.standing_by().get(zone, [])
+        members = [ownership.Member(zone, host) for host in hosts]
+        return next(iter(rendezvous.chosen(members, zone, DUTY, 1)), None)
+
     def _offer_own(
         self, kind: documents.DocumentKind, version: int, content: object
     ) -> None:
--- a/spindlenotch/gateway/sources.py
+++ b/spindlenotch/gateway/sources.py
@@ -1,5 +1,5 @@
 """
-Where a gateway learns its configuration and upstreams, and in which form.
+Where a gateway learns its configuration, upstreams and peers, and in which form.
 
 A driver registers itself in ``SOURCES`` and turns what the platform holds into
 the types here. Each layer has its own faults; a driver turns the platform's
@@ -21,6 +21,8 @@
     UNAVAILABLE = "unavailable"
     OVER_LIMIT = "over-limit"
     HISTORY_GONE = "history-gone"
+    #: Somebody else was first.
+    CONFLICT = "conflict"
 
 
 class UpstreamState(enum.Enum):
@@ -51,6 +53,20 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Introduction:
+    """
+    Where gateways that know no peer find one of a zone.
+
+    ``revision`` is the one of the source that it was written at; zero where
+    the source holds none yet.
+    """
+
+    zone: ids.ZoneName
+    peer_address: ids.Address
+    revision: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """
@@ -63,6 +79,7 @@
     configuration: routing.Configuration | None
     upstream_by_id: dict[ids.UpstreamId, ListedUpstream]
     bad: tuple[BadItem, ...] = ()
+    introductions: tuple[Introduction, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +91,7 @@
     listed: tuple[ListedUpstream, ...] = ()
     gone: tuple[ids.UpstreamId, ...] = ()
     bad: tuple[BadItem, ...] = ()
+    introductions: tuple[Introduction, ...] = ()
 
 
 class Source(typing.Protocol):
@@ -85,6 +103,9 @@
     async def follow(self, after: int, wait_s: float) -> Changes | SourceFault:
         """Return what changed after a revision, at the latest in ``wait_s``."""
 
+    async def introduce(self, introduction: Introduction) -> SourceFault | None:
+        """Write one in place of that of its ``revision``, if it is still there."""
+
     async def close(self) -> None:
         """Drop all connections."""
 
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -82,6 +82,7 @@
         #: Told the revision of the source after a change was taken from it.
         self.on_change: ChangeListener = _nothing
         self.source_revision = 0
+        self.introduction_by_zone: dict[ids.ZoneName, sources.Introduction] = {}
 
     @property
     def ready(self) -> bool:
@@ -131,6 +132,7 @@
     def apply_snapshot(self, snapshot: sources.Snapshot) -> None:
         """Take in everything the source holds."""
         self._report_bad(snapshot.bad)
+        self._meet(snapshot.introductions)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration)
         self.listing.replace(snapshot.upstream_by_id.values(), self.clock.now())
@@ -146,6 +148,7 @@
     def apply_changes(self, changes: sources.Changes) -> None:
         """Take in what has changed in the source."""
         self._report_bad(changes.bad)
+        self._meet(changes.introductions)
         now = self.clock.now()
         if changes.configuration is not None:
             self.apply_configuration(changes.configuration)
@@ -206,6 +209,10 @@
         }[self.phase]
         self.gossip.become(status, self.version)
 
+    def _meet(self, introductions: abc.Iterable[sources.Introduction]) -> None:
+        for introduction in introductions:
+            self.introduction_by_zone[introduction.zone] = introduction
+
     def _listed(self) -> None:
         self.listed_once = True
         self._refresh_upstreams()
