--- a/features/platform.feature
+++ b/features/platform.feature
@@ -74,6 +74,10 @@
     And 20 requests GET "/read/x" are sent
     Then all of them get status 200 with their own target
 
+  Scenario: A resting connection is closed after the time of the configuration in force
+    When the operator lets connections rest for 1 second in version 9
+    Then a new connection that rests is closed, but not before that time
+
   Scenario: The route's time ends with a final answer, and the worker is let go
     Given all workers are "hang"
     When a client sends POST "/brief/x" as "slow"
--- a/features/steps/platform_connections.py
+++ b/features/steps/platform_connections.py
@@ -1,11 +1,12 @@
 """Steps on single connections between a gateway, its callers and its workers."""
 
 import asyncio
+import time
 import typing
 
 import behave
 
-from features.support import platform_context
+from features.support import platform_context, platform_fleet
 from spindlenotch import ids, ports, upstream_http
 from spindlenotch_platform import speech
 
@@ -55,3 +56,41 @@
     for answer in context.answers:
         assert not isinstance(answer, ports.UpstreamFault), context.answers
         assert answer.status == 200
+
+
+@behave.when(
+    "the operator lets connections rest for {idle_s:d} second in version {version:d}"
+)
+def lets_rest(context: typing.Any, idle_s: int, version: int) -> None:
+    fleet = fleet_of(context)
+    routes = [platform_fleet.route("new", "/new/")]
+    config = platform_fleet.configuration(version, routes, ("core",))
+    config["limits"]["idleTimeoutS"] = idle_s
+    fleet.store.put("op/config", config)
+    context.idle_s = idle_s
+
+    async def in_force() -> bool:
+        return (await fleet.send("node-1", "/new/x", "probe"))[0] == 200
+
+    run(context, fleet.until(in_force))
+
+
+@behave.then("a new connection that rests is closed, but not before that time")
+def rests(context: typing.Any) -> None:
+    fleet = fleet_of(context)
+
+    async def rest() -> float:
+        ip, port = fleet.ip_by_node["node-1"], fleet.port_by_name["front"]
+        reader, writer = await asyncio.open_connection(ip, port)
+        writer.write(
+            f"GET /new/x HTTP/1.1\r\nHost: {platform_fleet.HOST}\r\n"
+            f"{speech.REQUEST_ID}: rests\r\n\r\n".encode()
+        )
+        await reader.readuntil(b"/new/x")
+        rested_from = time.monotonic()
+        async with asyncio.timeout(platform_fleet.LIMIT_S):
+            assert await reader.read() == b""
+        writer.close()
+        return time.monotonic() - rested_from
+
+    assert run(context, rest()) >= context.idle_s
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -43,7 +43,8 @@
 #: Seconds that another zone counts: the way there and back, and by size.
 FAR_S = 0.002
 FAR_S_PER_BYTE = 2.5e-6
-KEEPALIVE_S = 75.0
+#: A resting connection is closed this long after the time that callers keep to.
+IDLE_MARGIN_S = 1.0
 BACKLOG = 1024
 #: Statuses that promise that a request has not run.
 PROMISES = frozenset({408, 421, 429, 503})
@@ -82,14 +83,7 @@
         self.in_flight = 0
         self.closing = False
         self._numbers = itertools.count()
-        self._server = web_server.Server(
-            self.handle,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_S,
-            max_line_size=64 * 1024,
-            max_field_size=64 * 1024,
-            access_log=None,
-        )
+        self._server_by_idle_s: dict[float, web_server.Server] = {}
         self._listener: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -97,7 +91,7 @@
         host, port = peer_link.split(self.state.config.listen)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._server, host, port, backlog=BACKLOG
+            self._protocol, host, port, backlog=BACKLOG
         )
 
     def stop_listening(self) -> None:
@@ -109,11 +103,32 @@
     async def stop(self, limit_s: float) -> None:
         """Close all connections when their requests are answered."""
         self.stop_listening()
-        for connection in self._server.connections:
-            # ``shutdown`` alone leaves those that rest open until its limit,
-            # and what is sent over them without an answer.
-            connection.close()
-        await self._server.shutdown(limit_s)
+        servers = list(self._server_by_idle_s.values())
+        for server in servers:
+            for connection in server.connections:
+                # ``shutdown`` alone leaves those that rest open until its limit,
+                # and what is sent over them without an answer.
+                connection.close()
+        await asyncio.gather(*(server.shutdown(limit_s) for server in servers))
+
+    def _protocol(self) -> asyncio.BaseProtocol:
+        """Return the protocol of a new connection, by the limits in force."""
+        table = self.state.table
+        limits = routing.Limits() if table is None else table.configuration.limits
+        idle_s = limits.idle_timeout_s
+        for other_s, other in list(self._server_by_idle_s.items()):
+            if other_s != idle_s and not other.connections:
+                del self._server_by_idle_s[other_s]
+        if idle_s not in self._server_by_idle_s:
+            self._server_by_idle_s[idle_s] = web_server.Server(
+                self.handle,
+                handler_cancellation=True,
+                keepalive_timeout=idle_s + IDLE_MARGIN_S,
+                max_line_size=64 * 1024,
+                max_field_size=64 * 1024,
+                access_log=None,
+            )
+        return self._server_by_idle_s[idle_s]()
 
     async def handle(
         self, request: web_request.BaseRequest
