--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -10,6 +10,8 @@
       | the fleet's extra sends keep to share and reserve          |
       | an upstream without room or leaving is never chosen        |
       | a slowed upstream is passed over while another has room    |
+      | a call waits while only slowed upstreams have room         |
+      | a call goes to a slowed upstream where all are slowed      |
       | only what is known not to have run is sent again           |
       | no call is sent to more upstreams than it may be           |
       | a call that waits too long for room is refused             |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -186,6 +186,41 @@
         assert grant.upstream.spec.id == "u1"
 
 
+def slow_down(made: balancer.Balancer, name: str) -> None:
+    """Let an upstream say that work takes seven times as long there."""
+    upstream = made.pool.upstream_by_id[ids.UpstreamId(name)]
+    made.pool.reported(upstream, upstreams.LoadReport(0, 0, 7.0), NOW)
+
+
+@kernel.PROPERTIES.register("a call waits while only slowed upstreams have room")
+def waits_for_sound() -> None:
+    made = paced([4, 1])
+    slow_down(made, "u0")
+    until = ids.later(NOW, 0.1)
+    first, second, third = (
+        dataclasses.replace(kernel.call(number), wait_until=until)
+        for number in range(3)
+    )
+    grant = made.offer(first, NOW)
+    assert isinstance(grant, balancer.Grant)
+    assert isinstance(made.offer(second, NOW), balancer.Waiting)
+    assert isinstance(made.offer(third, NOW), balancer.Waiting)
+    soon = ids.later(NOW, 0.02)
+    (settled,) = made.finish(grant, upstreams.Result.ANSWERED, None, soon)
+    assert settled.call is second
+    assert isinstance(settled.verdict, balancer.Grant)
+    assert settled.verdict.upstream.spec.id == "u1"
+
+
+@kernel.PROPERTIES.register("a call goes to a slowed upstream where all are slowed")
+def all_slowed() -> None:
+    made = paced([1, 1])
+    slow_down(made, "u0")
+    slow_down(made, "u1")
+    call = dataclasses.replace(kernel.call(0), wait_until=ids.later(NOW, 0.1))
+    assert isinstance(made.offer(call, NOW), balancer.Grant)
+
+
 @kernel.PROPERTIES.register("only what is known not to have run is sent again")
 def sent_again() -> None:
     for repeatable in (True, False):
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -40,8 +40,9 @@
 #: Where a request does not say how long its caller waits.
 PATIENCE_UNKNOWN_S = 60.0
 LEAST_RETRY_AFTER_S = 0.05
-#: Seconds that another zone counts: the way there and back, and by size.
-FAR_S = 0.002
+#: Seconds that another zone counts: the way there and back, by size, and that
+#: what others send there is known less well.
+FAR_S = 0.008
 FAR_S_PER_BYTE = 2.5e-6
 #: A resting connection is closed this long after the time that callers keep to.
 IDLE_MARGIN_S = 1.0
--- a/spindlenotch/selection_paced.py
+++ b/spindlenotch/selection_paced.py
@@ -4,7 +4,9 @@
 Neighbours can slow an upstream several times over for half a second. Where
 upstreams say so, the expected end of a request at each of them is worked out
 from that, their queue and their distance, and the soonest one is taken. An
-upstream without room gets nothing: calls wait in the entry, by rank.
+upstream without room gets nothing: calls wait in the entry, by rank. They wait
+as well while only slowed upstreams have room but others may get some: work that
+has begun at a slowed one is late, and holds its slot for many times as long.
 """
 
 from spindlenotch import ids, pool as pools, selection, upstreams, waiting
@@ -27,6 +29,8 @@
 LEAST_SLOWNESS = 0.7
 #: Costs this close to the least, as a share, are taken for equal.
 NEAR = 0.08
+#: An upstream that works this many times slower than usual just now is slowed.
+SLOWED_PACE = 2.5
 #: Upstreams compared for one call; more than that are sampled.
 MOST_COMPARED = 64
 
@@ -51,6 +55,8 @@
             options = selection.sample(pool, MOST_COMPARED, now, exclude)
         else:
             options = selection.eligible(pool, now, exclude)
+        if now < call.wait_until:
+            options = worth_waiting_for(options, now)
         usual_s = pool.usual_of(call.operation)
         cost_by_id: dict[ids.UpstreamId, float] = {}
         for upstream in options:
@@ -78,6 +84,14 @@
         """Take in what an upstream said of its queue."""
 
 
+def worth_waiting_for(
+    options: list[upstreams.Upstream], now: ids.Instant
+) -> list[upstreams.Upstream]:
+    """Return those that are not slowed, or all where all are."""
+    sound = [one for one in options if one.pace(now) <= SLOWED_PACE]
+    return sound or options
+
+
 def has_room(upstream: upstreams.Upstream, running: float) -> bool:
     """Tell whether one more request would start there at once."""
     return running + 1 <= upstream.slots + ROOM_MARGIN
