--- /dev/null
+++ b/features/steps/gateway_entries.py
@@ -0,0 +1,90 @@
+"""Properties of which gateways callers are sent to."""
+
+import math
+import typing
+
+import hypothesis
+from hypothesis import strategies
+
+from features.steps import kernel
+from spindlenotch import gossip, ids
+from spindlenotch.gateway import demand as demands, entry_choice
+
+ZONES = kernel.ZONES
+STRONG = entry_choice.capacity_of(2.0, 200.0)
+WEAK = entry_choice.capacity_of(0.5, 10.0)
+capacities = strategies.sampled_from([STRONG, WEAK, gossip.NO_WORK])
+works = strategies.builds(
+    gossip.Work, strategies.floats(0, 5_000), strategies.floats(0, 1e8)
+)
+
+
+def candidate(number: int, capacity: gossip.Work) -> entry_choice.Candidate:
+    """Return a gateway; the zones take turns."""
+    zone = ZONES[number % len(ZONES)]
+    return entry_choice.Candidate(ids.HostId(f"g{number}"), zone, capacity)
+
+
+@kernel.PROPERTIES.register("callers are sent to the strongest gateways of each zone")
+def strongest() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.lists(capacities, min_size=1, max_size=20),
+        strategies.integers(1, 3),
+        strategies.randoms(use_true_random=False),
+    )
+    def check(given: list[gossip.Work], least: int, order: typing.Any) -> None:
+        found = [candidate(n, capacity) for n, capacity in enumerate(given)]
+        chosen = entry_choice.choose(found, gossip.NO_WORK, least)
+        for zone in ZONES:
+            of_zone = [c for c in found if c.zone == zone]
+            taken = [c for c in chosen if c.zone == zone]
+            assert len(taken) == min(least, len(of_zone))
+            weakest = min((c.capacity.requests_per_s for c in taken), default=0.0)
+            for one in of_zone:
+                assert one in taken or one.capacity.requests_per_s <= weakest
+        order.shuffle(found)
+        again = entry_choice.choose(found, gossip.NO_WORK, least)
+        assert {c.host for c in again} == {c.host for c in chosen}
+
+    check()
+
+
+@kernel.PROPERTIES.register("more gateways step in where the weakest is overloaded")
+def step_in() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(strategies.lists(capacities, min_size=1, max_size=20), works)
+    def check(given: list[gossip.Work], demand: gossip.Work) -> None:
+        found = [candidate(n, capacity) for n, capacity in enumerate(given)]
+        chosen = entry_choice.choose(found, demand, 1)
+        least = entry_choice.choose(found, gossip.NO_WORK, 1)
+        assert {c.host for c in least} <= {c.host for c in chosen}
+        if len(chosen) > len(least):
+            assert entry_choice._load(least, demand) > 1.0
+            assert entry_choice._load(chosen, demand) < entry_choice._load(
+                least, demand
+            )
+
+    check()
+    weak = [candidate(n, WEAK) for n in range(30)]
+    demand = gossip.Work(0.0, 6 * WEAK.bytes_per_s)
+    assert len(entry_choice.choose(weak, demand, 1)) == 6
+    strong = [*weak, candidate(30, STRONG)]
+    assert candidate(30, STRONG) in entry_choice.choose(strong, demand, 1)
+
+
+@kernel.PROPERTIES.register("what callers ask rises at once and falls late")
+def rises_and_falls() -> None:
+    meter = demands.DemandMeter()
+    now = kernel.NOW
+    meter.news(now)
+    for _ in range(100):
+        meter.count(1_000)
+    now = ids.later(now, demands.SPAN_S)
+    assert meter.news(now)
+    assert meter.told == gossip.Work(100.0, 100_000.0)
+    for _ in range(demands.SPANS_KEPT - 1):
+        now = ids.later(now, demands.SPAN_S)
+        assert not meter.news(now)
+    assert meter.news(ids.later(now, demands.SPAN_S))
+    assert math.isclose(meter.told.requests_per_s, 0.0)
--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -18,11 +18,8 @@
     peer_codec_msgpack,
     peer_link,
     peer_seal,
-    rendezvous,
 )
-from spindlenotch.gateway import state as states
-
-DUTY = "entries"
+from spindlenotch.gateway import entry_choice, state as states
 
 
 class Fleet:
@@ -73,24 +70,26 @@
 
     def members(self) -> list[ownership.Member]:
         """Return the gateways that are believed to serve, this one included."""
-        return [
-            ownership.Member(zone, host) for host, (zone, _) in self._usable().items()
-        ]
+        return [ownership.Member(one.zone, one.host) for one in self._usable_news()]
 
     def entries(self) -> dict[ids.HostId, ids.Address]:
         """Return the gateways that callers are sent to."""
-        address_by_host = self._usable()
-        return {host: address_by_host[host][1] for host in self.entry_zones()}
+        address_by_host = {one.host: one.address for one in self._usable_news()}
+        return {host: address_by_host[host] for host in self.entry_zones()}
 
     def entry_zones(self) -> dict[ids.HostId, ids.ZoneName]:
         """Return the zones of the gateways that callers are sent to."""
-        members = self.members()
-        count = self.state.config.entries_per_zone
-        return {
-            host: zone
-            for zone in sorted({member.zone for member in members})
-            for host in rendezvous.chosen(members, zone, DUTY, count)
-        }
+        news = self._usable_news()
+        candidates = [
+            entry_choice.Candidate(one.host, one.zone, one.capacity) for one in news
+        ]
+        demand = gossip.Work(
+            sum(one.demand.requests_per_s for one in news),
+            sum(one.demand.bytes_per_s for one in news),
+        )
+        least = self.state.config.entries_per_zone
+        chosen = entry_choice.choose(candidates, demand, least)
+        return {one.host: one.zone for one in chosen}
 
     def standing_by(self) -> dict[ids.ZoneName, list[ids.HostId]]:
         """
@@ -116,18 +115,17 @@
             one.peer_address for one in introductions if one.peer_address not in met
         ]
 
-    def _usable(self) -> dict[ids.HostId, tuple[ids.ZoneName, ids.Address]]:
+    def _usable_news(self) -> list[gossip.MemberNews]:
+        """Return the news of the gateways that are believed to serve."""
         state = self.state
-        found = {
-            host: (known.news.zone, known.news.address)
-            for host, known in state.gossip.known_by_host.items()
+        found = [
+            known.news
+            for known in state.gossip.known_by_host.values()
             if known.news.status is gossip.Status.READY
             and not known.missed
             and not known.suspected
-        }
-        if state.ready:
-            found[state.config.host] = (state.config.zone, state.config.listen)
-        return found
+        ]
+        return [*found, state.gossip.me] if state.ready else found
 
     def _on_gossip(self, message: gossip.Message) -> None:
         taken = self.state.gossip.take(message, self.state.clock.now())
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -138,6 +138,7 @@
         self.in_flight += 1
         try:
             response = await self._serve(request)
+            self.state.demand.count(_bodies_length(request, response))
             if self.state.phase is states.Phase.LEAVING and not response.prepared:
                 response.force_close()
             return response
@@ -421,6 +422,12 @@
     return label
 
 
+def _bodies_length(
+    request: web_request.BaseRequest, response: web_response.StreamResponse
+) -> int:
+    return (request.content_length or 0) + (response.content_length or 0)
+
+
 async def _pieces(
     request: web_request.BaseRequest, first: list[bytes]
 ) -> abc.AsyncIterator[bytes]:
--- a/spindlenotch/gateway/prober.py
+++ b/spindlenotch/gateway/prober.py
@@ -8,12 +8,18 @@
 """
 
 import asyncio
+import collections
+import math
 
 from spindlenotch import balancer, gossip, ids, ownership, ports, rendezvous, upstreams
 from spindlenotch.gateway import fleet as fleets, state as states
 
 PROBE_TIMEOUT_S = 0.3
 IDLE_S = 0.25
+#: So many upstreams are worth a prober of their own: each one tells its zone's
+#: entries many times a second, which must not grow with the fleet.
+UPSTREAMS_PER_PROBER = 6
+DUTY = "probes"
 #: How often what was heard is passed on to the other entries.
 TELL_S = 0.04
 #: Reports older than this are not passed on.
@@ -132,7 +138,7 @@
     def _match_tasks(self) -> None:
         wanted: dict[ids.UpstreamId, tuple[balancer.Balancer, upstreams.Upstream]] = {}
         if self.state.config.probes_per_s > 0 and self.state.ready:
-            probers = self.fleet.standing_by()
+            probers = self._probers()
             for service in self.state.balancer_by_service.values():
                 for upstream in service.pool.usable_order:
                     if self._is_mine(upstream, probers):
@@ -146,6 +152,23 @@
                 work = self._probe(service, upstream, period_s)
                 self._task_by_id[upstream_id] = asyncio.ensure_future(work)
 
+    def _probers(self) -> dict[ids.ZoneName, list[ids.HostId]]:
+        """Return who probes in each zone: as many as its upstreams are worth."""
+        count_by_zone = collections.Counter(
+            upstream.spec.zone
+            for service in self.state.balancer_by_service.values()
+            for upstream in service.pool.usable_order
+        )
+        return {
+            zone: rendezvous.chosen(
+                [ownership.Member(zone, host) for host in hosts],
+                zone,
+                DUTY,
+                math.ceil(max(1, count_by_zone[zone]) / UPSTREAMS_PER_PROBER),
+            )
+            for zone, hosts in self.fleet.standing_by().items()
+        }
+
     def _is_mine(
         self,
         upstream: upstreams.Upstream,
--- a/spindlenotch/gateway/settings.py
+++ b/spindlenotch/gateway/settings.py
@@ -70,7 +70,14 @@
         "entries_per_zone",
         settings.whole(1, 64),
         "1",
-        "gateways in each zone that callers are sent to",
+        "gateways in each zone that callers are sent to, more under load",
+    ),
+    Setting("cores", settings.number(0.01, 1000), "1", "processor cores of this host"),
+    Setting(
+        "link_mbps",
+        settings.number(0.01, 1e6),
+        "1000",
+        "this host's link, in Mbit/s one way",
     ),
     Setting("seed", settings.whole(0, 2**53), "0", "random seed; 0: from the system"),
 )
@@ -99,6 +106,8 @@
     extra_window_s: float
     probes_per_s: float
     entries_per_zone: int
+    cores: float
+    link_mbps: float
     seed: int
 
 
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -24,7 +24,14 @@
     selection_paced,
     upstreams,
 )
-from spindlenotch.gateway import listing, routing, settings, sources
+from spindlenotch.gateway import (
+    demand as demands,
+    entry_choice,
+    listing,
+    routing,
+    settings,
+    sources,
+)
 
 POLICY = selection_paced.NAME
 #: What a request is taken to need before any was measured, as a share of the
@@ -78,6 +85,7 @@
         self.balancer_by_service: dict[ids.ServiceName, balancer.Balancer] = {}
         self.me = ownership.Member(config.zone, config.host)
         self.gossip = gossip.Gossip(self._news(), self.rng, TEMPO)
+        self.demand = demands.DemandMeter()
         self.listed_once = False
         #: Told the revision of the source after a change was taken from it.
         self.on_change: ChangeListener = _nothing
@@ -178,6 +186,8 @@
                 self.on_change(self.source_revision, swept=True)
         for service in self.balancer_by_service.values():
             service.pool.tick(now)
+        if self.demand.news(now):
+            self.gossip.ask_of_me(self.demand.told)
         self._report_changes()
 
     def take_settings(self, config: settings.GatewaySettings) -> None:
@@ -275,6 +285,7 @@
             0,
             gossip.Status.STARTING,
             0,
+            entry_choice.capacity_of(self.config.cores, self.config.link_mbps),
         )
 
 
--- a/spindlenotch/gossip.py
+++ b/spindlenotch/gossip.py
@@ -69,9 +69,24 @@
     LEAVING = 2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """An amount of callers' work; bytes are those of bodies, one way."""
+
+    requests_per_s: float
+    bytes_per_s: float
+
+
+NO_WORK = Work(0.0, 0.0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberNews:
-    """What is said of one entry. Higher (epoch, heartbeat) is newer."""
+    """
+    What is said of one entry. Higher (epoch, heartbeat) is newer.
+
+    ``capacity`` is what its host can carry, ``demand`` what callers ask of it.
+    """
 
     host: ids.HostId
     zone: ids.ZoneName
@@ -82,6 +97,8 @@
     heartbeat: int
     status: Status
     bundle_version: int
+    capacity: Work = NO_WORK
+    demand: Work = NO_WORK
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -216,6 +233,12 @@
             heartbeat=self.me.heartbeat + 1,
         )
 
+    def ask_of_me(self, demand: Work) -> None:
+        """Change what callers are said to ask of this entry."""
+        self.me = dataclasses.replace(
+            self.me, demand=demand, heartbeat=self.me.heartbeat + 1
+        )
+
     def have(self, news: DocumentNews) -> None:
         """Note which document is in force here."""
         short = ids.Digest(news.digest[:DIGEST_DIGITS])
@@ -349,7 +372,7 @@
         known.news = news
         known.heard_at = now
         changed = news.incarnation != old.incarnation or news.status is not old.status
-        if changed:
+        if changed or news.demand != old.demand:
             self._spread(news.host)
         return changed
 
--- a/spindlenotch/peer.capnp
+++ b/spindlenotch/peer.capnp
@@ -2,6 +2,11 @@
 # Messages between entries. Every frame and datagram carries one of these,
 # followed by an authentication code (see peer_codec.py).
 
+struct Work {
+  requestsPerS @0 :Float64;
+  bytesPerS @1 :Float64;
+}
+
 struct MemberNews {
   host @0 :Text;
   zone @1 :Text;
@@ -12,6 +17,8 @@
   heartbeat @6 :UInt64;
   status @7 :UInt8;
   bundleVersion @8 :UInt64;
+  capacity @9 :Work;
+  demand @10 :Work;
 }
 
 struct DocumentNews {
--- a/spindlenotch/peer_codec.py
+++ b/spindlenotch/peer_codec.py
@@ -121,6 +121,13 @@
     slot.heartbeat = member.heartbeat
     slot.status = member.status.value
     slot.bundleVersion = member.bundle_version
+    _write_work(slot.capacity, member.capacity)
+    _write_work(slot.demand, member.demand)
+
+
+def _write_work(slot: typing.Any, work: gossip.Work) -> None:
+    slot.requestsPerS = work.requests_per_s
+    slot.bytesPerS = work.bytes_per_s
 
 
 def _read_gossip(wire: typing.Any) -> gossip.Message:
@@ -159,9 +166,15 @@
         wire.heartbeat,
         gossip.Status(wire.status),
         wire.bundleVersion,
+        _read_work(wire.capacity),
+        _read_work(wire.demand),
     )
 
 
+def _read_work(wire: typing.Any) -> gossip.Work:
+    return gossip.Work(wire.requestsPerS, wire.bytesPerS)
+
+
 def _read_news(wire: typing.Any) -> gossip.DocumentNews:
     return gossip.DocumentNews(
         documents.DocumentKind(wire.kind), wire.version, ids.Digest(_text(wire.digest))
--- a/spindlenotch/rendezvous.py
+++ b/spindlenotch/rendezvous.py
@@ -28,10 +28,11 @@
     given out here must be harmless then.
     """
     hosts = [m.host for m in members if m.zone == zone]
-    scored = sorted(hosts, key=lambda h: _score(duty, h), reverse=True)
+    scored = sorted(hosts, key=lambda h: score(duty, h), reverse=True)
     return scored[:count]
 
 
 @functools.lru_cache(SCORES_KEPT)
-def _score(duty: str, host: ids.HostId) -> tuple[int, str]:
+def score(duty: str, host: ids.HostId) -> tuple[int, str]:
+    """Return the rank of a host for a duty; the highest takes it on."""
     return random.Random(f"{duty}/{host}").getrandbits(64), host
