--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -20,6 +20,9 @@
       | callers are sent to the strongest gateways of each zone    |
       | more gateways step in where the weakest is overloaded      |
       | what callers ask rises at once and falls late              |
+      | one that starts gives a peer time to spare it the reading  |
+      | a fleet that starts has one reader a zone                  |
+      | only who reads the source passes news on at once           |
       | a probed upstream has one prober with equal views          |
       | hostile bytes of gateways are refused and bounded          |
       | peer messages come out as they went in                     |
--- /dev/null
+++ b/features/steps/gateway_reading.py
@@ -0,0 +1,94 @@
+"""Properties of who reads the source, and of what gateways pass on."""
+
+import asyncio
+import dataclasses
+
+from features.steps import kernel
+from spindlenotch import clock, documents, gossip, ids
+from spindlenotch.gateway import fleet as fleets, relay, settings, state as states
+
+ME = "127.0.0.1:9001"
+SEED = "127.0.0.1:9002"
+ZONE = "a"
+
+
+def gateway(seeds: str) -> tuple[states.GatewayState, relay.Relay]:
+    """Return a gateway that has just started, and its relay."""
+    given = {
+        "host": "me",
+        "zone": ZONE,
+        "peer_listen": ME,
+        "peers": seeds,
+        "source": "http://127.0.0.1:1",
+        "source_driver": "platform",
+        "peer_keys": "0123456789abcdef",
+        "seed": "1",
+    }
+    config = settings.read(given, {})
+    assert isinstance(config, settings.GatewaySettings), config
+    state = states.GatewayState(config, clock.ManualClock())
+    return state, relay.Relay(state, fleets.Fleet(state))
+
+
+def peer(state: states.GatewayState, name: str, status: gossip.Status) -> None:
+    """Let the gateway hear of a peer of its zone."""
+    news = dataclasses.replace(
+        state.gossip.me,
+        host=ids.HostId(name),
+        peer_address=ids.Address(SEED),
+        status=status,
+    )
+    state.gossip.take(gossip.Message(news, 1), state.clock.now())
+
+
+@kernel.PROPERTIES.register("one that starts gives a peer time to spare it the reading")
+def spared() -> None:
+    state, passing = gateway(SEED)
+    assert not passing.must_read()
+    assert isinstance(state.clock, clock.ManualClock)
+    state.clock.advance(relay.FIRST_PEER_S + 0.01)
+    assert passing.must_read()
+    for seeds in (f"{ME},{SEED}", ""):
+        _, alone = gateway(seeds)
+        assert alone.must_read()
+
+
+@kernel.PROPERTIES.register("a fleet that starts has one reader a zone")
+def starting() -> None:
+    state, passing = gateway(SEED)
+    assert isinstance(state.clock, clock.ManualClock)
+    state.clock.advance(relay.FIRST_PEER_S + 0.01)
+    for number in range(9):
+        peer(state, f"p{number}", gossip.Status.STARTING)
+    readers = state.gossip.known_by_host.keys() | {state.config.host}
+    chosen = passing._reading_host()
+    assert chosen in readers
+    if chosen != state.config.host:
+        passing.heard_reader_at = state.clock.now()
+        assert not passing.must_read()
+    peer(state, "ready", gossip.Status.READY)
+    assert passing._reading_host() == "ready"
+
+
+@kernel.PROPERTIES.register("only who reads the source passes news on at once")
+def eager() -> None:
+    for reads in (True, False):
+        state, passing = gateway(SEED)
+        peer(state, "p", gossip.Status.READY)
+        told: list[ids.Address] = []
+        passing.fleet.link.tell = lambda message, targets, told=told: told.extend(  # type: ignore[method-assign,misc]
+            targets
+        )
+        state.reads_source = reads
+        news = documents.Document(
+            documents.DocumentKind.HOSTS, 7, ids.Digest(""), b"[]"
+        )
+
+        async def offer(
+            passing: relay.Relay = passing, news: documents.Document = news
+        ) -> None:
+            passing._offer(news)
+            await asyncio.gather(*passing._tasks)
+
+        asyncio.run(offer())
+        assert (ids.Address(SEED) in told) is reads
--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -49,8 +49,10 @@
         await self.link.stop()
 
     async def run(self) -> None:
-        """Ask peers in turn until cancelled."""
+        """Ask peers in turn until cancelled, all those in the settings first."""
         state = self.state
+        others = [a for a in state.config.peers if a != state.config.peer_listen]
+        self.link.tell(state.gossip.compose(wants_reply=True), others)
         while True:
             targets = state.gossip.targets(state.config.peers, state.clock.now())
             targets += self._introduced_strangers(targets)
@@ -91,6 +93,18 @@
         chosen = entry_choice.choose(candidates, demand, least)
         return {one.host: one.zone for one in chosen}
 
+    def readers_by_zone(self) -> dict[ids.ZoneName, list[ids.HostId]]:
+        """
+        Return who may read the source for its zone.
+
+        Those that stand by; where none is ready yet, those that are starting,
+        since a fleet that starts is not ready before somebody has read.
+        """
+        starting: dict[ids.ZoneName, list[ids.HostId]] = {}
+        for one in self._news_of(gossip.Status.STARTING):
+            starting.setdefault(one.zone, []).append(one.host)
+        return {**starting, **self.standing_by()}
+
     def standing_by(self) -> dict[ids.ZoneName, list[ids.HostId]]:
         """
         Return who takes on a zone's other duties: those that callers are not
@@ -117,15 +131,17 @@
 
     def _usable_news(self) -> list[gossip.MemberNews]:
         """Return the news of the gateways that are believed to serve."""
+        return self._news_of(gossip.Status.READY)
+
+    def _news_of(self, status: gossip.Status) -> list[gossip.MemberNews]:
+        """Return the news of the gateways that are believed to be in ``status``."""
         state = self.state
         found = [
             known.news
             for known in state.gossip.known_by_host.values()
-            if known.news.status is gossip.Status.READY
-            and not known.missed
-            and not known.suspected
+            if known.news.status is status and not known.missed and not known.suspected
         ]
-        return [*found, state.gossip.me] if state.ready else found
+        return [*found, state.gossip.me] if state.gossip.me.status is status else found
 
     def _on_gossip(self, message: gossip.Message) -> None:
         taken = self.state.gossip.take(message, self.state.clock.now())
--- a/spindlenotch/gateway/follower.py
+++ b/spindlenotch/gateway/follower.py
@@ -13,7 +13,9 @@
 from spindlenotch.gateway import sources, state as states
 
 #: Longest wait of one call; also bounds how long a lost answer goes unseen.
-WAIT_S = 1.2
+WAIT_S = 2.4
+#: Changes that come within this time of each other are fetched by one call.
+GATHER_S = 0.1
 #: How often a gateway that does not read looks whether it must.
 OFF_DUTY_S = 0.1
 BACKOFF_LEAST_S = 0.15
@@ -76,7 +78,8 @@
         if isinstance(changes, sources.SourceFault):
             return changes
         self.revision = max(self.revision, changes.revision)
-        self.state.apply_changes(changes)
+        if self.state.apply_changes(changes):
+            await asyncio.sleep(GATHER_S)
         return None
 
     def _note(self, *, lost: bool, reason: str) -> None:
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -33,6 +33,9 @@
 #: heard nothing for the second time.
 ASK_S = 0.3
 READER_LOST_S = 0.8
+#: A gateway that starts waits this long for a peer that has read already, so
+#: that a fleet that starts together does not read as often as it has members.
+FIRST_PEER_S = 0.4
 #: News is passed on at once, and so many times again.
 EAGER_ROUNDS = 2
 EAGER_PAUSE_S = 0.1
@@ -52,6 +55,7 @@
         self.fleet = fleet
         self.fence = documents.Fence()
         self.heard_reader_at = ids.Instant(float("-inf"))
+        self.started_at = state.clock.now()
         self._pulling: set[documents.DocumentKind] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         fleet.on_message = self._on_message
@@ -60,11 +64,20 @@
 
     def must_read(self) -> bool:
         """Tell whether this gateway has to read the source itself."""
+        if self._awaits_first_peer():
+            return False
         reader = self._reader()
         if reader is None:
             return True
         return self.state.clock.now() - self.heard_reader_at > READER_LOST_S
 
+    def _awaits_first_peer(self) -> bool:
+        """Tell whether a peer may yet spare this one's first reading."""
+        config = self.state.config
+        if not config.peers or config.peer_listen in config.peers:
+            return False
+        return self.state.clock.now() - self.started_at < FIRST_PEER_S
+
     def is_reader(self) -> bool:
         """Tell whether reading for its zone is this gateway's duty."""
         return self._reading_host() == self.state.config.host
@@ -109,7 +122,7 @@
     def _reading_host(self) -> ids.HostId | None:
         """Return who should read for this zone; one that stands by, if any."""
         zone = self.state.config.zone
-        hosts = self.fleet.standing_by().get(zone, [])
+        hosts = self.fleet.readers_by_zone().get(zone, [])
         members = [ownership.Member(zone, host) for host in hosts]
         return next(iter(rendezvous.chosen(members, zone, DUTY, 1)), None)
 
@@ -129,12 +142,18 @@
         self._spawn(self._spread())
 
     async def _spread(self) -> None:
-        """Tell those who follow this gateway, and a few others."""
+        """
+        Tell those who follow this gateway, and a few others.
+
+        Only readers do: followers would send as many messages again for each
+        member of the fleet.
+        """
+        state = self.state
         for _ in range(EAGER_ROUNDS):
-            state = self.state
+            if not state.reads_source:
+                return
             targets = set(state.gossip.random_targets(gossip.FANOUT))
-            if self.state.reads_source:
-                targets.update(self._zone_addresses())
+            targets.update(self._zone_addresses())
             self.fleet.link.tell(state.gossip.compose(), sorted(targets))
             await asyncio.sleep(EAGER_PAUSE_S)
 
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -153,8 +153,8 @@
         self.listing.replace_by_peer(listed, self.clock.now())
         self._listed()
 
-    def apply_changes(self, changes: sources.Changes) -> None:
-        """Take in what has changed in the source."""
+    def apply_changes(self, changes: sources.Changes) -> bool:
+        """Take in what has changed in the source; tell whether anything had."""
         self._report_bad(changes.bad)
         self._meet(changes.introductions)
         now = self.clock.now()
@@ -164,9 +164,11 @@
             self.listing.add(changes.listed, now)
             self.listing.remove(changes.gone, now)
             self._listed()
-        if changes.configuration is not None or changes.listed or changes.gone:
-            self.source_revision = changes.revision
-            self.on_change(changes.revision)
+        if changes.configuration is None and not changes.listed and not changes.gone:
+            return False
+        self.source_revision = changes.revision
+        self.on_change(changes.revision)
+        return True
 
     def leave_upstream(
         self, service: ids.ServiceName, spec: upstreams.UpstreamSpec, reason: str
--- a/spindlenotch/peer_codec_msgpack.py
+++ b/spindlenotch/peer_codec_msgpack.py
@@ -22,7 +22,7 @@
 
 class MsgpackCodec:
     """
-    Writes each message as one MessagePack map, frames compressed.
+    Writes each message as one MessagePack map, compressed.
 
     Invariant: what is decoded has at most as many parts as a sender may put
     into one message.
@@ -30,12 +30,15 @@
 
     def encode_gossip(self, message: gossip.Message) -> bytes:
         """Return the wire form of a gossip message."""
-        return msgspec.msgpack.encode(message)
+        return zlib.compress(msgspec.msgpack.encode(message), 1)
 
     def decode_gossip(self, payload: bytes) -> gossip.Message | peer_seal.CodecFault:
         """Read the wire form of a gossip message."""
+        body = _inflate(payload)
+        if isinstance(body, peer_seal.CodecFault):
+            return body
         try:
-            message = _gossip_decoder.decode(payload)
+            message = _gossip_decoder.decode(body)
         except (msgspec.MsgspecError, ValueError, RecursionError):
             return peer_seal.CodecFault.GARBLED
         crowded = (
@@ -54,14 +57,25 @@
         self, payload: bytes
     ) -> peer_seal.DocumentFrame | peer_seal.CodecFault:
         """Read the wire form of a document frame."""
+        body = _inflate(payload)
+        if isinstance(body, peer_seal.CodecFault):
+            return body
         try:
-            stream = zlib.decompressobj()
-            body = stream.decompress(payload, peer_seal.MAX_FRAME)
-            if stream.unconsumed_tail or not stream.eof:
-                return peer_seal.CodecFault.TOO_LONG
             return _frame_decoder.decode(body)
-        except (msgspec.MsgspecError, ValueError, RecursionError, zlib.error):
+        except (msgspec.MsgspecError, ValueError, RecursionError):
             return peer_seal.CodecFault.GARBLED
 
 
+def _inflate(payload: bytes) -> bytes | peer_seal.CodecFault:
+    """Decompress a message of bounded size."""
+    try:
+        stream = zlib.decompressobj()
+        body = stream.decompress(payload, peer_seal.MAX_FRAME)
+    except zlib.error:
+        return peer_seal.CodecFault.GARBLED
+    if stream.unconsumed_tail or not stream.eof:
+        return peer_seal.CodecFault.TOO_LONG
+    return body
+
+
 MSGPACK: peer_seal.Codec = MsgpackCodec()
