--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -17,6 +17,7 @@
       | a call that waits too long for room is refused             |
       | entries that lapse with the store are kept for a while     |
       | entries that leave a sound store are dropped at once       |
+      | the last slots stay empty where filling them slows work    |
       | callers are sent to the strongest gateways of each zone    |
       | more gateways step in where the weakest is overloaded      |
       | what callers ask rises at once and falls late              |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -14,6 +14,7 @@
 from spindlenotch import (
     balancer,
     budgets,
+    crowding,
     events,
     gossip,
     ids,
@@ -221,6 +222,38 @@
     assert isinstance(made.offer(call, NOW), balancer.Grant)
 
 
+@kernel.PROPERTIES.register("the last slots stay empty where filling them slows work")
+def crowded() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.sampled_from([0.9, 1.0, 1.2, 1.7]),
+        strategies.integers(1, 200),
+        strategies.integers(2, 12),
+    )
+    def check(slowdown: float, samples: int, slots: int) -> None:
+        found = crowding.Crowding()
+        for number in range(samples):
+            times = 0.9 + 0.2 * (number % 2)
+            found.add(slots, 1.0, 1.0, 1.0, times)
+            found.add(slots, slots, slots, 1.0, slowdown * times)
+            # A slowed upstream's time says nothing of that, nor a queue's.
+            found.add(slots, slots, slots, 7.0, 7.0)
+            found.add(slots, slots + 2.0, slots, 1.0, 7.0)
+        known = samples >= crowding.LEAST_SAMPLES
+        limited = known and slowdown >= 1.2
+        below = max(1, int(crowding.NEARLY_FULL * slots))
+        assert found.usable(slots) == (below if limited else slots)
+
+    check()
+    made = paced([3, 3])
+    for _ in range(crowding.LEAST_SAMPLES):
+        made.pool.crowding.add(3, 1.0, 1.0, 1.0, 1.0)
+        made.pool.crowding.add(3, 3.0, 3.0, 1.0, 1.5)
+    for number in range(6):
+        made.offer(kernel.call(number), NOW)
+    assert [u.outstanding for u in made.pool.usable_order] == [2, 2]
+
+
 @kernel.PROPERTIES.register("only what is known not to have run is sent again")
 def sent_again() -> None:
     for repeatable in (True, False):
--- a/spindlenotch/balancer.py
+++ b/spindlenotch/balancer.py
@@ -53,7 +53,8 @@
     Leave to send a call to one upstream now.
 
     ``pace`` is how many times as long as usual work was believed to take
-    there when it was granted.
+    there when it was granted, ``filled`` how many requests it was believed to
+    have then, this one included.
     """
 
     call: waiting.Call
@@ -61,6 +62,7 @@
     kind: Kind
     sent_at: ids.Instant
     pace: float = 1.0
+    filled: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -164,6 +166,8 @@
         upstream = grant.upstream
         usual = self.pool.usual_of(grant.call.operation)
         if report is not None:
+            if result is upstreams.Result.ANSWERED:
+                self._note_crowding(grant, report, (now - grant.sent_at) / usual)
             self.pool.reported(upstream, report, now)
             self.policy.reported(self.pool, upstream, report.queued)
         pace = (grant.pace + upstream.pace(now)) / 2
@@ -173,6 +177,17 @@
         self.pool.note(upstream, grant.call.operation, result, took, now)
         return self.settle(now)
 
+    def _note_crowding(
+        self, grant: Grant, report: upstreams.LoadReport, times: float
+    ) -> None:
+        self.pool.crowding.add(
+            grant.upstream.slots,
+            grant.filled,
+            report.running + report.queued + 1,
+            max(grant.pace, report.pace),
+            times,
+        )
+
     def forget(self, call_id: ids.CallId) -> None:
         """Drop what was kept to place further tries of a call."""
         self.tried_by_call.pop(call_id, None)
@@ -321,6 +336,7 @@
         if choice is None:
             return None
         upstream = choice.upstream
+        filled = self.pool.believed(upstream, now) + 1
         self.tried_by_call.setdefault(call.id, set()).add(upstream.spec.id)
         upstream.sent(call.id, now)
         paces = upstream.pace(now)
@@ -335,7 +351,7 @@
                 choice.candidates,
             )
         )
-        return Grant(call, upstream, kind, now, paces)
+        return Grant(call, upstream, kind, now, paces, filled)
 
     def _enqueue(
         self, call: waiting.Call, now: ids.Instant
--- a/spindlenotch/pool.py
+++ b/spindlenotch/pool.py
@@ -11,7 +11,7 @@
 import random
 from collections import abc
 
-from spindlenotch import bundle, ids, latency, ownership, schedule, upstreams
+from spindlenotch import bundle, crowding, ids, latency, ownership, schedule, upstreams
 
 #: Beliefs about others' requests fade over this many usual request times.
 BELIEF_FADES_AFTER = 2.0
@@ -77,6 +77,7 @@
         self.changes: collections.deque[Change] = collections.deque(maxlen=CHANGES_KEPT)
         self.owned_total = 0.0
         self.failing = latency.Mean(0.0, 0.05)
+        self.crowding = crowding.Crowding()
         usual = service.typical_ms / 1000
         self.usual_by_operation = {
             o.name: latency.Mean(usual, 0.05) for o in service.operations
--- a/spindlenotch/selection_paced.py
+++ b/spindlenotch/selection_paced.py
@@ -9,7 +9,7 @@
 has begun at a slowed one is late, and holds its slot for many times as long.
 """
 
-from spindlenotch import ids, pool as pools, selection, upstreams, waiting
+from spindlenotch import crowding, ids, pool as pools, selection, upstreams, waiting
 
 NAME = "paced"
 #: How far the estimate of an upstream's requests may lie above its slots for it
@@ -61,7 +61,7 @@
         cost_by_id: dict[ids.UpstreamId, float] = {}
         for upstream in options:
             running = pool.believed(upstream, now)
-            if has_room(upstream, running):
+            if has_room(upstream, running, pool.crowding):
                 cost = expected_s(pool, call, upstream, running, usual_s, now)
                 cost_by_id[upstream.spec.id] = cost
         if not cost_by_id:
@@ -92,9 +92,11 @@
     return sound or options
 
 
-def has_room(upstream: upstreams.Upstream, running: float) -> bool:
-    """Tell whether one more request would start there at once."""
-    return running + 1 <= upstream.slots + ROOM_MARGIN
+def has_room(
+    upstream: upstreams.Upstream, running: float, crowded: crowding.Crowding
+) -> bool:
+    """Tell whether one more request would start there at once, and is worth it."""
+    return running + 1 <= crowded.usable(upstream.slots) + ROOM_MARGIN
 
 
 def expected_s(
