--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -10,6 +10,7 @@
       | the fleet's extra sends keep to share and reserve          |
       | an upstream without room or leaving is never chosen        |
       | a slowed upstream is passed over while another has room    |
+      | an upstream that nobody has tried yet gets its share       |
       | a call waits while only slowed upstreams have room         |
       | a call goes to a slowed upstream where all are slowed      |
       | only what is known not to have run is sent again           |
@@ -30,4 +31,5 @@
       | bad documents of the platform are named                    |
       | all mistakes in the gateway's settings are told at once    |
       | a load header is read whatever it holds                    |
+      | a story has a bounded length whatever the logs hold        |
       | a full pipe drops lines and says how many                  |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -187,6 +187,27 @@
         assert grant.upstream.spec.id == "u1"
 
 
+@kernel.PROPERTIES.register("an upstream that nobody has tried yet gets its share")
+def newcomer() -> None:
+    made = paced([4, 4, 4])
+    now = NOW
+    # Answers come in a fifth of the time that was expected.
+    took_s = made.pool.usual_s.value / 5
+    for number in range(60):
+        if number == 30:
+            spec = upstreams.UpstreamSpec(
+                ids.UpstreamId("new"), ZONE, ids.Address(""), 1, 4
+            )
+            known = [u.spec for u in made.pool.upstream_by_id.values()]
+            made.pool.set_listed([*known, spec], now)
+        grant = made.offer(kernel.call(number), now)
+        assert isinstance(grant, balancer.Grant)
+        now = ids.later(now, took_s)
+        made.finish(grant, upstreams.Result.ANSWERED, None, now)
+    answers = {u.spec.id: u.answers for u in made.pool.usable_order}
+    assert min(answers.values()) >= 3, answers
+
+
 def slow_down(made: balancer.Balancer, name: str) -> None:
     """Let an upstream say that work takes seven times as long there."""
     upstream = made.pool.upstream_by_id[ids.UpstreamId(name)]
--- a/spindlenotch/balancer.py
+++ b/spindlenotch/balancer.py
@@ -172,6 +172,9 @@
             self.policy.reported(self.pool, upstream, report.queued)
         pace = (grant.pace + upstream.pace(now)) / 2
         upstream.ended(grant.call.id, result, usual * pace, now)
+        if result is upstreams.Result.ANSWERED:
+            times = (now - grant.sent_at) / (usual * pace)
+            self.pool.slowness.add(min(upstreams.MOST_SLOWNESS, times))
         self.pool.under_way -= 1
         took = now - grant.sent_at
         self.pool.note(upstream, grant.call.operation, result, took, now)
--- a/spindlenotch/pool.py
+++ b/spindlenotch/pool.py
@@ -77,6 +77,8 @@
         self.changes: collections.deque[Change] = collections.deque(maxlen=CHANGES_KEPT)
         self.owned_total = 0.0
         self.failing = latency.Mean(0.0, 0.05)
+        #: The mean of all upstreams' slowness, by answers.
+        self.slowness = latency.Mean(1.0, 0.02)
         self.crowding = crowding.Crowding()
         usual = service.typical_ms / 1000
         self.usual_by_operation = {
--- a/spindlenotch/selection_paced.py
+++ b/spindlenotch/selection_paced.py
@@ -27,6 +27,8 @@
 SILENT_COST = 0.3
 #: Least and most that the ratio of observed to expected times counts.
 LEAST_SLOWNESS = 0.7
+#: With so many answers its own slowness counts as much as that of all.
+ANSWERS_TRUSTED = 10.0
 #: Costs this close to the least, as a share, are taken for equal.
 NEAR = 0.08
 #: An upstream that works this many times slower than usual just now is slowed.
@@ -99,6 +101,18 @@
     return running + 1 <= crowded.usable(upstream.slots) + ROOM_MARGIN
 
 
+def believed_slowness(pool: pools.Pool, upstream: upstreams.Upstream) -> float:
+    """
+    Return how slow it is, judged by few answers as all are together.
+
+    One that has answered less than the others would otherwise be passed over
+    for the mere reason that nothing is known of it.
+    """
+    trust = upstream.answers / (upstream.answers + ANSWERS_TRUSTED)
+    usual = pool.slowness.value
+    return usual + trust * (upstream.slowness.value - usual)
+
+
 def expected_s(
     pool: pools.Pool,
     call: waiting.Call,
@@ -114,7 +128,7 @@
     """
     slots = upstream.slots
     work = usual_s * upstream.pace(now)
-    work *= max(LEAST_SLOWNESS, upstream.slowness.value)
+    work *= max(LEAST_SLOWNESS, believed_slowness(pool, upstream))
     if now < upstream.spec.cold_until:
         work *= COLD_FACTOR
     full = min(1.0, (running + 1) / slots)
--- a/spindlenotch/upstreams.py
+++ b/spindlenotch/upstreams.py
@@ -17,6 +17,8 @@
 EJECT_MAX_S = 30.0
 #: Weight of the newest sample in the estimate of an upstream's slowness.
 SLOWNESS_WEIGHT = 0.08
+#: One answer counts at most so many usual times.
+MOST_SLOWNESS = 20.0
 #: What an upstream said of its pace fades over this time, in seconds.
 PACE_FADES_S = 0.5
 #: An upstream that has this many answers behind it is no longer cold.
@@ -127,7 +129,7 @@
             self.answers += 1
             self.failures_in_row = 0
             self.ejections_in_row = 0
-            self.slowness.add(min(20.0, (now - sent_at) / usual_s))
+            self.slowness.add(min(MOST_SLOWNESS, (now - sent_at) / usual_s))
             if self.state is State.PROBATION:
                 self._become(State.ACTIVE, "answered on probation", ids.NEVER)
         elif result is not Result.SHED:
