--- a/features/platform.feature
+++ b/features/platform.feature
@@ -140,6 +140,20 @@
     Then that gateway and the others name each other to callers
     And each zone's place for newcomers was written at most 2 times
 
+  Scenario: A failed request is explained from the logs of all gateways
+    Given all workers are "lost"
+    When a client sends POST "/book/x" as "booking"
+    And a line that is no event lies in a gateway's log
+    Then explain tells of request "booking" that it failed by "connection-lost" at a worker
+    And explain names the line that it can't read
+    And explain tells of version "3" when it came
+    And explain says that nothing is told of request "nobody"
+
+  Scenario: A repeat is told in the logs with what decided it
+    Given one worker is "lost"
+    When 30 requests GET "/read/x" are sent
+    Then the logs tell of each repeat its request, worker and reason
+
   Scenario: The standard library's module "platform" is not hidden
     Then the started program finds the standard library's "platform"
 
--- a/spindlenotch/cli.py
+++ b/spindlenotch/cli.py
@@ -4,6 +4,7 @@
 
 import importlib
 import os
+import pathlib
 import sys
 from collections import abc
 
@@ -18,6 +19,7 @@
     cli_load,
     daemon,
     explain_client,
+    explain_logs,
     settings,
 )
 from spindlenotch.gateway import daemon as gateway_daemon, settings as gateway_settings
@@ -114,10 +116,18 @@
 
 @app.command(name="explain")
 def run_explain(
-    operator: str, *, service: str = "", call: str = "", json: bool = False
+    operator: str = "",
+    *,
+    service: str = "",
+    call: str = "",
+    json: bool = False,
+    logs: list[pathlib.Path] | None = None,
+    request: str = "",
+    upstream: str = "",
+    config: str = "",
 ) -> None:
     """
-    Say why an entry decides as it does.
+    Say why an entry decides as it does, or why a gateway did so.
 
     Parameters
     ----------
@@ -125,7 +135,14 @@
     service: Show who could take a request of this service now, and why.
     call: Show what was decided on this request id.
     json: Print JSON only.
+    logs: Files with log lines of gateways; repeat the flag for each file.
+    request: With --logs: tell the story of this request id.
+    upstream: With --logs: tell what was believed of this upstream.
+    config: With --logs: tell when this version of the configuration came.
     """
+    if logs:
+        _explain_logs(logs, request, upstream, config)
+        return
     if bool(service) == bool(call):
         print("give exactly one of --service and --call", file=sys.stderr)
         sys.exit(EXIT_USAGE)
@@ -141,6 +158,32 @@
         console.print(line, highlight=False, markup=False)
 
 
+def _explain_logs(
+    logs: list[pathlib.Path], request: str, upstream: str, config: str
+) -> None:
+    asked = [
+        explain_logs.Subject(field, value)
+        for field, value in (
+            ("request", request),
+            ("upstream", upstream),
+            ("version", config),
+        )
+        if value
+    ]
+    if len(asked) != 1:
+        print("give exactly one of --request, --upstream, --config", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    try:
+        story = explain_logs.tell(logs, asked[0])
+    except OSError as error:
+        print(f"--logs: {error.filename}: {error.strerror}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    for line in explain_logs.describe(story):
+        print(line)
+    if not story.lines:
+        sys.exit(EXIT_FAILED)
+
+
 @app.command(name="demo")
 def run_demo(*, seconds: float = 30.0, plain: bool = False) -> None:
     """
--- a/spindlenotch/data_path.py
+++ b/spindlenotch/data_path.py
@@ -29,6 +29,9 @@
 #: Taken off the deadline that is passed on, for the way back.
 WAY_BACK_S = 0.002
 FAILED_STATUS = 500
+#: Why a request was sent again where no fault of the connection was the cause.
+OVERDUE = "overdue"
+BAD_ANSWER = "bad-answer"
 
 _REASON_BY_FAULT = {
     ports.UpstreamFault.CONNECT_FAILED: outcomes.Reason.CONNECT_FAILED,
@@ -287,8 +290,29 @@
         task = asyncio.ensure_future(self.path.port.send(request))
         self.grant_by_task[task] = grant
         if grant.kind is not balancer.Kind.FIRST:
-            service = self.job.service.service.name
-            self.path.state.metrics.extra_sends.labels(service, grant.kind.value).inc()
+            self._note_extra(grant, request.request_id)
+
+    def _note_extra(self, grant: balancer.Grant, request_id: str) -> None:
+        service = self.job.service
+        kind = grant.kind.value
+        self.path.state.metrics.extra_sends.labels(service.service.name, kind).inc()
+        reason = self.reason.value
+        if grant.kind is balancer.Kind.HEDGE:
+            reason = OVERDUE
+        elif self.reason is outcomes.Reason.NO_UPSTREAM:
+            # Nothing failed on the way: the answer itself was bad.
+            reason = BAD_ANSWER
+        events.emit(
+            events.Event.REQUEST_SENT_AGAIN,
+            request=request_id,
+            service=service.service.name,
+            upstream=grant.upstream.spec.id,
+            kind=kind,
+            reason=reason,
+            pace=round(grant.pace, 2),
+            told_s_ago=round(grant.sent_at - grant.upstream.report_at, 3),
+            extra_left=round(service.retries.balance, 1),
+        )
 
     def _request(self, grant: balancer.Grant) -> ports.UpstreamRequest:
         job = self.job
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -120,6 +120,15 @@
     LINES_DROPPED = Entry(
         603, "WARNING", "log lines were dropped", "read the pipe faster"
     )
+    REQUEST_SERVED = Entry(
+        604,
+        "INFO",
+        "a request was answered (a sample, the same ids everywhere)",
+        "none",
+    )
+    REQUEST_SENT_AGAIN = Entry(
+        605, "INFO", "a request was sent to a further upstream", "see its reason"
+    )
     ID_TABLE_FULL = Entry(
         501,
         "WARNING",
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import itertools
+import zlib
 from collections import abc
 
 import multidict
@@ -50,6 +51,8 @@
 #: Statuses that promise that a request has not run.
 PROMISES = frozenset({408, 421, 429, 503})
 FAILED_STATUS = 500
+#: One in so many answered requests is logged, chosen by its id.
+SERVED_SAMPLE = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -241,6 +244,7 @@
                 status=whole.status,
                 reason="the upstream's own answer",
             )
+        self._note_served(request, job, exchange)
         return web_response.Response(
             status=whole.status,
             headers=multidict.CIMultiDict(whole.headers),
@@ -275,12 +279,37 @@
                     break
                 await response.write(piece)
             await response.write_eof()
+            self._note_served(request, exchange.job, exchange)
         except TimeoutError:
             raise BrokenAnswerError from None
         finally:
             exchange.end(upstreams.Result.CANCELLED)
         return response
 
+    def _note_served(
+        self,
+        request: web_request.BaseRequest,
+        job: data_path.Job,
+        exchange: data_path.Exchange,
+    ) -> None:
+        request_id = request.headers.get(self.dialect.request_id, "")
+        if zlib.crc32(request_id.encode()) % SERVED_SAMPLE:
+            return
+        grant = exchange.grant
+        events.emit(
+            events.Event.REQUEST_SERVED,
+            request=request_id,
+            route=job.call.operation,
+            service=job.service.service.name,
+            upstream=grant.upstream.spec.id,
+            kind=grant.kind.value,
+            status=exchange.answer.status,
+            pace=round(grant.pace, 2),
+            waited_s=round(grant.sent_at - job.call.arrived_at, 4),
+            took_s=round(self.state.clock.now() - job.call.arrived_at, 4),
+            version=self.state.version,
+        )
+
     def _job(
         self,
         request: web_request.BaseRequest,
@@ -374,6 +403,8 @@
             service=job.service.service.name,
             reason=refusal.reason.value,
             waiting=len(job.service.queue),
+            usable=len(job.service.pool.usable_order),
+            version=self.state.version,
             retry_after_s=round(wait_s, 3),
         )
         return _refused(refusal.reason, wait_s)
@@ -392,6 +423,8 @@
             service=job.service.service.name,
             status=status,
             reason=reason.value,
+            after_s=round(self.state.clock.now() - job.call.arrived_at, 4),
+            version=self.state.version,
         )
         return web_response.Response(status=status, text=f"{reason.value}\n")
 
