--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -21,6 +21,10 @@
 )
 from spindlenotch.gateway import entry_choice, state as states
 
+#: A gateway that starts asks the peers of its settings so often, so far apart.
+GREETINGS = 8
+GREETING_PAUSE_S = 0.05
+
 
 class Fleet:
     """Runs the gossip of one gateway and answers who is where."""
@@ -51,8 +55,7 @@
     async def run(self) -> None:
         """Ask peers in turn until cancelled, all those in the settings first."""
         state = self.state
-        others = [a for a in state.config.peers if a != state.config.peer_listen]
-        self.link.tell(state.gossip.compose(wants_reply=True), others)
+        await self._greet()
         while True:
             targets = state.gossip.targets(state.config.peers, state.clock.now())
             targets += self._introduced_strangers(targets)
@@ -62,6 +65,20 @@
             period = state.gossip.tempo.period_s
             await asyncio.sleep(period * state.rng.uniform(0.9, 1.1))
 
+    async def _greet(self) -> None:
+        """
+        Ask the peers of the settings until one has answered, for a short time.
+
+        Where all hosts start together, they may be up a moment later.
+        """
+        state = self.state
+        others = [a for a in state.config.peers if a != state.config.peer_listen]
+        for _ in range(GREETINGS):
+            if state.gossip.known_by_host or not others:
+                return
+            self.link.tell(state.gossip.compose(wants_reply=True), others)
+            await asyncio.sleep(GREETING_PAUSE_S)
+
     def announce(self) -> None:
         """Tell every known peer at once what changed here."""
         everyone = [
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -35,7 +35,7 @@
 READER_LOST_S = 0.8
 #: A gateway that starts waits this long for a peer that has read already, so
 #: that a fleet that starts together does not read as often as it has members.
-FIRST_PEER_S = 0.4
+FIRST_PEER_S = 0.2
 #: News is passed on at once, and so many times again.
 EAGER_ROUNDS = 2
 EAGER_PAUSE_S = 0.1
