--- a/features/steps/gateway_entries.py
+++ b/features/steps/gateway_entries.py
@@ -7,19 +7,19 @@
 from hypothesis import strategies
 
 from features.steps import kernel
-from spindlenotch import gossip, ids
+from spindlenotch import ids, workload
 from spindlenotch.gateway import demand as demands, entry_choice
 
 ZONES = kernel.ZONES
 STRONG = entry_choice.capacity_of(2.0, 200.0)
 WEAK = entry_choice.capacity_of(0.5, 10.0)
-capacities = strategies.sampled_from([STRONG, WEAK, gossip.NO_WORK])
+capacities = strategies.sampled_from([STRONG, WEAK, workload.NO_WORK])
 works = strategies.builds(
-    gossip.Work, strategies.floats(0, 5_000), strategies.floats(0, 1e8)
+    workload.Work, strategies.floats(0, 5_000), strategies.floats(0, 1e8)
 )
 
 
-def candidate(number: int, capacity: gossip.Work) -> entry_choice.Candidate:
+def candidate(number: int, capacity: workload.Work) -> entry_choice.Candidate:
     """Return a gateway; the zones take turns."""
     zone = ZONES[number % len(ZONES)]
     return entry_choice.Candidate(ids.HostId(f"g{number}"), zone, capacity)
@@ -33,9 +33,9 @@
         strategies.integers(1, 3),
         strategies.randoms(use_true_random=False),
     )
-    def check(given: list[gossip.Work], least: int, order: typing.Any) -> None:
+    def check(given: list[workload.Work], least: int, order: typing.Any) -> None:
         found = [candidate(n, capacity) for n, capacity in enumerate(given)]
-        chosen = entry_choice.choose(found, gossip.NO_WORK, least)
+        chosen = entry_choice.choose(found, workload.NO_WORK, least)
         for zone in ZONES:
             of_zone = [c for c in found if c.zone == zone]
             taken = [c for c in chosen if c.zone == zone]
@@ -44,7 +44,7 @@
             for one in of_zone:
                 assert one in taken or one.capacity.requests_per_s <= weakest
         order.shuffle(found)
-        again = entry_choice.choose(found, gossip.NO_WORK, least)
+        again = entry_choice.choose(found, workload.NO_WORK, least)
         assert {c.host for c in again} == {c.host for c in chosen}
 
     check()
@@ -54,10 +54,10 @@
 def step_in() -> None:
     @kernel.SETTINGS
     @hypothesis.given(strategies.lists(capacities, min_size=1, max_size=20), works)
-    def check(given: list[gossip.Work], demand: gossip.Work) -> None:
+    def check(given: list[workload.Work], demand: workload.Work) -> None:
         found = [candidate(n, capacity) for n, capacity in enumerate(given)]
         chosen = entry_choice.choose(found, demand, 1)
-        least = entry_choice.choose(found, gossip.NO_WORK, 1)
+        least = entry_choice.choose(found, workload.NO_WORK, 1)
         assert {c.host for c in least} <= {c.host for c in chosen}
         if len(chosen) > len(least):
             assert entry_choice._load(least, demand) > 1.0
@@ -67,7 +67,7 @@
 
     check()
     weak = [candidate(n, WEAK) for n in range(30)]
-    demand = gossip.Work(0.0, 6 * WEAK.bytes_per_s)
+    demand = workload.Work(0.0, 6 * WEAK.bytes_per_s)
     assert len(entry_choice.choose(weak, demand, 1)) == 6
     strong = [*weak, candidate(30, STRONG)]
     assert candidate(30, STRONG) in entry_choice.choose(strong, demand, 1)
@@ -82,7 +82,7 @@
         meter.count(1_000)
     now = ids.later(now, demands.SPAN_S)
     assert meter.news(now)
-    assert meter.told == gossip.Work(100.0, 100_000.0)
+    assert meter.told == workload.Work(100.0, 100_000.0)
     for _ in range(demands.SPANS_KEPT - 1):
         now = ids.later(now, demands.SPAN_S)
         assert not meter.news(now)
--- /dev/null
+++ b/features/steps/gateway_policy.py
@@ -0,0 +1,186 @@
+"""Properties of where a gateway sends a call, and when it waits."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from features.steps import kernel
+from spindlenotch import (
+    balancer,
+    budgets,
+    crowding,
+    ids,
+    selection_paced,
+    upstreams,
+)
+
+NOW = kernel.NOW
+ZONE = kernel.ZONES[0]
+
+
+def paced(slots: list[int]) -> balancer.Balancer:
+    """Return a balancer by the policy of the gateway."""
+    made = kernel.loaded(1, 0, selection_paced.NAME)
+    specs = [
+        upstreams.UpstreamSpec(ids.UpstreamId(f"u{n}"), ZONE, ids.Address(""), 1, count)
+        for n, count in enumerate(slots)
+    ]
+    made.pool.set_listed(specs, NOW)
+    made.retries = made.hedges = budgets.SlidingShareBudget(0.0, 1000, 10.0)
+    return made
+
+
+@kernel.PROPERTIES.register("an upstream without room or leaving is never chosen")
+def room() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.lists(strategies.integers(1, 4), min_size=1, max_size=5),
+        strategies.integers(1, 40),
+    )
+    def check(slots: list[int], calls: int) -> None:
+        made = paced(slots)
+        made.pool.leave(ids.UpstreamId("u0"), 1, "leaving")
+        for number in range(calls):
+            made.offer(kernel.call(number), NOW)
+        for name, upstream in made.pool.upstream_by_id.items():
+            most = 0 if name == "u0" else upstream.slots
+            assert upstream.outstanding <= most
+
+    check()
+
+
+@kernel.PROPERTIES.register("a slowed upstream is passed over while another has room")
+def slowed() -> None:
+    made = paced([4, 4])
+    slow = made.pool.upstream_by_id[ids.UpstreamId("u0")]
+    made.pool.reported(slow, upstreams.LoadReport(0, 0, 7.0), NOW)
+    for number in range(4):
+        grant = made.offer(kernel.call(number), NOW)
+        assert isinstance(grant, balancer.Grant)
+        assert grant.upstream.spec.id == "u1"
+
+
+@kernel.PROPERTIES.register("an upstream that nobody has tried yet gets its share")
+def newcomer() -> None:
+    made = paced([4, 4, 4])
+    now = NOW
+    # Answers come in a fifth of the time that was expected.
+    took_s = made.pool.usual_s.value / 5
+    for number in range(60):
+        if number == 30:
+            spec = upstreams.UpstreamSpec(
+                ids.UpstreamId("new"), ZONE, ids.Address(""), 1, 4
+            )
+            known = [u.spec for u in made.pool.upstream_by_id.values()]
+            made.pool.set_listed([*known, spec], now)
+        grant = made.offer(kernel.call(number), now)
+        assert isinstance(grant, balancer.Grant)
+        now = ids.later(now, took_s)
+        made.finish(grant, upstreams.Result.ANSWERED, None, now)
+    answers = {u.spec.id: u.answers for u in made.pool.usable_order}
+    assert min(answers.values()) >= 3, answers
+
+
+def slow_down(made: balancer.Balancer, name: str) -> None:
+    """Let an upstream say that work takes seven times as long there."""
+    upstream = made.pool.upstream_by_id[ids.UpstreamId(name)]
+    made.pool.reported(upstream, upstreams.LoadReport(0, 0, 7.0), NOW)
+
+
+@kernel.PROPERTIES.register("a call waits while only slowed upstreams have room")
+def waits_for_sound() -> None:
+    made = paced([4, 1])
+    slow_down(made, "u0")
+    until = ids.later(NOW, 0.1)
+    first, second, third = (
+        dataclasses.replace(kernel.call(number), wait_until=until)
+        for number in range(3)
+    )
+    grant = made.offer(first, NOW)
+    assert isinstance(grant, balancer.Grant)
+    assert isinstance(made.offer(second, NOW), balancer.Waiting)
+    assert isinstance(made.offer(third, NOW), balancer.Waiting)
+    soon = ids.later(NOW, 0.02)
+    (settled,) = made.finish(grant, upstreams.Result.ANSWERED, None, soon)
+    assert settled.call is second
+    assert isinstance(settled.verdict, balancer.Grant)
+    assert settled.verdict.upstream.spec.id == "u1"
+
+
+@kernel.PROPERTIES.register("a call goes to a slowed upstream where all are slowed")
+def all_slowed() -> None:
+    made = paced([1, 1])
+    slow_down(made, "u0")
+    slow_down(made, "u1")
+    call = dataclasses.replace(kernel.call(0), wait_until=ids.later(NOW, 0.1))
+    assert isinstance(made.offer(call, NOW), balancer.Grant)
+
+
+@kernel.PROPERTIES.register("the last slots stay empty where filling them slows work")
+def crowded() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.sampled_from([0.9, 1.0, 1.2, 1.7]),
+        strategies.integers(1, 200),
+        strategies.integers(2, 12),
+    )
+    def check(slowdown: float, samples: int, slots: int) -> None:
+        found = crowding.Crowding()
+        for number in range(samples):
+            times = 0.9 + 0.2 * (number % 2)
+            found.add(slots, 1.0, 1.0, 1.0, times)
+            found.add(slots, slots, slots, 1.0, slowdown * times)
+            # A slowed upstream's time says nothing of that, nor a queue's.
+            found.add(slots, slots, slots, 7.0, 7.0)
+            found.add(slots, slots + 2.0, slots, 1.0, 7.0)
+        known = samples >= crowding.LEAST_SAMPLES
+        limited = known and slowdown >= 1.2
+        below = max(1, int(crowding.NEARLY_FULL * slots))
+        assert found.usable(slots) == (below if limited else slots)
+
+    check()
+    made = paced([3, 3])
+    for _ in range(crowding.LEAST_SAMPLES):
+        made.pool.crowding.add(3, 1.0, 1.0, 1.0, 1.0)
+        made.pool.crowding.add(3, 3.0, 3.0, 1.0, 1.5)
+    for number in range(6):
+        made.offer(kernel.call(number), NOW)
+    assert [u.outstanding for u in made.pool.usable_order] == [2, 2]
+
+
+@kernel.PROPERTIES.register("only what is known not to have run is sent again")
+def sent_again() -> None:
+    for repeatable in (True, False):
+        for not_run in (True, False):
+            made = paced([4, 4])
+            call = dataclasses.replace(kernel.call(0), repeatable=repeatable)
+            grant = made.offer(call, NOW)
+            assert isinstance(grant, balancer.Grant)
+            retry = made.retry(grant, NOW, known_not_run=not_run)
+            assert (retry is not None) is (repeatable or not_run)
+
+
+@kernel.PROPERTIES.register("no call is sent to more upstreams than it may be")
+def most_tries() -> None:
+    made = paced([4, 4, 4])
+    call = dataclasses.replace(kernel.call(0), most_tries=2)
+    grant = made.offer(call, NOW)
+    assert isinstance(grant, balancer.Grant)
+    second = made.retry(grant, NOW, known_not_run=True)
+    assert second is not None
+    assert made.retry(second, NOW, known_not_run=True) is None
+    assert made.hedge(second, ids.later(NOW, 5.0)) is None
+
+
+@kernel.PROPERTIES.register("a call that waits too long for room is refused")
+def waits_too_long() -> None:
+    made = paced([1])
+    for number in range(2):
+        made.offer(kernel.call(number), NOW)
+    until = ids.later(NOW, 0.1)
+    call = dataclasses.replace(kernel.call(9), wait_until=until)
+    assert isinstance(made.offer(call, NOW), balancer.Waiting)
+    assert made.give_up(ids.later(NOW, 0.05)) == []
+    (settled,) = made.give_up(ids.later(NOW, 0.1))
+    assert settled.call is call
--- a/spindlenotch/gateway/demand.py
+++ b/spindlenotch/gateway/demand.py
@@ -7,7 +7,7 @@
 
 import collections
 
-from spindlenotch import gossip, ids
+from spindlenotch import ids, workload
 
 SPAN_S = 1.0
 SPANS_KEPT = 8
@@ -24,8 +24,8 @@
     """
 
     def __init__(self) -> None:
-        self.told = gossip.Work(0.0, 0.0)
-        self._spans: collections.deque[gossip.Work] = collections.deque(
+        self.told = workload.Work(0.0, 0.0)
+        self._spans: collections.deque[workload.Work] = collections.deque(
             maxlen=SPANS_KEPT
         )
         self._requests = 0
@@ -42,9 +42,9 @@
         if now < self._span_end:
             return False
         self._span_end = ids.later(now, SPAN_S)
-        self._spans.append(gossip.Work(self._requests / SPAN_S, self._bytes / SPAN_S))
+        self._spans.append(workload.Work(self._requests / SPAN_S, self._bytes / SPAN_S))
         self._requests = self._bytes = 0
-        busiest = gossip.Work(
+        busiest = workload.Work(
             max(span.requests_per_s for span in self._spans),
             max(span.bytes_per_s for span in self._spans),
         )
@@ -54,7 +54,7 @@
         return True
 
 
-def _differs(new: gossip.Work, old: gossip.Work) -> bool:
+def _differs(new: workload.Work, old: workload.Work) -> bool:
     pairs = (
         (new.requests_per_s, old.requests_per_s),
         (new.bytes_per_s, old.bytes_per_s),
--- a/spindlenotch/gateway/entry_choice.py
+++ b/spindlenotch/gateway/entry_choice.py
@@ -10,7 +10,7 @@
 import math
 from collections import abc
 
-from spindlenotch import gossip, ids, rendezvous
+from spindlenotch import ids, rendezvous, workload
 
 DUTY = "entries"
 #: How much of a host's processor and of its link callers' requests may take on
@@ -34,19 +34,19 @@
 
     host: ids.HostId
     zone: ids.ZoneName
-    capacity: gossip.Work
+    capacity: workload.Work
 
 
-def capacity_of(cores: float, link_mbps: float) -> gossip.Work:
+def capacity_of(cores: float, link_mbps: float) -> workload.Work:
     """Return what a host can carry for callers all the time."""
-    return gossip.Work(
+    return workload.Work(
         PROCESSOR_SHARE * REQUESTS_PER_CORE * cores,
         LINK_SHARE * BYTES_PER_MBIT * link_mbps,
     )
 
 
 def choose(
-    candidates: abc.Iterable[Candidate], demand: gossip.Work, least_per_zone: int
+    candidates: abc.Iterable[Candidate], demand: workload.Work, least_per_zone: int
 ) -> list[Candidate]:
     """
     Return the entries.
@@ -75,18 +75,18 @@
 
 def _strength(candidate: Candidate) -> tuple[int, tuple[int, str]]:
     """Order by capacity in steps, and by rendezvous hashing within a step."""
-    carried = 1.0 / _share(candidate, gossip.Work(1.0, BYTES_PER_REQUEST))
+    carried = 1.0 / _share(candidate, workload.Work(1.0, BYTES_PER_REQUEST))
     tier = math.floor(math.log(carried, TIER_FACTOR))
     return tier, rendezvous.score(DUTY, candidate.host)
 
 
-def _load(chosen: abc.Sequence[Candidate], demand: gossip.Work) -> float:
+def _load(chosen: abc.Sequence[Candidate], demand: workload.Work) -> float:
     """Return the load of the weakest, one being what it can carry."""
     shares = (_share(candidate, demand) for candidate in chosen)
     return max(shares, default=0.0) / max(1, len(chosen))
 
 
-def _share(candidate: Candidate, demand: gossip.Work) -> float:
+def _share(candidate: Candidate, demand: workload.Work) -> float:
     """Return how many such hosts the demand needs."""
     capacity = candidate.capacity
     return max(
--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -18,6 +18,7 @@
     peer_codec_msgpack,
     peer_link,
     peer_seal,
+    workload,
 )
 from spindlenotch.gateway import entry_choice, state as states
 
@@ -102,7 +103,7 @@
         candidates = [
             entry_choice.Candidate(one.host, one.zone, one.capacity) for one in news
         ]
-        demand = gossip.Work(
+        demand = workload.Work(
             sum(one.demand.requests_per_s for one in news),
             sum(one.demand.bytes_per_s for one in news),
         )
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -9,7 +9,6 @@
 import asyncio
 import dataclasses
 import itertools
-import zlib
 from collections import abc
 
 import multidict
@@ -18,7 +17,6 @@
 from spindlenotch import (
     balancer,
     data_path,
-    events,
     headers,
     ids,
     outcomes,
@@ -27,7 +25,12 @@
     upstreams,
     waiting,
 )
-from spindlenotch.gateway import dialect as dialects, routing, state as states
+from spindlenotch.gateway import (
+    dialect as dialects,
+    request_log,
+    routing,
+    state as states,
+)
 
 #: Bodies up to this size are read whole, so that they can be sent again.
 WHOLE_BODY = 1024 * 1024
@@ -51,8 +54,9 @@
 #: Statuses that promise that a request has not run.
 PROMISES = frozenset({408, 421, 429, 503})
 FAILED_STATUS = 500
-#: One in so many answered requests is logged, chosen by its id.
-SERVED_SAMPLE = 64
+#: Final answers of our own that promise nothing.
+UNKNOWN_STATUS = 502
+LATE_STATUS = 504
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +88,7 @@
         self.state = state
         self.path = path
         self.dialect = dialect
+        self.log = request_log.RequestLog(state)
         self.in_flight = 0
         self.closing = False
         self._numbers = itertools.count()
@@ -175,7 +180,9 @@
             async with asyncio.timeout_at(self._loop_time(job.call.deadline)):
                 answer = await self._answer(request, job)
         except TimeoutError:
-            return self._failed(request, job, 504, outcomes.Reason.DEADLINE_PASSED)
+            return self._failed(
+                request, job, LATE_STATUS, outcomes.Reason.DEADLINE_PASSED
+            )
         except BrokenAnswerError:
             if request.transport is not None:
                 request.transport.abort()
@@ -234,17 +241,10 @@
         if whole.status in PROMISES:
             # The upstream did not say that it has not run, and would have.
             return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
-        self._count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
+        self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
         if whole.status >= FAILED_STATUS:
-            events.emit(
-                events.Event.REQUEST_FAILED,
-                request=request.headers.get(self.dialect.request_id, ""),
-                service=job.service.service.name,
-                upstream=exchange.grant.upstream.spec.id,
-                status=whole.status,
-                reason="the upstream's own answer",
-            )
-        self._note_served(request, job, exchange)
+            self.log.failed_upstream(self._id(request), job, exchange)
+        self.log.served(self._id(request), job, exchange)
         return web_response.Response(
             status=whole.status,
             headers=multidict.CIMultiDict(whole.headers),
@@ -279,36 +279,42 @@
                     break
                 await response.write(piece)
             await response.write_eof()
-            self._note_served(request, exchange.job, exchange)
+            self.log.count(exchange.job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
+            self.log.served(self._id(request), exchange.job, exchange)
         except TimeoutError:
             raise BrokenAnswerError from None
         finally:
             exchange.end(upstreams.Result.CANCELLED)
         return response
 
-    def _note_served(
+    def _id(self, request: web_request.BaseRequest) -> str:
+        return request.headers.get(self.dialect.request_id, "")
+
+    def _refuse(
         self,
         request: web_request.BaseRequest,
         job: data_path.Job,
-        exchange: data_path.Exchange,
-    ) -> None:
-        request_id = request.headers.get(self.dialect.request_id, "")
-        if zlib.crc32(request_id.encode()) % SERVED_SAMPLE:
-            return
-        grant = exchange.grant
-        events.emit(
-            events.Event.REQUEST_SERVED,
-            request=request_id,
-            route=job.call.operation,
-            service=job.service.service.name,
-            upstream=grant.upstream.spec.id,
-            kind=grant.kind.value,
-            status=exchange.answer.status,
-            pace=round(grant.pace, 2),
-            waited_s=round(grant.sent_at - job.call.arrived_at, 4),
-            took_s=round(self.state.clock.now() - job.call.arrived_at, 4),
-            version=self.state.version,
-        )
+        refusal: outcomes.Refusal,
+    ) -> web_response.Response:
+        if refusal.outcome is outcomes.Outcome.UNKNOWN:
+            late = refusal.reason is outcomes.Reason.DEADLINE_PASSED
+            status = LATE_STATUS if late else UNKNOWN_STATUS
+            return self._failed(request, job, status, refusal.reason)
+        wait_s = LEAST_RETRY_AFTER_S
+        if refusal.retry_at is not None:
+            wait_s = max(wait_s, refusal.retry_at - self.state.clock.now())
+        self.log.refused(self._id(request), job, refusal, wait_s)
+        return _refused(refusal.reason, wait_s)
+
+    def _failed(
+        self,
+        request: web_request.BaseRequest,
+        job: data_path.Job,
+        status: int,
+        reason: outcomes.Reason,
+    ) -> web_response.Response:
+        self.log.failed(self._id(request), job, status, reason)
+        return web_response.Response(status=status, text=f"{reason.value}\n")
 
     def _job(
         self,
@@ -384,58 +390,6 @@
         loop = asyncio.get_running_loop()
         return loop.time() + (instant - self.state.clock.now())
 
-    def _refuse(
-        self,
-        request: web_request.BaseRequest,
-        job: data_path.Job,
-        refusal: outcomes.Refusal,
-    ) -> web_response.Response:
-        if refusal.outcome is outcomes.Outcome.UNKNOWN:
-            late = refusal.reason is outcomes.Reason.DEADLINE_PASSED
-            return self._failed(request, job, 504 if late else 502, refusal.reason)
-        wait_s = LEAST_RETRY_AFTER_S
-        if refusal.retry_at is not None:
-            wait_s = max(wait_s, refusal.retry_at - self.state.clock.now())
-        self._count(job, refusal.outcome, refusal.reason)
-        events.emit(
-            events.Event.REQUEST_REFUSED,
-            request=request.headers.get(self.dialect.request_id, ""),
-            service=job.service.service.name,
-            reason=refusal.reason.value,
-            waiting=len(job.service.queue),
-            usable=len(job.service.pool.usable_order),
-            version=self.state.version,
-            retry_after_s=round(wait_s, 3),
-        )
-        return _refused(refusal.reason, wait_s)
-
-    def _failed(
-        self,
-        request: web_request.BaseRequest,
-        job: data_path.Job,
-        status: int,
-        reason: outcomes.Reason,
-    ) -> web_response.Response:
-        self._count(job, outcomes.Outcome.UNKNOWN, reason)
-        events.emit(
-            events.Event.REQUEST_FAILED,
-            request=request.headers.get(self.dialect.request_id, ""),
-            service=job.service.service.name,
-            status=status,
-            reason=reason.value,
-            after_s=round(self.state.clock.now() - job.call.arrived_at, 4),
-            version=self.state.version,
-        )
-        return web_response.Response(status=status, text=f"{reason.value}\n")
-
-    def _count(
-        self, job: data_path.Job, outcome: outcomes.Outcome, reason: outcomes.Reason
-    ) -> None:
-        service = job.service.service.name
-        self.state.metrics.requests.labels(service, outcome.value, reason.value).inc()
-        took = self.state.clock.now() - job.call.arrived_at
-        self.state.metrics.request_time.labels(service).observe(took)
-
 
 def labels(
     dialect: dialects.Dialect,
--- a/spindlenotch/gateway/prober.py
+++ b/spindlenotch/gateway/prober.py
@@ -11,7 +11,16 @@
 import collections
 import math
 
-from spindlenotch import balancer, gossip, ids, ownership, ports, rendezvous, upstreams
+from spindlenotch import (
+    balancer,
+    gossip,
+    ids,
+    ownership,
+    ports,
+    rendezvous,
+    upstreams,
+    workload,
+)
 from spindlenotch.gateway import fleet as fleets, state as states
 
 PROBE_TIMEOUT_S = 0.3
@@ -77,7 +86,7 @@
         now = self.state.clock.now()
         zone_by_host = self.fleet.entry_zones()
         targets = self._audience(zone_by_host)
-        news: list[gossip.LoadNews] = []
+        news: list[workload.LoadNews] = []
         for service in self.state.balancer_by_service.values():
             for upstream in service.pool.usable_order:
                 if self._speaks_for(upstream, zone_by_host):
@@ -117,7 +126,7 @@
 
     def _add_news(
         self,
-        news: list[gossip.LoadNews],
+        news: list[workload.LoadNews],
         upstream: upstreams.Upstream,
         now: ids.Instant,
     ) -> None:
@@ -130,7 +139,7 @@
         self._told_by_id[upstream_id] = upstream.report_at
         report = upstream.report
         news.append(
-            gossip.LoadNews(
+            workload.LoadNews(
                 upstream_id, report.running, report.queued, report.pace, age_s
             )
         )
--- a/spindlenotch/gossip.py
+++ b/spindlenotch/gossip.py
@@ -17,7 +17,7 @@
 import random
 from collections import abc
 
-from spindlenotch import documents, ids, ownership
+from spindlenotch import documents, ids, ownership, workload
 
 FANOUT = 3
 PERIOD_S = 1.0
@@ -69,17 +69,6 @@
     LEAVING = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Work:
-    """An amount of callers' work; bytes are those of bodies, one way."""
-
-    requests_per_s: float
-    bytes_per_s: float
-
-
-NO_WORK = Work(0.0, 0.0)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberNews:
     """
@@ -97,8 +86,8 @@
     heartbeat: int
     status: Status
     bundle_version: int
-    capacity: Work = NO_WORK
-    demand: Work = NO_WORK
+    capacity: workload.Work = workload.NO_WORK
+    demand: workload.Work = workload.NO_WORK
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,17 +117,6 @@
     heartbeat: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadNews:
-    """What an upstream said of its load, ``age_s`` before this was sent."""
-
-    upstream: ids.UpstreamId
-    running: int
-    queued: int
-    pace: float
-    age_s: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Message:
     """
@@ -158,7 +136,7 @@
     hungry: bool = False
     suspicions: tuple[Suspicion, ...] = ()
     reads_source: bool = False
-    loads: tuple[LoadNews, ...] = ()
+    loads: tuple[workload.LoadNews, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -233,7 +211,7 @@
             heartbeat=self.me.heartbeat + 1,
         )
 
-    def ask_of_me(self, demand: Work) -> None:
+    def ask_of_me(self, demand: workload.Work) -> None:
         """Change what callers are said to ask of this entry."""
         self.me = dataclasses.replace(
             self.me, demand=demand, heartbeat=self.me.heartbeat + 1
--- a/spindlenotch/peer_codec.py
+++ b/spindlenotch/peer_codec.py
@@ -11,7 +11,7 @@
 
 import capnp
 
-from spindlenotch import documents, gossip, ids, peer_seal
+from spindlenotch import documents, gossip, ids, peer_seal, workload
 
 TRAVERSAL_WORDS = peer_seal.MAX_FRAME
 NESTING = 8
@@ -125,7 +125,7 @@
     _write_work(slot.demand, member.demand)
 
 
-def _write_work(slot: typing.Any, work: gossip.Work) -> None:
+def _write_work(slot: typing.Any, work: workload.Work) -> None:
     slot.requestsPerS = work.requests_per_s
     slot.bytesPerS = work.bytes_per_s
 
@@ -171,8 +171,8 @@
     )
 
 
-def _read_work(wire: typing.Any) -> gossip.Work:
-    return gossip.Work(wire.requestsPerS, wire.bytesPerS)
+def _read_work(wire: typing.Any) -> workload.Work:
+    return workload.Work(wire.requestsPerS, wire.bytesPerS)
 
 
 def _read_news(wire: typing.Any) -> gossip.DocumentNews:
@@ -189,8 +189,8 @@
     )
 
 
-def _read_load(wire: typing.Any) -> gossip.LoadNews:
-    return gossip.LoadNews(
+def _read_load(wire: typing.Any) -> workload.LoadNews:
+    return workload.LoadNews(
         ids.UpstreamId(_text(wire.upstream)),
         wire.running,
         wire.queued,
