--- a/tools/play_days.py
+++ b/tools/play_days.py
@@ -6,29 +6,32 @@
 """
 
 import argparse
+import json
 import pathlib
-import re
 import subprocess
 import sys
+import tempfile
 
 DAYS = pathlib.Path("deploy/days")
-#: Lines of the bench that tell of a broken rule or a fault.
-BROKEN = re.compile(r"^(broken|fault|rule)\b", re.IGNORECASE)
-SUMMARY = "own/srv"
 
 
 def play(bench: str, site: str, day: pathlib.Path) -> tuple[str, bool]:
-    """Play one day; return the bench's summary line and whether it is clean."""
-    why = f"own day {day.stem}"
-    done = subprocess.run(
-        [bench, "run", site, str(day), "--why", why], capture_output=True, text=True
-    )
-    lines = done.stdout.splitlines()
-    at = next((n for n, line in enumerate(lines) if SUMMARY in line), None)
-    if at is None:
-        return (done.stdout + done.stderr).strip().splitlines()[-1], False
-    broken = [line for line in lines if BROKEN.match(line.strip())]
-    return "\n    ".join([lines[at + 1], *broken]), not broken
+    """Play one day; return what to print of it and whether it is clean."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = pathlib.Path(folder) / "report.json"
+        command = [bench, "run", site, str(day), "--why", f"own day {day.stem}"]
+        done = subprocess.run(
+            [*command, "--report", str(report)], capture_output=True, text=True
+        )
+        if not report.exists():
+            last = (done.stdout + done.stderr).strip().splitlines()[-1:]
+            return f"{day.stem}: not played: {last}", False
+        found = json.loads(report.read_text())
+    breaks, fault = found["breaks"], found["fault"]
+    text = f"{day.stem}: worth {found['G']}, served in aim {found['served']}"
+    if breaks or fault:
+        text += f", broken {breaks}, fault {fault}, first {found['first']}"
+    return text, not breaks and not fault
 
 
 def main() -> int:
