--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -150,7 +150,10 @@
     back = ids.later(NOW, 1.0)
     found.replace([listed("w0")], back)
     assert len(found.specs()[SERVICE]) == 6
-    found.sweep(ids.later(back, listing.LAPSED_KEPT_S + 0.1))
+    # Those that live are back about two seconds after the store is.
+    found.sweep(ids.later(back, 2.0))
+    assert len(found.specs()[SERVICE]) == 6
+    found.sweep(ids.later(back, 2.5))
     assert len(found.specs()[SERVICE]) == 1
 
 
--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -25,6 +25,9 @@
 #: A gateway that starts asks the peers of its settings so often, so far apart.
 GREETINGS = 8
 GREETING_PAUSE_S = 0.05
+#: The choice of entries is asked for many times a second and grows with the
+#: fleet; it stands for this long.
+ENTRIES_KEPT_S = 0.05
 
 
 class Fleet:
@@ -32,6 +35,8 @@
 
     def __init__(self, state: states.GatewayState) -> None:
         self.state = state
+        self._entries_key: tuple[int, states.Phase, int] | None = None
+        self._entry_zones: dict[ids.HostId, ids.ZoneName] = {}
         self.on_message: abc.Callable[[gossip.Message, gossip.Taken], None] = _ignore
         self.on_loads: abc.Callable[[gossip.Message], None] = _no_loads
         self.on_frame: abc.Callable[[peer_seal.DocumentFrame], documents.Document] = (
@@ -95,10 +100,23 @@
     def entries(self) -> dict[ids.HostId, ids.Address]:
         """Return the gateways that callers are sent to."""
         address_by_host = {one.host: one.address for one in self._usable_news()}
-        return {host: address_by_host[host] for host in self.entry_zones()}
+        return {
+            host: address_by_host[host]
+            for host in self.entry_zones()
+            if host in address_by_host
+        }
 
     def entry_zones(self) -> dict[ids.HostId, ids.ZoneName]:
         """Return the zones of the gateways that callers are sent to."""
+        state = self.state
+        span = int(state.clock.now() / ENTRIES_KEPT_S)
+        key = (span, state.phase, len(state.gossip.known_by_host))
+        if key != self._entries_key:
+            self._entries_key = key
+            self._entry_zones = self._choose_entries()
+        return self._entry_zones
+
+    def _choose_entries(self) -> dict[ids.HostId, ids.ZoneName]:
         news = self._usable_news()
         candidates = [
             entry_choice.Candidate(one.host, one.zone, one.capacity) for one in news
--- a/spindlenotch/gateway/listing.py
+++ b/spindlenotch/gateway/listing.py
@@ -14,8 +14,9 @@
 
 #: A source that failed this recently may have dropped entries that still live.
 DOUBT_AFTER_FAULT_S = 4.0
-#: How long a vanished entry is believed to live on; two heartbeats and more.
-LAPSED_KEPT_S = 4.0
+#: How long a vanished entry is believed to live on. Upstreams that live are
+#: listed again about two seconds after the source is back (users' issue 15).
+LAPSED_KEPT_S = 2.2
 #: Vanished at once above this share of a service, entries are taken for lapsed.
 LAPSED_SHARE = 0.3
 
