--- a/features/steps/gateway_reading.py
+++ b/features/steps/gateway_reading.py
@@ -67,6 +67,7 @@
         passing.heard_reader_at = state.clock.now()
         assert not passing.must_read()
     peer(state, "ready", gossip.Status.READY)
+    state.clock.advance(relay.CHOSEN_S + 0.01)
     assert passing._reading_host() == "ready"
 
 
--- a/spindlenotch/gateway/follower.py
+++ b/spindlenotch/gateway/follower.py
@@ -17,7 +17,7 @@
 #: Changes that come within this time of each other are fetched by one call.
 GATHER_S = 0.1
 #: How often a gateway that does not read looks whether it must.
-OFF_DUTY_S = 0.1
+OFF_DUTY_S = 0.2
 BACKOFF_LEAST_S = 0.15
 BACKOFF_MOST_S = 0.8
 
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -20,7 +20,7 @@
     state as states,
 )
 
-TICK_S = 0.1
+TICK_S = 0.2
 #: Callers may keep an answer this many times as long as they were told.
 KEPT_FACTOR = 3.0
 #: Left of the longest planned stop when nothing more is taken, so that what
--- a/spindlenotch/gateway/prober.py
+++ b/spindlenotch/gateway/prober.py
@@ -65,8 +65,13 @@
     async def tell(self) -> None:
         """Pass on what was heard to the other entries until cancelled."""
         while True:
-            await asyncio.sleep(TELL_S)
-            self._tell()
+            zone_by_host = self.fleet.entry_zones()
+            if self._task_by_id or self.state.me.host in zone_by_host:
+                self._tell(zone_by_host)
+                await asyncio.sleep(TELL_S)
+            else:
+                # Neither probes nor is told: most of a large fleet.
+                await asyncio.sleep(IDLE_S)
 
     def take(self, message: gossip.Message) -> None:
         """Take in what another entry heard."""
@@ -82,9 +87,8 @@
                         )
                         service.pool.reported(upstream, report, said_at)
 
-    def _tell(self) -> None:
+    def _tell(self, zone_by_host: dict[ids.HostId, ids.ZoneName]) -> None:
         now = self.state.clock.now()
-        zone_by_host = self.fleet.entry_zones()
         targets = self._audience(zone_by_host)
         news: list[workload.LoadNews] = []
         for service in self.state.balancer_by_service.values():
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -33,6 +33,8 @@
 #: heard nothing for the second time.
 ASK_S = 0.3
 READER_LOST_S = 0.8
+#: The choice of the reader, asked for with every message, stands for this long.
+CHOSEN_S = 0.2
 #: A gateway that starts waits this long for a peer that has read already, so
 #: that a fleet that starts together does not read as often as it has members.
 FIRST_PEER_S = 0.2
@@ -56,6 +58,8 @@
         self.fence = documents.Fence()
         self.heard_reader_at = ids.Instant(float("-inf"))
         self.started_at = state.clock.now()
+        self._chosen: ids.HostId | None = None
+        self._chosen_until = ids.Instant(float("-inf"))
         self._pulling: set[documents.DocumentKind] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         fleet.on_message = self._on_message
@@ -121,6 +125,13 @@
 
     def _reading_host(self) -> ids.HostId | None:
         """Return who should read for this zone; one that stands by, if any."""
+        now = self.state.clock.now()
+        if now >= self._chosen_until:
+            self._chosen_until = ids.later(now, CHOSEN_S)
+            self._chosen = self._choose_reading_host()
+        return self._chosen
+
+    def _choose_reading_host(self) -> ids.HostId | None:
         zone = self.state.config.zone
         hosts = self.fleet.readers_by_zone().get(zone, [])
         members = [ownership.Member(zone, host) for host in hosts]
