--- a/spindlenotch/balancer.py
+++ b/spindlenotch/balancer.py
@@ -29,9 +29,8 @@
 #: An answer is overdue when a healthy upstream would be this unlikely to be
 #: silent for so long: exp(-4) is about 2 in 100.
 SILENCE_EXPONENT = 4.0
-#: An upstream that works this many times slower than usual just now is worth
-#: a second copy once the first has taken this share of the usual time.
-SLOWED_PACE = 2.5
+#: A slowed upstream is worth a second copy once the first has taken this share
+#: of the usual time.
 SLOWED_SHARE = 0.6
 #: Looked at this often, as a share of the usual time, where paces are told.
 CHECK_SHARE = 0.5
@@ -313,7 +312,7 @@
         if age > self.pool.slow_of(grant.call.operation):
             return True
         usual = self.pool.usual_of(grant.call.operation)
-        if upstream.pace(now) > SLOWED_PACE and age > SLOWED_SHARE * usual:
+        if upstream.pace(now) > upstreams.SLOWED_PACE and age > SLOWED_SHARE * usual:
             return True
         pace = upstream.outstanding / self.pool.usual_s.value
         return upstream.silent_s(now) * pace > SILENCE_EXPONENT
--- a/spindlenotch/selection_paced.py
+++ b/spindlenotch/selection_paced.py
@@ -31,8 +31,6 @@
 ANSWERS_TRUSTED = 10.0
 #: Costs this close to the least, as a share, are taken for equal.
 NEAR = 0.08
-#: An upstream that works this many times slower than usual just now is slowed.
-SLOWED_PACE = 2.5
 #: Upstreams compared for one call; more than that are sampled.
 MOST_COMPARED = 64
 
@@ -90,7 +88,7 @@
     options: list[upstreams.Upstream], now: ids.Instant
 ) -> list[upstreams.Upstream]:
     """Return those that are not slowed, or all where all are."""
-    sound = [one for one in options if one.pace(now) <= SLOWED_PACE]
+    sound = [one for one in options if one.pace(now) <= upstreams.SLOWED_PACE]
     return sound or options
 
 
--- a/spindlenotch/upstreams.py
+++ b/spindlenotch/upstreams.py
@@ -17,6 +17,8 @@
 EJECT_MAX_S = 30.0
 #: Weight of the newest sample in the estimate of an upstream's slowness.
 SLOWNESS_WEIGHT = 0.08
+#: An upstream that works this many times slower than usual just now is slowed.
+SLOWED_PACE = 2.5
 #: One answer counts at most so many usual times.
 MOST_SLOWNESS = 20.0
 #: What an upstream said of its pace fades over this time, in seconds.
