--- a/features/known_faults.feature
+++ b/features/mended_faults.feature
@@ -1,4 +1,4 @@
-Feature: Faults that are known and not mended yet
+Feature: Faults of requests, pools and loops that must not come back
 
   Scenario: A deadline that passes during a long answer breaks its connection off
     Given upstreams whose long answer comes to a halt half way
--- a/features/steps/known_faults.py
+++ b/features/steps/mended_faults.py
@@ -1,4 +1,4 @@
-"""Steps that bring about faults which are known and not mended yet."""
+"""Steps that bring about faults that were found and mended."""
 
 import random
 import typing
--- a/spindlenotch/entry/control.py
+++ b/spindlenotch/entry/control.py
@@ -70,14 +70,14 @@
         """Open the peer link and start all loops; return the link's address."""
         address = await self.link.start(self.state.config.peer_listen)
         for loop in (
-            self.membership.run(),
-            upkeep.watch_for_pauses(self.state, self.paused),
-            upkeep.update_balancers(self.state),
-            self.bundle_reader.run(),
-            self.hosts_reader.run(),
-            self.confirmation.run(),
+            self.membership.run,
+            functools.partial(upkeep.watch_for_pauses, self.state, self.paused),
+            functools.partial(upkeep.update_balancers, self.state),
+            self.bundle_reader.run,
+            self.hosts_reader.run,
+            self.confirmation.run,
         ):
-            self._tasks.spawn(loop)
+            self._tasks.spawn(background.guarded(loop))
         return address
 
     async def stop(self) -> None:
--- a/spindlenotch/forwarding/data_path.py
+++ b/spindlenotch/forwarding/data_path.py
@@ -67,8 +67,14 @@
     async def again(
         self, job: jobs.Job, failed: verdicts.Grant
     ) -> exchanges.Exchange | outcomes.Refusal:
-        """Retry a request whose answer was no good once its body was read."""
-        grant = job.balancer.retry(failed, self.state.clock.now())
+        """
+        Retry a request whose answer was no good once its body was read.
+
+        A request whose own body was streamed is not retried: its body is spent.
+        """
+        grant = None
+        if job.body_is_whole:
+            grant = job.balancer.retry(failed, self.state.clock.now())
         if grant is None:
             return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
         return await self._race(job).run(grant)
--- a/spindlenotch/forwarding/race.py
+++ b/spindlenotch/forwarding/race.py
@@ -141,31 +141,33 @@
         if end.reason is not None:
             self._reason = end.reason
 
-    def _retry(self, grant: verdicts.Grant, *, known_not_run: bool) -> None:
-        """Send a failed try again if its body and the balancer allow it."""
+    def _retry(self, grant: verdicts.Grant, *, known_not_run: bool) -> bool:
+        """
+        Send a failed try again if its body and the balancer allow it.
+
+        Tell whether it was.
+        """
         if not self.job.body_is_whole:
-            return
+            return False
         now = self.state.clock.now()
         retry = self.job.balancer.retry(grant, now, known_not_run=known_not_run)
-        if retry is not None:
-            self._start(retry)
+        if retry is None:
+            return False
+        self._start(retry)
+        return True
 
     def _replace(self, exchange: exchanges.Exchange) -> bool:
         """
         Drop a server error if another try may still do better.
 
-        That is a try under way or, without one, a retry that the balancer
-        allows. Returns False where the error is the request's answer.
+        That is a try under way or, without one, a retry. Returns False where the
+        error is the request's answer.
         """
-        retry = None
-        if not self._grant_by_task:
-            retry = self.job.balancer.retry(exchange.grant, self.state.clock.now())
-            if retry is None:
-                return False
+        alone = not self._grant_by_task
+        if alone and not self._retry(exchange.grant, known_not_run=False):
+            return False
         self._keep(judgement.FAILED_ANSWER)
         exchange.end(judgement.FAILED_ANSWER.result)
-        if retry is not None:
-            self._start(retry)
         return True
 
     def _note_drain(self, grant: verdicts.Grant) -> None:
--- a/spindlenotch/gateway/answer_stream.py
+++ b/spindlenotch/gateway/answer_stream.py
@@ -6,6 +6,8 @@
 take what it has for the whole. Holds no state.
 """
 
+import dataclasses
+
 import multidict
 from aiohttp import web_request, web_response
 
@@ -19,25 +21,37 @@
     """Raised when an answer breaks off after its head was passed on."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamedAnswer:
+    """
+    A long answer that is to be passed on; nothing of it has gone out yet.
+
+    ``start`` was read already; ``exchange`` is open and holds the rest.
+    """
+
+    exchange: exchanges.Exchange
+    start: bytes
+
+
 async def pass_on(
     request: web_request.BaseRequest,
-    exchange: exchanges.Exchange,
-    start: bytes,
+    answer: StreamedAnswer,
     *,
     close_connection: bool,
 ) -> web_response.StreamResponse:
     """
-    Send the head, ``start`` and the rest of an answer; end its exchange.
+    Send the head, the start and the rest of an answer; end its exchange.
 
     Raises ``BrokenAnswerError`` where the upstream breaks off or the caller's
     connection times out, and aiohttp's connection errors where it is closed.
     """
+    exchange = answer.exchange
     response = _head(exchange)
     if close_connection:
         response.force_close()
     try:
         await response.prepare(request)
-        await response.write(start)
+        await response.write(answer.start)
         await _copy_rest(exchange, response)
         await response.write_eof()
     except TimeoutError:
--- a/spindlenotch/gateway/answers.py
+++ b/spindlenotch/gateway/answers.py
@@ -66,7 +66,7 @@
     return headers.end_to_end(exchange.answer.headers, {"content-length"})
 
 
-def falsely_says_not_run(answer: WholeAnswer) -> bool:
+def falsely_says_not_run(exchange: exchanges.Exchange) -> bool:
     """
     Tell whether a caller would wrongly conclude that its request has not run.
 
@@ -74,7 +74,7 @@
     in its dialect. One that is left with such a status may come from a request
     that ran, so its outcome is unknown.
     """
-    return answer.status in NOT_RUN_STATUSES
+    return exchange.answer.status in NOT_RUN_STATUSES
 
 
 def _whole(exchange: exchanges.Exchange, body: bytes) -> WholeAnswer:
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections import abc
 
 from spindlenotch import clock, events, ports
 from spindlenotch.drivers import upstream_http
@@ -29,10 +28,10 @@
     sources,
     state,
 )
+from spindlenotch.peers import background
 
-#: Time between two ticks of the state, and before a loop that failed is begun
-#: anew. Chosen, not measured; docs/MEASUREMENTS.md, round 20, has what idle
-#: loops cost.
+#: Time between two ticks of the state. Chosen, not measured; docs/MEASUREMENTS.md,
+#: round 20, has what idle loops cost.
 TICK_S = 0.2
 #: Time between two looks at the requests in flight of a planned stop. Chosen,
 #: not measured.
@@ -99,7 +98,7 @@
             self._tick,
         )
         for loop in loops:
-            self._tasks.append(asyncio.ensure_future(_guarded(loop)))
+            self._tasks.append(asyncio.ensure_future(background.guarded(loop)))
         events.emit(
             events.Event.STARTED,
             host=self.state.config.host,
@@ -147,20 +146,6 @@
             await asyncio.sleep(TICK_S)
 
 
-async def _guarded(loop: "abc.Callable[[], abc.Awaitable[None]]") -> None:
-    """
-    Run a loop that never ends; log a failure and begin it anew.
-
-    A gateway without one of its loops would serve from a state that nobody updates.
-    """
-    while True:
-        try:
-            await loop()
-        except Exception as error:
-            events.emit(events.Event.LOOP_FAILED, error=repr(error))
-            await asyncio.sleep(TICK_S)
-
-
 def create(config: settings.GatewaySettings) -> Gateway:
     """Build a gateway from settings with the drivers that they name."""
     gateway_dialect = dialect.DIALECTS.get(config.dialect)()
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -28,7 +28,7 @@
     routing,
     state,
 )
-from spindlenotch.kernel import outcomes
+from spindlenotch.kernel import outcomes, upstreams
 
 
 class Ingress:
@@ -121,27 +121,25 @@
         body: request_body.Body,
     ) -> web_response.StreamResponse:
         job = self._jobs.create(request, route, body)
+        loop_deadline = self._loop_time(job.call.deadline)
         try:
-            async with asyncio.timeout_at(self._loop_time(job.call.deadline)):
+            async with asyncio.timeout_at(loop_deadline):
                 answer = await self._answer(request, job)
         except TimeoutError:
             return self._failed(request, job, outcomes.Reason.DEADLINE_PASSED)
-        except answer_stream.BrokenAnswerError:
-            # Without an answer in return, aiohttp sends nothing more.
-            if request.transport is not None:
-                request.transport.abort()
-            raise asyncio.CancelledError from None
         finally:
             job.balancer.forget(job.call.id)
         if isinstance(answer, outcomes.Refusal):
             return self._refuse(request, job, answer)
+        if isinstance(answer, answer_stream.StreamedAnswer):
+            return await self._stream(request, answer, loop_deadline)
         return answer
 
     async def _answer(
         self, request: web_request.BaseRequest, job: jobs.Job
-    ) -> web_response.StreamResponse | outcomes.Refusal:
+    ) -> web_response.Response | answer_stream.StreamedAnswer | outcomes.Refusal:
         """
-        Try upstreams until one answer is passed on or the job is refused.
+        Try upstreams until one answer can be passed on or the job is refused.
 
         An answer that breaks off before its head went out is replaced by another
         upstream's, where the request may run again.
@@ -149,10 +147,8 @@
         exchange = await self.path.begin(job)
         while not isinstance(exchange, outcomes.Refusal):
             answer = await answers.read(exchange)
-            if isinstance(answer, answers.WholeAnswer):
+            if not isinstance(answer, answers.CutAnswer):
                 return self._pass_on(request, job, exchange, answer)
-            if isinstance(answer, answers.LongAnswer):
-                return await self._stream(request, exchange, answer)
             if not job.call.repeatable:
                 return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
             exchange = await self.path.again(job, exchange.grant)
@@ -163,10 +159,15 @@
         request: web_request.BaseRequest,
         job: jobs.Job,
         exchange: exchanges.Exchange,
-        answer: answers.WholeAnswer,
-    ) -> web_response.Response | outcomes.Refusal:
-        if answers.falsely_says_not_run(answer):
+        answer: answers.WholeAnswer | answers.LongAnswer,
+    ) -> web_response.Response | answer_stream.StreamedAnswer | outcomes.Refusal:
+        """Return the answer in the form in which it goes to the caller."""
+        if answers.falsely_says_not_run(exchange):
+            # Changes nothing where the answer was read to its end.
+            exchange.end(upstreams.Result.FAILED)
             return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
+        if isinstance(answer, answers.LongAnswer):
+            return answer_stream.StreamedAnswer(exchange, answer.start)
         self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
         if answer.status >= outcomes.FIRST_FAILED_STATUS:
             self.log.failed_upstream(self._id(request), job, exchange)
@@ -180,17 +181,27 @@
     async def _stream(
         self,
         request: web_request.BaseRequest,
-        exchange: exchanges.Exchange,
-        answer: answers.LongAnswer,
+        answer: answer_stream.StreamedAnswer,
+        loop_deadline: float,
     ) -> web_response.StreamResponse:
-        response = await answer_stream.pass_on(
-            request,
-            exchange,
-            answer.start,
-            close_connection=self._leaving,
-        )
-        self.log.count(exchange.job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
-        self.log.served(self._id(request), exchange.job, exchange)
+        """
+        Pass on a long answer; break the connection where it does not end well.
+
+        A second response in its place would be taken for the rest of its body.
+        """
+        try:
+            async with asyncio.timeout_at(loop_deadline):
+                response = await answer_stream.pass_on(
+                    request, answer, close_connection=self._leaving
+                )
+        except (TimeoutError, answer_stream.BrokenAnswerError):
+            # Without an answer in return, aiohttp sends nothing more.
+            if request.transport is not None:
+                request.transport.abort()
+            raise asyncio.CancelledError from None
+        job = answer.exchange.job
+        self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
+        self.log.served(self._id(request), job, answer.exchange)
         return response
 
     def _id(self, request: web_request.BaseRequest) -> str:
--- a/spindlenotch/gateway/job_factory.py
+++ b/spindlenotch/gateway/job_factory.py
@@ -27,6 +27,9 @@
 QUEUE_WAIT_WITHOUT_TARGET_S = 0.1
 #: Seconds until the deadline of a request that states none. Chosen, not measured.
 DEFAULT_TIMEOUT_S = 60.0
+#: Longest time in seconds that a caller can give its request, a day; a longer one
+#: counts as none stated. Keeps instants within what the event loop can wait for.
+LONGEST_TIMEOUT_S = 86_400.0
 #: Seconds of expected latency that an upstream in another zone counts more than
 #: one in this: the round trip, and load estimates that are less certain there.
 #: Raised from 0.002 after trials that also tried 0.012 (message of commit 83438aa).
@@ -107,15 +110,19 @@
     """
     Read the seconds that a caller gives its request, from milliseconds as text.
 
-    An absent or unreadable header counts as ``DEFAULT_TIMEOUT_S``, so that the
-    request is served rather than rejected; a negative one as zero.
+    An absent, unreadable or endless header counts as ``DEFAULT_TIMEOUT_S``, so
+    that the request is served rather than rejected; a negative one as zero.
     """
     if not text:
         return DEFAULT_TIMEOUT_S
     try:
-        return max(0.0, float(text) / 1000)
+        timeout_s = float(text) / 1000
     except ValueError:
         return DEFAULT_TIMEOUT_S
+    # Not true of NaN either, which no instant can be reckoned with.
+    if not timeout_s <= LONGEST_TIMEOUT_S:
+        return DEFAULT_TIMEOUT_S
+    return max(0.0, timeout_s)
 
 
 def deadline(now: ids.Instant, timeout_s: float, route: routing.Route) -> ids.Instant:
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -71,6 +71,7 @@
         self.in_flight = 0
         self.waiting = 0
         self.changes = state_changes.ChangeLog()
+        self._changed = False
         self.owned_total = 0.0
         self.failed_share = latency.Mean(0.0, FAILED_WEIGHT)
         #: The mean over all answers; ``Upstream.latency_ratio`` is that of one.
@@ -105,7 +106,7 @@
             if known is None or known.spec.generation < spec.generation:
                 slots = spec.slots or self.service.slots
                 self.upstream_by_id[spec.id] = upstreams.Upstream(
-                    spec, slots, now, self.changes.record
+                    spec, slots, now, self._state_changed
                 )
         self._forget_gone(spec_by_id)
         self.refresh()
@@ -129,6 +130,7 @@
 
     def refresh(self) -> None:
         """Work out anew which upstreams are usable and which slots are the own ones."""
+        self._changed = False
         self.usable_order = [
             u
             for u in self.upstream_by_id.values()
@@ -141,6 +143,10 @@
         self.zone_factor = schedule.effective(self.plan, slots)
         self._assign_slots()
 
+    def _state_changed(self, upstream: upstreams.Upstream) -> None:
+        self.changes.record(upstream)
+        self._changed = True
+
     def _assign_slots(self) -> None:
         offers = slot_division.offers(self.usable_order, self.zone_factor)
         own = ownership.owned(offers, self.members, self.local_member)
@@ -227,12 +233,16 @@
         )
 
     def tick(self, now: ids.Instant) -> None:
-        """Let ejections end; called a few times a second."""
+        """
+        Let ejections end and take in changes of state; called a few times a second.
+
+        An ejection may also end while upstreams are looked at for a call; until it
+        is taken in, that upstream has no own slots and gets no trial request.
+        """
         for upstream in self.usable_order:
-            before = upstream.state
             upstream.tick(now)
-            if upstream.state is not before:
-                self.refresh()
+        if self._changed:
+            self.refresh()
 
     def busy(self) -> int:
         """Count the calls in flight but for those stuck in ejected upstreams."""
--- a/spindlenotch/peers/background.py
+++ b/spindlenotch/peers/background.py
@@ -1,13 +1,21 @@
 """
 Tasks that run beside the caller's own work until they end or are stopped.
 
-Owns the references that keep asyncio from collecting a running task. Each
-part that starts tasks of its own holds one ``BackgroundTasks``.
+Owns the references that keep asyncio from collecting a running task, and the rule
+for a loop that fails. Each part that starts tasks of its own holds one
+``BackgroundTasks``.
 """
 
 import asyncio
 from collections import abc
 
+from spindlenotch import events
+
+#: Seconds before a loop that failed is begun anew: short beside the time after
+#: which peers suspect a process, long enough not to fill the log. Chosen, not
+#: measured.
+RESTART_PAUSE_S = 0.2
+
 
 class BackgroundTasks:
     """
@@ -31,3 +39,17 @@
         for task in list(self.running):
             task.cancel()
         await asyncio.gather(*self.running, return_exceptions=True)
+
+
+async def guarded(loop: abc.Callable[[], abc.Awaitable[None]]) -> None:
+    """
+    Run a loop that never ends; log a failure and begin it anew.
+
+    A process without one of its loops would serve from a state that nobody updates.
+    """
+    while True:
+        try:
+            await loop()
+        except Exception as error:
+            events.emit(events.Event.LOOP_FAILED, error=repr(error))
+            await asyncio.sleep(RESTART_PAUSE_S)
