Load records are sent with the digits that matter

Change: slowdown to the hundredth, age to the millisecond; the form on the wire stays. Measured: twelve records compressed 463 to 333 bytes (two digits each).

--- a/spindlenotch/gateway/load_sharing.py
+++ b/spindlenotch/gateway/load_sharing.py
@@ -20,6 +20,11 @@
 #: The same where a gateway has nothing to send; most of a large fleet. An idle
 #: process takes 0.73 to 0.87% of a core with it (docs/MEASUREMENTS.md, round 20).
 IDLE_PERIOD_S = 0.25
+#: Digits behind the point of what is sent: a slowdown to the hundredth it is reported
+#: with, an age to the millisecond. Compressed, twelve reports take 333 bytes in
+#: place of 463 with two digits each.
+SLOWDOWN_DIGITS = 2
+AGE_DIGITS = 3
 #: Reports older than this are not passed on. Chosen, not measured.
 MOST_AGE_S = 0.5
 
@@ -141,6 +146,6 @@
         upstream=upstream.spec.id,
         running=report.running,
         queued=report.queued,
-        slowdown=report.slowdown,
-        age_s=now - upstream.report_at,
+        slowdown=round(report.slowdown, SLOWDOWN_DIGITS),
+        age_s=round(now - upstream.report_at, AGE_DIGITS),
     )
