A request waits for what its target leaves; one that is late already goes behind

Change: the age of a request is told from the time its caller states against the times that callers of the route begin with; it waits until it can't make its target any more (decisions/start_limit), goes before those that can't, and is refused at the door where the measured rate of ends says so. The log names the rule that refused. An upstream in another zone costs a share of the work's time.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -17,6 +17,9 @@
       | only what is known not to have run is sent again           |
       | no call is sent to more upstreams than it may be           |
       | a call that waits too long for room is refused             |
+      | a call that can be in time goes before one that can't      |
+      | a refusal names the rule that decided                      |
+      | a saturated service learns that it is crowded              |
       | entries that lapse with the store are kept for a while     |
       | entries that leave a sound store are dropped at once       |
       | the last slots stay empty where filling them slows work    |
--- a/features/steps/gateway_policy.py
+++ b/features/steps/gateway_policy.py
@@ -7,7 +7,7 @@
 
 from features.steps import kernel
 from spindlenotch import ids
-from spindlenotch.decisions import balancer, soonest, verdicts
+from spindlenotch.decisions import balancer, queueing, soonest, verdicts
 from spindlenotch.kernel import crowding, extra_budgets, outcomes, upstreams
 
 NOW = kernel.NOW
@@ -47,7 +47,8 @@
 
 @kernel.PROPERTIES.register("a slowed upstream is passed over while another has room")
 def slowed() -> None:
-    made = paced([4, 4])
+    # Four of the six slots are used, whether or not crowding is known.
+    made = paced([4, 6])
     slow = made.pool.upstream_by_id[ids.UpstreamId("u0")]
     made.pool.reported(slow, upstreams.LoadReport(0, 0, 7.0), NOW)
     for number in range(4):
@@ -175,6 +176,9 @@
         limited = known and slowdown >= 1.2
         below = max(1, int(crowding.NEARLY_FULL * slots))
         assert found.usable(slots) == (below if limited else slots)
+        # Until then, some upstreams are spared so that there is a comparison.
+        spared = limited or not known
+        assert found.usable(slots, sample=True) == (below if spared else slots)
 
     check()
     made = paced([3, 3])
@@ -214,6 +218,95 @@
     assert made.hedge(second, ids.later(NOW, 5.0)) is None
 
 
+@kernel.PROPERTIES.register("a saturated service learns that it is crowded")
+def saturated() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(strategies.sampled_from([1.0, 1.7]))
+    def check(slowdown: float) -> None:
+        made = paced([4] * 8)
+        now = NOW
+        number = 0
+        grants: list[verdicts.Grant] = []
+        for _ in range(100):
+            while isinstance(
+                grant := made.offer(kernel.call(number), now), verdicts.Grant
+            ):
+                grants.append(grant)
+                number += 1
+            now = ids.later(now, 0.1)
+            for grant in grants:
+                made.forget(grant.call.id)
+            full = {u.spec.id for u in made.pool.usable_order if u.outstanding == 4}
+            for grant in grants:
+                upstream = grant.upstream
+                running = 4 if upstream.spec.id in full else 3
+                times = slowdown if running == 4 else 1.0
+                ended = ids.later(grant.sent_at, 0.1 * times)
+                report = upstreams.LoadReport(running - 1, 0)
+                made.finish(grant, upstreams.Result.ANSWERED, report, ended)
+            grants = [
+                settled.verdict
+                for settled in made.settle(now)
+                if isinstance(settled.verdict, verdicts.Grant)
+            ]
+            for waiting_call in list(made.queue):
+                made.withdraw(waiting_call.id)
+        crowded = made.pool.crowding.slowdown() >= crowding.CROWDED
+        assert crowded is (slowdown > 1.0)
+
+    check()
+
+
+@kernel.PROPERTIES.register("a call that can be in time goes before one that can't")
+def in_time_first() -> None:
+    made = paced([1])
+    grant = made.offer(kernel.call(0), NOW)
+    assert isinstance(grant, verdicts.Grant)
+    late = dataclasses.replace(kernel.call(1), late=True)
+    assert isinstance(made.offer(late, NOW), verdicts.Waiting)
+    assert isinstance(made.offer(kernel.call(2), NOW), verdicts.Waiting)
+    # But never before a call of a more urgent priority.
+    urgent = dataclasses.replace(kernel.call(3, rank=0), late=True)
+    assert isinstance(made.offer(urgent, NOW), verdicts.Waiting)
+    order = []
+    for _ in range(3):
+        (settled,) = made.finish(grant, upstreams.Result.ANSWERED, None, NOW)
+        assert isinstance(settled.verdict, verdicts.Grant)
+        grant = settled.verdict
+        order.append(grant.call.id)
+    assert order == ["c3", "c2", "c1"]
+
+
+@kernel.PROPERTIES.register("a refusal names the rule that decided")
+def rule_named() -> None:
+    rules = queueing.RefusalRule
+    made = paced([1])
+    grant = made.offer(kernel.call(0), NOW)
+    assert isinstance(grant, verdicts.Grant)
+    hopeless = made.offer(kernel.call(1, deadline=0.001), NOW)
+    assert isinstance(hopeless, outcomes.Refusal)
+    assert hopeless.detail == rules.DEADLINE.value
+    until = ids.later(NOW, 0.1)
+    call = dataclasses.replace(kernel.call(2), wait_until=until)
+    assert isinstance(made.offer(call, NOW), verdicts.Waiting)
+    (given_up,) = made.give_up(until)
+    assert isinstance(given_up.verdict, outcomes.Refusal)
+    assert given_up.verdict.detail == rules.WAIT_OVER.value
+    # One call ends each second: a call behind another waits for longer than that.
+    now = NOW
+    for number in range(3, 8):
+        now = ids.later(now, 1.0)
+        made.finish(grant, upstreams.Result.ANSWERED, None, now)
+        grant = made.offer(kernel.call(number), now)
+        assert isinstance(grant, verdicts.Grant)
+    assert isinstance(made.offer(kernel.call(8), now), verdicts.Waiting)
+    soon = dataclasses.replace(kernel.call(9), wait_until=ids.later(now, 0.1))
+    too_long = made.offer(soon, now)
+    assert isinstance(too_long, outcomes.Refusal)
+    assert too_long.detail == rules.QUEUE_TOO_LONG.value
+    assert too_long.outcome is outcomes.Outcome.NOT_RUN
+
+
 @kernel.PROPERTIES.register("a call that waits too long for room is refused")
 def waits_too_long() -> None:
     made = paced([1])
--- a/features/steps/gateway_requests.py
+++ b/features/steps/gateway_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import types
 import typing
 
@@ -10,16 +11,17 @@
 
 from features.steps import kernel
 from spindlenotch import ids, ports
-from spindlenotch.decisions import queueing
+from spindlenotch.decisions import queueing, start_limit
 from spindlenotch.forwarding import exchanges
 from spindlenotch.gateway import (
     answers,
+    caller_age,
     job_factory,
     refusals,
     request_body,
     routing,
 )
-from spindlenotch.kernel import outcomes
+from spindlenotch.kernel import completion_rate, outcomes
 
 NOW = kernel.NOW
 ROUTE = routing.Route(
@@ -33,6 +35,7 @@
     most_tries=2,
     parts=(routing.Part(ids.ServiceName("s"), 1.0),),
 )
+NEW_ROUTE = routing.RouteName("new")
 NO_LIMITS = dataclasses.replace(ROUTE, timeout_s=None, target_s=None)
 
 
@@ -59,19 +62,95 @@
     check()
 
 
-@kernel.PROPERTIES.register("a request waits a share of its route's target latency")
+@kernel.PROPERTIES.register(
+    "a request waits for what its target leaves beside its work"
+)
 def queue_wait() -> None:
-    assert job_factory.queue_wait_s(ROUTE) == 0.2 * 0.5
-    assert job_factory.queue_wait_s(NO_LIMITS) == 0.1
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.floats(0.0, 5.0),
+        strategies.floats(0.001, 5.0),
+        strategies.floats(0.05, 5.0),
+    )
+    def check(age_s: float, typical_s: float, target_s: float) -> None:
+        limit = start_limit.start_limit(
+            NOW, target_s=target_s, age_s=age_s, typical_s=typical_s
+        )
+        wait_s = limit.wait_until - NOW
+        in_time = age_s + typical_s + start_limit.RETURN_S < target_s
+        assert limit.late is not in_time
+        if limit.late:
+            assert math.isclose(
+                wait_s, start_limit.LATE_WAIT_SHARE * target_s, abs_tol=1e-6
+            )
+        else:
+            end_s = age_s + wait_s + typical_s + start_limit.RETURN_S
+            assert math.isclose(end_s, target_s, abs_tol=1e-6)
+
+    check()
+    without = start_limit.start_limit(NOW, target_s=None, age_s=9.0, typical_s=9.0)
+    assert not without.late
+    assert without.wait_until == NOW + start_limit.WAIT_WITHOUT_TARGET_S
+
+
+@kernel.PROPERTIES.register("a request's age is what it lacks to a usual first time")
+def caller_age_known() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0.0, 0.02), min_size=60, max_size=300),
+        strategies.floats(0.3, 3.5),
+    )
+    def check(delays_s: list[float], age_s: float) -> None:
+        ages = caller_age.CallerAges()
+        # Two kinds of callers begin with 4 s and 1 s.
+        for number, delay_s in enumerate(delays_s):
+            ages.age_s(ROUTE.name, (4.0 if number % 3 else 1.0) - delay_s)
+        assert ages.age_s(ROUTE.name, 4.0) == 0.0
+        assert ages.age_s(ROUTE.name, 60.0) == 0.0
+        assert ages.age_s(ROUTE.name, 1.0 - 0.02) <= 0.02 + 1e-9
+        found_s = ages.age_s(ROUTE.name, 4.0 - age_s)
+        first_s = 1.0 if 4.0 - age_s <= 0.98 else 4.0
+        assert found_s <= first_s - (4.0 - age_s) + 1e-9
+        assert found_s >= first_s - (4.0 - age_s) - 0.021
+        # Nothing is known of another route's callers.
+        assert ages.age_s(NEW_ROUTE, 4.0 - age_s) == 0.0
+
+    check()
+
+
+@kernel.PROPERTIES.register("ages follow callers that begin with another time")
+def caller_age_follows() -> None:
+    ages = caller_age.CallerAges()
+    for first_s in (4.0, 2.0, 8.0):
+        for _ in range(4 * caller_age.REQUESTS_COUNTED):
+            ages.age_s(ROUTE.name, first_s)
+        assert ages.age_s(ROUTE.name, first_s) == 0.0
+        assert ages.age_s(ROUTE.name, first_s / 2) == first_s / 2
+
+
+@kernel.PROPERTIES.register("the rate of ends follows the last seconds")
+def completion_rate_follows() -> None:
+    rate = completion_rate.CompletionRate()
+    assert rate.per_s(NOW) is None
+    now = NOW
+    for per_s in (20, 100, 10):
+        for _ in range(8 * per_s):
+            now = ids.later(now, 1.0 / per_s)
+            rate.add(now)
+        found = rate.per_s(now)
+        assert found is not None
+        assert 0.9 * per_s <= found <= 1.1 * per_s + 1.0, (per_s, found)
 
 
-@kernel.PROPERTIES.register("another zone costs more the longer the body")
+@kernel.PROPERTIES.register("another zone costs more the longer the body or the work")
 def cross_zone() -> None:
-    none = job_factory.cross_zone_s(request_body.NoBody())
+    none = job_factory.cross_zone_s(request_body.NoBody(), 0.0)
     assert none == job_factory.CROSS_ZONE_S
-    short = job_factory.cross_zone_s(request_body.WholeBody(b"x" * 100))
-    long = job_factory.cross_zone_s(request_body.WholeBody(b"x" * 10_000))
+    short = job_factory.cross_zone_s(request_body.WholeBody(b"x" * 100), 0.0)
+    long = job_factory.cross_zone_s(request_body.WholeBody(b"x" * 10_000), 0.0)
     assert none < short < long
+    slow = job_factory.cross_zone_s(request_body.NoBody(), 1.0)
+    assert slow == job_factory.CROSS_ZONE_SHARE
 
 
 @kernel.PROPERTIES.register("a refusal never asks for a retry at once")
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -103,6 +103,7 @@
             latency_ratio = took_s / expected_s
             self.pool.latency_ratio.add(min(upstreams.MAX_LATENCY_RATIO, latency_ratio))
         self.pool.in_flight -= 1
+        self.pool.completions.add(now)
         self.pool.record_result(upstream, grant.call.latency_key, result, took_s, now)
         return self.settle(now)
 
@@ -144,17 +145,16 @@
         Called while calls wait. They get their final answer now rather than
         at the deadline, with the instant from which to try again.
         """
-        given_up = [
-            call
-            for ahead, call in enumerate(self.queue)
-            if queueing.is_given_up(self.pool, call, ahead, now)
-        ]
-        retry_at = queueing.retry_at(self.pool, len(self.queue), now)
-        for call in given_up:
-            self.queue.remove(call.id)
+        given_up = []
+        for ahead, call in enumerate(list(self.queue)):
+            rule = queueing.rule_to_give_up(self.pool, call, ahead, now)
+            if rule is not None:
+                refusal = self._hopeless(rule, now)
+                given_up.append(verdicts.Settlement(call, refusal))
+        for settlement in given_up:
+            self.queue.remove(settlement.call.id)
             self.pool.refused_share.add(1.0)
-        refusal = outcomes.not_run(outcomes.Reason.DEADLINE_HOPELESS, retry_at)
-        return [verdicts.Settlement(call, refusal) for call in given_up]
+        return given_up
 
     def withdraw(self, call_id: ids.CallId) -> None:
         """Take a call out of the queue; its caller is gone."""
@@ -208,16 +208,26 @@
     def _place(
         self, call: waiting.Call, now: ids.Instant
     ) -> verdicts.Grant | verdicts.Waiting | outcomes.Refusal:
-        ahead = self.queue.ahead_of(call.priority)
+        ahead = self.queue.ahead_of(call)
         if ahead == 0:
             grant = self._grant(call, verdicts.Kind.FIRST, now)
             if grant is not None:
                 return grant
-        if queueing.is_hopeless(self.pool, call, ahead, now):
-            retry_at = queueing.retry_at(self.pool, len(self.queue), now)
-            return outcomes.not_run(outcomes.Reason.DEADLINE_HOPELESS, retry_at)
+        rule = queueing.rule_against(self.pool, call, ahead, now)
+        if rule is not None:
+            return self._hopeless(rule, now)
         return self._enqueue(call, now)
 
+    def _hopeless(
+        self, rule: queueing.RefusalRule, now: ids.Instant
+    ) -> outcomes.Refusal:
+        """Refuse a call for which ``rule`` says that it will get no room."""
+        return outcomes.not_run(
+            outcomes.Reason.DEADLINE_HOPELESS,
+            queueing.retry_at(self.pool, len(self.queue), now),
+            rule.value,
+        )
+
     def _eject_if_frozen(self, grant: verdicts.Grant, now: ids.Instant) -> None:
         upstream = grant.upstream
         if upstream.state in (upstreams.State.EJECTED, upstreams.State.LEAVING):
--- a/spindlenotch/decisions/queueing.py
+++ b/spindlenotch/decisions/queueing.py
@@ -2,54 +2,75 @@
 When a call waits in the entry, for how long, and what a refusal says.
 
 Rules on values: pool, queue, call and instant in, verdict out. They rely on
-``upstream_pool`` for typical latencies and own slots and on ``waiting`` for the order
-of the queue. ``Balancer`` applies them when a call is offered, when a slot
-becomes free and at each queue check.
+``upstream_pool`` for typical latencies and the rate at which calls end, and on
+``waiting`` for the order of the queue. ``Balancer`` applies them when a call is
+offered, when a slot becomes free and at each queue check.
 """
 
+import enum
+
 from spindlenotch import ids
 from spindlenotch.kernel import upstream_pool, waiting
 
 #: Least wait in seconds that a refused caller is asked to keep before it tries
 #: again. Chosen, not measured.
 LEAST_RETRY_AFTER_S = 0.05
-#: Least number of own slots that the estimate of a wait divides by, so that an
-#: entry without own slots still has a finite estimate. Chosen, not measured.
-LEAST_SLOTS = 1.0
+#: Fewest ends a second that the estimate of a wait divides by, so that it stays
+#: finite where nothing ends. Chosen, not measured.
+LEAST_PER_S = 1.0
+
+
+class RefusalRule(enum.Enum):
+    """Which rule says that a call will get no room; named in the log."""
+
+    DEADLINE = "deadline-hopeless"
+    QUEUE_TOO_LONG = "queue-too-long"
+    WAIT_OVER = "queue-wait-over"
 
 
-def expected_wait_s(pool: upstream_pool.Pool, ahead: int) -> float:
+def expected_wait_s(pool: upstream_pool.Pool, ahead: int, now: ids.Instant) -> float:
     """
     Estimate the wait in seconds behind ``ahead`` calls.
 
-    Own slots are taken to free up at the rate of one per typical latency each.
+    They get their turn as calls of this process end. Zero until that rate is known.
     """
-    return ahead * pool.latencies.overall.value / max(LEAST_SLOTS, pool.owned_total)
+    per_s = pool.completions.per_s(now)
+    if per_s is None:
+        return 0.0
+    return ahead / max(LEAST_PER_S, per_s)
 
 
-def is_hopeless(
+def rule_against(
     pool: upstream_pool.Pool, call: waiting.Call, ahead: int, now: ids.Instant
-) -> bool:
+) -> RefusalRule | None:
     """
-    Tell whether a call behind ``ahead`` others will miss its deadline.
+    Return why a call behind ``ahead`` others is refused at once, or None.
 
-    Refusing it at once leaves the caller time to try elsewhere, and no slot
-    is spent on an answer that comes too late.
+    It would miss its deadline, or wait for longer than it may. Refusing it leaves
+    the caller time to try elsewhere, and no slot is spent on an answer that
+    comes too late.
     """
+    wait_s = expected_wait_s(pool, ahead, now)
     typical_s = pool.latencies.typical_s(call.latency_key)
-    return call.deadline - now < expected_wait_s(pool, ahead) + typical_s
+    if call.deadline - now < wait_s + typical_s:
+        return RefusalRule.DEADLINE
+    if call.wait_until - now < wait_s:
+        return RefusalRule.QUEUE_TOO_LONG
+    return None
 
 
-def is_given_up(
+def rule_to_give_up(
     pool: upstream_pool.Pool, call: waiting.Call, ahead: int, now: ids.Instant
-) -> bool:
+) -> RefusalRule | None:
     """
-    Tell whether a waiting call behind ``ahead`` others is refused now.
+    Return why a waiting call behind ``ahead`` others is refused now, or None.
 
-    Either it has waited as long as its caller's policy lets it
-    (``wait_until``) or it can no longer make its deadline.
+    Either it has waited as long as it may (``wait_until``), or it will not get
+    its turn in time.
     """
-    return now >= call.wait_until or is_hopeless(pool, call, ahead, now)
+    if now >= call.wait_until:
+        return RefusalRule.WAIT_OVER
+    return rule_against(pool, call, ahead, now)
 
 
 def retry_at(pool: upstream_pool.Pool, queued: int, now: ids.Instant) -> ids.Instant:
@@ -58,7 +79,7 @@
 
     That is when the ``queued`` calls and one more will have been served.
     """
-    wait_s = expected_wait_s(pool, queued + 1)
+    wait_s = expected_wait_s(pool, queued + 1, now)
     return ids.later(now, max(LEAST_RETRY_AFTER_S, wait_s))
 
 
@@ -70,6 +91,6 @@
     urgent than ``call``, which is then refused itself.
     """
     candidate = queue.least_urgent()
-    if candidate is None or candidate.priority <= call.priority:
+    if candidate is None or candidate.rank <= call.rank:
         return None
     return candidate
--- /dev/null
+++ b/spindlenotch/decisions/start_limit.py
@@ -0,0 +1,55 @@
+"""
+Until when a request may wait for an upstream, and whether it can still be in time.
+
+A request is in time where it is answered within its route's target of its caller's
+first try. While it can be, it waits as long as that lasts and goes before those
+that can't. Pure; used by the gateway, whose routes have targets.
+"""
+
+import dataclasses
+
+from spindlenotch import ids
+
+#: Share of the target that a request may wait which can't be in time any more.
+#: Short: its caller learns soon that there is no room and comes back when there
+#: is. Chosen, not measured.
+LATE_WAIT_SHARE = 0.2
+#: Seconds that a request may wait where its route has no target. Chosen, not
+#: measured.
+WAIT_WITHOUT_TARGET_S = 0.1
+#: Seconds that an answer is taken to need back to its caller: one way of some
+#: milliseconds, and what handling it takes. Chosen, not measured.
+RETURN_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartLimit:
+    """
+    When a request is refused if no upstream had room until then.
+
+    ``late``: its answer will come after the target even if it is sent at once.
+    """
+
+    wait_until: ids.Instant
+    late: bool
+
+
+def start_limit(
+    now: ids.Instant, *, target_s: float | None, age_s: float, typical_s: float
+) -> StartLimit:
+    """
+    Return the limit of a request that arrives now.
+
+    ``target_s`` is the route's target, ``age_s`` how long ago the caller began to
+    ask, ``typical_s`` the typical latency of such requests; all in seconds.
+
+    The wait is what the target leaves beside the work: with a fixed fifth of the
+    target instead, and without the order of ``late``, the mean worth of two
+    overloaded days was 0.506 in place of 0.523 (POLICY.md, round 2).
+    """
+    if target_s is None:
+        return StartLimit(ids.later(now, WAIT_WITHOUT_TARGET_S), late=False)
+    spare_s = target_s - age_s - typical_s - RETURN_S
+    if spare_s > 0:
+        return StartLimit(ids.later(now, spare_s), late=False)
+    return StartLimit(ids.later(now, LATE_WAIT_SHARE * target_s), late=True)
--- /dev/null
+++ b/spindlenotch/gateway/caller_age.py
@@ -0,0 +1,91 @@
+"""
+How long ago a caller began to ask, from the time that it says it has left.
+
+A caller that was refused comes back with less time left than it began with, and
+says nothing else of its earlier tries. Callers of one route mostly begin with one
+of few times, so these stand out among all that are stated; the age of a request
+is what it lacks to the next of them. Pure; owns what was stated, by route.
+"""
+
+import math
+
+from spindlenotch.gateway import routing
+
+#: Two stated times whose ratio is above this fall into one class, roughly.
+CLASS_RATIO = 0.97
+#: Share of a route's requests from which a class holds times that callers begin
+#: with. Above what the tries of one age make, below what one of several kinds of
+#: caller makes.
+COMMON_SHARE = 0.15
+#: A common class is no time that callers begin with where another one lies above
+#: it within this ratio: those are tries that come back after a usual wait.
+APART_RATIO = 0.75
+#: Requests after which all counts are halved, so that they follow a change.
+REQUESTS_COUNTED = 400
+#: Requests after which the common times are worked out anew, and before which
+#: nothing is concluded.
+REQUESTS_BETWEEN = 20
+#: Stated times below this many seconds are not told apart.
+LEAST_STATED_S = 0.001
+
+
+class RouteTimes:
+    """The stated times of one route's callers, in seconds."""
+
+    def __init__(self) -> None:
+        self._count_by_class: dict[int, float] = {}
+        self._most_by_class: dict[int, float] = {}
+        self._total = 0.0
+        self._unseen = REQUESTS_BETWEEN
+        self._first_times: list[float] = []
+
+    def age_s(self, left_s: float) -> float:
+        """Return the age of a request whose caller has ``left_s``, and count it."""
+        self._count(left_s)
+        above = [first_s for first_s in self._first_times if first_s >= left_s]
+        return min(above, default=left_s) - left_s
+
+    def _count(self, left_s: float) -> None:
+        key = int(math.log(max(LEAST_STATED_S, left_s)) / math.log(CLASS_RATIO))
+        self._count_by_class[key] = self._count_by_class.get(key, 0.0) + 1.0
+        self._most_by_class[key] = max(self._most_by_class.get(key, 0.0), left_s)
+        self._total += 1.0
+        self._unseen -= 1
+        if self._unseen <= 0:
+            self._unseen = REQUESTS_BETWEEN
+            self._first_times = self._common_times()
+            if self._total >= REQUESTS_COUNTED:
+                self._halve()
+
+    def _common_times(self) -> list[float]:
+        """Return the times that callers begin with, the longest first."""
+        common = [
+            self._most_by_class[key]
+            for key, count in self._count_by_class.items()
+            if count >= COMMON_SHARE * self._total
+        ]
+        apart: list[float] = []
+        for first_s in sorted(common, reverse=True):
+            if not apart or first_s < APART_RATIO * apart[-1]:
+                apart.append(first_s)
+        return apart
+
+    def _halve(self) -> None:
+        self._total /= 2.0
+        for key, count in list(self._count_by_class.items()):
+            if count < 1.0:
+                del self._count_by_class[key], self._most_by_class[key]
+            else:
+                self._count_by_class[key] = count / 2.0
+
+
+class CallerAges:
+    """The ages of requests, by route."""
+
+    def __init__(self) -> None:
+        self._times_by_route: dict[routing.RouteName, RouteTimes] = {}
+
+    def age_s(self, route: routing.RouteName, left_s: float) -> float:
+        """Return for how many seconds a caller has asked, zero where not known."""
+        times = self._times_by_route.setdefault(route, RouteTimes())
+        return times.age_s(left_s)
--- a/spindlenotch/gateway/job_factory.py
+++ b/spindlenotch/gateway/job_factory.py
@@ -1,10 +1,10 @@
 """
 Turns a caller's request and its route into a job for the data path.
 
-Owns the rules for how long a request may take, how long it may wait for a free
-upstream and what crossing to another zone costs it; all instants are those of
-the gateway's clock. Numbers the calls of this process. Relies on the route
-(operator's configuration) and on the dialect's header names.
+Owns the rules for how long a request may take and what crossing to another zone
+costs it; all instants are those of the gateway's clock. Numbers the calls of this
+process. Relies on the route (operator's configuration), on the dialect's header
+names, on ``caller_age`` and on ``decisions.start_limit``.
 """
 
 import itertools
@@ -13,18 +13,11 @@
 from aiohttp import web_request
 
 from spindlenotch import headers, ids
-from spindlenotch.decisions import verdicts
+from spindlenotch.decisions import balancer, start_limit, verdicts
 from spindlenotch.forwarding import jobs
-from spindlenotch.gateway import dialect, request_body, routing, state
+from spindlenotch.gateway import caller_age, dialect, request_body, routing, state
 from spindlenotch.kernel import waiting
 
-#: Share of the route's target latency that a request may wait in the queue.
-#: Compared with 0.4 in trials of three days (message of commit 83438aa): 0.4 was
-#: worse on two of them.
-QUEUE_WAIT_SHARE = 0.2
-#: Seconds a request may wait where its route has no target latency. Chosen, not
-#: measured.
-QUEUE_WAIT_WITHOUT_TARGET_S = 0.1
 #: Seconds until the deadline of a request that states none. Chosen, not measured.
 DEFAULT_TIMEOUT_S = 60.0
 #: Longest time in seconds that a caller can give its request, a day; a longer one
@@ -34,6 +27,11 @@
 #: one in this: the round trip, and load estimates that are less certain there.
 #: Raised from 0.002 after trials that also tried 0.012 (message of commit 83438aa).
 CROSS_ZONE_S = 0.008
+#: The same as a share of the typical latency, where that is more: what differs by
+#: less than the estimates err is not worth bytes between zones. With 0.03 s where
+#: the latency is 0.25 s, bytes between zones fell by 9 in 100 on one day (POLICY.md,
+#: round 3).
+CROSS_ZONE_SHARE = 0.12
 #: Seconds that each byte of the request's body adds to that. Chosen, not measured.
 CROSS_ZONE_S_PER_BYTE = 2.5e-6
 #: Milliseconds of the shortest time left that an upstream is told. Chosen, not
@@ -55,6 +53,7 @@
         self.dialect = gateway_dialect
         self._dropped = gateway_dialect.replaced | {"content-length"}
         self._numbers = itertools.count()
+        self._ages = caller_age.CallerAges()
 
     def create(
         self,
@@ -64,9 +63,10 @@
     ) -> jobs.Job:
         """Build the job of a request; advances the route's round robin."""
         service = self.state.round_robin.next(route)
+        chosen = self.state.balancer_by_service[service]
         return jobs.Job(
-            balancer=self.state.balancer_by_service[service],
-            call=self._call(request, route, body),
+            balancer=chosen,
+            call=self._call(request, route, body, chosen),
             method=request.method,
             target=request.raw_path,
             headers=self._passed_headers(request),
@@ -79,9 +79,17 @@
         request: web_request.BaseRequest,
         route: routing.Route,
         body: request_body.Body,
+        chosen: balancer.Balancer,
     ) -> waiting.Call:
         now = self.state.clock.now()
         timeout_s = read_timeout_s(request.headers.get(self.dialect.deadline_ms))
+        typical_s = chosen.pool.latencies.typical_s(route.name)
+        limit = start_limit.start_limit(
+            now,
+            target_s=route.target_s,
+            age_s=self._ages.age_s(route.name, timeout_s),
+            typical_s=typical_s,
+        )
         return waiting.Call(
             id=ids.CallId(f"{next(self._numbers):x}"),
             priority=route.rank,
@@ -90,8 +98,9 @@
             latency_key=route.name,
             arrived_at=now,
             most_tries=route.most_tries,
-            wait_until=ids.later(now, queue_wait_s(route)),
-            cross_zone_s=cross_zone_s(body),
+            wait_until=limit.wait_until,
+            late=limit.late,
+            cross_zone_s=cross_zone_s(body, typical_s),
         )
 
     def _passed_headers(
@@ -132,20 +141,15 @@
     return ids.later(now, timeout_s)
 
 
-def queue_wait_s(route: routing.Route) -> float:
-    """Return how many seconds a request may wait until an upstream has room."""
-    if route.target_s is None:
-        return QUEUE_WAIT_WITHOUT_TARGET_S
-    return QUEUE_WAIT_SHARE * route.target_s
-
-
-def cross_zone_s(body: request_body.Body) -> float:
+def cross_zone_s(body: request_body.Body, typical_s: float) -> float:
     """
     Return what an upstream in another zone costs a request, in seconds.
 
-    A streamed body without a declared length counts as empty.
+    ``typical_s`` is the typical latency of its kind. A streamed body without a
+    declared length counts as empty.
     """
-    return CROSS_ZONE_S + CROSS_ZONE_S_PER_BYTE * body.known_bytes
+    crossing_s = max(CROSS_ZONE_S, CROSS_ZONE_SHARE * typical_s)
+    return crossing_s + CROSS_ZONE_S_PER_BYTE * body.known_bytes
 
 
 def needs_new_connection(route: routing.Route, body: request_body.Body) -> bool:
--- a/spindlenotch/gateway/request_log.py
+++ b/spindlenotch/gateway/request_log.py
@@ -70,13 +70,17 @@
         refusal: outcomes.Refusal,
         wait_s: float,
     ) -> None:
-        """Count and log a request that has not run; retry after ``wait_s`` seconds."""
+        """
+        Count and log a request that has not run; retry after ``wait_s`` seconds.
+
+        The log names the rule that decided where one reason has several.
+        """
         self.count(job, refusal.outcome, refusal.reason)
         events.emit(
             events.Event.REQUEST_REFUSED,
             request=request_id,
             service=job.balancer.service.name,
-            reason=refusal.reason.value,
+            reason=refusal.detail or refusal.reason.value,
             waiting=len(job.balancer.queue),
             usable=len(job.balancer.pool.usable_order),
             version=self.state.version,
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -11,6 +11,7 @@
 
 from spindlenotch import ids
 from spindlenotch.kernel import (
+    completion_rate,
     crowding,
     ejection,
     latency,
@@ -77,6 +78,7 @@
         #: The mean over all answers; ``Upstream.latency_ratio`` is that of one.
         self.latency_ratio = latency.Mean(1.0, LATENCY_RATIO_WEIGHT)
         self.crowding = crowding.Crowding()
+        self.completions = completion_rate.CompletionRate()
         self.latencies = latency_table.LatencyTable(
             service.typical_s, service.latency_keys
         )
--- a/spindlenotch/kernel/waiting.py
+++ b/spindlenotch/kernel/waiting.py
@@ -1,5 +1,5 @@
 """
-The queue of one service in one process: by priority, then first come, first served.
+The queue of one service in one process: by rank, then first come, first served.
 
 A call waits here rather than at an upstream, so that a more urgent one can
 still pass it and so that it is bound to a slot as late as possible. Owns the
@@ -32,7 +32,8 @@
     whose latency is expected: the operation or the route. ``repeatable``:
     running it twice does no harm. ``most_tries`` bounds the upstreams it may be
     sent to. It is refused when it would wait beyond ``wait_until`` for a slot.
-    An upstream in another zone counts ``cross_zone_s`` seconds more.
+    ``late``: its answer can't be in time any more; calls of its priority that can
+    be go first. An upstream in another zone counts ``cross_zone_s`` seconds more.
     """
 
     id: ids.CallId
@@ -43,8 +44,14 @@
     arrived_at: ids.Instant
     most_tries: int = MOST_TRIES
     wait_until: ids.Instant = ids.NEVER
+    late: bool = False
     cross_zone_s: float = CROSS_ZONE_S
 
+    @property
+    def rank(self) -> int:
+        """Return its place among waiting calls; the lowest goes first."""
+        return 2 * self.priority + self.late
+
 
 class WaitQueue:
     """
@@ -56,49 +63,38 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self.calls_by_priority: dict[
-            int, collections.OrderedDict[ids.CallId, Call]
-        ] = {}
-        self.priority_by_call: dict[ids.CallId, int] = {}
+        self.calls_by_rank: dict[int, collections.OrderedDict[ids.CallId, Call]] = {}
+        self.rank_by_call: dict[ids.CallId, int] = {}
         self.taken = 0
 
     def __len__(self) -> int:
-        return len(self.priority_by_call)
+        return len(self.rank_by_call)
 
     def __iter__(self) -> typing.Iterator[Call]:
-        for priority in sorted(self.calls_by_priority):
-            yield from self.calls_by_priority[priority].values()
+        for rank in sorted(self.calls_by_rank):
+            yield from self.calls_by_rank[rank].values()
 
-    def ahead_of(self, priority: int) -> int:
-        """Return how many waiting calls go before a new one of ``priority``."""
-        return sum(len(c) for r, c in self.calls_by_priority.items() if r <= priority)
+    def ahead_of(self, call: Call) -> int:
+        """Return how many waiting calls go before ``call``, a new one."""
+        return sum(len(c) for r, c in self.calls_by_rank.items() if r <= call.rank)
 
     def push(self, call: Call) -> None:
-        """Add a call at the end of its priority."""
-        calls = self.calls_by_priority.setdefault(
-            call.priority, collections.OrderedDict()
-        )
+        """Add a call at the end of its rank."""
+        calls = self.calls_by_rank.setdefault(call.rank, collections.OrderedDict())
         calls[call.id] = call
-        self.priority_by_call[call.id] = call.priority
+        self.rank_by_call[call.id] = call.rank
 
     def remove(self, call_id: ids.CallId) -> Call | None:
         """Take out a call that is served, expired or withdrawn."""
-        priority = self.priority_by_call.pop(call_id, None)
-        return (
-            None if priority is None else self.calls_by_priority[priority].pop(call_id)
-        )
+        rank = self.rank_by_call.pop(call_id, None)
+        return None if rank is None else self.calls_by_rank[rank].pop(call_id)
 
     def head(self) -> Call | None:
         """Return the call that goes next, without taking it out."""
-        priorities = sorted(
-            priority for priority, calls in self.calls_by_priority.items() if calls
-        )
-        if not priorities:
+        ranks = sorted(rank for rank, calls in self.calls_by_rank.items() if calls)
+        if not ranks:
             return None
-        firsts = [
-            next(iter(self.calls_by_priority[priority].values()))
-            for priority in priorities
-        ]
+        firsts = [next(iter(self.calls_by_rank[rank].values())) for rank in ranks]
         if (self.taken + 1) % OLDEST_FIRST_EVERY == 0:
             return min(firsts, key=lambda call: call.arrived_at)
         return firsts[0]
@@ -109,10 +105,10 @@
         self.remove(call.id)
 
     def least_urgent(self) -> Call | None:
-        """Return the newest call of the least urgent priority."""
-        for priority in sorted(self.calls_by_priority, reverse=True):
-            if self.calls_by_priority[priority]:
-                return next(reversed(self.calls_by_priority[priority].values()))
+        """Return the newest call of the last rank."""
+        for rank in sorted(self.calls_by_rank, reverse=True):
+            if self.calls_by_rank[rank]:
+                return next(reversed(self.calls_by_rank[rank].values()))
         return None
 
     def expired(self, now: ids.Instant) -> list[Call]:
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -111,21 +111,28 @@
         question="When a request waits, how long, and when it is given up",
         functions=(
             "decisions/balancer.Balancer.offer",
-            "decisions/queueing.is_hopeless",
-            "decisions/queueing.is_given_up",
+            "decisions/start_limit.start_limit",
+            "decisions/queueing.rule_against",
+            "decisions/queueing.rule_to_give_up",
             "decisions/queueing.displaced_by",
-            "gateway/job_factory.queue_wait_s",
+            "gateway/caller_age.CallerAges.age_s",
+            "kernel/completion_rate.CompletionRate",
             "kernel/waiting.WaitQueue",
         ),
-        inputs="rank, deadline (instant), calls ahead, typical latency (s), own slots,"
-        " the route's target (s).",
+        inputs="rank, deadline (instant), calls ahead, typical latency (s), ends a"
+        " second, the route's target (s), the age of the request (s).",
         reason="A call waits here while no upstream has room, so that a more urgent"
-        " one can pass it. It is refused as soon as it can't make its deadline, or"
-        " has waited its share of the target.",
+        " one can pass it, and one that can still be in time one that can't. It is"
+        " refused as soon as it can't make its deadline, or its target.",
         constants=(
-            "gateway/job_factory.QUEUE_WAIT_SHARE",
-            "gateway/job_factory.QUEUE_WAIT_WITHOUT_TARGET_S",
-            "decisions/queueing.LEAST_SLOTS",
+            "decisions/start_limit.LATE_WAIT_SHARE",
+            "decisions/start_limit.WAIT_WITHOUT_TARGET_S",
+            "decisions/start_limit.RETURN_S",
+            "gateway/caller_age.CLASS_RATIO",
+            "gateway/caller_age.COMMON_SHARE",
+            "gateway/caller_age.APART_RATIO",
+            "kernel/completion_rate.TIME_CONSTANT_S",
+            "decisions/queueing.LEAST_PER_S",
             "kernel/waiting.OLDEST_FIRST_EVERY",
             "forwarding/granting.QUEUE_CHECK_S",
         ),
