Pipelined lookups are begun when they are read, answered in order

Cause: aiohttp handles the requests of a connection one after the other, so a lookup sent behind another reached an upstream only after the answer to the first. Change: a connection begins what stands behind safe requests and may run again, at most 8; answers keep their order; a planned stop begins none and closes the connection only after the last; a caller that goes ends all.

--- a/features/support/served_gateway.py
+++ b/features/support/served_gateway.py
@@ -85,11 +85,17 @@
 
 
 class ScriptedPort:
-    """Answers every try alike, after it has read the request's body."""
+    """
+    Answers every try alike, after it has read the request's body.
+
+    A try whose target has a gate is answered when that is set.
+    """
 
     def __init__(self, answer: abc.Callable[[], ScriptedAnswer]) -> None:
         self.answer = answer
         self.sent: list[Sent] = []
+        self.targets: list[str] = []
+        self.gate_by_target: dict[str, asyncio.Event] = {}
 
     async def send(
         self, request: ports.UpstreamRequest
@@ -102,6 +108,10 @@
             async for piece in request.body:
                 size += len(piece)
         self.sent.append(Sent(size, request.headers))
+        self.targets.append(request.target)
+        gate = self.gate_by_target.get(request.target)
+        if gate is not None:
+            await gate.wait()
         return self.answer()
 
     async def probe(
@@ -126,6 +136,7 @@
             state.config, listen=self.address, extra_reserve=EXTRA_RESERVE
         )
         state.apply_snapshot(_snapshot(state.config.zone))
+        self.state = state
         native = dialect.DIALECTS.get("native")()
         path = data_path.DataPath(state, self.port, job_factory.labels(native))
         self.ingress = ingress.Ingress(state, path, native)
@@ -160,8 +171,7 @@
         Reads until the connection ends, a second response begins, or nothing
         has come for ``PATIENCE_S`` seconds.
         """
-        host, port = self.address.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await self.connect()
         lines = [
             "GET / HTTP/1.1",
             f"Host: {ROUTE.host}",
@@ -173,6 +183,11 @@
         finally:
             writer.close()
 
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a caller's connection."""
+        host, port = self.address.split(":")
+        return await asyncio.open_connection(host, int(port))
+
 
 async def _read_all(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
     data = b""
--- a/spindlenotch/gateway/answer_stream.py
+++ b/spindlenotch/gateway/answer_stream.py
@@ -27,10 +27,16 @@
     A long answer that is to be passed on; nothing of it has gone out yet.
 
     ``start`` was read already; ``exchange`` is open and holds the rest.
+    ``loop_deadline`` is an instant of the event loop.
     """
 
     exchange: exchanges.Exchange
     start: bytes
+    loop_deadline: float
+
+    def discard(self) -> None:
+        """End the exchange without passing anything on."""
+        self.exchange.end(upstreams.Result.CANCELLED)
 
 
 async def pass_on(
--- a/spindlenotch/gateway/caller_listener.py
+++ b/spindlenotch/gateway/caller_listener.py
@@ -2,7 +2,8 @@
 The port that callers connect to: accepts connections and closes idle ones.
 
 Owns the listening socket and the aiohttp servers behind it. Each request goes
-to the handler given at construction. Relies on aiohttp for HTTP/1.1 and for
+to the handler given at construction; one that was sent behind others may be begun
+before (``pipelining``). Relies on aiohttp for HTTP/1.1 and for
 keep-alive; the operator's idle timeout is read anew for each connection.
 """
 
@@ -12,6 +13,7 @@
 from aiohttp import web_request, web_response, web_server
 
 from spindlenotch import ids
+from spindlenotch.gateway import pipelining
 from spindlenotch.peers import peer_link
 
 Handler = abc.Callable[
@@ -39,9 +41,13 @@
     """
 
     def __init__(
-        self, handler: Handler, idle_timeout_s: abc.Callable[[], float]
+        self,
+        handler: Handler,
+        begin_early: pipelining.BeginEarly,
+        idle_timeout_s: abc.Callable[[], float],
     ) -> None:
         self._handler = handler
+        self._begin_early = begin_early
         self._idle_timeout_s = idle_timeout_s
         self._server_by_idle_timeout_s: dict[float, web_server.Server] = {}
         self._socket: asyncio.Server | None = None
@@ -91,9 +97,9 @@
                 del self._server_by_idle_timeout_s[other_s]
 
     def _new_server(self, timeout_s: float) -> web_server.Server:
-        return web_server.Server(
+        return pipelining.PipeliningServer(
             self._handler,
-            handler_cancellation=True,
+            self._begin_early,
             keepalive_timeout=timeout_s + IDLE_MARGIN_S,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_FIELD_BYTES,
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -22,6 +22,7 @@
     dialect,
     job_factory,
     lifecycle,
+    pipelining,
     refusals,
     request_body,
     request_log,
@@ -53,7 +54,7 @@
         self.closing = False
         self._jobs = job_factory.JobFactory(gateway_state, gateway_dialect)
         self._listener = caller_listener.CallerListener(
-            self.handle, self._idle_timeout_s
+            self.handle, self.begin_early, self._idle_timeout_s
         )
 
     async def start(self) -> None:
@@ -91,17 +92,61 @@
         """
         self.in_flight += 1
         try:
-            response = await self._serve(request)
+            answer = await self._answer_in_turn(request)
+            response = await self._deliver(request, answer)
             self.state.demand.count(_bodies_length(request, response))
-            if self._leaving and not response.prepared:
-                response.force_close()
             return response
         finally:
             self.in_flight -= 1
 
-    async def _serve(
+    def begin_early(
         self, request: web_request.BaseRequest
+    ) -> pipelining.AnswerTask | None:
+        """
+        Begin a request that was sent behind others, where it may run again.
+
+        Its connection closes then only after its answer; so none is begun late in
+        the life of this gateway.
+        """
+        table = self.state.table
+        if self.closing or self._leaving or table is None:
+            return None
+        route = table.find(request.headers.get("Host", ""), request.raw_path)
+        if route is None or not route.repeatable:
+            return None
+        return asyncio.ensure_future(self._count_while(request))
+
+    async def _count_while(self, request: web_request.BaseRequest) -> pipelining.Answer:
+        self.in_flight += 1
+        try:
+            return await self._serve(request)
+        finally:
+            self.in_flight -= 1
+
+    async def _answer_in_turn(
+        self, request: web_request.BaseRequest
+    ) -> pipelining.Answer:
+        begun = pipelining.take(request)
+        if begun is None:
+            return await self._serve(request)
+        try:
+            return await begun
+        except asyncio.CancelledError:
+            pipelining.discard(begun)
+            raise
+
+    async def _deliver(
+        self, request: web_request.BaseRequest, answer: pipelining.Answer
     ) -> web_response.StreamResponse:
+        """Return the response, streamed already where the answer is a long one."""
+        close = self._leaving and not pipelining.owes_answers(request)
+        if isinstance(answer, answer_stream.StreamedAnswer):
+            return await self._stream(request, answer, close_connection=close)
+        if close:
+            answer.force_close()
+        return answer
+
+    async def _serve(self, request: web_request.BaseRequest) -> pipelining.Answer:
         table = self.state.table
         if self.closing or table is None or not self.state.listed_once:
             return refusals.not_ready()
@@ -119,25 +164,23 @@
         request: web_request.BaseRequest,
         route: routing.Route,
         body: request_body.Body,
-    ) -> web_response.StreamResponse:
+    ) -> pipelining.Answer:
         job = self._jobs.create(request, route, body)
         loop_deadline = self._loop_time(job.call.deadline)
         try:
             async with asyncio.timeout_at(loop_deadline):
-                answer = await self._answer(request, job)
+                answer = await self._answer(request, job, loop_deadline)
         except TimeoutError:
             return self._failed(request, job, outcomes.Reason.DEADLINE_PASSED)
         finally:
             job.balancer.forget(job.call.id)
         if isinstance(answer, outcomes.Refusal):
             return self._refuse(request, job, answer)
-        if isinstance(answer, answer_stream.StreamedAnswer):
-            return await self._stream(request, answer, loop_deadline)
         return answer
 
     async def _answer(
-        self, request: web_request.BaseRequest, job: jobs.Job
-    ) -> web_response.Response | answer_stream.StreamedAnswer | outcomes.Refusal:
+        self, request: web_request.BaseRequest, job: jobs.Job, loop_deadline: float
+    ) -> pipelining.Answer | outcomes.Refusal:
         """
         Try upstreams until one answer can be passed on or the job is refused.
 
@@ -148,7 +191,7 @@
         while not isinstance(exchange, outcomes.Refusal):
             answer = await answers.read(exchange)
             if not isinstance(answer, answers.CutAnswer):
-                return self._pass_on(request, job, exchange, answer)
+                return self._pass_on(request, exchange, answer, loop_deadline)
             if not job.call.repeatable:
                 return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
             exchange = await self.path.again(job, exchange.grant)
@@ -157,17 +200,18 @@
     def _pass_on(
         self,
         request: web_request.BaseRequest,
-        job: jobs.Job,
         exchange: exchanges.Exchange,
         answer: answers.WholeAnswer | answers.LongAnswer,
-    ) -> web_response.Response | answer_stream.StreamedAnswer | outcomes.Refusal:
+        loop_deadline: float,
+    ) -> pipelining.Answer | outcomes.Refusal:
         """Return the answer in the form in which it goes to the caller."""
         if answers.falsely_says_not_run(exchange):
             # Changes nothing where the answer was read to its end.
             exchange.end(upstreams.Result.FAILED)
             return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
         if isinstance(answer, answers.LongAnswer):
-            return answer_stream.StreamedAnswer(exchange, answer.start)
+            return answer_stream.StreamedAnswer(exchange, answer.start, loop_deadline)
+        job = exchange.job
         self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
         if answer.status >= outcomes.FIRST_FAILED_STATUS:
             self.log.failed_upstream(self._id(request), job, exchange)
@@ -182,7 +226,8 @@
         self,
         request: web_request.BaseRequest,
         answer: answer_stream.StreamedAnswer,
-        loop_deadline: float,
+        *,
+        close_connection: bool,
     ) -> web_response.StreamResponse:
         """
         Pass on a long answer; break the connection where it does not end well.
@@ -190,9 +235,9 @@
         A second response in its place would be taken for the rest of its body.
         """
         try:
-            async with asyncio.timeout_at(loop_deadline):
+            async with asyncio.timeout_at(answer.loop_deadline):
                 response = await answer_stream.pass_on(
-                    request, answer, close_connection=self._leaving
+                    request, answer, close_connection=close_connection
                 )
         except (TimeoutError, answer_stream.BrokenAnswerError):
             # Without an answer in return, aiohttp sends nothing more.
--- /dev/null
+++ b/spindlenotch/gateway/pipelining.py
@@ -0,0 +1,206 @@
+"""
+Begins requests that callers sent behind others on the same connection.
+
+aiohttp handles the requests of a connection one after the other, so that one sent
+behind another would reach an upstream only after the answer to the first. Requests
+that may be repeated are begun when they are read; their answers still go out in
+the order of the requests. Owns what was begun on one connection. Relies on the
+queue of parsed messages of aiohttp's ``RequestHandler``.
+
+On a calm day 7.3 in 100 lookups of callers that send so were late without it,
+while 2.5 in 100 took that long from reading to answer (POLICY.md, round 4).
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import typing
+from collections import abc
+
+from aiohttp import (
+    http_parser,
+    http_writer,
+    streams,
+    web_protocol,
+    web_request,
+    web_response,
+    web_server,
+)
+
+from spindlenotch.gateway import answer_stream
+
+#: Requests of one connection that may be begun before it is their turn; bounds what
+#: one caller can occupy. Chosen, not measured.
+MOST_BEGUN = 8
+#: Methods of which several may run at once: RFC 9110, section 9.2.1, calls them
+#: safe.
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+
+#: What a request is answered with: a whole response, or one that is to be streamed.
+Answer = web_response.Response | answer_stream.StreamedAnswer
+AnswerTask = asyncio.Task[Answer]
+#: Begins a request, or returns None where it must wait for its turn.
+BeginEarly = abc.Callable[[web_request.BaseRequest], AnswerTask | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begun:
+    """A request that was begun before its turn."""
+
+    message: http_parser.RawRequestMessage
+    task: AnswerTask
+
+
+class PipelinedConnection(web_protocol.RequestHandler):
+    """
+    A caller's connection.
+
+    Invariants: a request is begun early only if all that are in front of it use a
+    safe method; the connection is not closed as planned while the answer to a
+    request that was begun is owed.
+    """
+
+    __slots__ = ("_all_taken", "_begin_early", "_begun", "_close_wanted")
+
+    def __init__(
+        self, manager: web_server.Server, begin_early: BeginEarly, **options: typing.Any
+    ) -> None:
+        super().__init__(manager, **options)
+        self._begin_early = begin_early
+        self._begun: list[Begun] = []
+        self._close_wanted = False
+        self._all_taken = asyncio.Event()
+        self._all_taken.set()
+
+    @property
+    def owes_answers(self) -> bool:
+        """Tell whether requests were begun whose turn has not come."""
+        return bool(self._begun)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what was received, and begin the requests that may be begun."""
+        super().data_received(data)
+        if self._current_request is not None:
+            self._begin_behind(self._current_request)
+
+    def take(self, request: web_request.BaseRequest) -> AnswerTask | None:
+        """
+        Begin the turn of a request.
+
+        Return its task if it was begun before, and begin those behind it.
+        """
+        self._begin_behind(request)
+        for number, begun in enumerate(self._begun):
+            if begun.message is request._message:
+                del self._begun[number]
+                self._note_taken()
+                return begun.task
+        return None
+
+    def close(self) -> None:
+        """Close the connection once all that was begun is answered."""
+        self._close_wanted = True
+        if not self._begun:
+            super().close()
+
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Close the connection likewise, at the latest after ``timeout`` seconds."""
+        loop = asyncio.get_running_loop()
+        end = None if timeout is None else loop.time() + timeout
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(end):
+                await self._all_taken.wait()
+        left_s = None if end is None else max(0.0, end - loop.time())
+        await super().shutdown(left_s)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Break off what was begun: its caller is gone."""
+        for begun in self._begun:
+            discard(begun.task)
+        self._begun.clear()
+        self._note_taken()
+        super().connection_lost(exc)
+
+    def _note_taken(self) -> None:
+        """Let the connection close if that was waited for."""
+        if self._begun:
+            return
+        self._all_taken.set()
+        if self._close_wanted:
+            super().close()
+
+    def _begin_behind(self, current: web_request.BaseRequest) -> None:
+        """Begin requests that wait behind ``current``, whose turn it is."""
+        if current.method not in SAFE_METHODS:
+            return
+        for message, payload in list(self._messages):
+            if not isinstance(message, http_parser.RawRequestMessage):
+                return
+            bare = payload is streams.EMPTY_PAYLOAD
+            if not bare or message.method not in SAFE_METHODS:
+                return
+            if not any(begun.message is message for begun in self._begun):
+                self._begin(message)
+
+    def _begin(self, message: http_parser.RawRequestMessage) -> None:
+        handler_task = self._task_handler
+        if self._request_factory is None or handler_task is None:
+            return
+        if len(self._begun) >= MOST_BEGUN:
+            return
+        writer = http_writer.StreamWriter(self, asyncio.get_running_loop())
+        request = self._request_factory(
+            message, streams.EMPTY_PAYLOAD, self, writer, handler_task
+        )
+        task = self._begin_early(request)
+        if task is not None:
+            self._begun.append(Begun(message, task))
+            self._all_taken.clear()
+
+
+class PipeliningServer(web_server.Server):
+    """Makes the connections of one listener; ``options`` are aiohttp's."""
+
+    def __init__(
+        self,
+        handler: abc.Callable[
+            [web_request.BaseRequest], abc.Awaitable[web_response.StreamResponse]
+        ],
+        begin_early: BeginEarly,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._begin_early = begin_early
+        self._options = options
+
+    def __call__(self) -> web_protocol.RequestHandler:
+        """Return the protocol of a new connection."""
+        return PipelinedConnection(
+            self, self._begin_early, loop=self._loop, **self._options
+        )
+
+
+def take(request: web_request.BaseRequest) -> AnswerTask | None:
+    """Return the task of a request whose turn has come, if it was begun before."""
+    connection = request.protocol
+    if isinstance(connection, PipelinedConnection):
+        return connection.take(request)
+    return None
+
+
+def owes_answers(request: web_request.BaseRequest) -> bool:
+    """Tell whether requests behind this one were begun on its connection."""
+    connection = request.protocol
+    return isinstance(connection, PipelinedConnection) and connection.owes_answers
+
+
+def discard(task: AnswerTask) -> None:
+    """End a task whose answer nobody waits for, and the exchange it may hold."""
+    if not task.done():
+        task.cancel()
+        return
+    if task.cancelled() or task.exception() is not None:
+        return
+    answer = task.result()
+    if isinstance(answer, answer_stream.StreamedAnswer):
+        answer.discard()
