Modules with one job: answering beside ingress, admission beside balancer

No behaviour changes: 80 scenarios of the gateway, kernel, requests and recorded bytes pass before and after.

--- /dev/null
+++ b/spindlenotch/decisions/admission.py
@@ -0,0 +1,81 @@
+"""
+Which calls wait, and which are refused: at the door, in the queue, all at once.
+
+Applies the rules of ``queueing`` to the queue of one service and gives each
+refusal its reason and the instant from which to ask again. Owns nothing: pool and
+queue are the balancer's.
+"""
+
+from spindlenotch import ids
+from spindlenotch.decisions import queueing, verdicts
+from spindlenotch.kernel import outcomes, upstream_pool, waiting
+
+
+class Admission:
+    """Admits calls to the queue of one service and refuses the others."""
+
+    def __init__(self, pool: upstream_pool.Pool, queue: waiting.WaitQueue) -> None:
+        self.pool = pool
+        self.queue = queue
+
+    def admit(
+        self, call: waiting.Call, ahead: int, now: ids.Instant
+    ) -> verdicts.Waiting | outcomes.Refusal:
+        """Let a call wait behind ``ahead`` others, or refuse it at once."""
+        rule = queueing.rule_against(self.pool, call, ahead, now)
+        if rule is not None:
+            return self._hopeless(rule, now)
+        return self._enqueue(call, now)
+
+    def give_up(self, now: ids.Instant) -> list[verdicts.Settlement]:
+        """Refuse the waiting calls that will get no room while they may wait."""
+        given_up = []
+        for ahead, call in enumerate(list(self.queue)):
+            rule = queueing.rule_to_give_up(self.pool, call, ahead, now)
+            if rule is not None:
+                refusal = self._hopeless(rule, now)
+                given_up.append(verdicts.Settlement(call, refusal))
+        for settlement in given_up:
+            self.queue.remove(settlement.call.id)
+            self.pool.refused_share.add(1.0)
+        return given_up
+
+    def refuse_expired(self, now: ids.Instant) -> list[verdicts.Settlement]:
+        """Refuse the waiting calls whose deadline has passed."""
+        refusal = outcomes.not_run(outcomes.Reason.DEADLINE_PASSED)
+        return [verdicts.Settlement(call, refusal) for call in self.queue.expired(now)]
+
+    def refuse_all(self, now: ids.Instant) -> list[verdicts.Settlement]:
+        """Refuse all waiting calls: no upstream is usable."""
+        refusal = outcomes.not_run(
+            outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
+        )
+        waiting_calls = list(self.queue)
+        for call in waiting_calls:
+            self.queue.remove(call.id)
+        return [verdicts.Settlement(call, refusal) for call in waiting_calls]
+
+    def _enqueue(
+        self, call: waiting.Call, now: ids.Instant
+    ) -> verdicts.Waiting | outcomes.Refusal:
+        if len(self.queue) < self.queue.limit:
+            self.queue.push(call)
+            return verdicts.Waiting(call)
+        retry_at = queueing.retry_at(self.pool, len(self.queue), now)
+        refusal = outcomes.not_run(outcomes.Reason.QUEUE_FULL, retry_at)
+        displaced = queueing.displaced_by(self.queue, call)
+        if displaced is None:
+            return refusal
+        self.queue.remove(displaced.id)
+        self.queue.push(call)
+        return verdicts.Waiting(call, verdicts.Settlement(displaced, refusal))
+
+    def _hopeless(
+        self, rule: queueing.RefusalRule, now: ids.Instant
+    ) -> outcomes.Refusal:
+        """Refuse a call for which ``rule`` says that it will get no room."""
+        return outcomes.not_run(
+            outcomes.Reason.DEADLINE_HOPELESS,
+            queueing.retry_at(self.pool, len(self.queue), now),
+            rule.value,
+        )
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -2,7 +2,7 @@
 The front of the kernel: it decides on the calls of one service.
 
 Owns the queue, the budgets and the upstreams each call was sent to. The rules are
-in the modules beside it (``queueing``, ``retrying``, ``hedging``, the selection
+in the modules beside it (``admission``, ``retrying``, ``hedging``, the selection
 policies); what is known of the upstreams is in ``upstream_pool``. Both daemons pass in
 calls, ends of calls and the instant, and carry out the grants it returns.
 """
@@ -11,7 +11,7 @@
 import random
 
 from spindlenotch import ids, selection
-from spindlenotch.decisions import hedging, queueing, retrying, verdicts
+from spindlenotch.decisions import admission, hedging, retrying, verdicts
 from spindlenotch.kernel import (
     outcomes,
     ownership,
@@ -45,6 +45,7 @@
         self.pool = upstream_pool.Pool(service, local_member, rng)
         self.policy = selection.POLICIES.get(service.selection)()
         self.queue = waiting.WaitQueue(service.queue_limit)
+        self.admission = admission.Admission(self.pool, self.queue)
         self.extra = service.extra.create()
         self.retries = self.extra.retries
         self.hedges = self.extra.hedges
@@ -124,10 +125,7 @@
 
     def settle(self, now: ids.Instant) -> list[verdicts.Settlement]:
         """Refuse what is too late, then place waiting calls while one finds room."""
-        settled = [
-            verdicts.Settlement(call, outcomes.not_run(outcomes.Reason.DEADLINE_PASSED))
-            for call in self.queue.expired(now)
-        ]
+        settled = self.admission.refuse_expired(now)
         while (call := self.queue.head()) is not None:
             grant = self._grant(call, verdicts.Kind.FIRST, now)
             if grant is None:
@@ -135,7 +133,7 @@
             self.queue.take(call)
             settled.append(verdicts.Settlement(call, grant))
         if len(self.queue) and not self._any_usable(now):
-            settled.extend(self._refuse_all(now))
+            settled.extend(self.admission.refuse_all(now))
         return settled
 
     def give_up(self, now: ids.Instant) -> list[verdicts.Settlement]:
@@ -145,16 +143,7 @@
         Called while calls wait. They get their final answer now rather than
         at the deadline, with the instant from which to try again.
         """
-        given_up = []
-        for ahead, call in enumerate(list(self.queue)):
-            rule = queueing.rule_to_give_up(self.pool, call, ahead, now)
-            if rule is not None:
-                refusal = self._hopeless(rule, now)
-                given_up.append(verdicts.Settlement(call, refusal))
-        for settlement in given_up:
-            self.queue.remove(settlement.call.id)
-            self.pool.refused_share.add(1.0)
-        return given_up
+        return self.admission.give_up(now)
 
     def withdraw(self, call_id: ids.CallId) -> None:
         """Take a call out of the queue; its caller is gone."""
@@ -213,20 +202,7 @@
             grant = self._grant(call, verdicts.Kind.FIRST, now)
             if grant is not None:
                 return grant
-        rule = queueing.rule_against(self.pool, call, ahead, now)
-        if rule is not None:
-            return self._hopeless(rule, now)
-        return self._enqueue(call, now)
-
-    def _hopeless(
-        self, rule: queueing.RefusalRule, now: ids.Instant
-    ) -> outcomes.Refusal:
-        """Refuse a call for which ``rule`` says that it will get no room."""
-        return outcomes.not_run(
-            outcomes.Reason.DEADLINE_HOPELESS,
-            queueing.retry_at(self.pool, len(self.queue), now),
-            rule.value,
-        )
+        return self.admission.admit(call, ahead, now)
 
     def _eject_if_frozen(self, grant: verdicts.Grant, now: ids.Instant) -> None:
         upstream = grant.upstream
@@ -274,27 +250,3 @@
             slowdown=slowdown,
             load=load,
         )
-
-    def _enqueue(
-        self, call: waiting.Call, now: ids.Instant
-    ) -> verdicts.Waiting | outcomes.Refusal:
-        if len(self.queue) < self.queue.limit:
-            self.queue.push(call)
-            return verdicts.Waiting(call)
-        retry_at = queueing.retry_at(self.pool, len(self.queue), now)
-        refusal = outcomes.not_run(outcomes.Reason.QUEUE_FULL, retry_at)
-        displaced = queueing.displaced_by(self.queue, call)
-        if displaced is None:
-            return refusal
-        self.queue.remove(displaced.id)
-        self.queue.push(call)
-        return verdicts.Waiting(call, verdicts.Settlement(displaced, refusal))
-
-    def _refuse_all(self, now: ids.Instant) -> list[verdicts.Settlement]:
-        refusal = outcomes.not_run(
-            outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
-        )
-        waiting_calls = list(self.queue)
-        for call in waiting_calls:
-            self.queue.remove(call.id)
-        return [verdicts.Settlement(call, refusal) for call in waiting_calls]
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -1,35 +1,27 @@
 """
-The way of one request through the gateway, from its head to its final answer.
+Takes callers' requests, each in its turn, and delivers their answers.
 
-Each request gets one final answer as soon as it is known: the upstream's own; a
-refusal (503 with ``Retry-After``), where the request has not run; or a failure
-(502, 504) that promises nothing. Owns the count of requests in flight. Relies
-on ``caller_listener`` for connections, on ``job_factory``, ``answers`` and
-``refusals`` for the rules, and on the data path for upstreams.
+Owns the count of requests in flight and what a planned stop means for them.
+Relies on ``caller_listener`` for connections, on ``pipelining`` for their order
+and on ``answering`` for the answers.
 """
 
 import asyncio
 
-import multidict
 from aiohttp import web_request, web_response
 
-from spindlenotch import ids
-from spindlenotch.forwarding import data_path, exchanges, jobs
+from spindlenotch.forwarding import data_path
 from spindlenotch.gateway import (
     answer_stream,
-    answers,
+    answering,
     caller_listener,
     dialect,
-    job_factory,
     lifecycle,
     pipelining,
     refusals,
-    request_body,
-    request_log,
     routing,
     state,
 )
-from spindlenotch.kernel import outcomes, upstreams
 
 
 class Ingress:
@@ -47,12 +39,9 @@
         gateway_dialect: dialect.Dialect,
     ) -> None:
         self.state = gateway_state
-        self.path = path
-        self.dialect = gateway_dialect
-        self.log = request_log.RequestLog(gateway_state)
+        self.answerer = answering.Answerer(gateway_state, path, gateway_dialect)
         self.in_flight = 0
         self.closing = False
-        self._jobs = job_factory.JobFactory(gateway_state, gateway_dialect)
         self._listener = caller_listener.CallerListener(
             self.handle, self.begin_early, self._idle_timeout_s
         )
@@ -119,7 +108,7 @@
     async def _count_while(self, request: web_request.BaseRequest) -> pipelining.Answer:
         self.in_flight += 1
         try:
-            return await self._serve(request)
+            return await self._answer(request)
         finally:
             self.in_flight -= 1
 
@@ -128,7 +117,7 @@
     ) -> pipelining.Answer:
         begun = pipelining.take(request)
         if begun is None:
-            return await self._serve(request)
+            return await self._answer(request)
         try:
             return await begun
         except asyncio.CancelledError:
@@ -146,81 +135,10 @@
             answer.force_close()
         return answer
 
-    async def _serve(self, request: web_request.BaseRequest) -> pipelining.Answer:
-        table = self.state.table
-        if self.closing or table is None or not self.state.listed_once:
+    async def _answer(self, request: web_request.BaseRequest) -> pipelining.Answer:
+        if self.closing:
             return refusals.not_ready()
-        route = table.find(request.headers.get("Host", ""), request.raw_path)
-        if route is None:
-            return refusals.no_route()
-        limit_bytes = table.configuration.limits.body_bytes
-        body = await request_body.read(request, limit_bytes)
-        if isinstance(body, request_body.TooLong):
-            return refusals.body_too_long()
-        return await self._forward(request, route, body)
-
-    async def _forward(
-        self,
-        request: web_request.BaseRequest,
-        route: routing.Route,
-        body: request_body.Body,
-    ) -> pipelining.Answer:
-        job = self._jobs.create(request, route, body)
-        loop_deadline = self._loop_time(job.call.deadline)
-        try:
-            async with asyncio.timeout_at(loop_deadline):
-                answer = await self._answer(request, job, loop_deadline)
-        except TimeoutError:
-            return self._failed(request, job, outcomes.Reason.DEADLINE_PASSED)
-        finally:
-            job.balancer.forget(job.call.id)
-        if isinstance(answer, outcomes.Refusal):
-            return self._refuse(request, job, answer)
-        return answer
-
-    async def _answer(
-        self, request: web_request.BaseRequest, job: jobs.Job, loop_deadline: float
-    ) -> pipelining.Answer | outcomes.Refusal:
-        """
-        Try upstreams until one answer can be passed on or the job is refused.
-
-        An answer that breaks off before its head went out is replaced by another
-        upstream's, where the request may run again.
-        """
-        exchange = await self.path.begin(job)
-        while not isinstance(exchange, outcomes.Refusal):
-            answer = await answers.read(exchange)
-            if not isinstance(answer, answers.CutAnswer):
-                return self._pass_on(request, exchange, answer, loop_deadline)
-            if not job.call.repeatable:
-                return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
-            exchange = await self.path.again(job, exchange.grant)
-        return exchange
-
-    def _pass_on(
-        self,
-        request: web_request.BaseRequest,
-        exchange: exchanges.Exchange,
-        answer: answers.WholeAnswer | answers.LongAnswer,
-        loop_deadline: float,
-    ) -> pipelining.Answer | outcomes.Refusal:
-        """Return the answer in the form in which it goes to the caller."""
-        if answers.falsely_says_not_run(exchange):
-            # Changes nothing where the answer was read to its end.
-            exchange.end(upstreams.Result.FAILED)
-            return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
-        if isinstance(answer, answers.LongAnswer):
-            return answer_stream.StreamedAnswer(exchange, answer.start, loop_deadline)
-        job = exchange.job
-        self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
-        if answer.status >= outcomes.FIRST_FAILED_STATUS:
-            self.log.failed_upstream(self._id(request), job, exchange)
-        self.log.served(self._id(request), job, exchange)
-        return web_response.Response(
-            status=answer.status,
-            headers=multidict.CIMultiDict(answer.headers),
-            body=answer.body,
-        )
+        return await self.answerer.answer(request)
 
     async def _stream(
         self,
@@ -244,41 +162,9 @@
             if request.transport is not None:
                 request.transport.abort()
             raise asyncio.CancelledError from None
-        job = answer.exchange.job
-        self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
-        self.log.served(self._id(request), job, answer.exchange)
+        self.answerer.note_streamed(request, answer.exchange)
         return response
 
-    def _id(self, request: web_request.BaseRequest) -> str:
-        return request.headers.get(self.dialect.request_id, "")
-
-    def _refuse(
-        self,
-        request: web_request.BaseRequest,
-        job: jobs.Job,
-        refusal: outcomes.Refusal,
-    ) -> web_response.Response:
-        if refusal.outcome is outcomes.Outcome.UNKNOWN:
-            return self._failed(request, job, refusal.reason)
-        wait_s = refusals.retry_after_s(refusal, self.state.clock.now())
-        self.log.refused(self._id(request), job, refusal, wait_s)
-        return refusals.not_run(refusal.reason, wait_s)
-
-    def _failed(
-        self,
-        request: web_request.BaseRequest,
-        job: jobs.Job,
-        reason: outcomes.Reason,
-    ) -> web_response.Response:
-        status = refusals.failure_status(reason)
-        self.log.failed(self._id(request), job, status, reason)
-        return refusals.failed(reason)
-
-    def _loop_time(self, instant: ids.Instant) -> float:
-        """Turn an instant of the gateway's clock into one of the event loop's."""
-        loop = asyncio.get_running_loop()
-        return loop.time() + (instant - self.state.clock.now())
-
 
 def _bodies_length(
     request: web_request.BaseRequest, response: web_response.StreamResponse
--- a/tools/decisions.py
+++ b/tools/decisions.py
@@ -1,19 +1,29 @@
 """
 Make docs/DECISIONS.md: each rule that decides about requests, and its constants.
 
-``tools/decision_table.py`` lists the rules. Values and origins of constants are
-read from the code, so that the page can't differ from it; a name, an event or a
-scenario that does not exist raises ``UnknownReferenceError``.
+``tools/decision_table.py`` and ``tools/fleet_decision_table.py`` list the rules.
+Values and origins of constants are read from the code, so that the page can't
+differ from it; a name, an event or a scenario that does not exist raises
+``UnknownReferenceError``.
 """
 
 import pathlib
 
 from spindlenotch import events
-from tools import constants, decision_table, docs_check
+from tools import (
+    constants,
+    decision_rules,
+    decision_table,
+    docs_check,
+    fleet_decision_table,
+)
+
+RULES = decision_table.RULES + fleet_decision_table.RULES
 
 HEAD = """# Decisions
 
-Made by `make docs` from `tools/decision_table.py` and the code; do not edit.
+Made by `make docs` from `tools/decision_table.py`, `tools/fleet_decision_table.py`
+and the code; do not edit.
 
 Why did this request go there, wait, fail, come back? Each rule stands in one
 place. Functions are named as `package/module.name` below `spindlenotch/`. Values
@@ -28,13 +38,13 @@
 def page() -> str:
     """Return the text of docs/DECISIONS.md."""
     parts = [HEAD, _index()]
-    parts += [_section(rule) for rule in decision_table.RULES]
+    parts += [_section(rule) for rule in RULES]
     return "\n".join(parts)
 
 
 def _index() -> str:
     lines = ["| question | function | log | test |", "|---|---|---|---|"]
-    for rule in decision_table.RULES:
+    for rule in RULES:
         functions = ", ".join(f"`{name}`" for name in rule.functions)
         shown = ", ".join(_event(name) for name in rule.events) or "none"
         tests = "; ".join(_test(test) for test in rule.tests)
@@ -42,7 +52,7 @@
     return "\n".join(lines) + "\n"
 
 
-def _section(rule: decision_table.Rule) -> str:
+def _section(rule: decision_rules.Rule) -> str:
     for name in rule.functions:
         _check_code(name)
     lines = [
@@ -94,7 +104,7 @@
         raise UnknownReferenceError(f"event {name}") from None
 
 
-def _test(test: decision_table.Scenario) -> str:
+def _test(test: decision_rules.Scenario) -> str:
     path = pathlib.Path("features") / f"{test.feature}.feature"
     if test.title not in path.read_text():
         raise UnknownReferenceError(f"scenario {test.title} in {path}")
--- /dev/null
+++ b/tools/fleet_decision_table.py
@@ -0,0 +1,148 @@
+"""
+The rules that decide about the fleet: question, function, inputs, constants, proof.
+
+See ``decision_table``, which has those about requests.
+"""
+
+from tools import decision_rules
+
+Scenario = decision_rules.Scenario
+Rule = decision_rules.Rule
+
+RULES = (
+    Rule(
+        question="Which gateways callers are sent to",
+        functions=("gateway/active_set.choose", "gateway/active_set.capacity_of"),
+        inputs="capacity of each ready gateway (requests and bytes a second), demand of"
+        " the fleet (the same), setting `entries_per_zone`.",
+        reason="The strongest of each zone, and more while an even share of the demand"
+        " is more than the weakest can carry. Few gateways see most of what an"
+        " upstream does.",
+        constants=(
+            "gateway/active_set.PROCESSOR_SHARE",
+            "gateway/active_set.LINK_SHARE",
+            "gateway/active_set.REQUESTS_PER_CORE",
+            "gateway/active_set.BYTES_PER_REQUEST",
+            "gateway/active_set.TIER_FACTOR",
+            "gateway/demand_meter.SPAN_S",
+            "gateway/demand_meter.SPANS_KEPT",
+            "gateway/demand_meter.REPORTED_CHANGE_SHARE",
+        ),
+        events=("PEER_SEEN", "PEER_GONE"),
+        tests=(
+            Scenario(
+                "gateway", "callers are sent to the strongest gateways of each zone"
+            ),
+            Scenario(
+                "gateway", "more gateways step in where the weakest is overloaded"
+            ),
+            Scenario("gateway", "what callers ask rises at once and falls late"),
+        ),
+    ),
+    Rule(
+        question="Who reads the store, who probes, who writes the discovery record",
+        functions=(
+            "gateway/duties.reader",
+            "gateway/duties.probers",
+            "gateway/duties.is_prober",
+            "gateway/relay.Relay.must_read",
+            "gateway/discovery.DiscoveryWriter.due",
+        ),
+        inputs="ready gateways by zone, which of them are active, when the zone's"
+        " reader was last heard (instant), upstreams by zone.",
+        reason="Rendezvous hashing among the standby gateways of a zone, without a"
+        " lease: too many or too few holders for a moment do no harm.",
+        constants=(
+            "gateway/relay.READER_LOST_S",
+            "gateway/relay.ASK_PERIOD_S",
+            "gateway/relay.FIRST_PEER_WAIT_S",
+            "gateway/duties.UPSTREAMS_PER_PROBER",
+            "gateway/discovery.SETTLE_S",
+            "gateway/discovery.REWRITE_S",
+        ),
+        events=("STORE_LOST", "STORE_BACK", "INTRODUCED"),
+        tests=(
+            Scenario("gateway", "a fleet that starts has one reader a zone"),
+            Scenario("gateway", "a probed upstream has one prober with equal views"),
+            Scenario("platform", "Few gateways read the store, and the others step in"),
+        ),
+    ),
+    Rule(
+        question="How long a vanished upstream still gets work",
+        functions=("gateway/listing.Listing.remove",),
+        inputs="when the store last failed (instant), the share that vanished"
+        " at once, state in the list.",
+        reason="Leases that expire together right after the store was out of reach more"
+        " likely expired in its outage than by a stop of the upstreams.",
+        constants=(
+            "gateway/listing.AFTER_OUTAGE_S",
+            "gateway/listing.GRACE_S",
+            "gateway/listing.EXPIRY_SHARE",
+        ),
+        events=("UPSTREAM_LEAVING",),
+        tests=(
+            Scenario(
+                "gateway", "entries that lapse with the store are kept for a while"
+            ),
+            Scenario("gateway", "entries that leave a sound store are dropped at once"),
+        ),
+    ),
+    Rule(
+        question="When a gateway is ready, leaves, takes nothing more",
+        functions=(
+            "gateway/lifecycle.phase_after",
+            "gateway/lifecycle.stop_schedule",
+            "gateway/gateway.Gateway.stop",
+        ),
+        inputs="whether both documents are known, settings `hand_out_s` and"
+        " `stop_limit_s` (s).",
+        reason="Ready with both documents. When stopping it serves on while callers"
+        " may keep its address, then refuses, and ends when what it took has ended.",
+        constants=(
+            "gateway/lifecycle.KEPT_FACTOR",
+            "gateway/lifecycle.LAST_ARRIVALS_S",
+            "gateway/lifecycle.CLOSING_S",
+            "gateway/lifecycle.MARGIN_S",
+        ),
+        events=("READY", "LEAVING", "STOP_FORCED", "STOPPED"),
+        tests=(
+            Scenario(
+                "platform",
+                "What comes late in a planned stop on an open connection is refused,"
+                " not cut",
+            ),
+            Scenario(
+                "platform",
+                "Callers are told ready gateways, and a stopping one is told no more",
+            ),
+        ),
+    ),
+    Rule(
+        question="At most once (entry daemon)",
+        functions=(
+            "entry/once.OnceTable.begin",
+            "entry/once.refuse_before_home",
+            "entry/claims.Claims.home_of",
+            "entry/tickets.Mint.mint",
+        ),
+        inputs="request id (ticket or chosen), attempt number, incarnation, table of"
+        " ids, claim in the store.",
+        reason="Only the one process life that is the home of an id may run it; its"
+        " table decides whether to run, join, replay or refuse.",
+        constants=(
+            "entry/tickets.LIFETIME_S",
+            "entry/once.MAX_KEPT_BODY",
+            "entry/claims.MAX_CLAIM_WAIT_S",
+        ),
+        events=("OUTCOME_UNKNOWN", "ID_TABLE_FULL"),
+        tests=(
+            Scenario("faults", "A booking resent through another host runs once"),
+            Scenario(
+                "faults", "A booking whose entry was killed is unknown, and stays so"
+            ),
+            Scenario(
+                "invariants", "Requests that may not be repeated, resent everywhere"
+            ),
+        ),
+    ),
+)
