Start: no garbage collections before the gateway serves

Collections during the imports, and the full one at their end, walk what lives as long as the process. Ruled out: sources not compiled (they are), authorities' certificates (left out).

--- a/spindlenotch/collector.py
+++ b/spindlenotch/collector.py
@@ -2,7 +2,7 @@
 Settings of Python's garbage collector for a process that serves requests.
 
 Both daemons apply them once they have started. Owns nothing; relies on modules
-and start-up state being complete by then, because they are never walked again.
+and start-up state being complete by then, because they are never walked.
 """
 
 import gc
@@ -19,8 +19,9 @@
     Keep the garbage collector away from what lives as long as the process.
 
     A full collection that walks modules and start-up state stops the loop for
-    tens of milliseconds (docs/MEASUREMENTS.md, "What an entry adds").
+    tens of milliseconds (docs/MEASUREMENTS.md, "What an entry adds"); so there is
+    none here either, while the first callers wait.
     """
-    gc.collect()
     gc.freeze()
     gc.set_threshold(*THRESHOLDS)
+    gc.enable()
