--- a/features/support/served_gateway.py
+++ b/features/support/served_gateway.py
@@ -15,7 +15,14 @@
 from features.support import free_ports, recorded_gateway
 from spindlenotch import ids, ports
 from spindlenotch.forwarding import data_path
-from spindlenotch.gateway import dialect, ingress, job_factory, routing, sources
+from spindlenotch.gateway import (
+    answering,
+    dialect,
+    ingress,
+    job_factory,
+    routing,
+    sources,
+)
 from spindlenotch.kernel import upstreams
 
 #: Bytes of an answer that is too long to be read whole.
@@ -139,7 +146,8 @@
         self.state = state
         native = dialect.DIALECTS.get("native")()
         path = data_path.DataPath(state, self.port, job_factory.labels(native))
-        self.ingress = ingress.Ingress(state, path, native)
+        answerer = answering.Answerer(state, path, native)
+        self.ingress = ingress.Ingress(state, answerer)
 
     async def __aenter__(self) -> typing.Self:
         await self.ingress.start()
--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -123,7 +123,7 @@
     While one of the others may get room a call had better wait for it
     (MEASUREMENTS.md, round 12), and at the end of its wait be refused: a quarter of
     the first tries of a saturated service went to slowed ones then. Without them the
-    mean worth of six plays rose from 0.538 to 0.599, the share of requests in time
+    mean worth of six plays rose from 0.538 to 0.599, the share of credit earned
     from 0.777 to 0.828 (POLICY.md, round 1).
     """
     others = [u for u in options if u.slowdown(now) <= upstreams.SLOWED_FACTOR]
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -12,6 +12,7 @@
 from spindlenotch.drivers import upstream_http
 from spindlenotch.forwarding import data_path
 from spindlenotch.gateway import (
+    answering,
     dialect,
     discovery,
     fleet,
@@ -61,7 +62,8 @@
         path = data_path.DataPath(
             gateway_state, port, job_factory.labels(gateway_dialect)
         )
-        self.ingress = ingress.Ingress(gateway_state, path, gateway_dialect)
+        answerer = answering.Answerer(gateway_state, path, gateway_dialect)
+        self.ingress = ingress.Ingress(gateway_state, answerer)
         self.fleet = fleet.Fleet(gateway_state)
         self.side_ports = side_ports.SidePorts(
             gateway_state, self.fleet, gateway_dialect
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/ingress.py
@@ -10,12 +10,10 @@
 
 from aiohttp import web_request, web_response
 
-from spindlenotch.forwarding import data_path
 from spindlenotch.gateway import (
     answer_stream,
     answering,
     caller_listener,
-    dialect,
     lifecycle,
     pipelining,
     refusals,
@@ -35,11 +33,10 @@
     def __init__(
         self,
         gateway_state: state.GatewayState,
-        path: data_path.DataPath,
-        gateway_dialect: dialect.Dialect,
+        answerer: answering.Answerer,
     ) -> None:
         self.state = gateway_state
-        self.answerer = answering.Answerer(gateway_state, path, gateway_dialect)
+        self.answerer = answerer
         self.in_flight = 0
         self.closing = False
         self._listener = caller_listener.CallerListener(
