Ages of callers: routes that are gone are forgotten

And on the path of each request a constant logarithm was worked out anew, and the queue of a connection copied. Change: forgotten with each configuration; the constant has a name.

--- a/features/steps/gateway_requests.py
+++ b/features/steps/gateway_requests.py
@@ -126,6 +126,11 @@
             ages.age_s(ROUTE.name, first_s)
         assert ages.age_s(ROUTE.name, first_s) == 0.0
         assert ages.age_s(ROUTE.name, first_s / 2) == first_s / 2
+    ages.forget_missing([ROUTE])
+    assert ages.age_s(ROUTE.name, 4.0) == 4.0
+    # A route that went and came back begins anew.
+    ages.forget_missing([])
+    assert ages.age_s(ROUTE.name, 4.0) == 0.0
 
 
 @kernel.PROPERTIES.register("the rate of ends follows the last seconds")
--- a/spindlenotch/gateway/caller_age.py
+++ b/spindlenotch/gateway/caller_age.py
@@ -8,12 +8,14 @@
 """
 
 import math
+from collections import abc
 
 from spindlenotch.gateway import routing
 
 #: Two stated times whose ratio is above this fall into one class, roughly.
 #: Chosen, not measured.
 CLASS_RATIO = 0.97
+LOG_CLASS_RATIO = math.log(CLASS_RATIO)
 #: Share of a route's requests from which a class holds times that callers begin
 #: with. Above what the tries of one age make, below what one of several kinds of
 #: caller makes. Chosen, not measured.
@@ -49,7 +51,7 @@
         return min(above, default=left_s) - left_s
 
     def _count(self, left_s: float) -> None:
-        key = int(math.log(max(LEAST_STATED_S, left_s)) / math.log(CLASS_RATIO))
+        key = int(math.log(max(LEAST_STATED_S, left_s)) / LOG_CLASS_RATIO)
         self._count_by_class[key] = self._count_by_class.get(key, 0.0) + 1.0
         self._most_by_class[key] = max(self._most_by_class.get(key, 0.0), left_s)
         self._total += 1.0
@@ -92,3 +94,9 @@
         """Return for how many seconds a caller has asked, zero where not known."""
         times = self._times_by_route.setdefault(route, RouteTimes())
         return times.age_s(left_s)
+
+    def forget_missing(self, routes: abc.Iterable[routing.Route]) -> None:
+        """Drop what was stated on routes that are gone."""
+        names = {route.name for route in routes}
+        for name in [n for n in self._times_by_route if n not in names]:
+            del self._times_by_route[name]
--- a/spindlenotch/gateway/job_factory.py
+++ b/spindlenotch/gateway/job_factory.py
@@ -57,6 +57,7 @@
         self._dropped = gateway_dialect.replaced | {"content-length"}
         self._numbers = itertools.count()
         self._ages = caller_age.CallerAges()
+        self._table: routing.RouteTable | None = None
 
     def create(
         self,
@@ -65,6 +66,7 @@
         body: request_body.Body,
     ) -> jobs.Job:
         """Build the job of a request; advances the route's round robin."""
+        self._follow_configuration()
         service = self.state.round_robin.next(route)
         chosen = self.state.balancer_by_service[service]
         return jobs.Job(
@@ -106,6 +108,13 @@
             cross_zone_s=cross_zone_s(body, typical_s),
         )
 
+    def _follow_configuration(self) -> None:
+        """Forget routes that are gone, once for each configuration in force."""
+        table = self.state.table
+        if table is not None and table is not self._table:
+            self._table = table
+            self._ages.forget_missing(table.configuration.routes)
+
     def _passed_headers(
         self, request: web_request.BaseRequest
     ) -> list[tuple[str, str]]:
--- a/spindlenotch/gateway/pipelining.py
+++ b/spindlenotch/gateway/pipelining.py
@@ -133,7 +133,7 @@
         """Begin requests that wait behind ``current``, whose turn it is."""
         if current.method not in SAFE_METHODS:
             return
-        for message, payload in list(self._messages):
+        for message, payload in self._messages:
             if not isinstance(message, http_parser.RawRequestMessage):
                 return
             bare = payload is streams.EMPTY_PAYLOAD
