Of equally good upstreams one of the own zone is taken; cheaper samples

Cause: costs within 8% count as equal, so where work takes longer than 0.4 s the zone's cost of 0.03 s never decided: 80 of 100 requests crossed zones with five zones. With 300 upstreams a decision compared 64 of them and took 1.4 ms.

Change: among equals the own zone's; of more than 40 upstreams 24 are drawn from the own zone, the rest from all; drawn ones are kept by id.

--- a/features/steps/gateway_policy.py
+++ b/features/steps/gateway_policy.py
@@ -318,3 +318,34 @@
     assert made.give_up(ids.later(NOW, 0.05)) == []
     (settled,) = made.give_up(ids.later(NOW, 0.1))
     assert settled.call is call
+
+
+@kernel.PROPERTIES.register("of equals the own zone's upstreams are taken first")
+def own_zone_first() -> None:
+    """Play 300 upstreams in three zones; calls come until all slots are in use."""
+    made = paced([1])
+    specs = [
+        upstreams.UpstreamSpec(
+            ids.UpstreamId(f"v{n}"),
+            kernel.ZONES[n % len(kernel.ZONES)],
+            ids.Address(""),
+            1,
+            4,
+        )
+        for n in range(300)
+    ]
+    made.pool.set_listed(specs, NOW)
+    own = made.pool.local_member.zone
+    own_room = sum(4 for spec in specs if spec.zone == own)
+    zones = []
+    for number in range(2 * own_room):
+        # Work is so long that to cross zones is within what counts as equal.
+        call = dataclasses.replace(kernel.call(number), cross_zone_s=0.0002)
+        grant = made.offer(call, NOW)
+        assert isinstance(grant, verdicts.Grant), (number, grant)
+        zones.append(grant.upstream.spec.zone)
+    # Half full, an upstream is as good as an empty one.
+    first = zones[: own_room // 2]
+    assert first.count(own) > 0.95 * len(first), first.count(own)
+    # A full zone sends its calls elsewhere and lets none wait.
+    assert zones.count(own) < len(zones)
--- a/spindlenotch/decisions/baselines.py
+++ b/spindlenotch/decisions/baselines.py
@@ -111,4 +111,4 @@
 def _two(
     pool: upstream_pool.Pool, now: ids.Instant, exclude: selection.Exclusion
 ) -> list[upstreams.Upstream]:
-    return selection.sample(pool, 2, now, exclude)
+    return selection.sample(pool.usable_order, 2, pool.rng, now, exclude)
--- a/spindlenotch/decisions/owned_slots.py
+++ b/spindlenotch/decisions/owned_slots.py
@@ -121,7 +121,7 @@
         now: ids.Instant,
         exclude: selection.Exclusion,
     ) -> list[upstreams.Upstream]:
-        options = selection.sample(pool, sampled, now, exclude)
+        options = selection.sample(pool.usable_order, sampled, pool.rng, now, exclude)
         for upstream in itertools.islice(_own_from_random(pool), OWN_COMPARED_BUSY):
             if upstream in options or upstream.spec.id in exclude:
                 continue
--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -37,9 +37,11 @@
 ANSWERS_TRUSTED = 10.0
 #: Costs within this share of the least are taken for equal. Chosen, not measured.
 NEAR_SHARE = 0.08
-#: Upstreams compared for one call; of more than that a sample is drawn. Chosen,
-#: not measured.
-MOST_COMPARED = 64
+#: Upstreams compared for one call. Of more than that samples are drawn, from the
+#: own zone and from all: 64 of all took 1.4 ms a call with 300 upstreams.
+MOST_COMPARED = 40
+#: How many of them are drawn from the own zone. Chosen, not measured.
+LOCAL_COMPARED = 24
 
 
 @selection.POLICIES.register(NAME)
@@ -57,13 +59,20 @@
         now: ids.Instant,
         exclude: selection.Exclusion,
     ) -> selection.Choice | None:
-        """Take one of the nearly soonest at random, so that not all take the same."""
+        """
+        Take one of the nearly soonest at random, so that not all take the same.
+
+        One of the own zone where there is any: elsewhere the call would be as soon
+        at its end, and its bytes cross between zones.
+        """
         cost_by_id = _costs(pool, call, _options(pool, call, now, exclude), now)
         if not cost_by_id:
             return None
         limit = min(cost_by_id.values()) * (1.0 + NEAR_SHARE)
         near = [name for name, cost in cost_by_id.items() if cost <= limit]
-        chosen = pool.upstream_by_id[pool.rng.choice(near)]
+        zone = pool.local_member.zone
+        local = [name for name in near if pool.upstream_by_id[name].spec.zone == zone]
+        chosen = pool.upstream_by_id[pool.rng.choice(local or near)]
         candidate = selection.Candidate(
             upstream=chosen.spec.id,
             cost=cost_by_id[chosen.spec.id],
@@ -88,7 +97,7 @@
 ) -> list[upstreams.Upstream]:
     """Return the upstreams that are compared."""
     if len(pool.usable_order) > MOST_COMPARED:
-        options = selection.sample(pool, MOST_COMPARED, now, exclude)
+        options = _sample(pool, now, exclude)
     else:
         options = selection.eligible(pool, now, exclude)
     # A further try takes a slowed one rather than none once the wait is over.
@@ -97,6 +106,18 @@
     return without_slowed(options, now)
 
 
+def _sample(
+    pool: upstream_pool.Pool, now: ids.Instant, exclude: selection.Exclusion
+) -> list[upstreams.Upstream]:
+    """Return some upstreams of the own zone, and some of all zones."""
+    rng = pool.rng
+    local = selection.sample(pool.local_order, LOCAL_COMPARED, rng, now, exclude)
+    count = MOST_COMPARED - len(local)
+    anywhere = selection.sample(pool.usable_order, count, rng, now, exclude)
+    sampled_by_id = {u.spec.id: u for u in (*local, *anywhere)}
+    return list(sampled_by_id.values())
+
+
 def _costs(
     pool: upstream_pool.Pool,
     call: waiting.Call,
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -39,7 +39,8 @@
     """
     The upstreams by id, and the running means of the service as a whole.
 
-    Invariants: ``usable_order`` lists the upstreams that are not leaving;
+    Invariants: ``usable_order`` lists the upstreams that are not leaving,
+    ``local_order`` those of them in this process's own zone;
     ``owned`` lists those of them in which this process owns slots, in all
     ``owned_total``; ``in_flight`` counts the calls sent and not ended,
     ``waiting`` those in the queue; at most ``eject_share`` of the pool (at least
@@ -62,6 +63,7 @@
         self.members: tuple[ownership.Member, ...] = (local_member,)
         self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
         self.usable_order: list[upstreams.Upstream] = []
+        self.local_order: list[upstreams.Upstream] = []
         self.owned: list[upstreams.Upstream] = []
         self.ejected: list[upstreams.Upstream] = []
         self.zone_factor: dict[ids.ZoneName, float] = {}
@@ -141,6 +143,8 @@
             for u in self.upstream_by_id.values()
             if u.state is not upstreams.State.LEAVING
         ]
+        zone = self.local_member.zone
+        self.local_order = [u for u in self.usable_order if u.spec.zone == zone]
         self.ejected = [
             u for u in self.usable_order if u.state is upstreams.State.EJECTED
         ]
--- a/spindlenotch/selection.py
+++ b/spindlenotch/selection.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import enum
+import random
 import typing
 from collections import abc
 
@@ -90,19 +91,21 @@
 
 
 def sample(
-    pool: upstream_pool.Pool, count: int, now: ids.Instant, exclude: Exclusion
+    order: abc.Sequence[upstreams.Upstream],
+    count: int,
+    rng: random.Random,
+    now: ids.Instant,
+    exclude: Exclusion,
 ) -> list[upstreams.Upstream]:
-    """Return up to ``count`` random upstreams that may take a call."""
-    sampled: list[upstreams.Upstream] = []
-    order = pool.usable_order
-    if not order:
-        return sampled
-    for _ in range(DRAWS_PER_SAMPLE * count):
-        upstream = order[int(pool.rng.random() * len(order))]
-        if upstream in sampled or upstream.spec.id in exclude:
+    """Return up to ``count`` random upstreams of ``order`` that may take a call."""
+    sampled_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
+    for _ in range(DRAWS_PER_SAMPLE * count if order else 0):
+        upstream = order[int(rng.random() * len(order))]
+        upstream_id = upstream.spec.id
+        if upstream_id in sampled_by_id or upstream_id in exclude:
             continue
         if upstream.may_take(now):
-            sampled.append(upstream)
-            if len(sampled) == count:
+            sampled_by_id[upstream_id] = upstream
+            if len(sampled_by_id) == count:
                 break
-    return sampled
+    return list(sampled_by_id.values())
