Load records that tell nothing new are sent now and then only

Cause: an upstream is probed 15 times a second and each report was passed on to all active gateways, though the same load is told several times in a row where work is long.

Change: a report with the same number of requests, and a slowdown within 8%, is repeated after 0.2 s.

--- a/spindlenotch/gateway/load_sharing.py
+++ b/spindlenotch/gateway/load_sharing.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections import abc
 
 from spindlenotch import ids
@@ -25,10 +26,25 @@
 #: place of 463 with two digits each.
 SLOWDOWN_DIGITS = 2
 AGE_DIGITS = 3
+#: Time after which a report is repeated that says the same as the one before. By
+#: then the slowdown that it told counts for two thirds (``SLOWDOWN_DECAY_S``).
+REPEAT_S = 0.2
+#: Slowdowns within this share of each other count as the same. Chosen, not
+#: measured: below ``soonest.NEAR_SHARE`` they never decide.
+SAME_SLOWDOWN_SHARE = 0.08
 #: Reports older than this are not passed on. Chosen, not measured.
 MOST_AGE_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sent:
+    """The report of an upstream that was sent last, and when to repeat it."""
+
+    report: upstreams.LoadReport
+    report_at: ids.Instant
+    repeat_at: ids.Instant
+
+
 class LoadSharing:
     """
     Sends and receives load reports.
@@ -48,7 +64,7 @@
         self.fleet = gateway_fleet
         self.link = link
         self.probed = probed
-        self._sent_report_at: dict[ids.UpstreamId, ids.Instant] = {}
+        self._sent_by_id: dict[ids.UpstreamId, _Sent] = {}
 
     async def run(self) -> None:
         """Send new reports until cancelled."""
@@ -137,15 +153,34 @@
         ]
 
     def _is_due(self, upstream: upstreams.Upstream, now: ids.Instant) -> bool:
-        """Tell whether a report is recent and not sent yet; it counts as sent then."""
+        """
+        Tell whether a report is recent and tells anything new; it counts as sent then.
+
+        One that says the same as the last is sent only now and then, so that those
+        who have it know that it still holds.
+        """
         if now - upstream.report_at > MOST_AGE_S:
             return False
-        if self._sent_report_at.get(upstream.spec.id) == upstream.report_at:
-            return False
-        self._sent_report_at[upstream.spec.id] = upstream.report_at
+        sent = self._sent_by_id.get(upstream.spec.id)
+        if sent is not None:
+            if sent.report_at == upstream.report_at:
+                return False
+            if now < sent.repeat_at and _says_the_same(upstream.report, sent.report):
+                return False
+        repeat_at = ids.later(now, REPEAT_S)
+        self._sent_by_id[upstream.spec.id] = _Sent(
+            upstream.report, upstream.report_at, repeat_at
+        )
         return True
 
 
+def _says_the_same(report: upstreams.LoadReport, other: upstreams.LoadReport) -> bool:
+    """Tell whether two reports differ in nothing that decides where calls go."""
+    same_load = report.running + report.queued == other.running + other.queued
+    change = abs(report.slowdown - other.slowdown)
+    return same_load and change <= SAME_SLOWDOWN_SHARE * other.slowdown
+
+
 def _record(upstream: upstreams.Upstream, now: ids.Instant) -> workload.LoadRecord:
     report = upstream.report
     return workload.LoadRecord(
