A fleet that starts is read by few: the others wait for peers as they come up

Cause: a gateway that had heard no reader 0.2 s after its start read for itself: eight calls each with 360 upstreams, in a fleet of hundreds whose weak hosts take a second to start. All of them asked the three peers of the settings every 0.05 s until one answered, then nobody for 0.4 s.

Change: it waits as long as its own start took, and a second where peers answer; meanwhile it asks one of the settings and two known ones, at growing pauses, until it is ready.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -29,6 +29,7 @@
       | more gateways step in where the weakest is overloaded      |
       | what callers ask rises at once and falls late              |
       | one that starts gives a peer time to spare it the reading  |
+      | one that starts slowly, or is answered, waits for longer   |
       | a fleet that starts has one reader a zone                  |
       | only who reads the source passes news on at once           |
       | a load report that tells nothing new is sent now and then  |
--- a/features/steps/gateway_reading.py
+++ b/features/steps/gateway_reading.py
@@ -23,6 +23,24 @@
         assert alone.must_read()
 
 
+@kernel.PROPERTIES.register("one that starts slowly, or is answered, waits for longer")
+def waits_longer() -> None:
+    state, slow = started_gateway.gateway(started_gateway.SEED, start_took_s=0.7)
+    assert isinstance(state.clock, clock.ManualClock)
+    state.clock.advance(0.69)
+    assert not slow.must_read()
+    state.clock.advance(0.02)
+    assert slow.must_read()
+    state, answered = started_gateway.gateway(started_gateway.SEED)
+    assert isinstance(state.clock, clock.ManualClock)
+    started_gateway.peer(state, "p", messages.Status.STARTING)
+    started_gateway.heard(state, answered, "p", reads=False)
+    state.clock.advance(relay.ANSWERED_WAIT_S - 0.01)
+    assert not answered.must_read()
+    state.clock.advance(1.0)
+    assert answered.must_read()
+
+
 @kernel.PROPERTIES.register("a fleet that starts has one reader a zone")
 def starting() -> None:
     state, passing = started_gateway.gateway(started_gateway.SEED)
--- a/features/support/started_gateway.py
+++ b/features/support/started_gateway.py
@@ -17,7 +17,9 @@
 ZONE = "a"
 
 
-def gateway(seeds: str) -> tuple[states.GatewayState, relay.Relay]:
+def gateway(
+    seeds: str, start_took_s: float = 0.0
+) -> tuple[states.GatewayState, relay.Relay]:
     """Return a gateway that has just started, and its relay."""
     given = {
         "host": "me",
@@ -33,7 +35,9 @@
     assert isinstance(config, settings.GatewaySettings), config
     state = states.GatewayState(config, clock.ManualClock())
     fleet = fleets.Fleet(state)
-    return state, relay.Relay(state, fleet, membership.Membership(state).link)
+    return state, relay.Relay(
+        state, fleet, membership.Membership(state).link, start_took_s
+    )
 
 
 def peer(state: states.GatewayState, name: str, status: messages.Status) -> None:
--- a/spindlenotch/gateway/daemon.py
+++ b/spindlenotch/gateway/daemon.py
@@ -13,7 +13,7 @@
 
 import uvloop
 
-from spindlenotch import collector, events
+from spindlenotch import clock, collector, events, ids
 from spindlenotch.gateway import gateway, log_sink, settings
 from spindlenotch.settings import schema
 
@@ -48,23 +48,32 @@
             return None
 
 
-def run(source: SettingsSource) -> int:
-    """Run until SIGTERM or SIGINT, then stop as planned; return the exit code."""
+def run(source: SettingsSource, begun_at: ids.Instant | None = None) -> int:
+    """
+    Run until SIGTERM or SIGINT, then stop as planned; return the exit code.
+
+    ``begun_at`` is when the process began its imports, by the clock that gateways
+    use; None where that is not known.
+    """
     log_sink.install()
     config = source.read()
     if isinstance(config, list):
         _log_faults(config)
         return EXIT_SETTINGS
-    uvloop.run(_serve(config, source))
+    uvloop.run(_serve(config, source, begun_at))
     return 0
 
 
-async def _serve(config: settings.GatewaySettings, source: SettingsSource) -> None:
+async def _serve(
+    config: settings.GatewaySettings,
+    source: SettingsSource,
+    begun_at: ids.Instant | None,
+) -> None:
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
-    running = gateway.create(config)
+    running = gateway.create(config, _start_took_s(begun_at))
     loop.add_signal_handler(signal.SIGHUP, _reload, running, source)
     await running.start()
     file_watcher = asyncio.ensure_future(_watch_file(running, source))
@@ -74,6 +83,12 @@
     await running.stop()
 
 
+def _start_took_s(begun_at: ids.Instant | None) -> float:
+    if begun_at is None:
+        return 0.0
+    return clock.CLOCKS.get("boottime")().now() - begun_at
+
+
 async def _watch_file(running: gateway.Gateway, source: SettingsSource) -> None:
     """Read the settings again when their file has changed."""
     seen_ns = source.modified_at_ns()
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -55,6 +55,7 @@
         source: sources.Source,
         port: ports.UpstreamPort,
         gateway_dialect: dialect.Dialect,
+        start_took_s: float = 0.0,
     ) -> None:
         self.state = gateway_state
         self.source = source
@@ -70,7 +71,7 @@
         )
         self.membership = membership.Membership(gateway_state)
         link = self.membership.link
-        self.relay = relay.Relay(gateway_state, self.fleet, link)
+        self.relay = relay.Relay(gateway_state, self.fleet, link, start_took_s)
         self.source_reader = source_reader.SourceReader(
             gateway_state, source, self.relay
         )
@@ -148,8 +149,12 @@
             await asyncio.sleep(TICK_S)
 
 
-def create(config: settings.GatewaySettings) -> Gateway:
-    """Build a gateway from settings with the drivers that they name."""
+def create(config: settings.GatewaySettings, start_took_s: float = 0.0) -> Gateway:
+    """
+    Build a gateway from settings with the drivers that they name.
+
+    ``start_took_s`` is how long the process has taken until now, in seconds.
+    """
     gateway_dialect = dialect.DIALECTS.get(config.dialect)()
     gateway_state = state.GatewayState(config, clock.CLOCKS.get("boottime")())
     return Gateway(
@@ -157,4 +162,5 @@
         sources.SOURCES.get(config.source_driver)(config.source),
         upstream_http.HttpUpstreamPort(gateway_dialect.upstream),
         gateway_dialect,
+        start_took_s,
     )
--- a/spindlenotch/gateway/membership.py
+++ b/spindlenotch/gateway/membership.py
@@ -21,11 +21,16 @@
     peer_seal,
 )
 
-#: How many times, and how far apart in seconds, a starting gateway asks the
-#: peers of its settings before the periodic questions begin. Chosen, not
-#: measured: hosts that start together may be up a moment later.
-BOOTSTRAP_ROUNDS = 8
-BOOTSTRAP_PAUSE_S = 0.05
+#: Seconds between the first two questions of a gateway that starts, and the factor by
+#: which the next pauses are longer: hosts that start together may be up, or have read,
+#: a moment later, and those of the settings must not be asked by all of them at once.
+FIRST_PAUSE_S = 0.05
+PAUSE_FACTOR = 1.25
+#: Questions of that kind before the periodic ones begin; together 1.7 s.
+BOOTSTRAP_ROUNDS = 10
+#: Known peers that each of them goes to, besides one of the settings. Chosen, not
+#: measured.
+BOOTSTRAP_FANOUT = 2
 
 
 class MessageListener(typing.Protocol):
@@ -91,18 +96,29 @@
         self.link.send(self.state.gossip.compose(), everyone)
 
     async def _bootstrap(self) -> None:
-        """Ask the peers of the settings until one has answered, for a short time."""
+        """
+        Ask peers until this gateway is ready, for a short time.
+
+        Those of the settings until one has answered; then one of them and some that
+        became known, so that in a large fleet few are asked by all.
+        """
         gateway_state = self.state
         others = [
             a
             for a in gateway_state.config.peers
             if a != gateway_state.config.peer_listen
         ]
+        pause_s = FIRST_PAUSE_S
         for _ in range(BOOTSTRAP_ROUNDS):
-            if gateway_state.gossip.known_by_host or not others:
+            if gateway_state.ready or not others:
                 return
-            self.link.send(gateway_state.gossip.compose(wants_reply=True), others)
-            await asyncio.sleep(BOOTSTRAP_PAUSE_S)
+            targets = others
+            known = gateway_state.gossip.random_targets(BOOTSTRAP_FANOUT)
+            if known:
+                targets = [*known, gateway_state.rng.choice(others)]
+            self.link.send(gateway_state.gossip.compose(wants_reply=True), targets)
+            await asyncio.sleep(jitter.jittered(pause_s, gateway_state.rng))
+            pause_s *= PAUSE_FACTOR
 
     def _undiscovered(self, asked: list[ids.Address]) -> list[ids.Address]:
         """Return the peers that only the source's discovery records name."""
--- a/spindlenotch/gateway/reader_duty.py
+++ b/spindlenotch/gateway/reader_duty.py
@@ -57,6 +57,11 @@
         self._is_reading = False
         self._asked = 0
 
+    @property
+    def has_heard_peer(self) -> bool:
+        """Tell whether any gateway of the fleet has been heard since the start."""
+        return self._peer_heard_at > float("-inf")
+
     def peer_heard(self, now: ids.Instant) -> None:
         """Note a message of any gateway of the fleet."""
         self._peer_heard_at = now
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -33,10 +33,14 @@
 
 #: Time between two questions to the zone's reader. Chosen, not measured.
 ASK_PERIOD_S = 0.3
-#: How long a starting gateway waits for a peer that has read already, so that a
-#: fleet that starts together does not read as often as it has members. Measured:
-#: docs/MEASUREMENTS.md, round 18 (0.4 s refused requests after a loss of all).
+#: How long a starting gateway waits at least for a peer that has read already, so
+#: that a fleet that starts together does not read as often as it has members.
+#: Measured: docs/MEASUREMENTS.md, round 18 (0.4 s refused requests after a loss of
+#: all, when a peer that had not read yet was asked again only after 0.4 s).
 FIRST_PEER_WAIT_S = 0.2
+#: How long it waits where peers answer, but none has read yet. Chosen, not measured:
+#: they are asked ten times meanwhile (``membership.FIRST_PAUSE_S``).
+ANSWERED_WAIT_S = 1.0
 #: How many times, and how far apart in seconds, a reader announces a new
 #: document at once. Chosen, not measured.
 ANNOUNCE_ROUNDS = 2
@@ -58,6 +62,7 @@
         gateway_state: state.GatewayState,
         gateway_fleet: fleet.Fleet,
         link: peer_link.PeerLink,
+        start_took_s: float,
     ) -> None:
         self.state = gateway_state
         self.fleet = gateway_fleet
@@ -68,6 +73,7 @@
             link, self._receive, self.tasks
         )
         self.started_at = gateway_state.clock.now()
+        self.first_peer_wait_s = max(FIRST_PEER_WAIT_S, start_took_s)
         self._announce_rounds = 0
         self._is_announcing = False
         self.duty = reader_duty.ReaderDuty(gateway_state.config.host, self.started_at)
@@ -101,12 +107,19 @@
         """
         Tell whether a peer may yet spare this gateway's first reading.
 
-        Seeds do not wait: somebody has to read first.
+        Seeds do not wait: somebody has to read first. The others wait as long as
+        their own start took, since peers of their strength come up around the same
+        time; and longer once a peer has answered, which may soon have read.
         """
         config = self.state.config
         if not config.peers or config.peer_listen in config.peers:
             return False
-        return self.state.clock.now() - self.started_at < FIRST_PEER_WAIT_S
+        if self.state.ready:
+            return False
+        wait_s = self.first_peer_wait_s
+        if self.duty.has_heard_peer:
+            wait_s = max(wait_s, ANSWERED_WAIT_S)
+        return self.state.clock.now() - self.started_at < wait_s
 
     def _addresses_to_ask(self) -> list[ids.Address]:
         order = self.fleet.readers()
