Upstreams that fail some of their requests are passed over

Cause: ejection waits for three failures in a row, which an upstream that fails 40 of 100 requests seldom shows while its probes are good; the share of failures was no part of the expected cost.

Change: kernel/failure_share counts failures, refusals and answers that fade within seconds; what an upstream fails beyond the mean of all enters its cost, 15 times the work for a call that may not be repeated.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -13,6 +13,7 @@
       | an upstream that nobody has tried yet gets its share       |
       | a call waits while only slowed upstreams have room         |
       | of equals the own zone's upstreams are taken first         |
+      | what can't be repeated avoids upstreams that fail some     |
       | a call whose wait is over is refused, not slowed down      |
       | a call goes to a slowed upstream where all are slowed      |
       | only what is known not to have run is sent again           |
--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -35,6 +35,12 @@
 #: all. Chosen, not measured; that few answers count little is (MEASUREMENTS.md,
 #: round 19).
 ANSWERS_TRUSTED = 10.0
+#: What a failure costs a call that may run again, in units of its work: the time
+#: until it is known, and a further try. Chosen, not measured.
+REPEATABLE_COST = 0.7
+#: And one that may not: it is lost. Chosen, not measured; with it and 15 of 100
+#: upstreams failing 40 of 100 requests, CALIBRATE.
+UNREPEATABLE_COST = 15.0
 #: Costs within this share of the least are taken for equal. Chosen, not measured.
 NEAR_SHARE = 0.08
 #: Upstreams compared for one call. Of more than that samples are drawn, from the
@@ -173,6 +179,24 @@
     return overall + trust * (upstream.latency_ratio.value - overall)
 
 
+def failure_cost(
+    pool: upstream_pool.Pool,
+    call: waiting.Call,
+    upstream: upstreams.Upstream,
+    now: ids.Instant,
+) -> float:
+    """
+    Return what failures there are expected to cost the call, in units of its work.
+
+    Only what the upstream fails beyond the mean of all counts: where all fail
+    alike, the cause is the requests or what the upstreams share.
+    """
+    beyond = upstream.failure_share.value(now) - pool.failed_share.value
+    if beyond <= 0.0:
+        return 0.0
+    return beyond * (REPEATABLE_COST if call.repeatable else UNREPEATABLE_COST)
+
+
 def expected_s(
     pool: upstream_pool.Pool,
     call: waiting.Call,
@@ -197,6 +221,7 @@
         excess = FULL_SLOWDOWN * (in_use - SLOWER_FROM_SHARE)
         work_s *= 1.0 + excess / (1.0 - SLOWER_FROM_SHARE)
     ahead = max(0.0, load + 1 - slots)
+    work_s *= 1.0 + failure_cost(pool, call, upstream, now)
     work_s *= 1.0 + silence.overdue_cost(upstream, pool.latencies.overall.value, now)
     local = upstream.spec.zone == pool.local_member.zone
     crossing_s = 0.0 if local else call.cross_zone_s
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -13,7 +13,7 @@
 from collections import abc
 
 from spindlenotch import ids
-from spindlenotch.kernel import ejection, latency
+from spindlenotch.kernel import ejection, failure_share, latency
 
 #: Weight of the newest sample in an upstream's latency ratio. Chosen, not
 #: measured.
@@ -58,6 +58,15 @@
     CANCELLED = "cancelled"
 
 
+#: What the end of a request counts in its upstream's share of failures.
+FAILURES_BY_RESULT = {
+    Result.ANSWERED: 0.0,
+    Result.FAILED: 1.0,
+    Result.SHED: failure_share.REFUSED_COUNTS,
+    Result.CONNECT_FAILED: 1.0,
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
     """
@@ -119,6 +128,7 @@
         self.outstanding_at_report = 0
         self.latency_ratio = latency.Mean(1.0, LATENCY_RATIO_WEIGHT)
         self.failures_in_row = 0
+        self.failure_share = failure_share.FailureShare()
         self.ejections_in_row = 0
         self.answers = 0
         self.answered_at = now
@@ -147,6 +157,7 @@
         if sent_at is None or result is Result.CANCELLED:
             return
         self.answered_at = now
+        self.failure_share.add(FAILURES_BY_RESULT[result], now)
         if result is Result.ANSWERED:
             self.answers += 1
             self.failures_in_row = 0
