Gossip: changed records in a module of their own; no walk over all members for a message

Change: record_spread holds which records go out next; membership keeps who is suspected and who is asked anything.

--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/fleet.py
@@ -130,13 +130,11 @@
     def _active(self, ready: list[messages.MemberRecord]) -> list[active_set.Candidate]:
         gossip = self.state.gossip
         self._demand_revision = gossip.demand_revision
-        known_by_host = gossip.known_by_host
-        # The records of ``ready`` are those of when members last changed.
+        ready_hosts = {record.host for record in ready}
         demands = [
-            known_by_host[record.host].record.demand
-            if record.host in known_by_host
-            else gossip.local.demand
-            for record in ready
+            demand
+            for host, demand in gossip.demand_by_host.items()
+            if host in ready_hosts
         ]
         demand = workload.Work(
             sum(one.requests_per_s for one in demands),
--- a/spindlenotch/peers/gossip.py
+++ b/spindlenotch/peers/gossip.py
@@ -89,6 +89,11 @@
         """Return a number that rises when who serves, or where, changes."""
         return self.membership.revision
 
+    @property
+    def demand_by_host(self) -> abc.Mapping[ids.HostId, workload.Work]:
+        """Return what callers ask of the members that are asked anything."""
+        return self.membership.demand_by_host
+
     @property
     def demand_revision(self) -> int:
         """Return a number that rises when what callers ask of a member changes."""
--- a/spindlenotch/peers/membership.py
+++ b/spindlenotch/peers/membership.py
@@ -8,14 +8,19 @@
 first. No input or output, and no clock: callers pass the time.
 """
 
-import math
 import random
 
 import msgspec
 
 from spindlenotch import ids
 from spindlenotch.kernel import ownership
-from spindlenotch.peers import messages, timing, tombstones, workload
+from spindlenotch.peers import (
+    messages,
+    record_spread,
+    timing,
+    tombstones,
+    workload,
+)
 
 #: Replies missed in a row before a suspicion. With one, 2097 living members
 #: of 450 were dropped in 30 s at 1% loss, with two none: docs/MEASUREMENTS.md,
@@ -24,9 +29,6 @@
 #: Seconds that a suspicion stands longer for each doubling of the fleet, since
 #: the refutation needs more periods to spread. Chosen, not measured.
 SUSPECT_S_PER_DOUBLING = 0.4
-#: Messages that a changed record goes into first, for each doubling of the
-#: fleet. Chosen, not measured.
-REPEATS_PER_DOUBLING = 1
 #: Records of further members are ignored beyond this. Chosen, not measured.
 MAX_MEMBERS = 4096
 
@@ -58,17 +60,21 @@
     Invariants: a record never replaces a newer one; the own record is never in
     ``known_by_host``; a dropped member returns only with a newer record or a
     message of its own; ``revision`` rises with each change of which members are
-    believed to serve and where, ``demand_revision`` with each of their demands.
+    believed to serve and where, ``demand_revision`` with each of their demands;
+    ``demand_by_host`` holds the demands of all members that are asked anything;
+    ``_suspected_hosts`` are the suspected ones of ``known_by_host``, the newest last.
     """
 
     def __init__(self, local: messages.MemberRecord, timeouts: timing.Timing) -> None:
         self.local = local
         self.timeouts = timeouts
         self.known_by_host: dict[ids.HostId, Peer] = {}
-        self.repeats_by_host: dict[ids.HostId, int] = {}
+        self.spread = record_spread.RecordSpread()
+        self._suspected_hosts: dict[ids.HostId, None] = {}
         self.tombstones = tombstones.Tombstones()
         self.revision = 0
         self.demand_revision = 0
+        self.demand_by_host: dict[ids.HostId, workload.Work] = {}
 
     # The own record
 
@@ -85,7 +91,7 @@
 
     def set_demand(self, demand: workload.Work) -> None:
         """Publish what callers ask of this member."""
-        self.demand_revision += 1
+        self._take_demand(self.local.host, demand)
         self.local = msgspec.structs.replace(
             self.local, demand=demand, heartbeat=self.local.heartbeat + 1
         )
@@ -160,21 +166,22 @@
         for peer in self.known_by_host.values():
             peer.suspect_until = ids.NEVER
             peer.missed = 0
+        self._suspected_hosts.clear()
 
     def drop_expired(self, now: ids.Instant) -> list[messages.MemberRecord]:
         """Drop the members whose suspicion expired unrefuted; return their records."""
-        expired = [
-            peer.record
-            for peer in self.known_by_host.values()
-            if peer.suspect_until <= now
-        ]
+        suspects = [self.known_by_host[host] for host in self._suspected_hosts]
+        expired = [peer.record for peer in suspects if peer.suspect_until <= now]
         for record in expired:
             self._drop(record)
         return expired
 
     def suspect_s(self) -> float:
         """Return the seconds that a suspicion stands before its member is dropped."""
-        return self.timeouts.suspect_s + SUSPECT_S_PER_DOUBLING * self._doublings()
+        return (
+            self.timeouts.suspect_s
+            + SUSPECT_S_PER_DOUBLING * record_spread.doublings(self._fleet_size())
+        )
 
     # What the next message carries
 
@@ -182,29 +189,26 @@
         self, rng: random.Random, *, fill: bool
     ) -> tuple[messages.MemberRecord, ...]:
         """Return changed records; with ``fill`` also random ones up to the limit."""
-        hosts = list(self.repeats_by_host)[-messages.MEMBERS_PER_MESSAGE :]
-        for host in hosts:
-            self.repeats_by_host[host] -= 1
-            if self.repeats_by_host[host] <= 0:
-                del self.repeats_by_host[host]
         if fill:
-            everyone = list(self.known_by_host)
-            room = messages.MAX_MEMBERS_PER_MESSAGE - len(hosts)
-            hosts += rng.sample(everyone, min(room, len(everyone)))
-        return tuple(self.known_by_host[host].record for host in dict.fromkeys(hosts))
+            hosts = self.spread.next_hosts_filled(self.known_by_host, rng)
+        else:
+            hosts = self.spread.next_hosts()
+        return tuple(self.known_by_host[host].record for host in hosts)
 
     def next_suspicions(self) -> tuple[messages.Suspicion, ...]:
-        """Return the suspicions of the members that became known last."""
-        suspects = [p.record for p in self.known_by_host.values() if p.suspected]
+        """Return the suspicions of the members that were suspected last."""
+        suspects = list(self._suspected_hosts)[-messages.SUSPICIONS_PER_MESSAGE :]
+        records = [self.known_by_host[host].record for host in suspects]
         return tuple(
             messages.Suspicion(record.host, record.epoch, record.heartbeat)
-            for record in suspects[-messages.SUSPICIONS_PER_MESSAGE :]
+            for record in records
         )
 
     def _add(self, record: messages.MemberRecord, now: ids.Instant) -> bool:
         if len(self.known_by_host) >= MAX_MEMBERS:
             return False
         self.known_by_host[record.host] = Peer(record, now)
+        self._take_demand(record.host, record.demand)
         self.revision += 1
         self._send_first(record.host)
         return True
@@ -224,6 +228,7 @@
         if peer.suspected:
             # Only a direct message or a newer record gets here: it refutes.
             peer.suspect_until = ids.NEVER
+            del self._suspected_hosts[record.host]
             self.revision += 1
             self._send_first(record.host)
         peer.record = record
@@ -233,7 +238,7 @@
         if changed:
             self.revision += 1
         if record.demand != old.demand:
-            self.demand_revision += 1
+            self._take_demand(record.host, record.demand)
         if changed or record.demand != old.demand:
             self._send_first(record.host)
         return changed
@@ -241,21 +246,31 @@
     def _suspect(self, peer: Peer, now: ids.Instant) -> None:
         if not peer.suspected:
             peer.suspect_until = ids.later(now, self.suspect_s())
+            self._suspected_hosts[peer.record.host] = None
             self.revision += 1
             self._send_first(peer.record.host)
 
     def _drop(self, record: messages.MemberRecord) -> None:
         del self.known_by_host[record.host]
+        self._take_demand(record.host, workload.NO_WORK)
         self.revision += 1
-        self.repeats_by_host.pop(record.host, None)
+        self.spread.forget(record.host)
+        self._suspected_hosts.pop(record.host, None)
         self.tombstones.add(record)
 
+    def _take_demand(self, host: ids.HostId, demand: workload.Work) -> None:
+        self.demand_revision += 1
+        if demand == workload.NO_WORK:
+            self.demand_by_host.pop(host, None)
+        else:
+            self.demand_by_host[host] = demand
+
     def _send_first(self, host: ids.HostId) -> None:
         """Let the next messages carry the member's record first."""
-        self.repeats_by_host[host] = REPEATS_PER_DOUBLING * self._doublings()
+        self.spread.changed(host, self._fleet_size())
 
-    def _doublings(self) -> int:
-        return math.ceil(math.log2(len(self.known_by_host) + 2))
+    def _fleet_size(self) -> int:
+        return len(self.known_by_host) + 1
 
 
 def _replaces(
