Bad input that ended as an uncaught error gets a clear answer

Cause: a count of tickets of over 4,300 digits, a ticket with a MAC that is not ASCII, a key of bytes that are no UTF-8, and a portRange that is no list each raised where they were read.

Change: the first is refused with 400, the second as bad-id, the third as unauthenticated, the last named by the check of the settings.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -23,6 +23,8 @@
       | class not granted  | 403    | class-not-granted |
       | two ids            | 400    | two-ids           |
       | forged ticket      | 400    | bad-id            |
+      | non-ASCII ticket   | 400    | bad-id            |
+      | key of raw bytes   | 401    | unauthenticated   |
       | too many hops      | 431    | bad-header        |
 
   Scenario Outline: Request smuggling is refused by the parser
@@ -43,6 +45,10 @@
     And the entry counted dropped peer messages
     And the entry knows no peers
 
+  Scenario: A count of tickets with thousands of digits is refused
+    When a raw request is sent as endless count
+    Then the raw status is 400
+
   Scenario: The operators' pages are not on the callers' port
     When a raw request is sent as operator pages
     Then the raw status is 404
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -46,6 +46,7 @@
       | a failed call of the platform's store says why             |
       | a probe limit of the platform that is no number is named   |
       | all mistakes in the gateway's settings are told at once    |
+      | a port range of the platform that is no list is named      |
       | a load header is read whatever it holds                    |
       | a story has a bounded length whatever the logs hold        |
       | a full pipe drops lines and says how many                  |
--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -36,6 +36,17 @@
         "/s/resv/bookings",
         {**HOTEL, "Spindlenotch-Ticket": "not-a-ticket"},
     ),
+    "non-ASCII ticket": (
+        "POST",
+        "/s/resv/bookings",
+        {**HOTEL, "Spindlenotch-Ticket": "~".join(("e0", "i", "1", "1", "\u00e9"))},
+    ),
+    "key of raw bytes": (
+        "GET",
+        "/s/resv/",
+        {**HOTEL, "Spindlenotch-Key": "\udcff\udcfe"},
+    ),
+    "endless count": ("GET", "/v1/entries?tickets=" + "9" * 5000, {}),
     "too many hops": ("GET", "/s/resv/", {**GOOD, "Spindlenotch-Hops": "32"}),
     "operator pages": ("GET", "/state", {}),
 }
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -25,7 +25,7 @@
     wire_format,
     workload,
 )
-from spindlenotch_platform import http_dialect, records
+from spindlenotch_platform import http_dialect, records, settings_file
 
 NOW = kernel.NOW
 SERVICE = ids.ServiceName("s")
@@ -265,6 +265,17 @@
     assert (read.host, read.seed) == ("from-variable", 7)
 
 
+@kernel.PROPERTIES.register("a port range of the platform that is no list is named")
+def port_range() -> None:
+    for ports in (7660, "7660", {}, [], ["7660"], None):
+        document = {"ip": "127.0.0.1", "portRange": ports}
+        found = settings.read(settings_file.translate(document), {})
+        assert isinstance(found, list)
+        assert "--peer-listen" in {fault.flag.split()[0] for fault in found}, ports
+    document = {"ip": "127.0.0.1", "portRange": [7660, 7675]}
+    assert settings_file.translate(document)["peer_listen"] == "127.0.0.1:7660"
+
+
 @kernel.PROPERTIES.register("a load header is read whatever it holds")
 def load_header() -> None:
     assert http_dialect.read_load("3,1,8,250") == upstreams.LoadReport(3, 1, 2.5)
--- a/spindlenotch/entry/admit.py
+++ b/spindlenotch/entry/admit.py
@@ -151,7 +151,9 @@
     if name is None:
         return _rights_without_account(current, asked)
     account = current.account_by_name.get(ids.AccountName(name))
-    digest = hashlib.sha256(fields.get(headers.KEY, "").encode()).hexdigest()
+    # Bytes of a header that are no UTF-8 stand as surrogates in its text.
+    key = fields.get(headers.KEY, "").encode(errors="surrogateescape")
+    digest = hashlib.sha256(key).hexdigest()
     if account is None or not hmac.compare_digest(digest, account.key_sha256):
         return outcomes.not_run(outcomes.Reason.UNAUTHENTICATED)
     if asked is not None and asked not in account.class_names:
--- a/spindlenotch/entry/named_entries.py
+++ b/spindlenotch/entry/named_entries.py
@@ -12,11 +12,15 @@
 MAX_ENTRIES_NAMED = 8
 #: Most tickets in one answer. Chosen, not measured.
 MAX_TICKETS = 64
+#: Digits that the count of tickets may have, leading zeros included. Chosen, not
+#: measured.
+MAX_COUNT_DIGITS = 8
 
 
 def ticket_count(text: str) -> int | None:
     """Read how many tickets a caller asks for; None where that is not allowed."""
-    if not (text.isascii() and text.isdigit()):
+    # A number of thousands of digits is refused before it is read.
+    if len(text) > MAX_COUNT_DIGITS or not (text.isascii() and text.isdigit()):
         return None
     count = int(text)
     return count if count <= MAX_TICKETS else None
--- a/spindlenotch/entry/tickets.py
+++ b/spindlenotch/entry/tickets.py
@@ -82,6 +82,9 @@
     parts = text.split(SEPARATOR)
     if len(parts) != FIELD_COUNT or len(text) > MAX_ID_CHARS:
         return None
+    # A MAC can be compared only where it is ASCII, as all that are minted are.
+    if not text.isascii():
+        return None
     host, incarnation, sequence, minted_ms, _ = parts
     if not _is_decimal(sequence) or not _is_decimal(minted_ms):
         return None
