That an upstream is full or slowed is repeated to other gateways each time

Cause: a report that says the same as the last was held back for 0.2 s also where it said that there is no room. What others estimate fades to a mean meanwhile and lets them send there.

Change: only reports that say that there is room are held back.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -34,6 +34,7 @@
       | a fleet that starts has one reader a zone                  |
       | only who reads the source passes news on at once           |
       | a load report that tells nothing new is sent now and then  |
+      | that an upstream is full or slowed is sent each time       |
       | the loops of a standby gateway wake it together            |
       | an outage of the source is not met by the whole zone       |
       | where the source turns many hosts away the next one reads  |
--- a/features/steps/gateway_loads.py
+++ b/features/steps/gateway_loads.py
@@ -71,3 +71,12 @@
         assert playing.sent[-1] == running
     playing.probe(5, slowdown=7.0)
     assert playing.sent[-2:] == [5, 5]
+
+
+@kernel.PROPERTIES.register("that an upstream is full or slowed is sent each time")
+def full() -> None:
+    for running, slowdown in ((6, 1.0), (0, 7.0)):
+        playing = Sharing()
+        for _ in range(15):
+            playing.probe(running, slowdown)
+        assert len(playing.sent) == 15, playing.sent
--- a/spindlenotch/gateway/load_sharing.py
+++ b/spindlenotch/gateway/load_sharing.py
@@ -14,7 +14,7 @@
 
 from spindlenotch import ids
 from spindlenotch.gateway import fleet, state
-from spindlenotch.kernel import upstreams
+from spindlenotch.kernel import crowding, upstreams
 from spindlenotch.peers import gossip, messages, peer_link, workload
 
 #: Time between two rounds of sending. Chosen, not measured.
@@ -156,8 +156,9 @@
         """
         Tell whether a report is recent and tells anything new; it counts as sent then.
 
-        One that says the same as the last is sent only now and then, so that those
-        who have it know that it still holds.
+        One that says the same as the last, and that there is room, is sent only now
+        and then. That an upstream is full or slowed is repeated each time: what others
+        estimate fades to a mean, and would let them send there.
         """
         if now - upstream.report_at > MOST_AGE_S:
             return False
@@ -165,7 +166,8 @@
         if sent is not None:
             if sent.report_at == upstream.report_at:
                 return False
-            if now < sent.repeat_at and _says_the_same(upstream.report, sent.report):
+            repeats = _says_the_same(upstream.report, sent.report)
+            if now < sent.repeat_at and repeats and _has_room(upstream):
                 return False
         repeat_at = ids.later(now, REPEAT_S)
         self._sent_by_id[upstream.spec.id] = _Sent(
@@ -181,6 +183,14 @@
     return same_load and change <= SAME_SLOWDOWN_SHARE * other.slowdown
 
 
+def _has_room(upstream: upstreams.Upstream) -> bool:
+    """Tell whether an upstream reports that it is neither nearly full nor slowed."""
+    report = upstream.report
+    if report.slowdown > upstreams.SLOWED_FACTOR:
+        return False
+    return report.running + report.queued < crowding.NEARLY_FULL * upstream.slots
+
+
 def _record(upstream: upstreams.Upstream, now: ids.Instant) -> workload.LoadRecord:
     report = upstream.report
     return workload.LoadRecord(
