--- a/spindlenotch/entry/explain.py
+++ b/spindlenotch/entry/explain.py
@@ -13,7 +13,7 @@
 from spindlenotch.decisions import balancer, queueing_cost, verdicts
 from spindlenotch.entry import entry_state, state_view
 from spindlenotch.kernel import upstream_pool, upstreams
-from spindlenotch.peers import membership, messages
+from spindlenotch.peers import known_peer, messages
 
 #: How many of a service's latest decisions are shown. Chosen, not measured.
 RECENT_DECISIONS = 10
@@ -84,7 +84,7 @@
     )
 
 
-def _peer(known: membership.Peer, now: ids.Instant) -> state_view.PeerView:
+def _peer(known: known_peer.Peer, now: ids.Instant) -> state_view.PeerView:
     return state_view.PeerView(
         host=known.record.host,
         zone=known.record.zone,
--- a/spindlenotch/gateway/state_dump.py
+++ b/spindlenotch/gateway/state_dump.py
@@ -13,7 +13,7 @@
 from spindlenotch.decisions import balancer
 from spindlenotch.gateway import fleet, state
 from spindlenotch.kernel import upstreams
-from spindlenotch.peers import membership
+from spindlenotch.peers import known_peer
 
 #: Decimal places of ages and of ratios.
 AGE_DIGITS = 3
@@ -94,7 +94,7 @@
     )
 
 
-def _peer(known: membership.Peer, now: ids.Instant) -> PeerDump:
+def _peer(known: known_peer.Peer, now: ids.Instant) -> PeerDump:
     return PeerDump(
         status=known.record.status.name,
         last_heartbeat_s_ago=round(now - known.updated_at, AGE_DIGITS),
--- a/spindlenotch/kernel/latency_table.py
+++ b/spindlenotch/kernel/latency_table.py
@@ -58,11 +58,6 @@
         known = self.latency_by_key.get(key)
         return self.overall.value if known is None else known.typical.value
 
-    def shortest_typical_s(self) -> float:
-        """Return the mean latency of the kind of call that is the fastest."""
-        typical = [known.typical.value for known in self.latency_by_key.values()]
-        return min(typical, default=self.overall.value)
-
     def p95_s(self, key: str) -> float:
         """Return the latency that 95 in 100 calls of one kind stay under."""
         known = self.latency_by_key.get(key)
--- a/spindlenotch/peers/gossip.py
+++ b/spindlenotch/peers/gossip.py
@@ -18,6 +18,7 @@
 from spindlenotch.peers import (
     documents,
     drain_notices,
+    known_peer,
     membership,
     messages,
     probing,
@@ -80,7 +81,7 @@
         return self.membership.local
 
     @property
-    def known_by_host(self) -> dict[ids.HostId, membership.Peer]:
+    def known_by_host(self) -> dict[ids.HostId, known_peer.Peer]:
         """Return the other members."""
         return self.membership.known_by_host
 
--- /dev/null
+++ b/spindlenotch/peers/known_peer.py
@@ -0,0 +1,39 @@
+"""
+What one member knows of another: its newest record, and how it answers.
+
+Types and the order of records only; ``membership`` decides what follows from them.
+"""
+
+import msgspec
+
+from spindlenotch import ids
+from spindlenotch.peers import messages
+
+
+class Peer(msgspec.Struct):
+    """
+    Another member as known here.
+
+    ``updated_at`` is when its record was last confirmed, ``suspect_until``
+    when an unrefuted suspicion drops it, or ``ids.NEVER``; ``missed`` counts
+    the replies it has missed in a row.
+    """
+
+    record: messages.MemberRecord
+    updated_at: ids.Instant
+    suspect_until: ids.Instant = ids.NEVER
+    missed: int = 0
+
+    @property
+    def suspected(self) -> bool:
+        """Tell whether it failed to answer a member and has not refuted that."""
+        return self.suspect_until != ids.NEVER
+
+
+def replaces(
+    record: messages.MemberRecord, old: messages.MemberRecord, *, direct: bool
+) -> bool:
+    """Tell whether a record is newer; a member's own message confirms an equal one."""
+    if direct:
+        return record.record_version >= old.record_version
+    return record.record_version > old.record_version
--- a/spindlenotch/peers/membership.py
+++ b/spindlenotch/peers/membership.py
@@ -15,6 +15,7 @@
 from spindlenotch import ids
 from spindlenotch.kernel import ownership
 from spindlenotch.peers import (
+    known_peer,
     messages,
     record_spread,
     timing,
@@ -33,26 +34,6 @@
 MAX_MEMBERS = 4096
 
 
-class Peer(msgspec.Struct):
-    """
-    Another member as known here.
-
-    ``updated_at`` is when its record was last confirmed, ``suspect_until``
-    when an unrefuted suspicion drops it, or ``ids.NEVER``; ``missed`` counts
-    the replies it has missed in a row.
-    """
-
-    record: messages.MemberRecord
-    updated_at: ids.Instant
-    suspect_until: ids.Instant = ids.NEVER
-    missed: int = 0
-
-    @property
-    def suspected(self) -> bool:
-        """Tell whether it failed to answer a member and has not refuted that."""
-        return self.suspect_until != ids.NEVER
-
-
 class Membership:
     """
     The members that one of them knows.
@@ -68,7 +49,7 @@
     def __init__(self, local: messages.MemberRecord, timeouts: timing.Timing) -> None:
         self.local = local
         self.timeouts = timeouts
-        self.known_by_host: dict[ids.HostId, Peer] = {}
+        self.known_by_host: dict[ids.HostId, known_peer.Peer] = {}
         self.spread = record_spread.RecordSpread()
         self._suspected_hosts: dict[ids.HostId, None] = {}
         self.tombstones = tombstones.Tombstones()
@@ -135,7 +116,7 @@
         peer = self.known_by_host.get(record.host)
         if peer is None:
             return self._add(record, now)
-        if not _replaces(record, peer.record, direct=direct):
+        if not known_peer.replaces(record, peer.record, direct=direct):
             return False
         return self._replace(peer, record, now, direct=direct)
 
@@ -207,7 +188,7 @@
     def _add(self, record: messages.MemberRecord, now: ids.Instant) -> bool:
         if len(self.known_by_host) >= MAX_MEMBERS:
             return False
-        self.known_by_host[record.host] = Peer(record, now)
+        self.known_by_host[record.host] = known_peer.Peer(record, now)
         self._take_demand(record.host, record.demand)
         self.revision += 1
         self._send_first(record.host)
@@ -215,7 +196,7 @@
 
     def _replace(
         self,
-        peer: Peer,
+        peer: known_peer.Peer,
         record: messages.MemberRecord,
         now: ids.Instant,
         *,
@@ -243,7 +224,7 @@
             self._send_first(record.host)
         return changed
 
-    def _suspect(self, peer: Peer, now: ids.Instant) -> None:
+    def _suspect(self, peer: known_peer.Peer, now: ids.Instant) -> None:
         if not peer.suspected:
             peer.suspect_until = ids.later(now, self.suspect_s())
             self._suspected_hosts[peer.record.host] = None
@@ -271,12 +252,3 @@
 
     def _fleet_size(self) -> int:
         return len(self.known_by_host) + 1
-
-
-def _replaces(
-    record: messages.MemberRecord, old: messages.MemberRecord, *, direct: bool
-) -> bool:
-    """Tell whether a record is newer; a member's own message confirms an equal one."""
-    if direct:
-        return record.record_version >= old.record_version
-    return record.record_version > old.record_version
--- a/spindlenotch/peers/probing.py
+++ b/spindlenotch/peers/probing.py
@@ -11,7 +11,7 @@
 from collections import abc
 
 from spindlenotch import ids
-from spindlenotch.peers import membership
+from spindlenotch.peers import known_peer
 
 #: Members that are probed in a period. Chosen, not measured; the cost of
 #: three is in docs/CAPACITY.md, "Slopes".
@@ -33,7 +33,7 @@
         self._remaining: list[ids.HostId] = []
 
     def next_hosts(
-        self, known_by_host: abc.Mapping[ids.HostId, membership.Peer], now: ids.Instant
+        self, known_by_host: abc.Mapping[ids.HostId, known_peer.Peer], now: ids.Instant
     ) -> list[ids.HostId]:
         """Return whom to probe this period; their replies are due from now on."""
         hosts = [host for host, peer in known_by_host.items() if peer.missed][:1]
@@ -61,7 +61,7 @@
         self.reply_due_by_host.clear()
 
     def _next_in_order(
-        self, known_by_host: abc.Mapping[ids.HostId, membership.Peer]
+        self, known_by_host: abc.Mapping[ids.HostId, known_peer.Peer]
     ) -> ids.HostId:
         while self._remaining:
             host = self._remaining.pop()
--- a/tools/measure_gossip.py
+++ b/tools/measure_gossip.py
@@ -12,7 +12,7 @@
     capnp_codec,
     documents,
     gossip,
-    membership,
+    known_peer,
     messages,
     peer_seal,
     probing,
@@ -49,7 +49,7 @@
     state = gossip.Gossip(member(number), random.Random(number))
     for other in range(fleet):
         if other != number:
-            state.known_by_host[member(other).host] = membership.Peer(
+            state.known_by_host[member(other).host] = known_peer.Peer(
                 member(other), slopes.NOW
             )
     state.advertise(
