--- a/features/steps/gateway_duty.py
+++ b/features/steps/gateway_duty.py
@@ -40,7 +40,7 @@
     for host, duty in duties.items():
         duty.peer_heard(ids.Instant(0.0))
         if reach(host, HOSTS[0]):
-            duty.neighbour_heard(HOSTS[0], ids.Instant(0.0), reads=True)
+            duty.zone_peer_heard(HOSTS[0], ids.Instant(0.0), reads=True)
     ask_at = {host: rng.uniform(0, relay.ASK_PERIOD_S) for host in hosts}
     played = Played(set(), set(), -1.0)
     reads: set[ids.HostId] = set()
@@ -54,14 +54,14 @@
             for host in hosts:
                 if host != reader and reach(host, reader):
                     duties[host].peer_heard(now)
-                    duties[host].neighbour_heard(reader, now, reads=True)
+                    duties[host].zone_peer_heard(reader, now, reads=True)
         for host in hosts:
             if now >= ask_at[host]:
                 ask_at[host] = now + relay.ASK_PERIOD_S
                 for asked in duties[host].whom_to_ask(HOSTS, now):
                     if asked in duties and reach(host, asked):
                         duties[host].peer_heard(now)
-                        duties[host].neighbour_heard(asked, now, reads=asked in reads)
+                        duties[host].zone_peer_heard(asked, now, reads=asked in reads)
         if reads and played.news_at < 0:
             played.news_at = now
     played.readers_at_end = reads
--- a/spindlenotch/gateway/reader_duty.py
+++ b/spindlenotch/gateway/reader_duty.py
@@ -66,7 +66,7 @@
         """Note a message of any gateway of the fleet."""
         self._peer_heard_at = now
 
-    def neighbour_heard(
+    def zone_peer_heard(
         self, host: ids.HostId, now: ids.Instant, *, reads: bool
     ) -> None:
         """Note a message of a gateway of this zone, and whether it reads."""
@@ -98,16 +98,16 @@
         reading = [host for host in self._heard_by_host if self._reads(host, now)]
         if reading:
             return [*first, reading[0]]
-        self._asked += 1
         next_ones = others[1 : TURNS + 1]
-        return [
-            *first,
-            *(next_ones[self._asked % len(next_ones) :][:1] if next_ones else ()),
-        ]
+        if not next_ones:
+            return first
+        self._asked += 1
+        return [*first, next_ones[self._asked % len(next_ones)]]
 
     def _decide(self, order: abc.Sequence[ids.HostId], now: ids.Instant) -> bool:
         turn = self._turn(order)
-        if turn == 0 or self._is_stale(self._peer_heard_at, now):
+        is_alone = self._is_stale(self._peer_heard_at, now)
+        if turn == 0 or is_alone:
             return True
         if any(self._reads(host, now) for host in order[:turn]):
             return False
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -207,7 +207,7 @@
         now = self.state.clock.now()
         self.duty.peer_heard(now)
         if sender.zone == self.state.config.zone:
-            self.duty.neighbour_heard(sender.host, now, reads=message.reads_source)
+            self.duty.zone_peer_heard(sender.host, now, reads=message.reads_source)
         self.exchange.fetch(sender.peer_address, handled.newer)
 
     def _receive(self, document: documents.Document) -> None:
