Which load reports are worth sending is decided apart from sending them

Cause: the rule stood among the messages in gateway/load_sharing, and kept the last report of every upstream there ever was.

Change: gateway/report_filter, pure; it forgets upstreams whose reports are no longer sent (a property holds that).

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -35,6 +35,7 @@
       | only who reads the source passes news on at once           |
       | a load report that tells nothing new is sent now and then  |
       | that an upstream is full or slowed is sent each time       |
+      | nothing is kept of the reports of upstreams that are gone  |
       | the loops of a standby gateway wake it together            |
       | most gossip of a gateway stays in its zone                 |
       | an outage of the source is not met by the whole zone       |
--- a/features/steps/gateway_loads.py
+++ b/features/steps/gateway_loads.py
@@ -5,7 +5,7 @@
 from features.steps import kernel
 from features.support import started_gateway
 from spindlenotch import clock, ids
-from spindlenotch.gateway import load_sharing, routing, sources
+from spindlenotch.gateway import load_sharing, report_filter, routing, sources
 from spindlenotch.kernel import upstreams
 from spindlenotch.peers import messages
 
@@ -64,7 +64,7 @@
     for _ in range(15):
         playing.probe(2)
     seconds = 15 * PROBE_S
-    most = math.ceil(seconds / load_sharing.REPEAT_S)
+    most = math.ceil(seconds / report_filter.REPEAT_S)
     assert most - 2 <= len(playing.sent) <= most, playing.sent
     for running in (3, 4, 5):
         playing.probe(running)
@@ -80,3 +80,19 @@
         for _ in range(15):
             playing.probe(running, slowdown)
         assert len(playing.sent) == 15, playing.sent
+
+
+@kernel.PROPERTIES.register("nothing is kept of the reports of upstreams that are gone")
+def forgotten() -> None:
+    filtered = report_filter.ReportFilter()
+    for number in range(200):
+        spec = upstreams.UpstreamSpec(
+            ids.UpstreamId(f"u{number}"),
+            ids.ZoneName(started_gateway.ZONE),
+            ids.Address("127.0.0.1:9"),
+            1,
+        )
+        upstream = upstreams.Upstream(spec, 6, kernel.NOW, lambda changed: None)
+        assert filtered.due([upstream], kernel.NOW) == [upstream]
+        assert filtered.due([upstream], kernel.NOW) == []
+    assert len(filtered._sent_by_id) <= 2
--- a/spindlenotch/gateway/load_sharing.py
+++ b/spindlenotch/gateway/load_sharing.py
@@ -10,11 +10,9 @@
 import asyncio
 from collections import abc
 
-import msgspec
-
 from spindlenotch import ids
-from spindlenotch.gateway import fleet, state
-from spindlenotch.kernel import crowding, upstreams
+from spindlenotch.gateway import fleet, report_filter, state
+from spindlenotch.kernel import upstreams
 from spindlenotch.peers import gossip, messages, peer_link, workload
 
 #: Time between two rounds of sending. Chosen, not measured.
@@ -27,22 +25,6 @@
 #: place of 463 with two digits each.
 SLOWDOWN_DIGITS = 2
 AGE_DIGITS = 3
-#: Time after which a report is repeated that says the same as the one before. By
-#: then the slowdown that it told counts for two thirds (``SLOWDOWN_DECAY_S``).
-REPEAT_S = 0.2
-#: Slowdowns within this share of each other count as the same. Chosen, not
-#: measured: below ``soonest.NEAR_SHARE`` they never decide.
-SAME_SLOWDOWN_SHARE = 0.08
-#: Reports older than this are not passed on. Chosen, not measured.
-MOST_AGE_S = 0.5
-
-
-class _Sent(msgspec.Struct, frozen=True):
-    """The report of an upstream that was sent last, and when to repeat it."""
-
-    report: upstreams.LoadReport
-    report_at: ids.Instant
-    repeat_at: ids.Instant
 
 
 class LoadSharing:
@@ -64,7 +46,7 @@
         self.fleet = gateway_fleet
         self.link = link
         self.probed = probed
-        self._sent_by_id: dict[ids.UpstreamId, _Sent] = {}
+        self._filter = report_filter.ReportFilter()
 
     async def run(self) -> None:
         """Send new reports until cancelled."""
@@ -125,11 +107,8 @@
     ) -> list[workload.LoadRecord]:
         """Return the reports that are to be sent now."""
         now = self.state.clock.now()
-        return [
-            _record(upstream, now)
-            for upstream in self._senders(active_zones)
-            if self._is_due(upstream, now)
-        ]
+        senders = self._senders(active_zones)
+        return [_record(upstream, now) for upstream in self._filter.due(senders, now)]
 
     def _senders(
         self, active_zones: dict[ids.HostId, ids.ZoneName]
@@ -152,44 +131,6 @@
             or upstream.spec.id in self.probed
         ]
 
-    def _is_due(self, upstream: upstreams.Upstream, now: ids.Instant) -> bool:
-        """
-        Tell whether a report is recent and tells anything new; it counts as sent then.
-
-        One that says the same as the last, and that there is room, is sent only now
-        and then. That an upstream is full or slowed is repeated each time: what others
-        estimate fades to a mean, and would let them send there.
-        """
-        if now - upstream.report_at > MOST_AGE_S:
-            return False
-        sent = self._sent_by_id.get(upstream.spec.id)
-        if sent is not None:
-            if sent.report_at == upstream.report_at:
-                return False
-            repeats = _says_the_same(upstream.report, sent.report)
-            if now < sent.repeat_at and repeats and _has_room(upstream):
-                return False
-        repeat_at = ids.later(now, REPEAT_S)
-        self._sent_by_id[upstream.spec.id] = _Sent(
-            upstream.report, upstream.report_at, repeat_at
-        )
-        return True
-
-
-def _says_the_same(report: upstreams.LoadReport, other: upstreams.LoadReport) -> bool:
-    """Tell whether two reports differ in nothing that decides where calls go."""
-    same_load = report.running + report.queued == other.running + other.queued
-    change = abs(report.slowdown - other.slowdown)
-    return same_load and change <= SAME_SLOWDOWN_SHARE * other.slowdown
-
-
-def _has_room(upstream: upstreams.Upstream) -> bool:
-    """Tell whether an upstream reports that it is neither nearly full nor slowed."""
-    report = upstream.report
-    if report.slowdown > upstreams.SLOWED_FACTOR:
-        return False
-    return report.running + report.queued < crowding.NEARLY_FULL * upstream.slots
-
 
 def _record(upstream: upstreams.Upstream, now: ids.Instant) -> workload.LoadRecord:
     report = upstream.report
