A fleet that starts together learns who is in each zone within two seconds

Cause: each message carries the four records that changed last, so 312 members that start together needed more than 16 s to know each other (of 62 in its zone a gateway knew 21 on average after 2 s, 41 after 6 s; virtual time).

Change: a gateway that still learns of members says so (wants_members, which is on the wire since the first gossip), and the reply is filled with members of its zone, up to the ten that a message may carry.

A scenario holds 90% after 4 s and fails without the change.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -38,6 +38,7 @@
       | nothing is kept of the reports of upstreams that are gone  |
       | the loops of a standby gateway wake it together            |
       | most gossip of a gateway stays in its zone                 |
+      | a fleet that starts soon knows who is in its zone          |
       | an outage of the source is not met by the whole zone       |
       | where the source turns many hosts away the next one reads  |
       | a few that are cut off from their zone read for themselves |
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -32,7 +32,11 @@
 #: Callers fail over by themselves within a second; peers are dropped a bit
 #: later. Chosen, not measured.
 GOSSIP_TIMING = timing.Timing(
-    period_s=0.4, reply_s=0.25, suspect_s=1.0, prefers_own_zone=True
+    period_s=0.4,
+    reply_s=0.25,
+    suspect_s=1.0,
+    prefers_own_zone=True,
+    asks_while_learning=True,
 )
 
 
--- a/spindlenotch/peers/gossip.py
+++ b/spindlenotch/peers/gossip.py
@@ -19,6 +19,7 @@
     documents,
     drain_notices,
     known_peer,
+    learning,
     membership,
     messages,
     probing,
@@ -70,6 +71,7 @@
             documents.DocumentKind, messages.DocumentVersion
         ] = {}
         self.expected_members = 0
+        self._learning = learning.Learning()
         self.reads_source = False
         self.sequence = 0
         self.swept_at = ids.NEVER
@@ -163,12 +165,17 @@
         return [peer.record.peer_address for peer in chosen]
 
     def compose(
-        self, *, wants_reply: bool = False, fill_members: bool = False
+        self,
+        *,
+        wants_reply: bool = False,
+        fill_for: messages.MemberRecord | None = None,
     ) -> messages.Message:
-        """Build the next message; ``fill_members`` adds members up to the limit."""
+        """Build the next message; ``fill_for`` asked for as many as fit into it."""
         self.sequence += 1
         # Seeded tests rely on this order: both calls draw from ``rng``.
-        records = self.membership.next_records(self.rng, fill=fill_members)
+        records = self.membership.next_records(
+            self.rng, fill_for, near=self.timing.prefers_own_zone
+        )
         notices = self.drain_notices.next_batch()
         return messages.Message(
             sender=self.local,
@@ -177,7 +184,7 @@
             members=records,
             drain_notices=notices,
             wants_reply=wants_reply,
-            wants_members=len(self.known_by_host) + 1 < self.expected_members,
+            wants_members=self._wants_members(),
             suspicions=self.membership.next_suspicions(),
             reads_source=self.reads_source,
         )
@@ -191,7 +198,8 @@
         unknown = tuple(n for n in message.drain_notices if self.drain_notices.add(n))
         reply = None
         if message.wants_reply:
-            reply = self.compose(fill_members=message.wants_members)
+            asking = message.sender if message.wants_members else None
+            reply = self.compose(fill_for=asking)
         return Handled(changed, newer, unknown, reply)
 
     def sweep(self, now: ids.Instant) -> list[messages.MemberRecord]:
@@ -200,6 +208,7 @@
 
         After this process stood still, replies may lie unread: nobody is blamed.
         """
+        self._learning.period_ended(len(self.known_by_host))
         stood_still = now - self.swept_at > STOOD_STILL_PERIODS * self.timing.period_s
         self.swept_at = now
         if stood_still:
@@ -217,6 +226,11 @@
             changed |= self.membership.update(record, now, direct=False)
         return changed
 
+    def _wants_members(self) -> bool:
+        if self.timing.asks_while_learning and self._learning.goes_on:
+            return True
+        return len(self.known_by_host) + 1 < self.expected_members
+
     def _is_newer(self, offered: messages.DocumentVersion) -> bool:
         own = self.version_by_kind.get(offered.kind)
         return own is None or offered.version > own.version
--- a/spindlenotch/peers/membership.py
+++ b/spindlenotch/peers/membership.py
@@ -167,15 +167,31 @@
     # What the next message carries
 
     def next_records(
-        self, rng: random.Random, *, fill: bool
+        self,
+        rng: random.Random,
+        fill_for: messages.MemberRecord | None,
+        *,
+        near: bool,
     ) -> tuple[messages.MemberRecord, ...]:
-        """Return changed records; with ``fill`` also random ones up to the limit."""
-        if fill:
-            hosts = self.spread.next_hosts_filled(self.known_by_host, rng)
-        else:
+        """
+        Return changed records, and random ones up to the limit for one that asks.
+
+        With ``near`` these are of its own zone, whose duties it shares: with 312
+        members in five zones that start together each knows 99 of 100 of its zone
+        after 2 s, and without this 37 of 100 (virtual time, 1% loss).
+        """
+        if fill_for is None:
             hosts = self.spread.next_hosts()
+        elif near:
+            hosts = self.spread.next_hosts_filled(self._zone_hosts(fill_for.zone), rng)
+        else:
+            hosts = self.spread.next_hosts_filled(self.known_by_host, rng)
         return tuple(self.known_by_host[host].record for host in hosts)
 
+    def _zone_hosts(self, zone: ids.ZoneName) -> list[ids.HostId]:
+        known = self.known_by_host.items()
+        return [host for host, peer in known if peer.record.zone == zone]
+
     def next_suspicions(self) -> tuple[messages.Suspicion, ...]:
         """Return the suspicions of the members that were suspected last."""
         suspects = list(self._suspected_hosts)[-messages.SUSPICIONS_PER_MESSAGE :]
