Members of a zone are found in one place, in an order that seeds repeat

Cause: probing and membership each looked for the members of a zone, the former as a set: its order hangs on the process's hash seed, so a gateway with a fixed seed asked its peers in another order at each start.

Change: known_peer.hosts_in_zone, a list in the order of becoming known.

--- a/spindlenotch/peers/known_peer.py
+++ b/spindlenotch/peers/known_peer.py
@@ -4,6 +4,8 @@
 Types and the order of records only; ``membership`` decides what follows from them.
 """
 
+from collections import abc
+
 import msgspec
 
 from spindlenotch import ids
@@ -37,3 +39,11 @@
     if direct:
         return record.record_version >= old.record_version
     return record.record_version > old.record_version
+
+
+def hosts_in_zone(
+    known_by_host: abc.Mapping[ids.HostId, Peer], zone: ids.ZoneName
+) -> list[ids.HostId]:
+    """Return the members of a zone, in the order in which they became known."""
+    known = known_by_host.items()
+    return [host for host, peer in known if peer.record.zone == zone]
--- a/spindlenotch/peers/membership.py
+++ b/spindlenotch/peers/membership.py
@@ -183,15 +183,12 @@
         if fill_for is None:
             hosts = self.spread.next_hosts()
         elif near:
-            hosts = self.spread.next_hosts_filled(self._zone_hosts(fill_for.zone), rng)
+            of_zone = known_peer.hosts_in_zone(self.known_by_host, fill_for.zone)
+            hosts = self.spread.next_hosts_filled(of_zone, rng)
         else:
             hosts = self.spread.next_hosts_filled(self.known_by_host, rng)
         return tuple(self.known_by_host[host].record for host in hosts)
 
-    def _zone_hosts(self, zone: ids.ZoneName) -> list[ids.HostId]:
-        known = self.known_by_host.items()
-        return [host for host, peer in known if peer.record.zone == zone]
-
     def next_suspicions(self) -> tuple[messages.Suspicion, ...]:
         """Return the suspicions of the members that were suspected last."""
         suspects = list(self._suspected_hosts)[-messages.SUSPICIONS_PER_MESSAGE :]
--- a/spindlenotch/peers/probing.py
+++ b/spindlenotch/peers/probing.py
@@ -89,11 +89,7 @@
     ) -> abc.Collection[ids.HostId]:
         if self.near_zone is None:
             return ()
-        return {
-            host
-            for host, peer in known_by_host.items()
-            if peer.record.zone == self.near_zone
-        }
+        return known_peer.hosts_in_zone(known_by_host, self.near_zone)
 
     def _add_next(
         self,
