A cold upstream gets its requests from one gateway, at the pace that it bears

Cause: of a cold upstream only a factor of two in its expected time was known, and that from its first entry alone; what several gateways send it added up unseen. The configuration's rate and duration of coldness and the health answers' word on it were not read.

Change: each cold upstream has one owner by rendezvous hashing among the active gateways (kernel/cold_start), which sends to it at an even pace without bursts; others send none. Only gateways that see more than half of those seen lately share it (gateway/cold_senders), so that of a partition one side does at most. That it is cold is known from its entry each time that it is written, from health answers, which travel with load records and of which the latest counts, and from what happens: one that was ejected and answers again is cold until a health answer says otherwise. A call that only cold upstreams of others could take is refused at once.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -51,6 +51,13 @@
       | where all zones are evacuated calls are refused at once    |
       | of an evacuation that comes and goes the last word counts  |
       | the key of an evacuation counts whatever its value is      |
+      | cold upstreams get no more than they bear, by one owner    |
+      | a rate divided among many is hardly used                   |
+      | what was not used of a cold upstream's rate is lost        |
+      | the latest health answer says whether one is cold |
+      | an upstream that was away is cold until it says otherwise  |
+      | calls that only others may place are refused at once |
+      | each cold upstream has one owner among equal views         |
       | a probed upstream has one prober with equal views          |
       | hostile bytes of gateways are refused and bounded          |
       | peer messages come out as they went in                     |
--- /dev/null
+++ b/features/steps/gateway_cold.py
@@ -0,0 +1,274 @@
+"""
+Cold upstreams: what all gateways together send them, and what one makes of the news.
+
+Plays a fleet in virtual time in which every gateway sends to every cold upstream as
+often as it may: 300 upstreams, a third of them cold, 5 and 15 gateways, of which half
+believe for 3 s that others serve. Each gateway is a pool of the product.
+"""
+
+import collections
+import dataclasses
+import math
+import random
+from collections import abc
+
+import hypothesis
+import msgspec
+from hypothesis import strategies
+
+from features.steps import kernel
+from spindlenotch import ids
+from spindlenotch.decisions import balancer, soonest
+from spindlenotch.kernel import (
+    cold_start,
+    extra_budgets,
+    outcomes,
+    ownership,
+    service_policy,
+    upstream_pool,
+    upstreams,
+)
+
+NOW = kernel.NOW
+ZONE = kernel.ZONES[0]
+UPSTREAMS = 300
+COLD_SHARE = 1 / 3
+ALLOWED_PER_S = 4.5
+#: What an upstream may get in any one second at most: the rate, half of it more and
+#: eight requests, by the users' bounds.
+MOST_IN_A_SECOND = ALLOWED_PER_S * 1.5 + 8
+COLD_S = 3.0
+VIEWS_DIFFER_S = 3.0
+#: Between two tries of one gateway at one upstream.
+POLL_S = 0.02
+#: One gateway stands still from here to there, and keeps its view until then.
+FROZEN_FROM_S = 0.5
+FROZEN_UNTIL_S = 2.0
+
+Limits = abc.Callable[[upstream_pool.Pool, int, float], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Played:
+    """What all gateways together sent to one cold upstream."""
+
+    sent_at: list[float]
+
+    def most_in_a_second(self) -> int:
+        """Return the largest number sent in any one second."""
+        most = begin = 0
+        for end, at in enumerate(self.sent_at):
+            while self.sent_at[begin] <= at - 1.0:
+                begin += 1
+            most = max(most, end - begin + 1)
+        return most
+
+
+def policy() -> service_policy.ServicePolicy:
+    """Return a service whose cold upstreams bear a bounded rate."""
+    return service_policy.ServicePolicy(
+        name=ids.ServiceName("s"),
+        zones=(ZONE,),
+        slots=4,
+        typical_s=0.11,
+        selection=soonest.NAME,
+        extra=extra_budgets.SharedWindow(share=0.0, reserve=0, window_s=10.0),
+        queue_limit=100,
+        eject_share=0.5,
+        cold_rate_per_s=ALLOWED_PER_S,
+        cold_start_s=3.0,
+    )
+
+
+def specs(count: int, cold_s: float) -> list[upstreams.UpstreamSpec]:
+    """Return upstreams, the first third of them cold for ``cold_s`` seconds."""
+    cold = int(count * COLD_SHARE)
+    return [
+        upstreams.UpstreamSpec(
+            ids.UpstreamId(f"u{n}"),
+            ZONE,
+            ids.Address(""),
+            1,
+            4,
+            ids.later(NOW, cold_s if n < cold else 0.0),
+        )
+        for n in range(count)
+    ]
+
+
+def host(number: int) -> ids.HostId:
+    """Return the name of a gateway."""
+    return ids.HostId(f"g{number}")
+
+
+def pool_of(number: int) -> upstream_pool.Pool:
+    """Return the pool of one gateway."""
+    member = ownership.Member(ZONE, host(number))
+    made = upstream_pool.Pool(policy(), member, random.Random(number))
+    made.set_listed(specs(UPSTREAMS, COLD_S), NOW)
+    return made
+
+
+def views(count: int, number: int, at: float) -> tuple[ids.HostId, ...]:
+    """Return who serves as a gateway sees it; half of them are wrong at first."""
+    hosts = tuple(host(n) for n in range(count))
+    if at < VIEWS_DIFFER_S and number % 2:
+        return (*hosts[2:], host(count))
+    return hosts
+
+
+def by_owner(made: upstream_pool.Pool, count: int, at: float) -> None:
+    """One gateway owns each cold upstream: the product's way."""
+    number = int(made.local_member.host.removeprefix("g"))
+    made.set_cold_senders(views(count, number, at), ids.later(NOW, at))
+
+
+def by_division(made: upstream_pool.Pool, count: int, at: float) -> None:
+    """Every gateway has an equal part of the rate."""
+    number = int(made.local_member.host.removeprefix("g"))
+    for upstream in made.upstream_by_id.values():
+        part = ALLOWED_PER_S / len(views(count, number, at))
+        upstream.cold.limit(part, ids.later(NOW, at))
+
+
+def play(count: int, share: Limits) -> dict[ids.UpstreamId, Played]:
+    """Play the fleet; return what each cold upstream got."""
+    pools = [pool_of(number) for number in range(count)]
+    names = [u.id for u in specs(UPSTREAMS, COLD_S) if u.warming_up_until > NOW]
+    played = {name: Played([]) for name in names}
+    rng = random.Random(count)
+    for step in range(int(COLD_S / POLL_S)):
+        at = step * POLL_S
+        order = list(enumerate(pools))
+        rng.shuffle(order)
+        for number, made in order:
+            if number == 0 and FROZEN_FROM_S <= at < FROZEN_UNTIL_S:
+                continue
+            share(made, count, at)
+            send_all(made, played, at)
+    return played
+
+
+def send_all(
+    made: upstream_pool.Pool, played: dict[ids.UpstreamId, Played], at: float
+) -> None:
+    """Let a gateway send to every cold upstream that it may send to."""
+    now = ids.later(NOW, at)
+    for name, one in played.items():
+        upstream = made.upstream_by_id[name]
+        if upstream.may_take(now):
+            upstream.sent(ids.CallId(f"{name}-{at}"), now)
+            one.sent_at.append(at)
+
+
+def used_share(played: dict[ids.UpstreamId, Played]) -> float:
+    """Return which share of what the cold upstreams bear they got."""
+    sent = sum(len(one.sent_at) for one in played.values())
+    return sent / (len(played) * ALLOWED_PER_S * COLD_S)
+
+
+@kernel.PROPERTIES.register("cold upstreams get no more than they bear, by one owner")
+def owned() -> None:
+    for count in (5, 15):
+        played = play(count, by_owner)
+        most = max(one.most_in_a_second() for one in played.values())
+        assert most <= MOST_IN_A_SECOND, (count, most)
+        used = used_share(played)
+        assert used >= 0.65, (count, used)
+
+
+@kernel.PROPERTIES.register("a rate divided among many is hardly used")
+def divided() -> None:
+    # A fifteenth of the rate is a request in more seconds than they are cold.
+    assert used_share(play(15, by_division)) < 0.5 * used_share(play(15, by_owner))
+
+
+@kernel.PROPERTIES.register("what was not used of a cold upstream's rate is lost")
+def no_bursts() -> None:
+    @kernel.SETTINGS
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0.0, 3.0), min_size=1, max_size=40),
+        strategies.floats(0.5, 20.0),
+    )
+    def check(pauses: list[float], rate: float) -> None:
+        cold = cold_start.ColdStart(ids.later(NOW, 1000.0))
+        cold.limit(rate, NOW)
+        now, sent_at = NOW, [NOW]
+        for pause_s in pauses:
+            now = ids.later(now, pause_s)
+            if cold.may_send(now):
+                cold.sent(now)
+                sent_at.append(now)
+        gaps = [b - a for a, b in zip(sent_at, sent_at[1:], strict=False)]
+        assert all(gap >= 1.0 / rate - 1e-9 for gap in gaps), (rate, gaps)
+
+    check()
+
+
+@kernel.PROPERTIES.register("the latest health answer says whether one is cold")
+def latest() -> None:
+    cold = cold_start.ColdStart(NOW)
+    cold.limit(ALLOWED_PER_S, NOW)
+    cold.told(ids.later(NOW, 3.0), ids.later(NOW, 0.1))
+    assert cold.is_cold(ids.later(NOW, 2.9))
+    # An older answer that arrives later changes nothing.
+    cold.told(NOW, NOW)
+    assert cold.is_cold(ids.later(NOW, 2.9))
+    cold.told(ids.later(NOW, 0.5), ids.later(NOW, 0.5))
+    assert not cold.is_cold(ids.later(NOW, 0.6))
+    # That the source listed it as cold before is no news.
+    cold.listed(ids.later(NOW, 3.0), ids.later(NOW, 0.6))
+    cold.listed(ids.later(NOW, 3.0), ids.later(NOW, 0.7))
+    cold.told(ids.later(NOW, 0.8), ids.later(NOW, 0.8))
+    cold.listed(ids.later(NOW, 3.0), ids.later(NOW, 0.9))
+    assert not cold.is_cold(ids.later(NOW, 0.9))
+
+
+@kernel.PROPERTIES.register("an upstream that was away is cold until it says otherwise")
+def away() -> None:
+    for told, expected in ((False, True), (True, False)):
+        made = pool_of(0)
+        made.set_cold_senders((host(0),), NOW)
+        upstream = made.upstream_by_id[ids.UpstreamId("u299")]
+        made.eject(upstream, "silent", NOW)
+        now = ids.later(NOW, 2.0)
+        upstream.tick(now)
+        if told:
+            made.reported(upstream, upstreams.LoadReport(0, 0, 1.0, 0.0), now)
+        upstream.sent(ids.CallId("trial"), now)
+        upstream.ended(ids.CallId("trial"), upstreams.Result.ANSWERED, 0.11, now)
+        assert upstream.state is upstreams.State.ACTIVE
+        assert upstream.cold.is_cold(now) is expected
+
+
+@kernel.PROPERTIES.register("calls that only others may place are refused at once")
+def refused_at_once() -> None:
+    member = ownership.Member(ZONE, host(0))
+    made = balancer.Balancer(policy(), member, random.Random(1))
+    made.pool.set_listed([specs(3, 2.0)[0]], NOW)
+    made.pool.set_cold_senders((host(1),), NOW)
+    call = msgspec.structs.replace(kernel.call(0), wait_until=ids.later(NOW, 1.0))
+    verdict = made.offer(call, NOW)
+    assert isinstance(verdict, outcomes.Refusal), verdict
+    assert verdict.reason is outcomes.Reason.NO_UPSTREAM
+    assert verdict.retry_at == ids.later(NOW, 2.0)
+    made.pool.set_cold_senders((host(0),), NOW)
+    assert not isinstance(made.offer(call, NOW), outcomes.Refusal)
+
+
+@kernel.PROPERTIES.register("each cold upstream has one owner among equal views")
+def one_owner() -> None:
+    hosts = [host(n) for n in range(7)]
+    owned_by = collections.Counter(
+        cold_start.owner(ids.UpstreamId(f"u{n}"), hosts) for n in range(700)
+    )
+    assert set(owned_by) == set(hosts)
+    assert max(owned_by.values()) < 2 * min(owned_by.values()), owned_by
+    assert cold_start.owner(ids.UpstreamId("u"), ()) is None
+    rates = {
+        cold_start.rate_per_s(ids.UpstreamId("u"), ALLOWED_PER_S, hosts, one)
+        for one in hosts
+    }
+    assert rates == {0.0, ALLOWED_PER_S}
+    unbounded = cold_start.rate_per_s(ids.UpstreamId("u"), None, (), hosts[0])
+    assert unbounded == math.inf
--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -27,6 +27,10 @@
 #: samples recorded before can't hold them.
 ADDED_SAMPLE_BY_FIELD = {
     "ListedUpstream.is_evacuated": "upstreams-added.json",
+    "ServiceSpec.cold_rate_per_s": "configuration-added.json",
+    "ServiceSpec.cold_start_s": "configuration-added.json",
+    "LoadRecord.cold_s": "gossip-added.msgpack.hex",
+    "LoadRecord.cold_age_s": "gossip-added.msgpack.hex",
     "GatewaySettings.evacuate_s": "environment-gateway-added.json",
 }
 
--- a/features/support/recorded_gateway.py
+++ b/features/support/recorded_gateway.py
@@ -68,6 +68,15 @@
     )
 
 
+def added_configuration() -> routing.Configuration:
+    """Return a configuration with what the first record does not hold."""
+    service_by_name = {
+        name: msgspec.structs.replace(spec, cold_rate_per_s=4.5, cold_start_s=3.5)
+        for name, spec in configuration().service_by_name.items()
+    }
+    return msgspec.structs.replace(configuration(), service_by_name=service_by_name)
+
+
 def bare_configuration() -> routing.Configuration:
     """Return what a configuration without any limits is read as."""
     limits = routing.Limits(
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -5,6 +5,8 @@
 ``recorded_peers`` says how they are written and read.
 """
 
+import msgspec
+
 from spindlenotch import ids
 from spindlenotch.peers import documents, messages, workload
 
@@ -101,6 +103,13 @@
     )
 
 
+def added_message() -> messages.Message:
+    """Return a message with what the first record does not hold."""
+    (load,) = message().loads
+    added = msgspec.structs.replace(load, cold_s=1.5, cold_age_s=0.125)
+    return msgspec.structs.replace(message(), loads=(added,))
+
+
 def frame(kind: documents.DocumentKind, body: bytes) -> messages.DocumentFrame:
     """Return a document frame."""
     return messages.DocumentFrame(
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -41,7 +41,7 @@
         kind,
         sources.Snapshot(
             5,
-            recorded_gateway.configuration(),
+            recorded_gateway.added_configuration(),
             by_id,
             evacuated_zones=frozenset({first_zone}),
         ),
@@ -95,6 +95,16 @@
             read=lambda data: codec.decode_gossip(zlib.compress(data)),
             bare=True,
         ),
+        Sample(
+            "gossip-added.msgpack.hex",
+            "msgpack",
+            recorded_messages.added_message(),
+            lambda: zlib.decompress(
+                codec.encode_gossip(recorded_messages.added_message())
+            ),
+            lambda data: codec.decode_gossip(zlib.compress(data)),
+            strangers="passed over",
+        ),
         Sample(
             "frame.msgpack.hex",
             "msgpack",
@@ -158,6 +168,14 @@
             lambda data: taken_in(hosts_kind, data),
             strangers="passed over",
         ),
+        Sample(
+            "configuration-added.json",
+            "json",
+            recorded_gateway.added_configuration(),
+            lambda: handed_out_later(bundle_kind),
+            lambda data: taken_in(bundle_kind, data),
+            strangers="passed over",
+        ),
         Sample(
             "upstreams-added.json",
             "json",
--- a/features/support/recorded_store.py
+++ b/features/support/recorded_store.py
@@ -194,6 +194,13 @@
             read=records.read_configuration,
             strangers="passed over",
         ),
+        Sample(
+            "platform-configuration-added.json",
+            "json",
+            recorded_gateway.added_configuration(),
+            read=records.read_configuration,
+            strangers="passed over",
+        ),
         Sample(
             "platform-configuration-bare.json",
             "json",
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -214,7 +214,8 @@
     def _any_usable(self, now: ids.Instant) -> bool:
         for upstream in self.pool.usable_order:
             upstream.tick(now)
-            if upstream.state is not upstreams.State.EJECTED:
+            is_ejected = upstream.state is upstreams.State.EJECTED
+            if not is_ejected and upstream.cold.may_ever_send(now):
                 return True
         return False
 
--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -216,7 +216,7 @@
     slots = upstream.slots
     work_s = typical_s * upstream.slowdown(now)
     work_s *= max(MIN_LATENCY_RATIO, estimated_latency_ratio(pool, upstream))
-    if now < upstream.spec.warming_up_until:
+    if upstream.cold.is_cold(now):
         work_s *= COLD_FACTOR
     in_use = min(1.0, (load + 1) / slots)
     if in_use > SLOWER_FROM_SHARE:
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -13,6 +13,7 @@
 import typing
 
 import aiohttp
+import msgspec
 import yarl
 
 from spindlenotch import ids, ports
@@ -179,7 +180,8 @@
         report = self.dialect.read_load(response.headers)
         if response.status != OK or report is None:
             return ports.UpstreamFault.FOREIGN_ANSWER
-        return report
+        cold_s = self.dialect.read_cold_s(response.headers)
+        return msgspec.structs.replace(report, cold_s=cold_s)
 
     async def close(self) -> None:
         """Drop all connections."""
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -13,6 +13,7 @@
 from spindlenotch.forwarding import data_path
 from spindlenotch.gateway import (
     answering,
+    cold_senders,
     dialect,
     discovery,
     fleet,
@@ -66,6 +67,7 @@
         answerer = answering.Answerer(gateway_state, path, gateway_dialect)
         self.ingress = ingress.Ingress(gateway_state, answerer)
         self.fleet = fleet.Fleet(gateway_state)
+        self.cold_senders = cold_senders.ColdSenders(gateway_state, self.fleet)
         self.side_ports = side_ports.SidePorts(
             gateway_state, self.fleet, gateway_dialect
         )
@@ -146,6 +148,7 @@
         while True:
             if self.state.tick() and self.state.reads_source:
                 self.relay.publish_expiry()
+            self.cold_senders.update()
             await self.state.wakeups.sleep(TICK_S)
 
 
--- a/spindlenotch/gateway/listing.py
+++ b/spindlenotch/gateway/listing.py
@@ -203,7 +203,8 @@
             generation = lease.spec.generation
         warming_up_until = ids.later(now, listed.cold_s)
         if lease is not None and not restarted:
-            warming_up_until = lease.spec.warming_up_until
+            # It may become cold again at any time, and tells that in its record.
+            warming_up_until = max(warming_up_until, lease.spec.warming_up_until)
         spec = upstreams.UpstreamSpec(
             id=listed.id,
             zone=listed.zone,
--- a/spindlenotch/gateway/load_sharing.py
+++ b/spindlenotch/gateway/load_sharing.py
@@ -10,9 +10,11 @@
 import asyncio
 from collections import abc
 
+import msgspec
+
 from spindlenotch import ids
 from spindlenotch.gateway import fleet, report_filter, state
-from spindlenotch.kernel import upstreams
+from spindlenotch.kernel import cold_start, upstreams
 from spindlenotch.peers import gossip, messages, peer_link, workload
 
 #: Time between two rounds of sending. Chosen, not measured.
@@ -25,6 +27,9 @@
 #: place of 463 with two digits each.
 SLOWDOWN_DIGITS = 2
 AGE_DIGITS = 3
+#: Seconds for which it is told that an upstream is warm again: some rounds, as
+#: messages get lost. Chosen, not measured.
+COLDNESS_TOLD_S = 1.0
 
 
 class LoadSharing:
@@ -70,6 +75,7 @@
                 upstream = service_balancer.pool.upstream_by_id.get(load.upstream)
                 if upstream is None:
                     continue
+                _take_coldness(upstream, load, now)
                 report_at = ids.Instant(now - load.age_s)
                 if report_at > upstream.report_at:
                     report = upstreams.LoadReport(
@@ -132,7 +138,28 @@
         ]
 
 
+def _take_coldness(
+    upstream: upstreams.Upstream, load: workload.LoadRecord, now: ids.Instant
+) -> None:
+    """Take in what a peer knows of an upstream's coldness, where it is newer."""
+    if load.cold_s is not None:
+        told_at = ids.Instant(now - load.cold_age_s)
+        upstream.cold.told(ids.later(now, load.cold_s), told_at)
+
+
 def _record(upstream: upstreams.Upstream, now: ids.Instant) -> workload.LoadRecord:
+    record = _load_record(upstream, now)
+    cold = upstream.cold
+    if cold.told_at == cold_start.NEVER_TOLD or cold.until + COLDNESS_TOLD_S < now:
+        return record
+    return msgspec.structs.replace(
+        record,
+        cold_s=round(max(0.0, cold.until - now), AGE_DIGITS),
+        cold_age_s=round(now - cold.told_at, AGE_DIGITS),
+    )
+
+
+def _load_record(upstream: upstreams.Upstream, now: ids.Instant) -> workload.LoadRecord:
     report = upstream.report
     return workload.LoadRecord(
         upstream=upstream.spec.id,
--- a/spindlenotch/gateway/report_filter.py
+++ b/spindlenotch/gateway/report_filter.py
@@ -29,6 +29,7 @@
     report: upstreams.LoadReport
     report_at: ids.Instant
     repeat_at: ids.Instant
+    was_cold: bool
 
 
 class ReportFilter:
@@ -70,11 +71,15 @@
             if sent.report_at == upstream.report_at:
                 return False
             repeats = _says_the_same(upstream.report, sent.report)
+            repeats = repeats and upstream.cold.is_cold(now) == sent.was_cold
             if now < sent.repeat_at and repeats and _has_room(upstream):
                 return False
         repeat_at = ids.later(now, REPEAT_S)
         self._sent_by_id[upstream.spec.id] = _Sent(
-            upstream.report, upstream.report_at, repeat_at
+            upstream.report,
+            upstream.report_at,
+            repeat_at,
+            upstream.cold.is_cold(now),
         )
         return True
 
--- a/spindlenotch/gateway/routing.py
+++ b/spindlenotch/gateway/routing.py
@@ -58,18 +58,23 @@
         return self.kind is RequestKind.SAFE
 
 
-class ServiceSpec(msgspec.Struct, frozen=True):
+class ServiceSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     A service as the operator configures it.
 
     ``health_path`` is probed for the load of its upstreams. ``connections`` is
     how many each of them accepts from all callers together; the gateway does not
     enforce it and passes it on to peers because the form on the wire holds it.
+    ``cold_rate_per_s`` is how many requests a second a cold one bears from all
+    gateways together, None where nothing bounds it; one that starts is cold for
+    ``cold_start_s`` seconds.
     """
 
     name: ids.ServiceName
     health_path: str
     connections: int
+    cold_rate_per_s: float | None = None
+    cold_start_s: float = 0.0
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -41,13 +41,13 @@
 
 
 def policy(
-    name: ids.ServiceName,
+    spec: routing.ServiceSpec,
     zones: tuple[ids.ZoneName, ...],
     config: settings.GatewaySettings,
 ) -> service_policy.ServicePolicy:
     """Return how a service with upstreams in ``zones`` is balanced."""
     return service_policy.ServicePolicy(
-        name=name,
+        name=spec.name,
         zones=zones,
         slots=DEFAULT_SLOTS,
         typical_s=TYPICAL_UNKNOWN_S,
@@ -59,4 +59,6 @@
         ),
         queue_limit=QUEUE_LIMIT,
         eject_share=EJECT_SHARE,
+        cold_rate_per_s=spec.cold_rate_per_s,
+        cold_start_s=spec.cold_start_s,
     )
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -94,9 +94,9 @@
             return False
         self.table = routing.RouteTable(configuration)
         self.round_robin.forget_missing(configuration.routes)
-        for name in configuration.service_by_name:
+        for name, spec in configuration.service_by_name.items():
             if name not in self.balancer_by_service:
-                self.balancer_by_service[name] = self._new_balancer(name)
+                self.balancer_by_service[name] = self._new_balancer(spec)
         for route in configuration.routes:
             typical_s = service_defaults.typical_latency_s(route)
             for part in route.parts:
@@ -217,15 +217,31 @@
         specs_by_service = self.listing.specs(now)
         for name, service in self.balancer_by_service.items():
             specs = specs_by_service.get(name, [])
-            zones = {spec.zone for spec in specs} | {self.config.zone}
-            if set(service.service.zones) != zones:
-                policy = service_defaults.policy(
-                    name, tuple(sorted(zones)), self.config
-                )
-                service.update_service(policy)
+            self._update_policy(name, service, specs)
             service.pool.set_listed(specs, now)
         self._report_changes()
 
+    def _update_policy(
+        self,
+        name: ids.ServiceName,
+        service: balancer.Balancer,
+        specs: abc.Iterable[upstreams.UpstreamSpec],
+    ) -> None:
+        """Put the policy of a service into force where it has changed."""
+        configured = self._service_spec(name)
+        if configured is None:
+            return
+        zones = {spec.zone for spec in specs} | {self.config.zone}
+        policy = service_defaults.policy(configured, tuple(sorted(zones)), self.config)
+        if policy != service.service:
+            service.update_service(policy)
+
+    def _service_spec(self, name: ids.ServiceName) -> routing.ServiceSpec | None:
+        """Return a service as configured; None where it is no longer."""
+        if self.table is None:
+            return None
+        return self.table.configuration.service_by_name.get(name)
+
     def _report_changes(self) -> None:
         for name, service in self.balancer_by_service.items():
             upstream_events.report_changes(name, service.pool)
@@ -246,6 +262,6 @@
                 events.Event.SOURCE_ITEM_REFUSED, key=item.key, reason=item.reason
             )
 
-    def _new_balancer(self, name: ids.ServiceName) -> balancer.Balancer:
-        policy = service_defaults.policy(name, (self.config.zone,), self.config)
+    def _new_balancer(self, spec: routing.ServiceSpec) -> balancer.Balancer:
+        policy = service_defaults.policy(spec, (self.config.zone,), self.config)
         return balancer.Balancer(policy, self.local_member, self.rng)
--- a/spindlenotch/kernel/service_policy.py
+++ b/spindlenotch/kernel/service_policy.py
@@ -22,6 +22,9 @@
     separately. ``selection`` is the registered name of the selection policy,
     ``eject_share`` the share of the upstreams that may be ejected at a time.
     ``day`` holds the planned zone weights; empty where all zones count alike.
+    ``cold_rate_per_s`` is how many requests a second a cold upstream bears from all
+    processes together, None where nothing bounds it; one that starts is cold for
+    ``cold_start_s`` seconds.
     """
 
     name: ids.ServiceName
@@ -34,3 +37,5 @@
     eject_share: float
     latency_keys: tuple[str, ...] = ()
     day: tuple[schedule.DayStep, ...] = ()
+    cold_rate_per_s: float | None = None
+    cold_start_s: float = 0.0
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -11,6 +11,7 @@
 
 from spindlenotch import ids
 from spindlenotch.kernel import (
+    cold_start,
     completion_rate,
     crowding,
     ejection,
@@ -60,6 +61,8 @@
         self.service = service
         self.local_member = local_member
         self.rng = rng
+        #: The processes that share what cold upstreams bear.
+        self.cold_senders: tuple[ids.HostId, ...] = ()
         self.members: tuple[ownership.Member, ...] = (local_member,)
         self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
         self.usable_order: list[upstreams.Upstream] = []
@@ -114,9 +117,30 @@
                 self.upstream_by_id[spec.id] = upstreams.Upstream(
                     spec, slots, now, self._state_changed
                 )
+            else:
+                known.cold.listed(spec.warming_up_until, now)
         self._forget_gone(spec_by_id)
+        self.limit_cold(now)
         self.refresh()
 
+    def set_cold_senders(self, hosts: tuple[ids.HostId, ...], now: ids.Instant) -> None:
+        """Take in which processes share what cold upstreams bear."""
+        if hosts != self.cold_senders:
+            self.cold_senders = hosts
+            self.limit_cold(now)
+
+    def limit_cold(self, now: ids.Instant) -> None:
+        """Work out anew what this process may send to cold upstreams."""
+        for upstream in self.upstream_by_id.values():
+            upstream.cold.lasts_s = self.service.cold_start_s
+            rate_per_s = cold_start.rate_per_s(
+                upstream.spec.id,
+                self.service.cold_rate_per_s,
+                self.cold_senders,
+                self.local_member.host,
+            )
+            upstream.cold.limit(rate_per_s, now)
+
     def set_plan(self, plan: dict[ids.ZoneName, float]) -> None:
         """Take in the day's weights by zone."""
         if plan != self.plan:
@@ -258,10 +282,10 @@
         return self.in_flight - sum(u.outstanding for u in self.ejected)
 
     def usable_again_at(self, now: ids.Instant) -> ids.Instant:
-        """Return when the first ejection ends, or a moment where there is none."""
+        """Return when the first may be used again, or a moment where none is known."""
         ends = [
-            u.state_until
+            u.state_until if u.state is upstreams.State.EJECTED else u.cold.until
             for u in self.usable_order
-            if u.state is upstreams.State.EJECTED
+            if u.state is upstreams.State.EJECTED or u.cold.is_cold(now)
         ]
         return min(ends, default=ids.later(now, ejection.RETRY_AFTER_S))
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -3,7 +3,8 @@
 
 The balancer feeds it: own requests sent and answered, load reports that come
 with answers and probes, drain notices, the host list. Selection reads it.
-Relies on ``ejection`` for how long an ejection lasts. No input or output happens
+Relies on ``ejection`` for how long an ejection lasts and on ``cold_start`` for what a
+cold one may get. No input or output happens
 here; every method takes the instant.
 """
 
@@ -14,7 +15,7 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.kernel import ejection, failure_share, latency
+from spindlenotch.kernel import cold_start, ejection, failure_share, latency
 
 #: Weight of the newest sample in an upstream's latency ratio. Chosen, not
 #: measured.
@@ -73,11 +74,13 @@
     What an upstream reports of itself: requests running and queued.
 
     ``slowdown`` is how many times its typical time work takes there just now.
+    ``cold_s``: for how many seconds more it is cold; None where it does not say.
     """
 
     running: int
     queued: int
     slowdown: float = 1.0
+    cold_s: float | None = None
 
 
 class UpstreamSpec(msgspec.Struct, frozen=True):
@@ -115,12 +118,14 @@
         on_change: ChangeListener,
     ) -> None:
         self.spec = spec
+        self.cold = cold_start.ColdStart(spec.warming_up_until)
         self.on_change = on_change
         self.slots = slots
         self.crowding_sample = zlib.crc32(spec.id.encode()) % 2 == 0
         self.state = State.ACTIVE
         self.state_reason = "listed"
         self.state_until = ids.NEVER
+        self.ejected_at = ids.Instant(float("-inf"))
         self.sent_at_by_call: dict[ids.CallId, ids.Instant] = {}
         self.report = LoadReport(0, 0)
         self.report_at = now
@@ -147,6 +152,7 @@
         if not self.sent_at_by_call:
             self.busy_since = now
         self.sent_at_by_call[call] = now
+        self.cold.sent(now)
 
     def ended(
         self, call: ids.CallId, result: Result, typical_s: float, now: ids.Instant
@@ -163,6 +169,7 @@
             self.ejections_in_row = 0
             self.latency_ratio.add(min(MAX_LATENCY_RATIO, (now - sent_at) / typical_s))
             if self.state is State.PROBATION:
+                self.cold.was_away_since(self.ejected_at, now)
                 self._become(State.ACTIVE, "answered on probation", ids.NEVER)
         elif result is not Result.SHED:
             self.failures_in_row += 1
@@ -176,6 +183,8 @@
         self.foreign_load.add(foreign)
         self.mean_slowdown.add(report.slowdown)
         self.reports_slowdown |= report.slowdown != 1.0
+        if report.cold_s is not None:
+            self.cold.told(ids.later(now, report.cold_s), now)
 
     def slowdown(self, now: ids.Instant) -> float:
         """
@@ -214,6 +223,7 @@
         pause_s = ejection.pause_s(self.ejections_in_row)
         self.ejections_in_row = min(ejection.MOST_COUNTED, self.ejections_in_row + 1)
         self.failures_in_row = 0
+        self.ejected_at = now
         self._become(State.EJECTED, reason, ids.later(now, pause_s))
 
     def leave(self, reason: str) -> None:
@@ -227,6 +237,8 @@
 
     def may_take(self, now: ids.Instant) -> bool:
         """Tell whether it may get one more request."""
+        if not self.cold.may_send(now):
+            return False
         if self.state is State.ACTIVE:
             return True
         self.tick(now)
--- a/spindlenotch/peers/workload.py
+++ b/spindlenotch/peers/workload.py
@@ -20,12 +20,16 @@
 NO_WORK = Work(0.0, 0.0)
 
 
-class LoadRecord(msgspec.Struct, frozen=True, rename={"slowdown": "pace"}):
+class LoadRecord(
+    msgspec.Struct, frozen=True, omit_defaults=True, rename={"slowdown": "pace"}
+):
     """
     What an upstream reported of its load, ``age_s`` seconds before this was sent.
 
     ``running`` and ``queued`` count requests; ``slowdown`` is the ratio of its
-    latency now to its typical one, called ``pace`` on the wire.
+    latency now to its typical one, called ``pace`` on the wire. ``cold_s``: for how
+    many seconds it was cold yet when this was sent, by a health answer made
+    ``cold_age_s`` seconds before; None where there is nothing to tell.
     """
 
     upstream: ids.UpstreamId
@@ -33,3 +37,5 @@
     queued: int
     slowdown: float
     age_s: float
+    cold_s: float | None = None
+    cold_age_s: float = 0.0
