--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 PY := .venv/bin/python
 
-.PHONY: demo test format docs soak mutants days measure-path measure-capacity clean
+.PHONY: demo test format docs soak mutants days experiment measure-path measure-capacity clean
 
 .venv/ready: requirements.txt
 	$(PYTHON) -m venv .venv
@@ -42,5 +42,9 @@
 days: .venv/ready
 	$(PY) -m tools.play_days $(BENCH) $(SITES)
 
+# Compare variants by the users' bench: make experiment PLAN=P.toml BENCH=PROGRAM FOLDER=DIR PAGE=P.md
+experiment: .venv/ready
+	$(PY) -m tools.experiment $(PLAN) --bench $(BENCH) --folder $(FOLDER) --page $(PAGE)
+
 clean:
 	rm -rf .venv .mypy_cache .ruff_cache .hypothesis .import_linter_cache
