Stand-ins: zones are emptied and taken back, workers are cold and fall over

The stand-in of a worker says in its health answers and its entry for how long it is cold, and falls over at the request that is one too many in any one second. Scenarios with processes: an emptied zone gets nothing, from a gateway that starts meanwhile neither, and is used again once taken back; where all zones are emptied requests are refused at once; a cold worker stands while 300 requests come in 2.7 s that the others can't take alone.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -101,6 +101,25 @@
     And a gateway's log has event 210 for "op/config"
     And a gateway's log has event 210 for "servers/bad"
 
+  Scenario: A zone that is emptied gets nothing new, and is used again once taken back
+    Given a worker in another zone
+    When the operator evacuates that zone and every gateway says so
+    Then none of 40 requests is run in that zone
+    When a gateway is started and the operator takes the evacuation back
+    Then the worker of that zone runs requests again
+
+  Scenario: Where all zones are emptied requests are refused at once
+    When the operator evacuates all zones and every gateway says so
+    And a client sends POST "/book/x" as "nowhere-to-go"
+    Then the client gets status 503 with a time to come back
+    And "nowhere-to-go" ran 0 times
+
+  Scenario: A cold worker gets no more from all gateways than it bears
+    Given cold workers bear 4 requests a second
+    When one worker turns cold for 3 seconds and 300 requests come while it is
+    Then it has not fallen over
+    And all others took what it could not
+
   Scenario: A worker that drains gets nothing new
     When all workers but one say that they drain
     Then only that one runs what is sent from then on
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -72,13 +72,20 @@
 
 
 def configuration(
-    version: int, routes: list[dict[str, typing.Any]], services: tuple[str, ...]
+    version: int,
+    routes: list[dict[str, typing.Any]],
+    services: tuple[str, ...],
+    **cold: float,
 ) -> dict[str, typing.Any]:
-    """Return a configuration as it lies in the store."""
+    """
+    Return a configuration as it lies in the store.
+
+    ``cold`` holds what services say of their cold workers, where they do.
+    """
     return {
         "version": f"{version:08x}",
         "services": [
-            {"name": name, "healthPath": "/health", "maxConns": 100}
+            {"name": name, "healthPath": "/health", "maxConns": 100, **cold}
             for name in services
         ],
         "limits": {"maxBodyBytes": 1_000_000},
@@ -137,7 +144,7 @@
         zone: str = "z1",
         state: str = "ready",
     ) -> None:
-        """Write a worker's entry."""
+        """Write a worker's entry, with what is left of its coldness."""
         self.store.put(
             f"servers/{worker.id}",
             {
@@ -147,7 +154,7 @@
                 "version": "v1",
                 "slots": 4,
                 "state": state,
-                "coldLeftS": 0,
+                "coldLeftS": worker.coldness.left_ms() / 1000,
                 "callSeq": 1,
             },
         )
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -7,10 +7,12 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import enum
 import socket
 import struct
+import time
 import typing
 
 LOOPBACK = "127.0.0.1"
@@ -68,6 +70,37 @@
     body: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class Coldness:
+    """
+    Until when a worker is cold, on the monotonic clock, and what it bears while it is.
+
+    ``most_in_a_second`` requests are borne in any one second; at the next one the
+    worker has fallen over for good.
+    """
+
+    until: float
+    most_in_a_second: float
+    arrived_at: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    has_fallen: bool = False
+
+    def left_ms(self) -> int:
+        """Return for how many milliseconds more it is cold; 0 where it is not."""
+        return max(0, int(1000 * (self.until - time.monotonic())))
+
+    def arrives(self) -> None:
+        """Note the arrival of a request."""
+        now = time.monotonic()
+        if now >= self.until:
+            return
+        self.arrived_at.append(now)
+        while self.arrived_at[0] <= now - 1.0:
+            self.arrived_at.popleft()
+        self.has_fallen |= len(self.arrived_at) > self.most_in_a_second
+
+
 class PlatformWorker:
     """
     One worker.
@@ -85,6 +118,7 @@
         self.runs: list[Run] = []
         self.heads: list[Head] = []
         self.cancelled = 0
+        self.coldness = Coldness(until=0.0, most_in_a_second=0.0)
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -120,8 +154,12 @@
     ) -> bool:
         head = _parse(await reader.readuntil(b"\r\n\r\n"))
         if head.target.startswith("/health"):
-            writer.write(self._head("200 OK", "", 0))
+            writer.write(self._head("200 OK", "", 0, extra=self._cold_header()))
             return True
+        self.coldness.arrives()
+        if self.coldness.has_fallen:
+            _reset(writer)
+            return False
         self.heads.append(head)
         request_id = head.fields.get("x-spindlenotch-request-id", "")
         expected = head.fields.get("x-spindlenotch-expect-instance", self.id)
@@ -209,6 +247,10 @@
                 writer.write(whole)
         return True
 
+    def _cold_header(self) -> str:
+        left_ms = self.coldness.left_ms()
+        return f"X-Spindlenotch-Cold-Ms: {left_ms}\r\n" if left_ms else ""
+
     def _answer(self, request_id: str, body: bytes) -> bytes:
         return self._head("200 OK", request_id, len(body)) + body
 
