--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -39,6 +39,62 @@
             Scenario("gateway", "what callers ask rises at once and falls late"),
         ),
     ),
+    Rule(
+        question="When the upstreams of an evacuated zone get their last request",
+        functions=(
+            "decisions/evacuation.leave_at",
+            "gateway/listing.Listing.evacuate",
+        ),
+        inputs="zones that the operator evacuates, when this gateway learnt of them"
+        " (instant), setting `evacuate_s`, id of each upstream.",
+        reason="They leave one after the other over a part of the operator's bound, in"
+        " the same order in every gateway; one that is learnt of later never gets"
+        " work. A zone that is taken back is in use at once, as cold as its upstreams"
+        " say.",
+        constants=("decisions/evacuation.SPREAD_SHARE",),
+        events=("ZONE_EVACUATED", "ZONE_RESTORED", "UPSTREAM_LEAVING"),
+        tests=(
+            Scenario(
+                "gateway", "an evacuated zone empties by and by, within its bound"
+            ),
+            Scenario("gateway", "who starts while a zone is evacuated never uses it"),
+            Scenario("gateway", "calls that wait get no room in an evacuated zone"),
+            Scenario("gateway", "a zone that is taken back is in use again at once"),
+        ),
+    ),
+    Rule(
+        question="Who sends to a cold upstream, and how often",
+        functions=(
+            "kernel/cold_start.owner",
+            "kernel/cold_start.ColdStart.may_send",
+            "gateway/cold_senders.ColdSenders.update",
+        ),
+        inputs="requests a second that a cold upstream of the service bears, until"
+        " when it is cold (instant; its entry, health answers, ejections), active"
+        " gateways, gateways seen now and lately.",
+        reason="One active gateway owns each cold upstream, by rendezvous hashing, and"
+        " sends at an even pace without bursts; the others send none. A rate divided"
+        " among 15 gateways is a request in 3.3 s for each, longer than upstreams are"
+        " cold. Who sees no more than half of the gateways seen lately sends none, so"
+        " that of a partition one side does at most.",
+        constants=(
+            "gateway/cold_senders.MEMORY_S",
+            "gateway/cold_senders.QUORUM_SHARE",
+            "gateway/load_sharing.COLDNESS_TOLD_S",
+            "decisions/soonest.COLD_FACTOR",
+        ),
+        tests=(
+            Scenario(
+                "gateway", "cold upstreams get no more than they bear, by one owner"
+            ),
+            Scenario("gateway", "a rate divided among many is hardly used"),
+            Scenario("gateway", "what was not used of a cold upstream's rate is lost"),
+            Scenario("gateway", "the latest health answer says whether one is cold"),
+            Scenario(
+                "platform", "A cold worker gets no more from all gateways than it bears"
+            ),
+        ),
+    ),
     Rule(
         question="Who reads the store, who probes, who writes the discovery record",
         functions=(
