--- a/features/steps/gateway_evacuation.py
+++ b/features/steps/gateway_evacuation.py
@@ -97,7 +97,7 @@
     found.evacuate(frozenset(), later)
     peer.replace_by_peer(found.listed(later), later)
     for one in (found, peer):
-        assert zones_in_use(one, later)["b"] == PER_ZONE
+        assert zones_in_use(one, later).get("b") == PER_ZONE
     # A pool takes one that has left only in a higher generation.
     for upstream_id, lease in peer.lease_by_id.items():
         rises = lease.spec.generation > before[upstream_id]
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -29,16 +29,29 @@
 for name in ("id", "measuring", "mixed-fault"):
     machines.play(name, {plays}, {steps}, shrink=False)
 """
+#: Program that checks one property of the gateway there.
+PROPERTY_PROGRAM = """
+import sys, loguru
+sys.path.append("platform")
+loguru.logger.remove()
+from features.steps import gateway_cold, gateway_evacuation, kernel
+kernel.PROPERTIES.get({name!r})()
+"""
 
 
 @dataclasses.dataclass(frozen=True)
 class Mutant:
-    """One broken mechanism: replace ``old`` by ``new`` in ``module``."""
+    """
+    One broken mechanism: replace ``old`` by ``new`` in ``module``.
+
+    ``held_by`` names the property that must go red; the machines where it is empty.
+    """
 
     name: str
     module: str
     old: str
     new: str
+    held_by: str = ""
 
 
 MUTANTS = (
@@ -129,6 +142,48 @@
         'return once.OnceKey(f"ticket/{identity.ticket}")',
         'return once.OnceKey("ticket/same")',
     ),
+    Mutant(
+        "a cold upstream is sent to at any pace",
+        "kernel/cold_start",
+        "return now >= self.until or now >= self._next_at",
+        "return True",
+        held_by="cold upstreams get no more than they bear, by one owner",
+    ),
+    Mutant(
+        "every gateway owns each cold upstream",
+        "kernel/cold_start",
+        "return allowed_per_s if owner(upstream_id, hosts) == local_host else 0.0",
+        "return allowed_per_s",
+        held_by="cold upstreams get no more than they bear, by one owner",
+    ),
+    Mutant(
+        "an older health answer makes an upstream warm",
+        "kernel/cold_start",
+        "        if at <= self.told_at:\n            return\n",
+        "",
+        held_by="the latest health answer says whether one is cold",
+    ),
+    Mutant(
+        "an evacuated zone is never left",
+        "gateway/listing",
+        "if is_ready and now < lease.leave_at:",
+        "if is_ready:",
+        held_by="nothing is sent to an evacuated zone after its bound",
+    ),
+    Mutant(
+        "who learns of an upstream in an evacuated zone uses it",
+        "gateway/listing",
+        "leave_at = now if listed.zone in self.evacuated_zones else ids.NEVER",
+        "leave_at = ids.NEVER",
+        held_by="who starts while a zone is evacuated never uses it",
+    ),
+    Mutant(
+        "a zone that is taken back stays empty",
+        "gateway/listing",
+        "        lease.leave_at = ids.NEVER\n\n    def _schedule",
+        "\n    def _schedule",
+        held_by="a zone that is taken back is in use again at once",
+    ),
 )
 
 
@@ -141,25 +196,28 @@
 
 
 async def try_mutant(mutant: Mutant) -> Trial:
-    """Play the machines on a mutated copy of the tree."""
+    """Play the machines, or check a property, on a mutated copy of the tree."""
     with tempfile.TemporaryDirectory() as scratch:
         copy = pathlib.Path(scratch)
-        for tree in ("spindlenotch", "features"):
+        for tree in ("spindlenotch", "features", "platform"):
             shutil.copytree(tree, copy / tree)
         path = copy / "spindlenotch" / f"{mutant.module}.py"
         text = path.read_text()
         if text.count(mutant.old) != 1:
             return Trial(True, "the text to replace is not there exactly once")
         path.write_text(text.replace(mutant.old, mutant.new))
-        return await play(copy)
+        program = PLAY_PROGRAM.format(plays=PLAYS, steps=STEPS)
+        if mutant.held_by:
+            program = PROPERTY_PROGRAM.format(name=mutant.held_by)
+        return await play(copy, program)
 
 
-async def play(copy: pathlib.Path) -> Trial:
-    """Play the machines in ``copy``; only a failed assertion counts as caught."""
+async def play(copy: pathlib.Path, program: str) -> Trial:
+    """Run a program in ``copy``; only a failed assertion counts as caught."""
     child = await asyncio.create_subprocess_exec(
         sys.executable,
         "-c",
-        PLAY_PROGRAM.format(plays=PLAYS, steps=STEPS),
+        program,
         cwd=copy,
         stdout=asyncio.subprocess.DEVNULL,
         stderr=asyncio.subprocess.PIPE,
