--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -55,6 +55,7 @@
       | a rate divided among many is hardly used                   |
       | what was not used of a cold upstream's rate is lost        |
       | the latest health answer says whether one is cold |
+      | silence on coldness means warm only where cold ones speak  |
       | an upstream that was away is cold until it says otherwise  |
       | calls that only others may place are refused at once |
       | each cold upstream has one owner among equal views         |
--- a/features/steps/gateway_cold.py
+++ b/features/steps/gateway_cold.py
@@ -19,6 +19,7 @@
 from features.steps import kernel
 from spindlenotch import ids
 from spindlenotch.decisions import balancer, soonest
+from spindlenotch.gateway import prober
 from spindlenotch.kernel import (
     cold_start,
     extra_budgets,
@@ -28,6 +29,7 @@
     upstream_pool,
     upstreams,
 )
+from spindlenotch_platform import http_dialect
 
 NOW = kernel.NOW
 ZONE = kernel.ZONES[0]
@@ -224,6 +226,28 @@
     assert not cold.is_cold(ids.later(NOW, 0.9))
 
 
+@kernel.PROPERTIES.register("silence on coldness means warm only where cold ones speak")
+def silence() -> None:
+    silent = upstreams.LoadReport(1, 0)
+    bounded = policy()
+    unbounded = msgspec.structs.replace(bounded, cold_rate_per_s=None)
+    assert prober.with_coldness(silent, bounded).cold_s == 0.0
+    assert prober.with_coldness(silent, unbounded).cold_s is None
+    cold = upstreams.LoadReport(1, 0, cold_s=2.5)
+    assert prober.with_coldness(cold, bounded) == cold
+    for text, expected in (
+        ("2500", 2.5),
+        ("0", 0.0),
+        (None, None),
+        ("soon", None),
+        ("-1", None),
+        ("nan", None),
+        ("1e99", None),
+        ("9" * 100, None),
+    ):
+        assert http_dialect.read_cold_s(text) == expected, text
+
+
 @kernel.PROPERTIES.register("an upstream that was away is cold until it says otherwise")
 def away() -> None:
     for told, expected in ((False, True), (True, False)):
--- a/features/steps/gateway_evacuation.py
+++ b/features/steps/gateway_evacuation.py
@@ -102,6 +102,12 @@
     for upstream_id, lease in peer.lease_by_id.items():
         rises = lease.spec.generation > before[upstream_id]
         assert rises == (lease.spec.zone == "b"), upstream_id
+    # One that had not left yet keeps its estimates.
+    short = filled()
+    short.evacuate(frozenset({ZONES[1]}), NOW)
+    short.evacuate(frozenset(), ids.later(NOW, 0.001))
+    generations = [lease.spec.generation for lease in short.lease_by_id.values()]
+    assert sum(number > len(generations) for number in generations) <= 1
 
 
 @kernel.PROPERTIES.register("gateways that know no evacuations drain such upstreams")
@@ -112,6 +118,16 @@
         assert one.is_evacuated == (one.zone == "b")
         drains = one.state is sources.UpstreamState.DRAINING
         assert drains == one.is_evacuated
+    # One that drains by itself is told as such, and not used for a moment longer.
+    draining = msgspec.structs.replace(
+        listed(ZONES[1], 0), state=sources.UpstreamState.DRAINING
+    )
+    found.add([draining], NOW)
+    peer = filled()
+    peer.replace_by_peer(found.listed(NOW), NOW)
+    in_use = {spec.id for spec in peer.specs(NOW)[SERVICE]}
+    assert "b0" not in in_use
+    assert "b1" in in_use
     # All of this release's fields that were known before have their places.
     (plain,) = [one for one in found.listed(NOW) if one.id == "a0"]
     assert b"evacuated" not in msgspec.json.encode(plain)
--- a/spindlenotch/drivers/upstream_dialect.py
+++ b/spindlenotch/drivers/upstream_dialect.py
@@ -32,8 +32,8 @@
     ``request_id`` names the header that an upstream echoes. ``read_load`` gets
     the headers of an answer and returns None where they hold no load that can
     be read. ``read_cold_s`` gets those of a health answer and returns for how many
-    seconds more the upstream is cold, 0 where it is warm. The others get its status
-    and headers: ``is_genuine`` tells
+    seconds more the upstream is cold, None where it does not say. The others get its
+    status and headers: ``is_genuine`` tells
     whether an upstream made the answer, ``is_not_run`` whether it says that
     the request has not run and never will, ``is_draining`` whether the
     upstream that was meant gets no more work.
@@ -42,7 +42,7 @@
     request_id: str
     probe_path: str
     read_load: abc.Callable[[Fields], upstreams.LoadReport | None]
-    read_cold_s: abc.Callable[[Fields], float]
+    read_cold_s: abc.Callable[[Fields], float | None]
     is_genuine: abc.Callable[[int, Fields], bool]
     is_not_run: abc.Callable[[int, Fields], bool]
     is_draining: abc.Callable[[int, Fields], bool]
@@ -80,7 +80,7 @@
     request_id=headers.REQUEST_ID,
     probe_path=PROBE_PATH,
     read_load=lambda fields: read_load(fields.get(headers.LOAD)),
-    read_cold_s=lambda fields: 0.0,
+    read_cold_s=lambda fields: None,
     is_genuine=_is_genuine,
     is_not_run=_is_not_run,
     is_draining=_is_draining,
--- a/spindlenotch/gateway/listing.py
+++ b/spindlenotch/gateway/listing.py
@@ -80,11 +80,7 @@
     def replace_by_peer(
         self, listed: abc.Iterable[sources.ListedUpstream], now: ids.Instant
     ) -> None:
-        """
-        Put a peer's whole list in place; the peer has judged expired leases.
-
-        Of evacuated upstreams it does not tell whether they drain besides.
-        """
+        """Put a peer's whole list in place; the peer has judged expired leases."""
         listed_by_id = {upstream.id: upstream for upstream in listed}
         evacuated = [one for one in listed_by_id.values() if one.is_evacuated]
         self.evacuate(frozenset(one.zone for one in evacuated), now)
@@ -110,7 +106,7 @@
         self.evacuated_zones = zones
         for lease in self.lease_by_id.values():
             if lease.listed.zone not in zones:
-                self._take_back(lease)
+                self._take_back(lease, now)
             elif lease.leave_at == ids.NEVER:
                 lease.leave_at = evacuation.leave_at(
                     lease.spec.id, now, self.evacuate_s
@@ -165,22 +161,23 @@
 
     def _for_peer(self, lease: Lease, now: ids.Instant) -> sources.ListedUpstream:
         """Return what a peer is told of an upstream."""
-        cold_s = max(0.0, lease.spec.warming_up_until - now)
-        if lease.listed.zone not in self.evacuated_zones:
-            return msgspec.structs.replace(lease.listed, cold_s=cold_s)
+        listed = msgspec.structs.replace(
+            lease.listed, cold_s=max(0.0, lease.spec.warming_up_until - now)
+        )
+        is_ready = listed.state is sources.UpstreamState.READY
+        if not is_ready or listed.zone not in self.evacuated_zones:
+            return listed
         return msgspec.structs.replace(
-            lease.listed,
-            cold_s=cold_s,
-            state=sources.UpstreamState.DRAINING,
-            is_evacuated=True,
+            listed, state=sources.UpstreamState.DRAINING, is_evacuated=True
         )
 
-    def _take_back(self, lease: Lease) -> None:
+    def _take_back(self, lease: Lease, now: ids.Instant) -> None:
         """Let an upstream whose zone is not evacuated get work if it did not."""
-        if lease.leave_at == ids.NEVER:
-            return
-        self._generation += 1
-        lease.spec = msgspec.structs.replace(lease.spec, generation=self._generation)
+        if lease.leave_at <= now:
+            self._generation += 1
+            lease.spec = msgspec.structs.replace(
+                lease.spec, generation=self._generation
+            )
         lease.leave_at = ids.NEVER
 
     def _schedule_leaving(self, now: ids.Instant) -> None:
--- a/spindlenotch/gateway/prober.py
+++ b/spindlenotch/gateway/prober.py
@@ -21,7 +21,7 @@
     service_defaults,
     state,
 )
-from spindlenotch.kernel import upstream_pool, upstreams
+from spindlenotch.kernel import service_policy, upstream_pool, upstreams
 
 #: Longest wait for the answer to a probe. Chosen, not measured.
 PROBE_TIMEOUT_S = 0.3
@@ -53,6 +53,20 @@
     upstream: upstreams.Upstream
 
 
+def with_coldness(
+    report: upstreams.LoadReport, service: service_policy.ServicePolicy
+) -> upstreams.LoadReport:
+    """
+    Return the report of a health answer, with what its silence on coldness says.
+
+    Where what cold upstreams bear is bounded, they say that they are cold, and the
+    others say nothing. Elsewhere only their entries in the source tell.
+    """
+    if report.cold_s is None and service.cold_rate_per_s is not None:
+        return msgspec.structs.replace(report, cold_s=0.0)
+    return report
+
+
 class Prober:
     """
     Probes each upstream on its own schedule.
@@ -156,5 +170,6 @@
             # upstreams are compared.
             if isinstance(report, upstreams.LoadReport):
                 now = self.state.clock.now()
-                target.pool.reported(target.upstream, report, now)
+                told = with_coldness(report, target.pool.service)
+                target.pool.reported(target.upstream, told, now)
             await asyncio.sleep(jitter.jittered(period_s, rng))
