Who starts reads the source in the order in which gateways become active

Cause: after a loss of power every gateway but those of the settings waited the same 0.2 s for a peer that had read, and nobody had: the hosts of the settings may come up last.

Change: the waits are spread from none to twice the mean, by the hash that decides who is active (reader_duty.first_wait_s), so that those read first that callers will be sent to. The scenario that asserted the fixed wait asserts each host's own now, and a property that their mean is the old one and their order that of the active set.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -31,6 +31,7 @@
       | what callers ask rises at once and falls late              |
       | one that starts gives a peer time to spare it the reading  |
       | one that starts slowly, or is answered, waits for longer   |
+      | those read first that callers will be sent to              |
       | a fleet that starts has one reader a zone                  |
       | only who reads the source passes news on at once           |
       | a load report that tells nothing new is sent now and then  |
--- a/features/steps/gateway_reading.py
+++ b/features/steps/gateway_reading.py
@@ -5,9 +5,7 @@
 from features.steps import kernel
 from features.support import started_gateway
 from spindlenotch import clock, ids
-from spindlenotch.gateway import (
-    relay,
-)
+from spindlenotch.gateway import active_set, reader_duty, relay
 from spindlenotch.peers import documents, messages
 
 
@@ -16,7 +14,9 @@
     state, passing = started_gateway.gateway(started_gateway.SEED)
     assert not passing.must_read()
     assert isinstance(state.clock, clock.ManualClock)
-    state.clock.advance(relay.FIRST_PEER_WAIT_S + 0.01)
+    state.clock.advance(passing.first_peer_wait_s - 0.01)
+    assert not passing.must_read()
+    state.clock.advance(0.02)
     assert passing.must_read()
     for seeds in (f"{started_gateway.ME},{started_gateway.SEED}", ""):
         _, alone = started_gateway.gateway(seeds)
@@ -26,8 +26,11 @@
 @kernel.PROPERTIES.register("one that starts slowly, or is answered, waits for longer")
 def waits_longer() -> None:
     state, slow = started_gateway.gateway(started_gateway.SEED, start_took_s=0.7)
+    _, quick = started_gateway.gateway(started_gateway.SEED)
+    times = slow.first_peer_wait_s / quick.first_peer_wait_s
+    assert abs(times - 0.7 / reader_duty.FIRST_PEER_WAIT_S) < 1e-6
     assert isinstance(state.clock, clock.ManualClock)
-    state.clock.advance(0.69)
+    state.clock.advance(slow.first_peer_wait_s - 0.01)
     assert not slow.must_read()
     state.clock.advance(0.02)
     assert slow.must_read()
@@ -41,11 +44,26 @@
     assert answered.must_read()
 
 
+@kernel.PROPERTIES.register("those read first that callers will be sent to")
+def first_active_first() -> None:
+    capacity = active_set.capacity_of(1.0, 1000.0)
+    hosts = [ids.HostId(f"node-{number}") for number in range(120)]
+    candidates = [
+        active_set.Candidate(host, ids.ZoneName("a"), capacity) for host in hosts
+    ]
+    ordered = [one.host for one in active_set.rank(candidates, 1).ordered]
+    waits = [reader_duty.first_wait_s(host, 0.0) for host in ordered]
+    assert waits == sorted(waits)
+    assert waits[2] < 0.02
+    mean_s = sum(waits) / len(waits)
+    assert 0.9 < mean_s / reader_duty.FIRST_PEER_WAIT_S < 1.1
+
+
 @kernel.PROPERTIES.register("a fleet that starts has one reader a zone")
 def starting() -> None:
     state, passing = started_gateway.gateway(started_gateway.SEED)
     assert isinstance(state.clock, clock.ManualClock)
-    state.clock.advance(relay.FIRST_PEER_WAIT_S + 0.01)
+    state.clock.advance(passing.first_peer_wait_s + 0.01)
     for number in range(9):
         started_gateway.peer(state, f"p{number}", messages.Status.STARTING)
     readers = state.gossip.known_by_host.keys() | {state.config.host}
--- a/spindlenotch/gateway/active_set.py
+++ b/spindlenotch/gateway/active_set.py
@@ -109,6 +109,12 @@
     return Ranking(chosen + spare, len(chosen))
 
 
+def precedence(host: ids.HostId) -> float:
+    """Return which share of equally strong hosts becomes active before this one."""
+    score, _ = rendezvous.score(TIE_SALT, host)
+    return 1.0 - score / rendezvous.SCORES
+
+
 def _split(
     candidates: abc.Iterable[Candidate], least_per_zone: int
 ) -> tuple[list[Candidate], list[Candidate]]:
--- a/spindlenotch/gateway/reader_duty.py
+++ b/spindlenotch/gateway/reader_duty.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from spindlenotch import ids
+from spindlenotch.gateway import active_set
 
 #: Seconds without a word of a reader after which the next in turn reads: it has left
 #: two questions unanswered (``relay.ASK_PERIOD_S``); one answer may just get lost.
@@ -34,6 +35,28 @@
 IN_VAIN_KEPT_S = 2.5
 
 
+#: How long a starting gateway waits on average for a peer that has read already, at
+#: least, in seconds: so that a fleet that starts together does not read as often as
+#: it has members. Measured: docs/MEASUREMENTS.md, round 18 (0.4 s refused requests
+#: after a loss of all).
+FIRST_PEER_WAIT_S = 0.2
+
+
+def first_wait_s(local_host: ids.HostId, start_took_s: float) -> float:
+    """
+    Return for how long a gateway that starts waits for a peer that has read.
+
+    Answers a fleet whose hosts lose power together and start again: those of the
+    settings may come up last, and until then nobody can be asked. The waits are
+    spread from none to twice the mean, in the order in which gateways become active,
+    so that those come first that callers will be sent to. The mean is what the own
+    start took, ``start_took_s``, since peers of the same strength come up around the
+    same time.
+    """
+    mean_s = max(FIRST_PEER_WAIT_S, start_took_s)
+    return 2.0 * mean_s * active_set.precedence(local_host)
+
+
 class _Heard(msgspec.Struct, frozen=True):
     """The last message of a gateway: when it came, and whether that one reads."""
 
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/relay.py
@@ -33,11 +33,6 @@
 #: Time between two questions to the zone's reader; every second instant of
 #: ``wakeups``. Chosen, not measured.
 ASK_PERIOD_S = 0.4
-#: How long a starting gateway waits at least for a peer that has read already, so
-#: that a fleet that starts together does not read as often as it has members.
-#: Measured: docs/MEASUREMENTS.md, round 18 (0.4 s refused requests after a loss of
-#: all, when a peer that had not read yet was asked again only after 0.4 s).
-FIRST_PEER_WAIT_S = 0.2
 #: How long it waits where peers answer, but none has read yet. Chosen, not measured:
 #: they are asked ten times meanwhile (``membership.FIRST_PAUSE_S``).
 ANSWERED_WAIT_S = 1.0
@@ -73,7 +68,9 @@
             link, self._receive, self.tasks
         )
         self.started_at = gateway_state.clock.now()
-        self.first_peer_wait_s = max(FIRST_PEER_WAIT_S, start_took_s)
+        self.first_peer_wait_s = reader_duty.first_wait_s(
+            gateway_state.config.host, start_took_s
+        )
         self._announce_rounds = 0
         self._is_announcing = False
         self.duty = reader_duty.ReaderDuty(gateway_state.config.host, self.started_at)
@@ -107,9 +104,9 @@
         """
         Tell whether a peer may yet spare this gateway's first reading.
 
-        Seeds do not wait: somebody has to read first. The others wait as long as
-        their own start took, since peers of their strength come up around the same
-        time; and longer once a peer has answered, which may soon have read.
+        Seeds do not wait: somebody has to read first. The others wait in turn
+        (``reader_duty.first_wait_s``), and longer once a peer has answered, which may
+        soon have read.
         """
         config = self.state.config
         if not config.peers or config.peer_listen in config.peers:
--- a/spindlenotch/kernel/rendezvous.py
+++ b/spindlenotch/kernel/rendezvous.py
@@ -14,6 +14,10 @@
 
 #: Scores that are cached. Chosen, not measured.
 SCORES_KEPT = 65_536
+#: Bits of a score, and how many different scores there are. Part of the choice:
+#: processes of two releases in one fleet must agree on it.
+SCORE_BITS = 64
+SCORES = 2**64
 
 
 def chosen(
@@ -37,4 +41,4 @@
 @functools.lru_cache(SCORES_KEPT)
 def score(duty: str, host: ids.HostId) -> tuple[int, str]:
     """Return the rank of a host for a duty; the highest takes it on."""
-    return random.Random(f"{duty}/{host}").getrandbits(64), host
+    return random.Random(f"{duty}/{host}").getrandbits(SCORE_BITS), host
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -116,7 +116,7 @@
             "gateway/reader_duty.TRIED_IN_VAIN",
             "gateway/reader_duty.IN_VAIN_KEPT_S",
             "gateway/relay.ASK_PERIOD_S",
-            "gateway/relay.FIRST_PEER_WAIT_S",
+            "gateway/reader_duty.FIRST_PEER_WAIT_S",
             "gateway/relay.ANSWERED_WAIT_S",
             "gateway/duties.UPSTREAMS_PER_PROBER",
             "gateway/prober.PROBES_PER_WORK",
