Requests are held for a moment while a gateway starts

Cause: a gateway whose ports were open and which knew no routes yet refused at once, with 0.05 s to wait; callers come back twice, and had spent both tries by the time it could serve.

Change: they are held until it can, 0.6 s after its start at most (decisions/start_limit.hold_until), then refused as before. What a request was held counts against its time.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -15,3 +15,4 @@
       | a refusal never asks for a retry at once                   |
       | only a late request fails as late                          |
       | an answer is whole, too long or cut short by how it ends   |
+      | requests are held while a gateway starts, not for long     |
--- a/features/steps/gateway_requests.py
+++ b/features/steps/gateway_requests.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies
 
 from features.steps import kernel
-from spindlenotch import ids, ports
+from features.support import served_gateway
+from spindlenotch import clock, ids, ports
 from spindlenotch.decisions import queueing, start_limit
 from spindlenotch.forwarding import exchanges
 from spindlenotch.gateway import (
@@ -210,3 +211,33 @@
     assert read(full, b"x", b"never read") == answers.LongAnswer(full + b"x")
     assert read(b"a", lost) == answers.CutAnswer()
     assert read(lost) == answers.CutAnswer()
+
+
+@kernel.PROPERTIES.register("requests are held while a gateway starts, not for long")
+def held_at_start() -> None:
+    async def play() -> None:
+        made = served_gateway.ServedGateway(
+            lambda: served_gateway.ScriptedAnswer(200, [b"whole"], length=5),
+            knows=False,
+        )
+        async with made:
+            early = asyncio.ensure_future(made.request())
+            await asyncio.sleep(0.05)
+            assert not early.done()
+            made.learn()
+            assert await early == (200, b"whole")
+        lost = served_gateway.ServedGateway(
+            lambda: served_gateway.ScriptedAnswer(200, [b"whole"], length=5),
+            knows=False,
+        )
+        async with lost:
+            status, body = await lost.request()
+            assert (status, body) == (503, b"not-ready\n")
+            # Once that time is over nothing is held any more.
+            steady = typing.cast(clock.ManualClock, lost.state.clock)
+            steady.advance(start_limit.START_HOLD_S)
+            async with asyncio.timeout(start_limit.START_HOLD_S / 2):
+                status, _ = await lost.request()
+            assert status == 503
+
+    asyncio.run(play())
--- a/features/support/served_gateway.py
+++ b/features/support/served_gateway.py
@@ -133,9 +133,15 @@
 
 
 class ServedGateway:
-    """One gateway with a route without time limits, and two upstreams."""
+    """
+    One gateway with a route without time limits, and two upstreams.
 
-    def __init__(self, answer: abc.Callable[[], ScriptedAnswer]) -> None:
+    One that does not ``know`` them yet has just started.
+    """
+
+    def __init__(
+        self, answer: abc.Callable[[], ScriptedAnswer], *, knows: bool = True
+    ) -> None:
         self.port = ScriptedPort(answer)
         (number,) = free_ports.find(1)
         self.address = ids.Address(f"{free_ports.LOOPBACK}:{number}")
@@ -143,13 +149,18 @@
         state.config = msgspec.structs.replace(
             state.config, listen=self.address, extra_reserve=EXTRA_RESERVE
         )
-        state.apply_snapshot(_snapshot(state.config.zone))
         self.state = state
+        if knows:
+            self.learn()
         native = dialect.DIALECTS.get("native")()
         path = data_path.DataPath(state, self.port, job_factory.labels(native))
         answerer = answering.Answerer(state, path, native)
         self.ingress = ingress.Ingress(state, answerer)
 
+    def learn(self) -> None:
+        """Let the gateway know its route and upstreams."""
+        self.state.apply_snapshot(_snapshot(self.state.config.zone))
+
     async def __aenter__(self) -> typing.Self:
         await self.ingress.start()
         return self
--- a/spindlenotch/gateway/answering.py
+++ b/spindlenotch/gateway/answering.py
@@ -14,6 +14,7 @@
 from aiohttp import web_request, web_response
 
 from spindlenotch import ids
+from spindlenotch.decisions import start_limit
 from spindlenotch.forwarding import data_path, exchanges, jobs
 from spindlenotch.gateway import (
     answer_stream,
@@ -51,8 +52,10 @@
 
         Raises ``asyncio.CancelledError`` where the caller has gone.
         """
-        table = self.state.table
-        if table is None or not self.state.listed_once:
+        arrived_at = self.state.clock.now()
+        table = await self._table()
+        held_s = self.state.clock.now() - arrived_at
+        if table is None:
             return refusals.not_ready()
         route = table.find(request.headers.get("Host", ""), request.raw_path)
         if route is None:
@@ -61,15 +64,27 @@
         body = await request_body.read(request, limit_bytes)
         if isinstance(body, request_body.TooLong):
             return refusals.body_too_long()
-        return await self._forward(request, route, body)
+        return await self._forward(request, route, body, held_s)
+
+    async def _table(self) -> routing.RouteTable | None:
+        """
+        Return the routes in force, None where there is nothing to serve with.
+
+        A request that comes while this gateway starts waits for them for a moment.
+        """
+        if not self.state.can_serve:
+            hold_until = start_limit.hold_until(self.state.started_at)
+            await self.state.until_can_serve(hold_until)
+        return self.state.table if self.state.can_serve else None
 
     async def _forward(
         self,
         request: web_request.BaseRequest,
         route: routing.Route,
         body: request_body.Body,
+        held_s: float,
     ) -> pipelining.Answer:
-        job = self._jobs.create(request, route, body)
+        job = self._jobs.create(request, route, body, held_s)
         loop_deadline = self._loop_time(job.call.deadline)
         try:
             async with asyncio.timeout_at(loop_deadline):
--- a/spindlenotch/gateway/job_factory.py
+++ b/spindlenotch/gateway/job_factory.py
@@ -64,14 +64,19 @@
         request: web_request.BaseRequest,
         route: routing.Route,
         body: request_body.Body,
+        held_s: float = 0.0,
     ) -> jobs.Job:
-        """Build the job of a request; advances the route's round robin."""
+        """
+        Build the job of a request; advances the route's round robin.
+
+        ``held_s`` is how long this gateway has held it before, in seconds.
+        """
         self._follow_configuration()
         service = self.state.round_robin.next(route)
         chosen = self.state.balancer_by_service[service]
         return jobs.Job(
             balancer=chosen,
-            call=self._call(request, route, body, chosen),
+            call=self._call(request, route, body, chosen, held_s),
             method=request.method,
             target=request.raw_path,
             headers=self._passed_headers(request),
@@ -85,8 +90,9 @@
         route: routing.Route,
         body: request_body.Body,
         chosen: balancer.Balancer,
+        held_s: float,
     ) -> waiting.Call:
-        now = self.state.clock.now()
+        now = ids.later(self.state.clock.now(), -held_s)
         timeout_s = read_timeout_s(request.headers.get(self.dialect.deadline_ms))
         typical_s = chosen.pool.latencies.typical_s(route.name)
         limit = start_limit.start_limit(
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -8,6 +8,7 @@
 kernel.
 """
 
+import asyncio
 import random
 from collections import abc
 
@@ -57,6 +58,8 @@
         self.wakeups = wakeups.Wakeups(self.rng)
         self.metrics = metrics.Metrics()
         self.phase = lifecycle.Phase.STARTING
+        self.started_at = gateway_clock.now()
+        self._can_serve = asyncio.Event()
         self.table: routing.RouteTable | None = None
         self.round_robin = routing.WeightedRoundRobin()
         self.listing = listing.Listing(config.evacuate_s)
@@ -74,6 +77,20 @@
         """Tell whether callers may be sent here."""
         return self.phase is lifecycle.Phase.SERVING
 
+    @property
+    def can_serve(self) -> bool:
+        """Tell whether routes and upstreams are known."""
+        return self.table is not None and self.listed_once
+
+    async def until_can_serve(self, limit: ids.Instant) -> None:
+        """Wait until routes and upstreams are known, until ``limit`` at most."""
+        try:
+            async with asyncio.timeout(max(0.0, limit - self.clock.now())):
+                await self._can_serve.wait()
+        except TimeoutError:
+            # The caller looks at ``can_serve`` and refuses the request.
+            return
+
     @property
     def reads_source(self) -> bool:
         """Tell whether this gateway reads the source itself at the moment."""
@@ -202,6 +219,8 @@
         self._settle_phase()
 
     def _settle_phase(self) -> None:
+        if self.can_serve:
+            self._can_serve.set()
         before = self.phase
         self.phase = lifecycle.phase_after(
             before,
