--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -100,6 +100,25 @@
             Scenario("kernel", "what is explained is what was done"),
         ),
     ),
+    Rule(
+        question="What a gateway that has just started does with requests",
+        functions=(
+            "decisions/start_limit.hold_until",
+            "gateway/state.GatewayState.until_can_serve",
+        ),
+        inputs="when the process started (instant), whether routes and upstreams are"
+        " known.",
+        reason="After a loss of power callers come back at once, twice, and the first"
+        " gateways can serve some moments later: the requests are held that long.",
+        constants=("decisions/start_limit.START_HOLD_S",),
+        events=("READY",),
+        tests=(
+            Scenario(
+                "gateway_requests",
+                "requests are held while a gateway starts, not for long",
+            ),
+        ),
+    ),
     Rule(
         question="When a request waits, how long, and when it is given up",
         functions=(
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -102,6 +102,7 @@
             "gateway/duties.probers",
             "gateway/duties.is_prober",
             "gateway/reader_duty.ReaderDuty.must_read",
+            "gateway/reader_duty.first_wait_s",
             "gateway/discovery.DiscoveryWriter.due",
         ),
         inputs="ready gateways by zone, which of them are active, when the zone's"
@@ -126,6 +127,10 @@
         ),
         events=("STORE_LOST", "STORE_BACK", "INTRODUCED"),
         tests=(
+            Scenario("gateway", "those read first that callers will be sent to"),
+            Scenario(
+                "gateway", "the first reading begins when the wait for a peer ends"
+            ),
             Scenario("gateway", "a fleet that starts has one reader a zone"),
             Scenario("gateway", "an outage of the source is not met by the whole zone"),
             Scenario(
