--- a/spindlenotch/gateway/load_sharing.py
+++ b/spindlenotch/gateway/load_sharing.py
@@ -1,5 +1,5 @@
 """
-Passes load reports of upstreams on between gateways.
+Passes load reports of upstreams, and until when they are cold, on between gateways.
 
 A prober sends what its upstreams reported to the active gateways of its zone;
 these send the reports of their zone to the active gateways of the others.
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -49,7 +49,8 @@
     that other processes have in an upstream where this one owns no slots;
     ``refused_share`` is the share of calls refused for overload,
     ``failed_share`` that of answers that are failures. ``revision`` rises with each
-    change of ``usable_order``.
+    change of ``usable_order``. ``cold_senders`` are the processes that share what cold
+    upstreams bear.
     """
 
     def __init__(
@@ -61,7 +62,6 @@
         self.service = service
         self.local_member = local_member
         self.rng = rng
-        #: The processes that share what cold upstreams bear.
         self.cold_senders: tuple[ids.HostId, ...] = ()
         self.members: tuple[ownership.Member, ...] = (local_member,)
         self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
@@ -120,26 +120,14 @@
             else:
                 known.cold.listed(spec.warming_up_until, now)
         self._forget_gone(spec_by_id)
-        self.limit_cold(now)
+        self._limit_cold(now)
         self.refresh()
 
     def set_cold_senders(self, hosts: tuple[ids.HostId, ...], now: ids.Instant) -> None:
         """Take in which processes share what cold upstreams bear."""
         if hosts != self.cold_senders:
             self.cold_senders = hosts
-            self.limit_cold(now)
-
-    def limit_cold(self, now: ids.Instant) -> None:
-        """Work out anew what this process may send to cold upstreams."""
-        for upstream in self.upstream_by_id.values():
-            upstream.cold.lasts_s = self.service.cold_start_s
-            rate_per_s = cold_start.rate_per_s(
-                upstream.spec.id,
-                self.service.cold_rate_per_s,
-                self.cold_senders,
-                self.local_member.host,
-            )
-            upstream.cold.limit(rate_per_s, now)
+            self._limit_cold(now)
 
     def set_plan(self, plan: dict[ids.ZoneName, float]) -> None:
         """Take in the day's weights by zone."""
@@ -180,6 +168,18 @@
         self.changes.record(upstream)
         self._changed = True
 
+    def _limit_cold(self, now: ids.Instant) -> None:
+        """Work out anew what this process may send to cold upstreams."""
+        for upstream in self.upstream_by_id.values():
+            upstream.cold.lasts_s = self.service.cold_start_s
+            rate_per_s = cold_start.rate_per_s(
+                upstream.spec.id,
+                self.service.cold_rate_per_s,
+                self.cold_senders,
+                self.local_member.host,
+            )
+            upstream.cold.limit(rate_per_s, now)
+
     def _assign_slots(self) -> None:
         offers = slot_division.offers(self.usable_order, self.zone_factor)
         own = ownership.owned(offers, self.members, self.local_member)
