--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -10,14 +10,9 @@
 from features.steps import kernel
 from features.support import hostile_bytes, platform_fleet
 from spindlenotch import events, ids
-from spindlenotch.gateway import (
-    duties,
-    listing,
-    log_sink,
-    routing,
-    settings,
-    sources,
-)
+from spindlenotch.gateway import log_sink, settings
+from spindlenotch.gateway.cluster import duties
+from spindlenotch.gateway.source import listing, routing, sources
 from spindlenotch.kernel import budgets, upstreams
 from spindlenotch.peers import (
     messages,
--- a/features/steps/gateway_cold.py
+++ b/features/steps/gateway_cold.py
@@ -19,7 +19,7 @@
 from features.steps import kernel
 from spindlenotch import ids
 from spindlenotch.decisions import balancer, soonest
-from spindlenotch.gateway import prober
+from spindlenotch.gateway.cluster import prober
 from spindlenotch.kernel import (
     cold_start,
     extra_budgets,
--- a/features/steps/gateway_duty.py
+++ b/features/steps/gateway_duty.py
@@ -11,7 +11,7 @@
 
 from features.steps import kernel
 from spindlenotch import ids
-from spindlenotch.gateway import reader_duty, relay
+from spindlenotch.gateway.source import reader_duty, relay
 
 HOSTS = [ids.HostId(f"g{number:02d}") for number in range(60)]
 STEP_S = 0.05
--- a/features/steps/gateway_entries.py
+++ b/features/steps/gateway_entries.py
@@ -8,7 +8,7 @@
 
 from features.steps import kernel
 from spindlenotch import ids
-from spindlenotch.gateway import active_set, demand_meter
+from spindlenotch.gateway.cluster import active_set, demand_meter
 from spindlenotch.peers import workload
 
 ZONES = kernel.ZONES
--- a/features/steps/gateway_evacuation.py
+++ b/features/steps/gateway_evacuation.py
@@ -6,7 +6,8 @@
 from features.support import started_gateway
 from spindlenotch import clock, ids
 from spindlenotch.decisions import evacuation, verdicts
-from spindlenotch.gateway import lifecycle, listing, routing, sources, state as states
+from spindlenotch.gateway import lifecycle, state as states
+from spindlenotch.gateway.source import listing, routing, sources
 from spindlenotch.kernel import outcomes, upstreams
 from spindlenotch_platform import records, store, store_client
 
--- a/features/steps/gateway_loads.py
+++ b/features/steps/gateway_loads.py
@@ -5,7 +5,8 @@
 from features.steps import kernel
 from features.support import started_gateway
 from spindlenotch import clock, ids
-from spindlenotch.gateway import load_sharing, report_filter, routing, sources
+from spindlenotch.gateway.cluster import load_sharing, report_filter
+from spindlenotch.gateway.source import routing, sources
 from spindlenotch.kernel import upstreams
 from spindlenotch.peers import messages
 
--- a/features/steps/gateway_reading.py
+++ b/features/steps/gateway_reading.py
@@ -7,7 +7,8 @@
 from features.steps import kernel
 from features.support import started_gateway
 from spindlenotch import clock, ids
-from spindlenotch.gateway import active_set, reader_duty, relay, source_reader
+from spindlenotch.gateway.cluster import active_set
+from spindlenotch.gateway.source import reader_duty, relay, source_reader
 from spindlenotch.peers import documents, messages
 
 
--- a/features/steps/gateway_requests.py
+++ b/features/steps/gateway_requests.py
@@ -14,14 +14,14 @@
 from spindlenotch import clock, ids, ports
 from spindlenotch.decisions import queueing, start_limit
 from spindlenotch.forwarding import exchanges
-from spindlenotch.gateway import (
+from spindlenotch.gateway.serving import (
     answers,
     caller_age,
     job_factory,
     refusals,
     request_body,
-    routing,
 )
+from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import completion_rate, outcomes
 
 NOW = kernel.NOW
--- a/features/steps/gateway_wakeups.py
+++ b/features/steps/gateway_wakeups.py
@@ -3,16 +3,9 @@
 import random
 
 from features.steps import kernel
-from spindlenotch.gateway import (
-    discovery,
-    gateway,
-    load_sharing,
-    prober,
-    relay,
-    source_reader,
-    state,
-    wakeups,
-)
+from spindlenotch.gateway import gateway, state, wakeups
+from spindlenotch.gateway.cluster import load_sharing, prober
+from spindlenotch.gateway.source import discovery, relay, source_reader
 
 PERIODS_S = (
     gateway.TICK_S,
--- a/features/steps/mended_faults.py
+++ b/features/steps/mended_faults.py
@@ -11,7 +11,7 @@
 from features.support import served_gateway, virtual_fleet
 from spindlenotch import events, headers, ids, ports
 from spindlenotch.decisions import balancer, verdicts
-from spindlenotch.gateway import answers, refusals, request_body
+from spindlenotch.gateway.serving import answers, refusals, request_body
 from spindlenotch.kernel import ejection, outcomes, upstreams
 from spindlenotch.peers import documents
 
--- a/features/steps/pipelining.py
+++ b/features/steps/pipelining.py
@@ -6,7 +6,7 @@
 import behave
 
 from features.support import served_gateway
-from spindlenotch.gateway import pipelining
+from spindlenotch.gateway.serving import pipelining
 
 TARGETS = ("/1", "/2", "/3")
 #: Seconds in which nothing more reaches an upstream that is going to.
--- a/features/steps/platform_properties.py
+++ b/features/steps/platform_properties.py
@@ -11,7 +11,7 @@
 
 from features.steps import kernel
 from features.support import recorded, recorded_store
-from spindlenotch.gateway import sources
+from spindlenotch.gateway.source import sources
 from spindlenotch.settings import schema
 from spindlenotch_platform import settings_file
 
--- a/features/support/recorded_gateway.py
+++ b/features/support/recorded_gateway.py
@@ -13,15 +13,9 @@
 
 from features.support import recorded_messages
 from spindlenotch import clock, ids
-from spindlenotch.gateway import (
-    fleet as fleets,
-    membership,
-    relay,
-    routing,
-    settings,
-    sources,
-    state as states,
-)
+from spindlenotch.gateway import settings, state as states
+from spindlenotch.gateway.cluster import fleet as fleets, membership
+from spindlenotch.gateway.source import relay, routing, sources
 from spindlenotch.peers import messages
 
 Result = typing.TypeVar("Result")
--- a/features/support/recorded_logs.py
+++ b/features/support/recorded_logs.py
@@ -21,7 +21,8 @@
 from spindlenotch import events, ids, ports
 from spindlenotch.decisions import verdicts
 from spindlenotch.forwarding import exchanges, granting, jobs
-from spindlenotch.gateway import log_sink, request_log
+from spindlenotch.gateway import log_sink
+from spindlenotch.gateway.serving import request_log
 from spindlenotch.kernel import outcomes, waiting
 
 Plain = typing.Any
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -12,7 +12,7 @@
 
 from features.support import recorded, recorded_gateway, recorded_messages
 from spindlenotch import ids, metrics
-from spindlenotch.gateway import sources
+from spindlenotch.gateway.source import sources
 from spindlenotch.peers import (
     capnp_codec,
     documents,
--- a/features/support/recorded_store.py
+++ b/features/support/recorded_store.py
@@ -16,7 +16,7 @@
 from spindlenotch.cli import publishing
 from spindlenotch.drivers import http_client, store_http
 from spindlenotch.entry import claims, entry_state, once, plugins, settings
-from spindlenotch.gateway import discovery, routing, sources
+from spindlenotch.gateway.source import discovery, routing, sources
 from spindlenotch.peers import documents
 from spindlenotch_platform import records, store
 
--- a/features/support/recorded_words.py
+++ b/features/support/recorded_words.py
@@ -16,7 +16,8 @@
 from spindlenotch.decisions import verdicts
 from spindlenotch.drivers import upstream_dialect
 from spindlenotch.entry import claims, plugins, readiness
-from spindlenotch.gateway import dialect, lifecycle, routing, sources
+from spindlenotch.gateway import dialect, lifecycle
+from spindlenotch.gateway.source import routing, sources
 from spindlenotch.kernel import hostlist, outcomes, upstreams
 from spindlenotch.peers import documents, messages, wire_format
 from spindlenotch_platform import http_dialect, store
--- a/features/support/served_gateway.py
+++ b/features/support/served_gateway.py
@@ -16,14 +16,9 @@
 from features.support import free_ports, recorded_gateway
 from spindlenotch import ids, ports
 from spindlenotch.forwarding import data_path
-from spindlenotch.gateway import (
-    answering,
-    dialect,
-    ingress,
-    job_factory,
-    routing,
-    sources,
-)
+from spindlenotch.gateway import dialect
+from spindlenotch.gateway.serving import answering, ingress, job_factory
+from spindlenotch.gateway.source import routing, sources
 from spindlenotch.kernel import upstreams
 
 #: Bytes of an answer that is too long to be read whole.
--- a/features/support/started_gateway.py
+++ b/features/support/started_gateway.py
@@ -3,13 +3,9 @@
 import msgspec
 
 from spindlenotch import clock, ids
-from spindlenotch.gateway import (
-    fleet as fleets,
-    membership,
-    relay,
-    settings,
-    state as states,
-)
+from spindlenotch.gateway import settings, state as states
+from spindlenotch.gateway.cluster import fleet as fleets, membership
+from spindlenotch.gateway.source import relay
 from spindlenotch.peers import messages
 
 ME = "127.0.0.1:9001"
--- a/spindlenotch/gateway/cold_senders.py
+++ b/spindlenotch/gateway/cluster/cold_senders.py
@@ -10,7 +10,8 @@
 """
 
 from spindlenotch import ids
-from spindlenotch.gateway import fleet, state
+from spindlenotch.gateway import state
+from spindlenotch.gateway.cluster import fleet
 
 #: Seconds for which the largest number of gateways seen counts: longer than hosts are
 #: cut off, far longer than upstreams are cold. Chosen, not measured.
--- a/spindlenotch/gateway/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.gateway import active_set, duties, lifecycle, state
+from spindlenotch.gateway import lifecycle, state
+from spindlenotch.gateway.cluster import active_set, duties
 from spindlenotch.kernel import ownership
 from spindlenotch.peers import messages, workload
 
--- a/spindlenotch/gateway/load_sharing.py
+++ b/spindlenotch/gateway/cluster/load_sharing.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.gateway import fleet, report_filter, state
+from spindlenotch.gateway import state
+from spindlenotch.gateway.cluster import fleet, report_filter
 from spindlenotch.kernel import cold_start, upstreams
 from spindlenotch.peers import gossip, messages, peer_link, workload
 
--- a/spindlenotch/gateway/own_record.py
+++ b/spindlenotch/gateway/cluster/own_record.py
@@ -8,7 +8,8 @@
 import random
 
 from spindlenotch import clock, ids
-from spindlenotch.gateway import active_set, lifecycle, settings
+from spindlenotch.gateway import lifecycle, settings
+from spindlenotch.gateway.cluster import active_set
 from spindlenotch.peers import messages
 
 STATUS_BY_PHASE = {
--- a/spindlenotch/gateway/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -13,14 +13,9 @@
 import msgspec
 
 from spindlenotch import ids, ports
-from spindlenotch.gateway import (
-    duties,
-    fleet,
-    jitter,
-    routing,
-    service_defaults,
-    state,
-)
+from spindlenotch.gateway import jitter, service_defaults, state
+from spindlenotch.gateway.cluster import duties, fleet
+from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import service_policy, upstream_pool, upstreams
 
 #: Longest wait for the answer to a probe. Chosen, not measured.
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -11,25 +11,16 @@
 from spindlenotch import clock, events, ports
 from spindlenotch.drivers import upstream_http
 from spindlenotch.forwarding import data_path
-from spindlenotch.gateway import (
-    answering,
+from spindlenotch.gateway import dialect, lifecycle, settings, side_ports, state
+from spindlenotch.gateway.cluster import (
     cold_senders,
-    dialect,
-    discovery,
     fleet,
-    ingress,
-    job_factory,
-    lifecycle,
     load_sharing,
     membership,
     prober,
-    relay,
-    settings,
-    side_ports,
-    source_reader,
-    sources,
-    state,
 )
+from spindlenotch.gateway.serving import answering, ingress, job_factory
+from spindlenotch.gateway.source import discovery, relay, source_reader, sources
 from spindlenotch.peers import background
 
 #: Time between two ticks of the state. Chosen, not measured; docs/MEASUREMENTS.md,
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -8,7 +8,8 @@
 
 from spindlenotch import ids
 from spindlenotch.decisions import soonest
-from spindlenotch.gateway import routing, settings
+from spindlenotch.gateway import settings
+from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import extra_budgets, service_policy
 
 #: Typical latency of a route's requests before any was measured, as a share of
--- a/spindlenotch/gateway/answer_stream.py
+++ b/spindlenotch/gateway/serving/answer_stream.py
@@ -12,7 +12,7 @@
 
 from spindlenotch import ports
 from spindlenotch.forwarding import exchanges
-from spindlenotch.gateway import answers
+from spindlenotch.gateway.serving import answers
 from spindlenotch.kernel import upstreams
 
 
--- a/spindlenotch/gateway/answering.py
+++ b/spindlenotch/gateway/serving/answering.py
@@ -16,18 +16,17 @@
 from spindlenotch import ids
 from spindlenotch.decisions import start_limit
 from spindlenotch.forwarding import data_path, exchanges, jobs
-from spindlenotch.gateway import (
+from spindlenotch.gateway import dialect, state
+from spindlenotch.gateway.serving import (
     answer_stream,
     answers,
-    dialect,
     job_factory,
     pipelining,
     refusals,
     request_body,
     request_log,
-    routing,
-    state,
 )
+from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import outcomes, upstreams
 
 
--- a/spindlenotch/gateway/caller_age.py
+++ b/spindlenotch/gateway/serving/caller_age.py
@@ -10,7 +10,7 @@
 import math
 from collections import abc
 
-from spindlenotch.gateway import routing
+from spindlenotch.gateway.source import routing
 
 #: Two stated times whose ratio is above this fall into one class, roughly.
 #: Chosen, not measured.
--- a/spindlenotch/gateway/caller_listener.py
+++ b/spindlenotch/gateway/serving/caller_listener.py
@@ -13,7 +13,7 @@
 from aiohttp import web_request, web_response, web_server
 
 from spindlenotch import ids
-from spindlenotch.gateway import pipelining
+from spindlenotch.gateway.serving import pipelining
 from spindlenotch.peers import peer_link
 
 Handler = abc.Callable[
--- a/spindlenotch/gateway/ingress.py
+++ b/spindlenotch/gateway/serving/ingress.py
@@ -10,16 +10,15 @@
 
 from aiohttp import web_request, web_response
 
-from spindlenotch.gateway import (
+from spindlenotch.gateway import lifecycle, state
+from spindlenotch.gateway.serving import (
     answer_stream,
     answering,
     caller_listener,
-    lifecycle,
     pipelining,
     refusals,
-    routing,
-    state,
 )
+from spindlenotch.gateway.source import routing
 
 
 class Ingress:
--- a/spindlenotch/gateway/job_factory.py
+++ b/spindlenotch/gateway/serving/job_factory.py
@@ -15,7 +15,9 @@
 from spindlenotch import headers, ids
 from spindlenotch.decisions import balancer, start_limit, verdicts
 from spindlenotch.forwarding import jobs
-from spindlenotch.gateway import caller_age, dialect, request_body, routing, state
+from spindlenotch.gateway import dialect, state
+from spindlenotch.gateway.serving import caller_age, request_body
+from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import waiting
 
 #: Seconds until the deadline of a request that states none. Chosen, not measured.
--- a/spindlenotch/gateway/pipelining.py
+++ b/spindlenotch/gateway/serving/pipelining.py
@@ -27,7 +27,7 @@
     web_server,
 )
 
-from spindlenotch.gateway import answer_stream
+from spindlenotch.gateway.serving import answer_stream
 
 #: Requests of one connection that may be begun before it is their turn; bounds what
 #: one caller can occupy. Chosen, not measured.
--- a/spindlenotch/gateway/side_ports.py
+++ b/spindlenotch/gateway/side_ports.py
@@ -12,7 +12,8 @@
 import msgspec
 from aiohttp import web_request, web_response, web_server
 
-from spindlenotch.gateway import dialect, fleet, state, state_dump
+from spindlenotch.gateway import dialect, state, state_dump
+from spindlenotch.gateway.cluster import fleet
 from spindlenotch.peers import peer_link
 
 Responder = abc.Callable[[], web_response.Response]
--- a/spindlenotch/gateway/discovery.py
+++ b/spindlenotch/gateway/source/discovery.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from spindlenotch import events, ids
-from spindlenotch.gateway import sources, state
+from spindlenotch.gateway import state
+from spindlenotch.gateway.source import sources
 
 #: Time between two looks at the record of the zone. Chosen, not measured.
 LOOK_PERIOD_S = 1.0
--- a/spindlenotch/gateway/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -13,7 +13,7 @@
 
 from spindlenotch import ids
 from spindlenotch.decisions import evacuation
-from spindlenotch.gateway import sources
+from spindlenotch.gateway.source import sources
 from spindlenotch.kernel import upstreams
 
 #: Leases that vanish this soon after the source was out of reach may have
--- a/spindlenotch/gateway/reader_duty.py
+++ b/spindlenotch/gateway/source/reader_duty.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.gateway import active_set
+from spindlenotch.gateway.cluster import active_set
 
 #: Seconds without a word of a reader after which the next in turn reads: it has left
 #: two questions unanswered (``relay.ASK_PERIOD_S``); one answer may just get lost.
--- a/spindlenotch/gateway/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -13,13 +13,9 @@
 import msgspec
 
 from spindlenotch import events, ids
-from spindlenotch.gateway import (
-    fleet,
-    reader_duty,
-    routing,
-    sources,
-    state,
-)
+from spindlenotch.gateway import state
+from spindlenotch.gateway.cluster import fleet
+from spindlenotch.gateway.source import reader_duty, routing, sources
 from spindlenotch.peers import (
     background,
     document_exchange,
--- a/spindlenotch/gateway/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -11,7 +11,8 @@
 import typing
 
 from spindlenotch import events
-from spindlenotch.gateway import sources, state
+from spindlenotch.gateway import state
+from spindlenotch.gateway.source import sources
 from spindlenotch.kernel import backoff
 
 #: Longest wait of one call; also bounds how long a lost answer goes unseen.
--- a/spindlenotch/gateway/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from spindlenotch import ids, registry
-from spindlenotch.gateway import routing
+from spindlenotch.gateway.source import routing
 
 
 class SourceFault(enum.Enum):
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -16,17 +16,14 @@
 from spindlenotch.decisions import balancer
 from spindlenotch.forwarding import upstream_events
 from spindlenotch.gateway import (
-    demand_meter,
     lifecycle,
-    listing,
-    own_record,
     reloading,
-    routing,
     service_defaults,
     settings,
-    sources,
     wakeups,
 )
+from spindlenotch.gateway.cluster import demand_meter, own_record
+from spindlenotch.gateway.source import listing, routing, sources
 from spindlenotch.kernel import ownership, upstreams
 from spindlenotch.peers import documents, gossip, timing
 
--- a/spindlenotch/gateway/state_dump.py
+++ b/spindlenotch/gateway/state_dump.py
@@ -11,7 +11,8 @@
 
 from spindlenotch import ids
 from spindlenotch.decisions import balancer
-from spindlenotch.gateway import fleet, state
+from spindlenotch.gateway import state
+from spindlenotch.gateway.cluster import fleet
 from spindlenotch.kernel import upstreams
 from spindlenotch.peers import known_peer
 
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -52,8 +52,8 @@
             "kernel/crowding.CROWDED",
             "decisions/silence.FREE_MISSED_ANSWERS",
             "decisions/silence.COST_PER_MISSED_ANSWER",
-            "gateway/job_factory.CROSS_ZONE_S",
-            "gateway/job_factory.CROSS_ZONE_S_PER_BYTE",
+            "gateway/serving/job_factory.CROSS_ZONE_S",
+            "gateway/serving/job_factory.CROSS_ZONE_S_PER_BYTE",
         ),
         events=("REQUEST_SERVED", "REQUEST_SENT_AGAIN"),
         tests=(
@@ -128,7 +128,7 @@
             "decisions/queueing.rule_against",
             "decisions/queueing.rule_to_give_up",
             "decisions/queueing.displaced_by",
-            "gateway/caller_age.CallerAges.age_s",
+            "gateway/serving/caller_age.CallerAges.age_s",
             "kernel/completion_rate.CompletionRate",
             "kernel/waiting.WaitQueue",
         ),
@@ -141,9 +141,9 @@
             "decisions/start_limit.LATE_WAIT_SHARE",
             "decisions/start_limit.WAIT_WITHOUT_TARGET_S",
             "decisions/start_limit.RETURN_S",
-            "gateway/caller_age.CLASS_RATIO",
-            "gateway/caller_age.COMMON_SHARE",
-            "gateway/caller_age.APART_RATIO",
+            "gateway/serving/caller_age.CLASS_RATIO",
+            "gateway/serving/caller_age.COMMON_SHARE",
+            "gateway/serving/caller_age.APART_RATIO",
             "kernel/completion_rate.TIME_CONSTANT_S",
             "decisions/queueing.LEAST_PER_S",
             "kernel/waiting.OLDEST_FIRST_EVERY",
@@ -167,13 +167,13 @@
     Rule(
         question="When a request is begun that stands behind others",
         functions=(
-            "gateway/pipelining.PipelinedConnection",
-            "gateway/ingress.Ingress.begin_early",
+            "gateway/serving/pipelining.PipelinedConnection",
+            "gateway/serving/ingress.Ingress.begin_early",
         ),
         inputs="methods of the requests in front, kind of the route, phase.",
         reason="A lookup sent behind another would else start when that is answered."
         " Answers go out in the order of the requests.",
-        constants=("gateway/pipelining.MOST_BEGUN",),
+        constants=("gateway/serving/pipelining.MOST_BEGUN",),
         tests=(
             Scenario(
                 "pipelining",
@@ -186,8 +186,8 @@
         functions=(
             "decisions/queueing.retry_at",
             "kernel/upstream_pool.Pool.usable_again_at",
-            "gateway/refusals.not_run",
-            "gateway/refusals.failure_status",
+            "gateway/serving/refusals.not_run",
+            "gateway/serving/refusals.failure_status",
             "forwarding/judgement.refusal",
             "entry/texts.status_of",
         ),
@@ -283,15 +283,15 @@
         functions=(
             "forwarding/judgement.end_of_fault",
             "forwarding/judgement.end_of_answer",
-            "gateway/answers.read",
-            "gateway/answers.falsely_says_not_run",
+            "gateway/serving/answers.read",
+            "gateway/serving/answers.falsely_says_not_run",
             "drivers/upstream_http.HttpUpstreamPort.send",
         ),
         inputs="fault of the connection, request id and stamp of the answer, status,"
         " framing and end of the body.",
         reason="'Not run' needs positive knowledge: no connection was made, or the"
         " upstream said so. All else may have run.",
-        constants=("gateway/answers.MAX_WHOLE_ANSWER_BYTES",),
+        constants=("gateway/serving/answers.MAX_WHOLE_ANSWER_BYTES",),
         events=("REQUEST_FAILED", "FOREIGN_ANSWER"),
         tests=(
             Scenario(
@@ -341,8 +341,8 @@
     Rule(
         question="Which route and service",
         functions=(
-            "gateway/routing.RouteTable.find",
-            "gateway/routing.WeightedRoundRobin.next",
+            "gateway/source/routing.RouteTable.find",
+            "gateway/source/routing.WeightedRoundRobin.next",
         ),
         inputs="Host header, path, weights of the route's services.",
         reason="The longest prefix of the host; smooth weighted round robin keeps each"
--- a/tools/docs_check.py
+++ b/tools/docs_check.py
@@ -2,7 +2,7 @@
 Check that what the pages name exists: files, code, commands, links, events.
 
 Looks at code spans and links in README.md, DEVELOPERS.md, CHANGELOG.md and
-docs/. A span like `gateway/relay.Relay.must_read` names code below
+docs/. A span like `gateway/source/relay.Relay.must_read` names code below
 ``spindlenotch/`` or ``platform/``; `features/x.feature` a file; `make test` a
 target; `E401` an event. Measurements and incidents are records of their day and
 may name what is gone. Prints each breach and exits with 1 where there is any.
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -12,21 +12,24 @@
 RULES = (
     Rule(
         question="Which gateways callers are sent to",
-        functions=("gateway/active_set.choose", "gateway/active_set.capacity_of"),
+        functions=(
+            "gateway/cluster/active_set.choose",
+            "gateway/cluster/active_set.capacity_of",
+        ),
         inputs="capacity of each ready gateway (requests and bytes a second), demand of"
         " the fleet (the same), setting `entries_per_zone`.",
         reason="The strongest of each zone, and more while an even share of the demand"
         " is more than the weakest can carry. Few gateways see most of what an"
         " upstream does.",
         constants=(
-            "gateway/active_set.PROCESSOR_SHARE",
-            "gateway/active_set.LINK_SHARE",
-            "gateway/active_set.REQUESTS_PER_CORE",
-            "gateway/active_set.BYTES_PER_REQUEST",
-            "gateway/active_set.TIER_FACTOR",
-            "gateway/demand_meter.SPAN_S",
-            "gateway/demand_meter.SPANS_KEPT",
-            "gateway/demand_meter.REPORTED_CHANGE_SHARE",
+            "gateway/cluster/active_set.PROCESSOR_SHARE",
+            "gateway/cluster/active_set.LINK_SHARE",
+            "gateway/cluster/active_set.REQUESTS_PER_CORE",
+            "gateway/cluster/active_set.BYTES_PER_REQUEST",
+            "gateway/cluster/active_set.TIER_FACTOR",
+            "gateway/cluster/demand_meter.SPAN_S",
+            "gateway/cluster/demand_meter.SPANS_KEPT",
+            "gateway/cluster/demand_meter.REPORTED_CHANGE_SHARE",
         ),
         events=("PEER_SEEN", "PEER_GONE"),
         tests=(
@@ -43,7 +46,7 @@
         question="When the upstreams of an evacuated zone get their last request",
         functions=(
             "decisions/evacuation.leave_at",
-            "gateway/listing.Listing.evacuate",
+            "gateway/source/listing.Listing.evacuate",
         ),
         inputs="zones that the operator evacuates, when this gateway learnt of them"
         " (instant), setting `evacuate_s`, id of each upstream.",
@@ -67,7 +70,7 @@
         functions=(
             "kernel/cold_start.owner",
             "kernel/cold_start.ColdStart.may_send",
-            "gateway/cold_senders.ColdSenders.update",
+            "gateway/cluster/cold_senders.ColdSenders.update",
         ),
         inputs="requests a second that a cold upstream of the service bears, until"
         " when it is cold (instant; its entry, health answers, ejections), active"
@@ -78,9 +81,9 @@
         " cold. Who sees no more than half of the gateways seen lately sends none, so"
         " that of a partition one side does at most.",
         constants=(
-            "gateway/cold_senders.MEMORY_S",
-            "gateway/cold_senders.QUORUM_SHARE",
-            "gateway/load_sharing.COLDNESS_TOLD_S",
+            "gateway/cluster/cold_senders.MEMORY_S",
+            "gateway/cluster/cold_senders.QUORUM_SHARE",
+            "gateway/cluster/load_sharing.COLDNESS_TOLD_S",
             "decisions/soonest.COLD_FACTOR",
         ),
         tests=(
@@ -98,12 +101,12 @@
     Rule(
         question="Who reads the store, who probes, who writes the discovery record",
         functions=(
-            "gateway/duties.readers",
-            "gateway/duties.probers",
-            "gateway/duties.is_prober",
-            "gateway/reader_duty.ReaderDuty.must_read",
-            "gateway/reader_duty.first_wait_s",
-            "gateway/discovery.DiscoveryWriter.due",
+            "gateway/cluster/duties.readers",
+            "gateway/cluster/duties.probers",
+            "gateway/cluster/duties.is_prober",
+            "gateway/source/reader_duty.ReaderDuty.must_read",
+            "gateway/source/reader_duty.first_wait_s",
+            "gateway/source/discovery.DiscoveryWriter.due",
         ),
         inputs="ready gateways by zone, which of them are active, when the zone's"
         " reader was last heard (instant), upstreams by zone.",
@@ -111,19 +114,19 @@
         " lease: too many or too few holders for a moment do no harm. While no reader"
         " is heard, the next in the order step in one after the other.",
         constants=(
-            "gateway/reader_duty.READER_LOST_S",
-            "gateway/reader_duty.TURN_S",
-            "gateway/reader_duty.TURNS",
-            "gateway/reader_duty.TRIED_IN_VAIN",
-            "gateway/reader_duty.IN_VAIN_KEPT_S",
-            "gateway/relay.ASK_PERIOD_S",
-            "gateway/reader_duty.FIRST_PEER_WAIT_S",
-            "gateway/relay.ANSWERED_WAIT_S",
-            "gateway/duties.UPSTREAMS_PER_PROBER",
-            "gateway/prober.PROBES_PER_WORK",
-            "gateway/prober.MOST_PERIOD_S",
-            "gateway/discovery.SETTLE_S",
-            "gateway/discovery.REWRITE_S",
+            "gateway/source/reader_duty.READER_LOST_S",
+            "gateway/source/reader_duty.TURN_S",
+            "gateway/source/reader_duty.TURNS",
+            "gateway/source/reader_duty.TRIED_IN_VAIN",
+            "gateway/source/reader_duty.IN_VAIN_KEPT_S",
+            "gateway/source/relay.ASK_PERIOD_S",
+            "gateway/source/reader_duty.FIRST_PEER_WAIT_S",
+            "gateway/source/relay.ANSWERED_WAIT_S",
+            "gateway/cluster/duties.UPSTREAMS_PER_PROBER",
+            "gateway/cluster/prober.PROBES_PER_WORK",
+            "gateway/cluster/prober.MOST_PERIOD_S",
+            "gateway/source/discovery.SETTLE_S",
+            "gateway/source/discovery.REWRITE_S",
         ),
         events=("STORE_LOST", "STORE_BACK", "INTRODUCED"),
         tests=(
@@ -142,15 +145,15 @@
     ),
     Rule(
         question="How long a vanished upstream still gets work",
-        functions=("gateway/listing.Listing.remove",),
+        functions=("gateway/source/listing.Listing.remove",),
         inputs="when the store last failed (instant), the share that vanished"
         " at once, state in the list.",
         reason="Leases that expire together right after the store was out of reach more"
         " likely expired in its outage than by a stop of the upstreams.",
         constants=(
-            "gateway/listing.AFTER_OUTAGE_S",
-            "gateway/listing.GRACE_S",
-            "gateway/listing.EXPIRY_SHARE",
+            "gateway/source/listing.AFTER_OUTAGE_S",
+            "gateway/source/listing.GRACE_S",
+            "gateway/source/listing.EXPIRY_SHARE",
         ),
         events=("UPSTREAM_LEAVING",),
         tests=(
