One bad value of a configuration no longer takes down the rest

Change: routes, services and limits are decoded piece by piece. Large answers (download) may be repeated; an unknown kind runs at most once; a route that can't be served is refused alone (E216, 503 'route-refused', /state, metric); other oddities are remarks (E217). /readiness says why a gateway is not ready. Agreed for the parts to come: settings region_by_zone, exposure_share, exposure_reserve, rollback_s; upstreams tell version and born; routes tell allowed regions. The property 'bad documents' held that an unknown kind and an unknown service spoil the whole: replaced by four stricter ones. Result: added fields are left out where they have their defaults, so recorded bytes stay.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -73,3 +73,7 @@
       | a load header is read whatever it holds                    |
       | a story has a bounded length whatever the logs hold        |
       | a full pipe drops lines and says how many                  |
+      | a kind of route that nobody knows runs at most once        |
+      | a route that can't be served is refused alone              |
+      | no value of a configuration takes down the rest            |
+      | numbers that are none in JSON take down nothing else       |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -20,7 +20,12 @@
     wire_format,
     workload,
 )
-from spindlenotch_platform import http_dialect, records, settings_file
+from spindlenotch_platform import (
+    configuration_records,
+    http_dialect,
+    records,
+    settings_file,
+)
 
 NOW = kernel.NOW
 SERVICE = ids.ServiceName("s")
@@ -221,17 +226,17 @@
         3, [platform_fleet.route("r", "/r/")], ("core",)
     )
     assert isinstance(
-        records.read_configuration(json.dumps(good).encode()), routing.Configuration
+        configuration_records.read(json.dumps(good).encode()), routing.Configuration
     )
     text = json.dumps(good)
     for bad, word in (
         (text[:40], "truncated"),
-        (text.replace('"safe"', '"unheard"'), "kind"),
-        (text.replace('"service": "core"', '"service": "gone"'), "unknown service"),
         (text.replace('"version": "00000003"', '"version": "no"'), "no"),
-        (text.replace('"pathPrefix"', '"prefix"'), "pathPrefix"),
+        (text.replace('"version": "00000003"', '"version": "-3"'), "-3"),
+        (text.replace('"version": "00000003"', f'"version": "{"f" * 17}"'), "fff"),
+        (text.replace('"hosts"', '"houses"'), "hosts"),
     ):
-        found = records.read_configuration(bad.encode())
+        found = configuration_records.read(bad.encode())
         assert isinstance(found, sources.BadItem), bad
         assert word in found.reason, found
     worker = {"service": "s", "address": "a:1", "zone": "z", "state": "ready"}
--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import functools
 import json
 import pathlib
 import textwrap
@@ -21,8 +22,8 @@
 #: Names that are no fields: maps of today's samples whose keys are data.
 DATA_MAPS = ("_by_name",)
 STRANGER = "aFieldThatNobodyKnows"
-#: Ends the names of files that hold what came after the first record.
-ADDED = "-added"
+#: End the names of files that hold what came after the first record, in turn.
+ADDED_ENDINGS = ("-added", "-added-2")
 #: Fields that came after the first record, each with the sample that tells it: the
 #: samples recorded before can't hold them.
 ADDED_SAMPLE_BY_FIELD = {
@@ -32,6 +33,16 @@
     "LoadRecord.cold_s": "gossip-added.msgpack.hex",
     "LoadRecord.cold_age_s": "gossip-added.msgpack.hex",
     "GatewaySettings.evacuate_s": "environment-gateway-added.json",
+    "GatewaySettings.region_by_zone": "environment-gateway-added-2.json",
+    "GatewaySettings.exposure_share": "environment-gateway-added-2.json",
+    "GatewaySettings.exposure_reserve": "environment-gateway-added-2.json",
+    "GatewaySettings.rollback_s": "environment-gateway-added-2.json",
+    "ListedUpstream.version": "upstreams-added-2.json",
+    "ListedUpstream.born": "upstreams-added-2.json",
+    "Route.allowed_regions": "configuration-added-2.json",
+    "Route.has_large_answers": "configuration-added-2.json",
+    "Configuration.refused_routes": "configuration-added-2.json",
+    "Configuration.remarks": "configuration-added-2.json",
 }
 
 
@@ -63,30 +74,58 @@
 
 
 def grown_table(
-    name: str, make: abc.Callable[[], dict[str, typing.Any]]
+    name: str, make: abc.Callable[[], object], times: int = 1
 ) -> list[Sample]:
     """
-    Return the samples of a table that has got more rows since it was recorded.
+    Return the samples of a table that has grown ``times`` times since it was recorded.
 
-    The first file holds the rows of old, none of which may be missing or changed;
-    the second holds all others.
+    The first file holds what was there first, none of which may be missing or
+    changed, each further one what came next, and the last one all the rest.
     """
-    first = table(name, lambda: _rows(make(), recorded_first(), later=False))
-    added = table(name + ADDED, lambda: _rows(make(), recorded_first(), later=True))
+    names = [name + ending for ending in ("", *ADDED_ENDINGS[:times])]
+    return [
+        table(file, functools.partial(_generation, names, at, make))
+        for at, file in enumerate(names)
+    ]
+
+
+def _generation(names: list[str], at: int, make: abc.Callable[[], object]) -> object:
+    """Return what belongs into the file at this place of ``names``."""
+    rest = make()
+    for earlier in names[:at]:
+        rest = _split(rest, _plain_table(earlier)).later
+    if at + 1 < len(names):
+        return _split(rest, _plain_table(names[at])).first
+    return rest
+
+
+def _plain_table(name: str) -> object:
+    return msgspec.json.decode(load(Sample(f"{name}.json", "json", None)))
+
 
-    def recorded_first() -> abc.Container[str]:
-        return msgspec.json.decode(load(first), type=dict[str, object])
+class Split(typing.NamedTuple):
+    """What of a table was recorded, and what was not."""
 
-    return [first, added]
+    first: typing.Any
+    later: typing.Any
 
 
-def _rows(
-    rows: dict[str, typing.Any], recorded_first: abc.Container[str], *, later: bool
-) -> dict[str, typing.Any]:
-    """Return the rows that were recorded first, or the later ones."""
-    return {
-        key: row for key, row in rows.items() if (key not in recorded_first) == later
-    }
+def _split(value: object, known: object) -> Split:
+    """Split plain content by whether its place in ``known`` has it."""
+    if isinstance(value, dict) and isinstance(known, dict):
+        pairs = {k: _split(v, known[k]) for k, v in value.items() if k in known}
+        later = {k: pair.later for k, pair in pairs.items() if pair.later}
+        later |= {k: v for k, v in value.items() if k not in known}
+        return Split({k: pair.first for k, pair in pairs.items()}, later)
+    if isinstance(value, list) and isinstance(known, list):
+        if any(isinstance(item, dict) for item in value) and len(value) == len(known):
+            items = [_split(*pair) for pair in zip(value, known, strict=True)]
+            later_items = [item.later for item in items]
+            later_list = later_items if any(later_items) else []
+            return Split([item.first for item in items], later_list)
+        first = [item for item in value if item in known]
+        return Split(first, [item for item in value if item not in known])
+    return Split(value, None)
 
 
 def path_of(sample: Sample) -> pathlib.Path:
--- a/features/support/recorded_gateway.py
+++ b/features/support/recorded_gateway.py
@@ -71,6 +71,28 @@
     return msgspec.structs.replace(configuration(), service_by_name=service_by_name)
 
 
+def latest_configuration() -> routing.Configuration:
+    """Return a configuration with what the earlier records do not hold."""
+    first, *rest = added_configuration().routes
+    region = ids.RegionName("region-1")
+    latest = msgspec.structs.replace(
+        first, allowed_regions=(region,), has_large_answers=True
+    )
+    return msgspec.structs.replace(
+        added_configuration(),
+        routes=(latest, *rest),
+        refused_routes=(
+            routing.RefusedRoute(
+                name=routing.RouteName("route-3"),
+                host="shop.example",
+                prefix="/path-3",
+                reason="unknown service gone",
+            ),
+        ),
+        remarks=("route route-1: unknown kind 'odd', its requests run at most once",),
+    )
+
+
 def bare_configuration() -> routing.Configuration:
     """Return what a configuration without any limits is read as."""
     limits = routing.Limits(
@@ -112,6 +134,18 @@
     )
 
 
+def latest_listed() -> tuple[sources.ListedUpstream, ...]:
+    """Return a list of upstreams that tell their version and start."""
+    return tuple(
+        msgspec.structs.replace(
+            one,
+            version=ids.SoftwareVersion(f"v{number}"),
+            born=1_700_000_000_000 + number,
+        )
+        for number, one in enumerate(added_listed(), 1)
+    )
+
+
 def gateway() -> tuple[states.GatewayState, relay.Relay]:
     """Return a gateway's state and its relay, without any socket."""
     given = {
@@ -136,12 +170,14 @@
         return runner.run(work)
 
 
-def serving() -> tuple[states.GatewayState, typing.Any]:
+def serving(
+    in_force: routing.Configuration | None = None,
+) -> tuple[states.GatewayState, typing.Any]:
     """Return a gateway with everything in force and a peer, and its relay."""
     state, passing = gateway()
     by_id = {one.id: one for one in listed()}
     bad = (sources.BadItem("servers/up-9", "a reason"),)
-    snapshot = sources.Snapshot(5, configuration(), by_id, bad)
+    snapshot = sources.Snapshot(5, in_force or configuration(), by_id, bad)
     state.apply_snapshot(snapshot)
     news = recorded_messages.member(2, messages.Status.READY)
     state.gossip.handle(messages.Message(news, 1), state.clock.now())
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -10,6 +10,8 @@
 import zlib
 from collections import abc
 
+import msgspec
+
 from features.support import recorded, recorded_gateway, recorded_messages
 from spindlenotch import ids, metrics
 from spindlenotch.gateway.source import sources
@@ -48,6 +50,26 @@
     )
 
 
+def handed_out_last(kind: documents.DocumentKind) -> bytes:
+    """Return the same with what the earlier records do not hold."""
+    by_id = {
+        one.id: msgspec.structs.replace(plain, version=one.version, born=one.born)
+        for one, plain in zip(
+            recorded_gateway.latest_listed(), recorded_gateway.listed(), strict=True
+        )
+    }
+    first_zone = recorded_gateway.listed()[0].zone
+    return published(
+        kind,
+        sources.Snapshot(
+            5,
+            recorded_gateway.latest_configuration(),
+            by_id,
+            evacuated_zones=frozenset({first_zone}),
+        ),
+    )
+
+
 def published(kind: documents.DocumentKind, snapshot: sources.Snapshot) -> bytes:
     """Return the document that a gateway hands out of what it read."""
 
@@ -168,6 +190,22 @@
             lambda data: taken_in(hosts_kind, data),
             strangers="passed over",
         ),
+        Sample(
+            "configuration-added-2.json",
+            "json",
+            recorded_gateway.latest_configuration(),
+            lambda: handed_out_last(bundle_kind),
+            lambda data: taken_in(bundle_kind, data),
+            strangers="passed over",
+        ),
+        Sample(
+            "upstreams-added-2.json",
+            "json",
+            recorded_gateway.latest_listed(),
+            lambda: handed_out_last(hosts_kind),
+            lambda data: taken_in(hosts_kind, data),
+            strangers="passed over",
+        ),
         Sample(
             "configuration-added.json",
             "json",
--- a/features/support/recorded_settings.py
+++ b/features/support/recorded_settings.py
@@ -88,6 +88,10 @@
         extra_window_s=12.5,
         probes_per_s=35.5,
         evacuate_s=0.0,
+        region_by_zone={},
+        exposure_share=0.1,
+        exposure_reserve=0.0,
+        rollback_s=5.0,
         entries_per_zone=3,
         cores=0.75,
         link_mbps=250.5,
@@ -100,6 +104,17 @@
     return msgspec.structs.replace(gateway_values(), evacuate_s=4.5)
 
 
+def latest_gateway_values() -> gateway_settings.GatewaySettings:
+    """Return what the environment with the latest settings is read as."""
+    return msgspec.structs.replace(
+        added_gateway_values(),
+        region_by_zone={ids.ZoneName("zone-1"): ids.RegionName("region-1")},
+        exposure_share=0.125,
+        exposure_reserve=24.5,
+        rollback_s=3.5,
+    )
+
+
 def bare_gateway_values() -> gateway_settings.GatewaySettings:
     """Return what the shortest environment of a gateway is read as."""
     return gateway_settings.GatewaySettings(
@@ -122,6 +137,10 @@
         extra_window_s=10.0,
         probes_per_s=20.0,
         evacuate_s=0.0,
+        region_by_zone={},
+        exposure_share=0.1,
+        exposure_reserve=0.0,
+        rollback_s=5.0,
         entries_per_zone=1,
         cores=1.0,
         link_mbps=1000.0,
@@ -151,6 +170,10 @@
         extra_window_s=12.5,
         probes_per_s=17.0,
         evacuate_s=0.0,
+        region_by_zone={ids.ZoneName("zone-1"): ids.RegionName("region-1")},
+        exposure_share=0.1,
+        exposure_reserve=0.0,
+        rollback_s=5.0,
         entries_per_zone=2,
         cores=1.0,
         link_mbps=250.5,
@@ -200,7 +223,7 @@
     return [
         recorded.table("settings-entry", lambda: setting_rows(settings.SETTINGS)),
         *recorded.grown_table(
-            "settings-gateway", lambda: setting_rows(gateway_settings.SETTINGS)
+            "settings-gateway", lambda: setting_rows(gateway_settings.SETTINGS), 2
         ),
         Sample("environment-entry.json", "json", entry_settings(), read=entry),
         Sample(
@@ -225,6 +248,12 @@
             added_gateway_values(),
             read=gateway,
         ),
+        Sample(
+            "environment-gateway-added-2.json",
+            "json",
+            latest_gateway_values(),
+            read=gateway,
+        ),
         Sample(
             "platform-settings.toml",
             "toml",
@@ -237,4 +266,20 @@
             msgspec.structs.replace(platform_values(), evacuate_s=4.5),
             read=lambda data: read_platform("platform-settings-added.toml"),
         ),
+        Sample(
+            "platform-settings-added-2.toml",
+            "toml",
+            msgspec.structs.replace(
+                platform_values(),
+                evacuate_s=4.5,
+                region_by_zone={
+                    ids.ZoneName("zone-1"): ids.RegionName("region-1"),
+                    ids.ZoneName("zone-2"): ids.RegionName("region-2"),
+                },
+                exposure_share=0.125,
+                exposure_reserve=24.5,
+                rollback_s=3.5,
+            ),
+            read=lambda data: read_platform("platform-settings-added-2.toml"),
+        ),
     ]
--- a/features/support/recorded_state.py
+++ b/features/support/recorded_state.py
@@ -44,7 +44,9 @@
     """Return what a gateway answers on its side ports: paths and the state."""
 
     async def ask() -> Plain:
-        state, passing = recorded_gateway.serving()
+        state, passing = recorded_gateway.serving(
+            recorded_gateway.latest_configuration()
+        )
         found = side_ports.SidePorts(
             state, passing.fleet, dialect.DIALECTS.get("native")()
         )
--- a/features/support/recorded_store.py
+++ b/features/support/recorded_store.py
@@ -18,7 +18,7 @@
 from spindlenotch.entry import claims, entry_state, once, plugins, settings
 from spindlenotch.gateway.source import discovery, routing, sources
 from spindlenotch.peers import documents
-from spindlenotch_platform import records, store
+from spindlenotch_platform import configuration_records, records, store
 
 Sample = recorded.Sample
 OTHER = ids.Address("127.0.0.2:9001")
@@ -191,23 +191,34 @@
             "platform-configuration.json",
             "json",
             recorded_gateway.configuration(),
-            read=records.read_configuration,
+            read=configuration_records.read,
             strangers="passed over",
         ),
         Sample(
             "platform-configuration-added.json",
             "json",
             recorded_gateway.added_configuration(),
-            read=records.read_configuration,
+            read=configuration_records.read,
             strangers="passed over",
         ),
         Sample(
             "platform-configuration-bare.json",
             "json",
             bare_platform_configuration(),
-            read=records.read_configuration,
+            read=configuration_records.read,
             bare=True,
         ),
+        Sample(
+            "platform-worker-added.json",
+            "json",
+            msgspec.structs.replace(
+                recorded_gateway.listed()[1],
+                version=ids.SoftwareVersion("v2"),
+                born=1_700_000_000_002,
+            ),
+            read=lambda data: records.read_upstream("servers/up-2", data),
+            strangers="passed over",
+        ),
         Sample(
             "platform-worker.json",
             "json",
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -107,6 +107,18 @@
     ZONE_RESTORED = CatalogueRow(
         215, "INFO", "the evacuation of a zone was taken back", "none"
     )
+    ROUTE_REFUSED = CatalogueRow(
+        216,
+        "ERROR",
+        "a route can't be served as it is configured; its requests are refused",
+        "mend the route; the others are served",
+    )
+    CONFIGURATION_REMARK = CatalogueRow(
+        217,
+        "WARNING",
+        "a part of the configuration was passed over or read with caution",
+        "see the place; update the gateways where it is of a newer form",
+    )
     PEER_GONE = CatalogueRow(
         301,
         "WARNING",
--- a/spindlenotch/gateway/serving/answering.py
+++ b/spindlenotch/gateway/serving/answering.py
@@ -60,12 +60,20 @@
         route = table.find(request.headers.get("Host", ""), request.raw_path)
         if route is None:
             return refusals.no_route()
+        if isinstance(route, routing.RefusedRoute):
+            return self._refuse_route(request, route)
         limit_bytes = table.configuration.limits.body_bytes
         body = await request_body.read(request, limit_bytes)
         if isinstance(body, request_body.TooLong):
             return refusals.body_too_long()
         return await self._forward(request, route, body, held_s)
 
+    def _refuse_route(
+        self, request: web_request.BaseRequest, route: routing.RefusedRoute
+    ) -> web_response.Response:
+        self.log.route_refused(self._id(request), route.name)
+        return refusals.route_refused()
+
     async def _hold(self) -> float:
         """Hold a request while this gateway starts; return for how many seconds."""
         arrived_at = self.state.clock.now()
--- a/spindlenotch/gateway/serving/ingress.py
+++ b/spindlenotch/gateway/serving/ingress.py
@@ -97,7 +97,7 @@
         if self.closing or self._leaving or table is None:
             return None
         route = table.find(request.headers.get("Host", ""), request.raw_path)
-        if route is None or not route.repeatable:
+        if not isinstance(route, routing.Route) or not route.repeatable:
             return None
         return asyncio.ensure_future(self._count_while(request))
 
--- a/spindlenotch/gateway/serving/refusals.py
+++ b/spindlenotch/gateway/serving/refusals.py
@@ -19,6 +19,9 @@
 #: The deadline has passed; whether the request ran is unknown.
 LATE_STATUS = 504
 NO_ROUTE_STATUS = 404
+#: Seconds after which a request of a refused route may come back: only an operator
+#: can mend the route, so sooner is in vain. Chosen, not measured.
+ROUTE_REFUSED_RETRY_S = 5.0
 BODY_TOO_LONG_STATUS = 413
 
 
@@ -50,6 +53,11 @@
     return not_run(outcomes.Reason.NOT_READY, queueing.LEAST_RETRY_AFTER_S)
 
 
+def route_refused() -> web_response.Response:
+    """Return the response to a request whose route can't be served as configured."""
+    return not_run(outcomes.Reason.ROUTE_REFUSED, ROUTE_REFUSED_RETRY_S)
+
+
 def failed(reason: outcomes.Reason) -> web_response.Response:
     """Return the response to a request whose outcome is unknown."""
     return web_response.Response(
--- a/spindlenotch/gateway/serving/request_log.py
+++ b/spindlenotch/gateway/serving/request_log.py
@@ -15,6 +15,8 @@
 
 #: One in this many answered requests is logged. Chosen, not measured.
 SERVED_SAMPLE = 64
+#: Counts requests that are refused before a service is known.
+NO_SERVICE = ""
 #: The reason logged for a failure that the upstream itself answered with.
 UPSTREAM_FAILED = "the upstream's own answer"
 
@@ -87,6 +89,20 @@
             retry_after_s=round(wait_s, 3),
         )
 
+    def route_refused(self, request_id: str, route: str) -> None:
+        """Count and log a request whose route can't be served as configured."""
+        refused = outcomes.Reason.ROUTE_REFUSED.value
+        self.state.metrics.requests.labels(
+            NO_SERVICE, outcomes.Outcome.NOT_RUN.value, refused
+        ).inc()
+        events.emit(
+            events.Event.REQUEST_REFUSED,
+            request=request_id,
+            route=route,
+            reason=refused,
+            version=self.state.version,
+        )
+
     def failed(
         self,
         request_id: str,
--- a/spindlenotch/gateway/settings.py
+++ b/spindlenotch/gateway/settings.py
@@ -71,6 +71,30 @@
         "0",
         "time within which an evacuated zone's upstreams must get no new work, seconds",
     ),
+    schema.Setting(
+        "region_by_zone",
+        kinds.NAMES_BY_NAME,
+        "",
+        "the region of each zone, as ZONE=REGION; zones without one share a region",
+    ),
+    schema.Setting(
+        "exposure_share",
+        kinds.number(0, 1),
+        "0.1",
+        "requests of a service that a new version gets before it is trusted, a share",
+    ),
+    schema.Setting(
+        "exposure_reserve",
+        kinds.number(0, 100_000),
+        "0",
+        "requests of the whole fleet that it gets beyond that share",
+    ),
+    schema.Setting(
+        "rollback_s",
+        kinds.number(0.1, 3600),
+        "5",
+        "time within which a version that fails must get no more requests, seconds",
+    ),
     schema.Setting(
         "entries_per_zone",
         kinds.whole(1, 64),
@@ -114,6 +138,10 @@
     extra_window_s: float
     probes_per_s: float
     evacuate_s: float
+    region_by_zone: dict[ids.ZoneName, ids.RegionName]
+    exposure_share: float
+    exposure_reserve: float
+    rollback_s: float
     entries_per_zone: int
     cores: float
     link_mbps: float
--- a/spindlenotch/gateway/side_ports.py
+++ b/spindlenotch/gateway/side_ports.py
@@ -74,7 +74,9 @@
         return responder()
 
     def _ready(self) -> web_response.Response:
-        return web_response.Response(status=200 if self.state.ready else 503)
+        if self.state.ready:
+            return web_response.Response(status=200)
+        return web_response.Response(status=503, text=f"{self.state.unready_reason}\n")
 
     def _directory(self) -> web_response.Response:
         """Name the gateways that callers should use, for ``hand_out_s`` seconds."""
--- a/spindlenotch/gateway/source/routing.py
+++ b/spindlenotch/gateway/source/routing.py
@@ -32,7 +32,7 @@
     weight: float
 
 
-class Route(msgspec.Struct, frozen=True):
+class Route(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     Where requests of one host and path prefix go, and how they are treated.
 
@@ -40,6 +40,8 @@
     ``target_s``: target latency in seconds. Both may be None: not set.
     ``rank``: priority, 0 the most urgent.
     ``most_tries``: how many upstreams a request may be sent to.
+    ``allowed_regions``: where its requests may be served; None: anywhere.
+    ``has_large_answers``: its answers are weighed by their bytes.
     """
 
     name: RouteName
@@ -51,6 +53,8 @@
     rank: int
     most_tries: int
     parts: tuple[Part, ...]
+    allowed_regions: tuple[ids.RegionName, ...] | None = None
+    has_large_answers: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -58,6 +62,19 @@
         return self.kind is RequestKind.SAFE
 
 
+class RefusedRoute(msgspec.Struct, frozen=True):
+    """
+    A route that can't be served as it is configured, and why.
+
+    Its requests are refused, rather than served by a route with a shorter prefix.
+    """
+
+    name: RouteName
+    host: str
+    prefix: str
+    reason: str
+
+
 class ServiceSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     A service as the operator configures it.
@@ -94,13 +111,20 @@
     idle_timeout_s: float = 60.0
 
 
-class Configuration(msgspec.Struct, frozen=True):
-    """All routes, services and limits; a greater ``version`` replaces a smaller."""
+class Configuration(msgspec.Struct, frozen=True, omit_defaults=True):
+    """
+    All routes, services and limits; a greater ``version`` replaces a smaller.
+
+    ``refused_routes`` are those that can't be served as they are configured,
+    ``remarks`` say what else was passed over or read with caution.
+    """
 
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[ids.ServiceName, ServiceSpec]
     limits: Limits
+    refused_routes: tuple[RefusedRoute, ...] = ()
+    remarks: tuple[str, ...] = ()
 
 
 class RouteTable:
@@ -112,16 +136,20 @@
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
-        self._routes_by_host: dict[str, list[Route]] = {}
-        for route in configuration.routes:
+        self._routes_by_host: dict[str, list[Route | RefusedRoute]] = {}
+        every: list[Route | RefusedRoute] = [*configuration.routes]
+        every += configuration.refused_routes
+        for route in every:
             self._routes_by_host.setdefault(route.host, []).append(route)
         for routes in self._routes_by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
 
-    def find(self, host: str, target: str) -> Route | None:
+    def find(self, host: str, target: str) -> Route | RefusedRoute | None:
         """
         Return the route of a request, or None where none fits.
 
+        One that is refused is found too: its requests go to no other route.
+
         ``host`` is its ``Host`` header, ``target`` its path and query.
         """
         path = target.partition("?")[0]
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -38,7 +38,10 @@
     An upstream as the source lists it.
 
     ``slots`` is how many requests it runs at once; ``cold_s`` is for how many
-    seconds after reading it is still slow from its start. ``is_evacuated``: it gets
+    seconds after reading it is still slow from its start. ``version`` is that of its
+    software, empty where it tells none. ``born`` is the Unix time in ms of its start,
+    None where it does not say; the same id with another one is another upstream.
+    ``is_evacuated``: it gets
     no new work because its zone is evacuated; a peer's list gives its state as
     draining then, so that gateways which do not know this field send nothing there.
     """
@@ -51,6 +54,8 @@
     state: UpstreamState
     cold_s: float
     is_evacuated: bool = False
+    version: ids.SoftwareVersion = ids.SoftwareVersion("")
+    born: int | None = None
 
 
 class BadItem(msgspec.Struct, frozen=True):
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -38,6 +38,13 @@
 )
 
 
+#: Keys of items that can't be used, of which it is remembered that they were logged.
+#: Chosen, not measured.
+MOST_BAD_KEYS = 1000
+#: Longest account of why a gateway is not ready, in characters. Chosen, not measured.
+LONGEST_REASON = 500
+
+
 class GatewayState:
     """
     What one process knows and believes.
@@ -68,6 +75,20 @@
         self.listed_once = False
         self.fence = documents.Fence()
         self.discovery_record_by_zone: dict[ids.ZoneName, sources.DiscoveryRecord] = {}
+        self._reason_by_bad_key: dict[str, str] = {}
+
+    @property
+    def unready_reason(self) -> str:
+        """Say why callers may not be sent here; empty where they may."""
+        if self.ready:
+            return ""
+        if self.phase is lifecycle.Phase.LEAVING:
+            return "a planned stop"
+        if self.table is not None:
+            return "no upstreams are known"
+        bad = self._reason_by_bad_key
+        reasons = "; ".join(f"{key}: {reason}" for key, reason in bad.items())
+        return reasons[:LONGEST_REASON] or "no configuration is known"
 
     @property
     def ready(self) -> bool:
@@ -117,11 +138,13 @@
                 pool = self.balancer_by_service[part.service].pool
                 pool.latencies.learn(route.name, typical_s)
         self.metrics.bundle_version.set(configuration.version)
+        self.metrics.refused_routes.set(len(configuration.refused_routes))
         events.emit(
             events.Event.CONFIGURATION_APPLIED,
             version=configuration.version,
             routes=len(configuration.routes),
         )
+        _report_remarks(configuration)
         self._refresh_upstreams()
         self._settle_phase()
         return True
@@ -271,7 +294,14 @@
             events.emit(events.Event.ZONE_RESTORED, zone=zone)
 
     def _report_bad(self, items: tuple[sources.BadItem, ...]) -> None:
+        """Log what can't be used, once for each reason: writers repeat themselves."""
         for item in items:
+            self.metrics.bad_items.labels(item.key.partition("/")[0]).inc()
+            if self._reason_by_bad_key.get(item.key) == item.reason:
+                continue
+            if len(self._reason_by_bad_key) >= MOST_BAD_KEYS:
+                self._reason_by_bad_key.clear()
+            self._reason_by_bad_key[item.key] = item.reason
             events.emit(
                 events.Event.SOURCE_ITEM_REFUSED, key=item.key, reason=item.reason
             )
@@ -279,3 +309,22 @@
     def _new_balancer(self, spec: routing.ServiceSpec) -> balancer.Balancer:
         policy = service_defaults.policy(spec, (self.config.zone,), self.config)
         return balancer.Balancer(policy, self.local_member, self.rng)
+
+
+def _report_remarks(configuration: routing.Configuration) -> None:
+    """Log what of a configuration is not served as it is written."""
+    for route in configuration.refused_routes:
+        events.emit(
+            events.Event.ROUTE_REFUSED,
+            version=configuration.version,
+            route=route.name,
+            host=route.host,
+            prefix=route.prefix,
+            reason=route.reason,
+        )
+    for remark in configuration.remarks:
+        events.emit(
+            events.Event.CONFIGURATION_REMARK,
+            version=configuration.version,
+            reason=remark,
+        )
--- a/spindlenotch/gateway/state_dump.py
+++ b/spindlenotch/gateway/state_dump.py
@@ -62,7 +62,12 @@
 
 
 class GatewayDump(msgspec.Struct):
-    """A gateway; ``version`` is that of the configuration in force."""
+    """
+    A gateway; ``version`` is that of the configuration in force.
+
+    ``refused_routes`` says why routes are not served, by host and prefix;
+    ``not_ready`` why callers may not be sent here, empty where they may.
+    """
 
     host: ids.HostId
     phase: str
@@ -71,6 +76,8 @@
     entries: list[ids.HostId]
     peers: dict[ids.HostId, PeerDump]
     services: dict[ids.ServiceName, ServiceDump]
+    refused_routes: dict[str, str]
+    not_ready: str
 
 
 def create(
@@ -92,9 +99,18 @@
             name: _service(service, now)
             for name, service in gateway_state.balancer_by_service.items()
         },
+        refused_routes=_refused_routes(gateway_state),
+        not_ready=gateway_state.unready_reason,
     )
 
 
+def _refused_routes(gateway_state: state.GatewayState) -> dict[str, str]:
+    if gateway_state.table is None:
+        return {}
+    refused = gateway_state.table.configuration.refused_routes
+    return {route.host + route.prefix: route.reason for route in refused}
+
+
 def _peer(known: known_peer.Peer, now: ids.Instant) -> PeerDump:
     return PeerDump(
         status=known.record.status.name,
--- a/spindlenotch/ids.py
+++ b/spindlenotch/ids.py
@@ -19,6 +19,13 @@
 
 #: Name of an availability zone.
 ZoneName = typing.NewType("ZoneName", str)
+
+#: Name of a region: availability zones that lie near each other.
+RegionName = typing.NewType("RegionName", str)
+
+#: Version of the software that an upstream runs.
+SoftwareVersion = typing.NewType("SoftwareVersion", str)
+
 #: A client account: a caller whose key and classes the bundle lists.
 AccountName = typing.NewType("AccountName", str)
 ClassName = typing.NewType("ClassName", str)
--- a/spindlenotch/kernel/outcomes.py
+++ b/spindlenotch/kernel/outcomes.py
@@ -57,6 +57,7 @@
     CONNECTION_LOST = "connection-lost"
     FOREIGN_ANSWER = "foreign-answer"
     CALLER_GONE = "caller-gone"
+    ROUTE_REFUSED = "route-refused"
 
 
 class RefusalRule(enum.Enum):
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -93,6 +93,17 @@
             "Version of the bundle in force",
             registry=self.registry,
         )
+        self.refused_routes = prometheus_client.Gauge(
+            "spindlenotch_refused_routes",
+            "Routes of the configuration in force that can't be served",
+            registry=self.registry,
+        )
+        self.bad_items = prometheus_client.Counter(
+            "spindlenotch_source_items_refused_total",
+            "Items of the source that could not be used, by kind",
+            ("kind",),
+            registry=self.registry,
+        )
         self.in_flight = prometheus_client.Gauge(
             "spindlenotch_requests_in_flight",
             "Requests being served",
--- a/spindlenotch/settings/kinds.py
+++ b/spindlenotch/settings/kinds.py
@@ -86,6 +86,11 @@
     return text
 
 
+def _read_names_by_name(text: str) -> dict[str, str]:
+    pairs = [part.split("=") for part in _parts(text)]
+    return {_read_name(name): _read_name(value) for name, value in pairs}
+
+
 def _read_secrets(text: str) -> tuple[bytes, ...]:
     keys = tuple(part.encode() for part in _parts(text))
     if not keys or any(len(key) < SHORTEST_KEY for key in keys):
@@ -115,6 +120,7 @@
 ADDRESSES = Kind("IP:port, comma-separated, may be empty", _read_addresses)
 URL = Kind("http://HOST:PORT", _read_url)
 NAME = Kind(f"a-z, 0-9 and inner hyphens, at most {LONGEST_NAME}", _read_name)
+NAMES_BY_NAME = Kind("NAME=NAME, comma-separated, may be empty", _read_names_by_name)
 SECRETS = Kind(
     f"comma-separated keys of at least {SHORTEST_KEY} characters",
     _read_secrets,
