The fleet's budget of retries holds for fleets of any size

Each gateway had a 24th of the reserve, so that more than 24 had more than all of it.

Change: the reserve is divided by twice the largest number of gateways seen in the last minute (FleetSize, which the senders to cold upstreams use too), at least by 24, and changes with it in budgets that are in use; who sees nobody although the settings name others has none; what was earned and not used fades with a time constant of a tenth of the window, but for what one retry needs.

Six mutants are caught.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -8,6 +8,9 @@
       | the longest prefix of the host is the route                |
       | weights are kept to within one request                     |
       | the fleet's extra sends keep to share and reserve          |
+      | a fleet's retries keep to what all may send together       |
+      | a low rate of requests still earns a retry                 |
+      | the size of the fleet is the largest of the last minute    |
       | an upstream without room or leaving is never chosen        |
       | a slowed upstream is passed over while another has room    |
       | an upstream that nobody has tried yet gets its share       |
--- /dev/null
+++ b/features/steps/gateway_budget.py
@@ -0,0 +1,232 @@
+"""
+The budget of retries and hedges, summed over a fleet each of whose gateways uses it up.
+
+Plays the arrivals of a day on which the sum was broken: 739 requests a second to one
+service, on 60 or 117 gateways, which all retry as often as they may. Gateways are
+killed, take over from each other or are cut off meanwhile. Each is a budget of the
+product; the sum is counted as the users' rules count it.
+"""
+
+import bisect
+import dataclasses
+import random
+from collections import abc
+
+import msgspec
+
+from features.steps import kernel
+from features.support import recorded_settings
+from spindlenotch import ids
+from spindlenotch.gateway import service_defaults
+from spindlenotch.gateway.cluster import fleet_size
+from spindlenotch.gateway.source import routing
+
+#: What the users allow the whole fleet in any ten seconds.
+ALLOWED_SHARE = 0.2
+ALLOWED_RESERVE = 188
+WINDOW_S = 10.0
+REQUESTS_PER_S = 739
+STEP_S = 0.1
+PLAYED_S = 50.0
+#: From here on everything is retried; until then nothing is.
+RETRIES_FROM_S = 15.0
+#: Gateways of the large and of the middle fleet.
+FLEETS = (60, 117)
+SPEC = routing.ServiceSpec(name=ids.ServiceName("s"), health_path="/", connections=1)
+CONFIG = msgspec.structs.replace(
+    recorded_settings.bare_gateway_values(),
+    extra_share=ALLOWED_SHARE,
+    extra_reserve=float(ALLOWED_RESERVE),
+    extra_window_s=WINDOW_S,
+)
+
+
+class Gateway:
+    """One gateway's budget and its view of the fleet."""
+
+    def __init__(self) -> None:
+        self.size = fleet_size.FleetSize()
+        policy = service_defaults.policy(SPEC, (), CONFIG, self.size)
+        self.budgets = policy.extra.create()
+
+    def look(self, seen: int, now: ids.Instant) -> None:
+        """See this many gateways."""
+        self.size.update(seen, now, has_others=True)
+        reserve = service_defaults.extra_reserve(CONFIG, self.size)
+        self.budgets.set_reserve(reserve)
+
+
+@dataclasses.dataclass(slots=True)
+class Played:
+    """When requests came, and when one was sent again."""
+
+    requests_at: list[float]
+    extras_at: list[float]
+
+    def most_beyond(self) -> float:
+        """Return the extras of the worst window less those that its requests earn."""
+        return max(
+            _within(self.extras_at, end) - ALLOWED_SHARE * self._requests(end)
+            for end in self.extras_at
+        )
+
+    def _requests(self, end: float) -> int:
+        """Count a window's requests as the rules do: the best of three windows."""
+        ends = (end, end - WINDOW_S / 2, end - WINDOW_S)
+        return max(_within(self.requests_at, one) for one in ends)
+
+
+def _within(instants: list[float], end: float) -> int:
+    """Count the instants in the window that ends with ``end``."""
+    after = bisect.bisect_right(instants, end - WINDOW_S)
+    return bisect.bisect_right(instants, end) - after
+
+
+class Story:
+    """What happens to a fleet; this one just serves."""
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+
+    def serving(self, at: float) -> abc.Sequence[int]:
+        """Return which gateways get requests."""
+        return range(self.count)
+
+    def seen(self, number: int, at: float) -> int:
+        """Return how many gateways one sees."""
+        return self.count
+
+    def killed(self, at: float) -> abc.Sequence[int]:
+        """Return which gateways are started anew."""
+        return ()
+
+
+class AllKilled(Story):
+    """All processes are killed once their budgets are used up, and start again."""
+
+    def killed(self, at: float) -> abc.Sequence[int]:
+        """Return which gateways are started anew."""
+        return range(self.count) if abs(at - 20.0) < STEP_S / 2 else ()
+
+
+class KilledInTurn(Story):
+    """One gateway after the other is started anew, three a second."""
+
+    def killed(self, at: float) -> abc.Sequence[int]:
+        """Return which gateways are started anew."""
+        number = round(at / STEP_S)
+        return (number // 3 % self.count,) if number % 3 == 0 else ()
+
+
+class TakeOver(Story):
+    """Half of the fleet serves; the other takes over just when retries begin."""
+
+    def serving(self, at: float) -> abc.Sequence[int]:
+        """Return which gateways get requests."""
+        half = self.count // 2
+        is_first = at < RETRIES_FROM_S + 1.0
+        return range(half) if is_first else range(half, self.count)
+
+
+class InTurn(Story):
+    """A third serves for some seconds, then the next."""
+
+    def serving(self, at: float) -> abc.Sequence[int]:
+        """Return which gateways get requests."""
+        third = self.count // 3
+        first = int(at / 4.0) % 3 * third
+        return range(first, first + third)
+
+
+class CutOff(Story):
+    """A third of the gateways is cut off, each alone, and still gets requests."""
+
+    def seen(self, number: int, at: float) -> int:
+        """Return how many gateways one sees."""
+        is_cut = number % 3 == 0 and at > 10.0
+        return 1 if is_cut else self.count
+
+
+class CutOffAndKilled(CutOff):
+    """Those that are cut off are started anew meanwhile, and never see the others."""
+
+    def killed(self, at: float) -> abc.Sequence[int]:
+        """Return which gateways are started anew."""
+        return range(0, self.count, 3) if abs(at - 20.0) < STEP_S / 2 else ()
+
+
+class Grows(Story):
+    """Gateways see the fleet by and by; most of it is there from the start."""
+
+    def seen(self, number: int, at: float) -> int:
+        """Return how many gateways one sees."""
+        return min(self.count, 1 + int(at * self.count / 3.0))
+
+
+STORIES = (
+    Story,
+    AllKilled,
+    KilledInTurn,
+    TakeOver,
+    InTurn,
+    CutOff,
+    CutOffAndKilled,
+    Grows,
+)
+
+
+def play(story: Story) -> Played:
+    """Play a story: every gateway sends again whenever its budget lets it."""
+    rng = random.Random(story.count)
+    gateways = [Gateway() for _ in range(story.count)]
+    played = Played([], [])
+    for step in range(int(PLAYED_S / STEP_S)):
+        at = step * STEP_S
+        now = ids.later(kernel.NOW, at)
+        for number in story.killed(at):
+            gateways[number] = Gateway()
+        for number, gateway in enumerate(gateways):
+            gateway.look(story.seen(number, at), now)
+        serving = story.serving(at)
+        for _ in range(round(REQUESTS_PER_S * STEP_S)):
+            budgets = gateways[rng.choice(serving)].budgets
+            budgets.earn(now)
+            played.requests_at.append(at)
+            while at >= RETRIES_FROM_S and budgets.retries.spend(now):
+                played.extras_at.append(at)
+    return played
+
+
+@kernel.PROPERTIES.register("a fleet's retries keep to what all may send together")
+def whole_fleet() -> None:
+    for count in FLEETS:
+        for made in STORIES:
+            beyond = play(made(count)).most_beyond()
+            assert beyond <= ALLOWED_RESERVE, (made.__name__, count, beyond)
+
+
+@kernel.PROPERTIES.register("a low rate of requests still earns a retry")
+def low_rate() -> None:
+    gateway = Gateway()
+    # So large that a gateway's part of the reserve is less than one retry.
+    gateway.look(300, kernel.NOW)
+    now = kernel.NOW
+    for _ in range(10):
+        now = ids.later(now, 2.0)
+        gateway.budgets.earn(now)
+    assert gateway.budgets.retries.spend(now)
+    # It is not saved up for a burst.
+    assert not gateway.budgets.retries.spend(now)
+
+
+@kernel.PROPERTIES.register("the size of the fleet is the largest of the last minute")
+def largest() -> None:
+    size = fleet_size.FleetSize()
+    assert not size.is_alone
+    found = []
+    for at, seen in ((0, 1), (1, 117), (30, 60), (50, 20), (61.5, 20), (91, 20)):
+        size.update(seen, ids.later(kernel.NOW, at), has_others=True)
+        assert size.is_alone == (seen == 1)
+        found.append(size.largest)
+    # What counted at the start of the last minute gives way to what came in it.
+    assert found == [1, 117, 117, 117, 60, 20]
--- a/spindlenotch/gateway/cluster/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -36,6 +36,11 @@
         self.starting = starting
         self.active_zones = {one.host: one.zone for one in active}
 
+    @property
+    def count(self) -> int:
+        """Return how many gateways are in view, those that start included."""
+        return len(self.ready) + len(self.starting)
+
     @functools.cached_property
     def standby_by_zone(self) -> duties.HostsByZone:
         """Return the gateways of each zone that carry its duties."""
@@ -89,6 +94,15 @@
             self._look_at_demand()
         return self._view
 
+    def update_size(self) -> None:
+        """Tell the state how many gateways are in view; called a few times a second."""
+        config = self.state.config
+        self.state.fleet_size.update(
+            self.view().count,
+            self.state.clock.now(),
+            has_others=any(peer != config.peer_listen for peer in config.peers),
+        )
+
     def active_addresses(self) -> dict[ids.HostId, ids.Address]:
         """Return the addresses of the active gateways, for callers."""
         view = self.view()
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -137,6 +137,7 @@
 
     async def _tick(self) -> None:
         while True:
+            self.fleet.update_size()
             if self.state.tick() and self.state.reads_source:
                 self.relay.publish_expiry()
             self.cold_senders.update()
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -9,6 +9,7 @@
 from spindlenotch import ids
 from spindlenotch.decisions import soonest
 from spindlenotch.gateway import settings
+from spindlenotch.gateway.cluster import fleet_size
 from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import extra_budgets, service_policy
 
@@ -26,9 +27,13 @@
 #: Share of the allowed retries and hedges that the fleet uses at most. Chosen,
 #: not measured.
 EXTRA_MARGIN = 0.9
-#: Gateways that share the reserve of retries and hedges in equal parts. Chosen,
-#: not measured.
-RESERVE_PARTS = 24
+#: Parts of the reserve of retries and hedges for each gateway of the fleet: its own,
+#: and that of the process or host that follows on it, which knows nothing of what
+#: was used before it.
+RESERVE_PARTS_EACH = 2
+#: Parts where the fleet is small or not known yet: a gateway that sees few others
+#: may be one of many.
+LEAST_RESERVE_PARTS = 24
 #: Slots of an upstream that is listed without a number. The source always gives
 #: one today.
 DEFAULT_SLOTS = 1
@@ -41,10 +46,28 @@
     return TYPICAL_SHARE_OF_TARGET * route.target_s
 
 
+def extra_reserve(
+    config: settings.GatewaySettings, size: fleet_size.FleetSize
+) -> float:
+    """
+    Return this gateway's part of the fleet's reserve of retries and hedges.
+
+    Divided among 24 whatever their number, the retries of 117 gateways that use up
+    their budgets were 791 a window beyond the share of which 188 are allowed, and 2155
+    where all were killed meanwhile; in this way, and with what ``SlidingShareBudget``
+    lets fade, 75 at most (the property of a fleet's retries).
+    """
+    if size.is_alone:
+        return 0.0
+    parts = max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * size.largest)
+    return config.extra_reserve / parts
+
+
 def policy(
     spec: routing.ServiceSpec,
     zones: tuple[ids.ZoneName, ...],
     config: settings.GatewaySettings,
+    size: fleet_size.FleetSize,
 ) -> service_policy.ServicePolicy:
     """Return how a service with upstreams in ``zones`` is balanced."""
     return service_policy.ServicePolicy(
@@ -55,7 +78,7 @@
         selection=soonest.NAME,
         extra=extra_budgets.SharedWindow(
             share=EXTRA_MARGIN * config.extra_share,
-            reserve=int(config.extra_reserve / RESERVE_PARTS),
+            reserve=extra_reserve(config, size),
             window_s=config.extra_window_s,
         ),
         queue_limit=QUEUE_LIMIT,
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -22,7 +22,7 @@
     settings,
     wakeups,
 )
-from spindlenotch.gateway.cluster import demand_meter, own_record
+from spindlenotch.gateway.cluster import demand_meter, fleet_size, own_record
 from spindlenotch.gateway.source import listing, routing, sources
 from spindlenotch.kernel import ownership, upstreams
 from spindlenotch.peers import documents, gossip, timing
@@ -72,6 +72,7 @@
         record = own_record.first(config, self.rng, gateway_clock)
         self.gossip = gossip.Gossip(record, self.rng, GOSSIP_TIMING)
         self.demand = demand_meter.DemandMeter()
+        self.fleet_size = fleet_size.FleetSize()
         self.listed_once = False
         self.fence = documents.Fence()
         self.discovery_record_by_zone: dict[ids.ZoneName, sources.DiscoveryRecord] = {}
@@ -200,14 +201,17 @@
         """
         Let ejections and expired leases end; called a few times a second.
 
+        Budgets follow the size of the fleet.
         Tell whether a lease has expired, which peers have to know.
         """
         now = self.clock.now()
         expired = self.listing.drop_expired(now)
         if self.listing.leave_due(now) or expired:
             self._refresh_upstreams()
+        reserve = service_defaults.extra_reserve(self.config, self.fleet_size)
         for service in self.balancer_by_service.values():
             service.pool.tick(now)
+            service.extra.set_reserve(reserve)
         if self.demand.update(now):
             self.gossip.set_demand(self.demand.reported)
         self._report_changes()
@@ -271,7 +275,9 @@
         if configured is None:
             return
         zones = {spec.zone for spec in specs} | {self.config.zone}
-        policy = service_defaults.policy(configured, tuple(sorted(zones)), self.config)
+        policy = service_defaults.policy(
+            configured, tuple(sorted(zones)), self.config, self.fleet_size
+        )
         if policy != service.service:
             service.update_service(policy)
 
@@ -307,7 +313,9 @@
             )
 
     def _new_balancer(self, spec: routing.ServiceSpec) -> balancer.Balancer:
-        policy = service_defaults.policy(spec, (self.config.zone,), self.config)
+        policy = service_defaults.policy(
+            spec, (self.config.zone,), self.config, self.fleet_size
+        )
         return balancer.Balancer(policy, self.local_member, self.rng)
 
 
--- a/spindlenotch/kernel/budgets.py
+++ b/spindlenotch/kernel/budgets.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 import typing
 
 import msgspec
@@ -16,6 +17,10 @@
 MOST_SAVED = 10.0
 #: Extra requests that it allows before anything was earned. Chosen, not measured.
 INITIAL_RESERVE = 1.0
+#: Time constant with which a sliding budget loses what it saved, as a share of its
+#: window. Whoever takes over another's requests earns anew what that one has just
+#: used: with this tenth, and nine tenths of what is allowed, the sum still holds.
+SAVED_SHARE_OF_WINDOW = 0.1
 
 
 class ExtraBudget(typing.Protocol):
@@ -69,41 +74,64 @@
 
     Invariant: in any span of ``window_s`` seconds, the extra requests are at
     most ``share`` of the ordinary ones in a span of that length that ends
-    with them, plus ``reserve``. The sums of several processes therefore keep
-    to the same share plus the sum of their reserves, without any message.
+    with them, plus ``reserve``. The sums of several processes that serve all the
+    time therefore keep to the same share plus the sum of their reserves, without
+    any message.
+
+    So do the sums where processes end, or others take over their requests: what
+    was earned is mostly used at once or lost. ``_saved`` is what was earned and not
+    used; negative while the reserve is in use. What lies over ``_kept`` fades.
     """
 
-    def __init__(self, share: float, reserve: int, window_s: float) -> None:
+    def __init__(self, share: float, reserve: float, window_s: float) -> None:
         self.share = share
         self.reserve = reserve
         self.window_s = window_s
         self.earned_at: collections.deque[ids.Instant] = collections.deque()
         self.spent_at: collections.deque[ids.Instant] = collections.deque()
+        self._saved = 0.0
+        self._saved_at: ids.Instant | None = None
 
     def earn(self, now: ids.Instant) -> None:
         """Count one ordinary request."""
+        self._fade(now)
+        self._saved += self.share
         self.earned_at.append(now)
         self._forget(self.earned_at, now)
 
     def available(self, now: ids.Instant) -> bool:
         """Tell whether one more extra request is allowed."""
+        self._fade(now)
         self._forget(self.earned_at, now)
         self._forget(self.spent_at, now)
-        allowed = self.share * len(self.earned_at) + self.reserve
-        return len(self.spent_at) + 1 <= allowed
+        return self.balance >= 1.0
 
     def spend(self, now: ids.Instant) -> bool:
         """Take one extra request from the budget, or say that none is left."""
         if not self.available(now):
             return False
+        self._saved -= 1.0
         self.spent_at.append(now)
         return True
 
     @property
     def balance(self) -> float:
         """Return how many extra requests were allowed when last asked."""
-        allowed = self.share * len(self.earned_at) + self.reserve
-        return allowed - len(self.spent_at)
+        earned = self.share * len(self.earned_at) - len(self.spent_at)
+        return self.reserve + min(earned, self._saved)
+
+    @property
+    def _kept(self) -> float:
+        """Return what does not fade: with the reserve, enough for one request."""
+        return max(0.0, 1.0 - self.reserve)
+
+    def _fade(self, now: ids.Instant) -> None:
+        """Let go of what was earned some time ago and not used."""
+        if self._saved_at is not None and self._saved > self._kept:
+            elapsed_s = max(0.0, now - self._saved_at)
+            rest = math.exp(-elapsed_s / (SAVED_SHARE_OF_WINDOW * self.window_s))
+            self._saved = self._kept + (self._saved - self._kept) * rest
+        self._saved_at = now
 
     def _forget(
         self, instants: collections.deque[ids.Instant], now: ids.Instant
--- a/spindlenotch/kernel/extra_budgets.py
+++ b/spindlenotch/kernel/extra_budgets.py
@@ -34,6 +34,12 @@
         for budget in self._distinct:
             budget.earn(now)
 
+    def set_reserve(self, reserve: float) -> None:
+        """Change what sliding budgets allow beyond their share; others have none."""
+        for budget in self._distinct:
+            if isinstance(budget, budgets.SlidingShareBudget):
+                budget.reserve = reserve
+
 
 class ExtraPolicy(typing.Protocol):
     """Says which budgets a service has."""
@@ -76,7 +82,7 @@
     """
 
     share: float
-    reserve: int
+    reserve: float
     window_s: float
 
     def create(self) -> ExtraBudgets:
@@ -85,4 +91,5 @@
         return ExtraBudgets(shared, shared)
 
     def update(self, existing: ExtraBudgets) -> None:
-        """Leave the budget as it was created: its settings need a restart."""
+        """Change the reserve; the share and the window need a restart."""
+        existing.set_reserve(self.reserve)
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -259,22 +259,33 @@
             "kernel/budgets.SlidingShareBudget.available",
             "kernel/budgets.ShareBudget.available",
             "kernel/extra_budgets.SharedWindow",
+            "gateway/service_defaults.extra_reserve",
+            "gateway/cluster/fleet_size.FleetSize.update",
             "kernel/extra_budgets.SeparateShares",
         ),
-        inputs="own first sends and extra sends in the window, share, reserve; settings"
-        " `extra_share`, `extra_reserve`, `extra_window_s`.",
+        inputs="own first sends and extra sends in the window, share, reserve, largest"
+        " number of gateways seen in the last minute; settings `extra_share`,"
+        " `extra_reserve`, `extra_window_s`.",
         reason="The gateway has one budget for both in a sliding window, whose sum over"
-        " the fleet holds whatever each gateway assumes; the entry daemon has two"
-        " shares of its traffic, named by the bundle.",
+        " the fleet holds whatever each gateway assumes. The reserve is divided by"
+        " twice the size of the fleet seen lately, so that a process that is started anew has"
+        " a part of its own; what was earned is used within a second or mostly lost, so"
+        " that gateways that follow on each other don't use twice what the same"
+        " requests earned. The entry daemon has two shares of its traffic, named by the"
+        " bundle.",
         constants=(
             "gateway/service_defaults.EXTRA_MARGIN",
-            "gateway/service_defaults.RESERVE_PARTS",
+            "gateway/service_defaults.RESERVE_PARTS_EACH",
+            "gateway/service_defaults.LEAST_RESERVE_PARTS",
+            "gateway/cluster/fleet_size.MEMORY_S",
+            "kernel/budgets.SAVED_SHARE_OF_WINDOW",
             "kernel/budgets.MOST_SAVED",
             "kernel/budgets.INITIAL_RESERVE",
         ),
         events=("REQUEST_SENT_AGAIN",),
         tests=(
             Scenario("gateway", "the fleet's extra sends keep to share and reserve"),
+            Scenario("gateway", "a fleet's retries keep to what all may send together"),
             Scenario("kernel", "extra sends stay within their share"),
         ),
     ),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -34,7 +34,7 @@
 import sys, loguru
 sys.path.append("platform")
 loguru.logger.remove()
-from features.steps import gateway_cold, gateway_evacuation, kernel
+from features.steps import gateway_budget, gateway_cold, gateway_evacuation, kernel
 kernel.PROPERTIES.get({name!r})()
 """
 
@@ -184,6 +184,48 @@
         "\n    def _schedule",
         held_by="a zone that is taken back is in use again at once",
     ),
+    Mutant(
+        "the reserve of retries is not divided by the size of the fleet",
+        "gateway/service_defaults",
+        "max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * size.largest)",
+        "LEAST_RESERVE_PARTS",
+        "a fleet's retries keep to what all may send together",
+    ),
+    Mutant(
+        "a process that starts anew has the reserve of the one before it",
+        "gateway/service_defaults",
+        "RESERVE_PARTS_EACH * size.largest",
+        "size.largest",
+        "a fleet's retries keep to what all may send together",
+    ),
+    Mutant(
+        "a gateway without others in view takes itself for a small fleet",
+        "gateway/service_defaults",
+        "if size.is_alone:",
+        "if False:",
+        "a fleet's retries keep to what all may send together",
+    ),
+    Mutant(
+        "retries that were earned are kept for later",
+        "kernel/budgets",
+        "rest = math.exp(",
+        "rest = 1.0 + 0.0 * math.exp(",
+        "a fleet's retries keep to what all may send together",
+    ),
+    Mutant(
+        "a low rate of requests earns nothing",
+        "kernel/budgets",
+        "return max(0.0, 1.0 - self.reserve)",
+        "return 0.0",
+        "a low rate of requests still earns a retry",
+    ),
+    Mutant(
+        "the size of the fleet is what is in view",
+        "gateway/cluster/fleet_size",
+        "return self._sightings[0].count if self._sightings else self.seen",
+        "return self.seen",
+        "the size of the fleet is the largest of the last minute",
+    ),
 )
 
 
