--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -268,10 +268,10 @@
         " `extra_reserve`, `extra_window_s`.",
         reason="The gateway has one budget for both in a sliding window, whose sum over"
         " the fleet holds whatever each gateway assumes. The reserve is divided by"
-        " twice the size of the fleet seen lately, so that a process that is started anew has"
-        " a part of its own; what was earned is used within a second or mostly lost, so"
-        " that gateways that follow on each other don't use twice what the same"
-        " requests earned. The entry daemon has two shares of its traffic, named by the"
+        " twice the size of the fleet seen lately, so that a process that is started"
+        " anew has a part of its own; what was earned is used within a second or mostly"
+        " lost, so that gateways that follow on each other don't use twice what the"
+        " same requests earned. The entry daemon has two shares of its traffic, named by the"
         " bundle.",
         constants=(
             "gateway/service_defaults.EXTRA_MARGIN",
