--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -29,6 +29,7 @@
       | entries that leave a sound store are dropped at once       |
       | the last slots stay empty where filling them slows work    |
       | callers are sent to the strongest gateways of each zone    |
+      | callers are not told of a gateway that died                |
       | each gateway is weighed once where all are too few         |
       | more gateways step in where the weakest is overloaded      |
       | what callers ask rises at once and falls late              |
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -271,8 +271,8 @@
         " twice the size of the fleet seen lately, so that a process that is started"
         " anew has a part of its own; what was earned is used within a second or mostly"
         " lost, so that gateways that follow on each other don't use twice what the"
-        " same requests earned. The entry daemon has two shares of its traffic, named by the"
-        " bundle.",
+        " same requests earned. The entry daemon has two shares of its traffic, named"
+        " by the bundle.",
         constants=(
             "gateway/service_defaults.EXTRA_MARGIN",
             "gateway/service_defaults.RESERVE_PARTS_EACH",
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -34,7 +34,8 @@
 import sys, loguru
 sys.path.append("platform")
 loguru.logger.remove()
-from features.steps import gateway_budget, gateway_cold, gateway_evacuation, kernel
+from features.steps import gateway_budget, gateway_cold, gateway_directory
+from features.steps import gateway_evacuation, kernel
 kernel.PROPERTIES.get({name!r})()
 """
 
@@ -226,6 +227,13 @@
         "return self.seen",
         "the size of the fleet is the largest of the last minute",
     ),
+    Mutant(
+        "callers are told of gateways that are suspected",
+        "gateway/cluster/fleet",
+        "if not peer.missed and not peer.suspected",
+        "if True",
+        "callers are not told of a gateway that died",
+    ),
 )
 
 
