Upstreams: a start under the same id is another one; entries of other writers

Cause: an entry that could not be read left the lease of the earlier one in place, so its upstream went on getting work; an id that started again kept what was known of the one before. Changes that a slow reader got after a newer list of a peer brought older entries back. Another born is another upstream: higher generation, cold, its kept connections closed, load records of other starts passed over (E408, metric). Older changes of the list do not replace a newer one. The pool's set of upstreams and the listing's leases are modules of their own.

--- a/features/support/fake_upstreams.py
+++ b/features/support/fake_upstreams.py
@@ -176,6 +176,9 @@
             return ports.UpstreamFault.DRAINING
         return upstreams.LoadReport(upstream.running, 0)
 
+    def close_idle(self, address: ids.Address) -> None:
+        """Keep none."""
+
     async def close(self) -> None:
         """Do nothing."""
 
--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -32,6 +32,7 @@
     "ServiceSpec.cold_start_s": "configuration-added.json",
     "LoadRecord.cold_s": "gossip-added.msgpack.hex",
     "LoadRecord.cold_age_s": "gossip-added.msgpack.hex",
+    "LoadRecord.born": "gossip-added-2.msgpack.hex",
     "GatewaySettings.evacuate_s": "environment-gateway-added.json",
     "GatewaySettings.region_by_zone": "environment-gateway-added-2.json",
     "GatewaySettings.exposure_share": "environment-gateway-added-2.json",
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -110,6 +110,13 @@
     return msgspec.structs.replace(message(), loads=(added,))
 
 
+def added_later_message() -> messages.Message:
+    """Return a message with what came after that."""
+    (load,) = message().loads
+    added = msgspec.structs.replace(load, born=1_700_000_000_002)
+    return msgspec.structs.replace(message(), loads=(added,))
+
+
 def frame(kind: documents.DocumentKind, body: bytes) -> messages.DocumentFrame:
     """Return a document frame."""
     return messages.DocumentFrame(
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -117,16 +117,8 @@
             read=lambda data: codec.decode_gossip(zlib.compress(data)),
             bare=True,
         ),
-        Sample(
-            "gossip-added.msgpack.hex",
-            "msgpack",
-            recorded_messages.added_message(),
-            lambda: zlib.decompress(
-                codec.encode_gossip(recorded_messages.added_message())
-            ),
-            lambda data: codec.decode_gossip(zlib.compress(data)),
-            strangers="passed over",
-        ),
+        _added_gossip("gossip-added", recorded_messages.added_message()),
+        _added_gossip("gossip-added-2", recorded_messages.added_later_message()),
         Sample(
             "frame.msgpack.hex",
             "msgpack",
@@ -286,3 +278,16 @@
 def look_frame(data: bytes) -> object:
     """Return a Cap'n Proto frame as maps by the schema's names."""
     return capnp_codec._schema.DocumentFrame.from_bytes_packed(data).to_dict()
+
+
+def _added_gossip(name: str, message: messages.Message) -> Sample:
+    """Return the sample of a message with fields that came later."""
+    codec = msgpack_codec.MSGPACK
+    return Sample(
+        f"{name}.msgpack.hex",
+        "msgpack",
+        message,
+        lambda: zlib.decompress(codec.encode_gossip(message)),
+        lambda data: codec.decode_gossip(zlib.compress(data)),
+        strangers="passed over",
+    )
--- a/features/support/served_gateway.py
+++ b/features/support/served_gateway.py
@@ -123,6 +123,9 @@
         """Be never asked."""
         raise NotImplementedError
 
+    def close_idle(self, address: ids.Address) -> None:
+        """Keep none."""
+
     async def close(self) -> None:
         """Do nothing."""
 
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 
+from spindlenotch import ids
+
 #: aiohttp's own limit of connections. Chosen, not measured.
 DEFAULT_CONNECTIONS = 100
 
@@ -66,6 +68,17 @@
             self._session = self._open_session()
         return self._session
 
+    def close_idle(self, address: ids.Address) -> None:
+        """Close the connections that are kept to ``address`` and not in use."""
+        connector = None if self._session is None else self._session.connector
+        if connector is None:
+            return
+        # There is no public way to these; aiohttp itself drops those that are closed.
+        for key, kept in connector._conns.items():
+            if f"{key.host}:{key.port}" == address:
+                for protocol, _ in kept:
+                    protocol.close()
+
     async def close(self) -> None:
         """Drop all connections; the session can't be used afterwards."""
         if self._session is not None:
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -183,6 +183,10 @@
         cold_s = self.dialect.read_cold_s(response.headers)
         return msgspec.structs.replace(report, cold_s=cold_s)
 
+    def close_idle(self, address: ids.Address) -> None:
+        """Close the connections that are kept to ``address`` and not in use."""
+        self._reusing.close_idle(address)
+
     async def close(self) -> None:
         """Drop all connections."""
         for session in (self._reusing, self._single_use):
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -152,6 +152,12 @@
     UPSTREAM_PROBATION = CatalogueRow(
         407, "INFO", "an ejected upstream gets one trial request", "none"
     )
+    UPSTREAM_RESTARTED = CatalogueRow(
+        408,
+        "INFO",
+        "an upstream has started again under its id; nothing known of it counts on",
+        "none; if it repeats, look at the upstream's host",
+    )
     ID_TABLE_FULL = CatalogueRow(
         501,
         "WARNING",
--- a/spindlenotch/gateway/cluster/load_sharing.py
+++ b/spindlenotch/gateway/cluster/load_sharing.py
@@ -78,6 +78,8 @@
                     continue
                 _take_coldness(upstream, load, now)
                 report_at = ids.Instant(now - load.age_s)
+                if not _is_of_this_start(load, report_at, upstream):
+                    continue
                 if report_at > upstream.report_at:
                     report = upstreams.LoadReport(
                         load.running, load.queued, load.slowdown
@@ -139,12 +141,30 @@
         ]
 
 
+def _is_of_this_start(
+    load: workload.LoadRecord, at: ids.Instant, upstream: upstreams.Upstream
+) -> bool:
+    """
+    Tell whether what an upstream said at ``at`` is of the start that is known here.
+
+    Where either does not tell its start, what was said before this gateway knew of it
+    is not taken in: it may be of an earlier one.
+    """
+    if load.born == upstream.spec.born:
+        return True
+    if load.born is None or upstream.spec.born is None:
+        return at >= upstream.known_since
+    return False
+
+
 def _take_coldness(
     upstream: upstreams.Upstream, load: workload.LoadRecord, now: ids.Instant
 ) -> None:
     """Take in what a peer knows of an upstream's coldness, where it is newer."""
-    if load.cold_s is not None:
-        told_at = ids.Instant(now - load.cold_age_s)
+    if load.cold_s is None:
+        return
+    told_at = ids.Instant(now - load.cold_age_s)
+    if _is_of_this_start(load, told_at, upstream):
         upstream.cold.told(ids.later(now, load.cold_s), told_at)
 
 
@@ -168,4 +188,5 @@
         queued=report.queued,
         slowdown=round(report.slowdown, SLOWDOWN_DIGITS),
         age_s=round(now - upstream.report_at, AGE_DIGITS),
+        born=upstream.spec.born,
     )
--- a/spindlenotch/gateway/cluster/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -97,9 +97,10 @@
         key = self._inputs()
         if key != self._target_key:
             self._target_key = key
-            self._target_by_id = self._targets()
-            for gone in set(self.task_by_id) - set(self._target_by_id):
-                self.task_by_id.pop(gone).cancel()
+            before, self._target_by_id = self._target_by_id, self._targets()
+            for upstream_id in list(self.task_by_id):
+                if _is_other(before[upstream_id], self._target_by_id.get(upstream_id)):
+                    self.task_by_id.pop(upstream_id).cancel()
         for upstream_id, target in self._target_by_id.items():
             task = self.task_by_id.get(upstream_id)
             if task is None or task.done():
@@ -168,3 +169,12 @@
                 told = with_coldness(report, target.pool.service)
                 target.pool.reported(target.upstream, told, now)
             await asyncio.sleep(jitter.jittered(period_s, rng))
+
+
+def _is_other(before: Target, now: Target | None) -> bool:
+    """
+    Tell whether an upstream is no longer to be probed as it was before.
+
+    One that has started again is another: what it answers is not of the earlier one.
+    """
+    return now is None or now.upstream is not before.upstream
--- a/spindlenotch/gateway/cluster/report_filter.py
+++ b/spindlenotch/gateway/cluster/report_filter.py
@@ -26,6 +26,7 @@
 class _Sent(msgspec.Struct, frozen=True):
     """The report of an upstream that was sent last, and when to repeat it."""
 
+    generation: int
     report: upstreams.LoadReport
     report_at: ids.Instant
     repeat_at: ids.Instant
@@ -67,7 +68,7 @@
         if now - upstream.report_at > MOST_AGE_S:
             return False
         sent = self._sent_by_id.get(upstream.spec.id)
-        if sent is not None:
+        if sent is not None and sent.generation == upstream.spec.generation:
             if sent.report_at == upstream.report_at:
                 return False
             repeats = _says_the_same(upstream.report, sent.report)
@@ -76,6 +77,7 @@
                 return False
         repeat_at = ids.later(now, REPEAT_S)
         self._sent_by_id[upstream.spec.id] = _Sent(
+            upstream.spec.generation,
             upstream.report,
             upstream.report_at,
             repeat_at,
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -52,6 +52,7 @@
         self.state = gateway_state
         self.source = source
         self.port = port
+        gateway_state.add_end_listener(lambda ended: port.close_idle(ended.address))
         path = data_path.DataPath(
             gateway_state, port, job_factory.labels(gateway_dialect)
         )
--- /dev/null
+++ b/spindlenotch/gateway/source/bad_items.py
@@ -0,0 +1,75 @@
+"""
+Which items of the source that can't be used are worth a log line.
+
+Pure. Writers repeat themselves, several times a minute each: a line is written for
+what is new only, and their number is bounded whatever they write. The counter of
+refused items has them all. Owns what was said of each item.
+"""
+
+from collections import abc
+
+import msgspec
+
+from spindlenotch import ids
+from spindlenotch.gateway.source import sources
+
+#: Items of which it is remembered what was said, the latest ones: about two for each
+#: upstream of the largest fleet that is planned for.
+MOST_KEYS = 1000
+#: Seconds over which lines are counted: an operator who looks at a log sees that long.
+WINDOW_S = 60.0
+#: Lines of one item in that time: an operator's few tries to mend it are all told, a
+#: writer whose every entry is odd in another way is not.
+MOST_LINES_OF_ONE = 5
+#: Lines of all items in that time: what one screen shows.
+MOST_LINES = 50
+#: Longest account of all reasons, in characters: one line of a log or an answer.
+LONGEST_ACCOUNT = 500
+
+
+class _Said(msgspec.Struct):
+    """What was said last of one item, and how many lines up to ``window_end``."""
+
+    reason: str
+    lines: int
+    window_end: ids.Instant
+
+
+class BadItems:
+    """The items that could not be used, the latest one last."""
+
+    def __init__(self) -> None:
+        self._said_by_key: dict[str, _Said] = {}
+        self._window_end = ids.Instant(0.0)
+        self._lines = 0
+
+    def worth_a_line(
+        self, items: abc.Iterable[sources.BadItem], now: ids.Instant
+    ) -> list[sources.BadItem]:
+        """Return those of which a line is to be written; they count as written."""
+        if now >= self._window_end:
+            self._window_end = ids.later(now, WINDOW_S)
+            self._lines = 0
+        return [item for item in items if self._is_worth_a_line(item)]
+
+    def account(self) -> str:
+        """Return what is wrong with all that is remembered; empty where nothing is."""
+        said = self._said_by_key.items()
+        return "; ".join(f"{key}: {one.reason}" for key, one in said)[:LONGEST_ACCOUNT]
+
+    def _is_worth_a_line(self, item: sources.BadItem) -> bool:
+        if self._lines >= MOST_LINES:
+            return False
+        said = self._said_by_key.pop(item.key, None) or _Said("", 0, self._window_end)
+        self._said_by_key[item.key] = said
+        if said.window_end != self._window_end:
+            said.window_end = self._window_end
+            said.lines = 0
+        if said.reason == item.reason or said.lines >= MOST_LINES_OF_ONE:
+            return False
+        said.reason = item.reason
+        said.lines += 1
+        self._lines += 1
+        if len(self._said_by_key) > MOST_KEYS:
+            del self._said_by_key[next(iter(self._said_by_key))]
+        return True
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -2,9 +2,9 @@
 The upstreams of each service, and when one that vanished is still believed in.
 
 Pure. An upstream holds a lease in the source; the rule on expired leases is
-``_is_expiry_in_outage``, that on evacuated zones ``decisions.evacuation``. Owns the
-generation of each upstream, which rises when it is listed anew or its zone is taken
-back into use.
+``lease_expiry``, that on evacuated zones ``decisions.evacuation``, and what
+makes it another upstream lies in ``leases``. Owns the generation of each upstream,
+which rises when it is listed anew, starts again or its zone is taken back into use.
 """
 
 from collections import abc
@@ -13,37 +13,15 @@
 
 from spindlenotch import ids
 from spindlenotch.decisions import evacuation
-from spindlenotch.gateway.source import sources
+from spindlenotch.gateway.source import lease_expiry, leases, sources
 from spindlenotch.kernel import upstreams
 
-#: Leases that vanish this soon after the source was out of reach may have
-#: expired because they could not be renewed. Chosen, not measured.
-AFTER_OUTAGE_S = 4.0
-#: How long an upstream whose lease expired in an outage still gets work. Those
-#: that live are listed again about two seconds after the source's return, as
-#: its operators say (commit 25a8df1).
-GRACE_S = 2.2
-#: More than this share of a service must vanish at once to count as expired
-#: in the outage; fewer have left. Chosen, not measured.
-EXPIRY_SHARE = 0.3
 
-
-class Lease(msgspec.Struct):
-    """
-    One upstream as the source lists it.
-
-    ``drop_at`` is NEVER while it is listed; else the end of its grace. ``leave_at``
-    is NEVER unless its zone is evacuated.
-    """
+class Ended(msgspec.Struct, frozen=True):
+    """An upstream that is gone; ``is_replaced``: the same id has started again."""
 
     listed: sources.ListedUpstream
-    spec: upstreams.UpstreamSpec
-    drop_at: ids.Instant = ids.NEVER
-    leave_at: ids.Instant = ids.NEVER
-
-    def holds(self, listed: sources.ListedUpstream) -> bool:
-        """Tell whether it is still listed, and in the same words."""
-        return self.drop_at == ids.NEVER and self.listed == listed
+    is_replaced: bool
 
 
 class Listing:
@@ -52,17 +30,20 @@
 
     Invariants: an upstream that says it is draining, or whose lease vanished
     while the source was in reach, is not in ``specs``, nor is one of an evacuated
-    zone once its time to leave has come; one that is listed again gets a higher
-    generation. ``evacuate_s`` is the operator's bound on evacuations in seconds.
+    zone once its time to leave has come; one that is listed again, or has started
+    again, gets a higher generation. ``evacuate_s`` is the operator's bound on
+    evacuations in seconds; ``revision`` that of the source which the list is of.
     """
 
     def __init__(self, evacuate_s: float = 0.0) -> None:
         self.evacuate_s = evacuate_s
         self.evacuated_zones: frozenset[ids.ZoneName] = frozenset()
         self._next_leave_at = ids.NEVER
-        self.lease_by_id: dict[ids.UpstreamId, Lease] = {}
+        self.lease_by_id: dict[ids.UpstreamId, leases.Lease] = {}
         self.fault_at = ids.Instant(float("-inf"))
+        self.revision = 0
         self._generation = 0
+        self._ended: list[Ended] = []
 
     def note_fault(self, now: ids.Instant) -> None:
         """Note that the source could not be read."""
@@ -81,16 +62,23 @@
         self, listed: abc.Iterable[sources.ListedUpstream], now: ids.Instant
     ) -> None:
         """Put a peer's whole list in place; the peer has judged expired leases."""
-        listed_by_id = {upstream.id: upstream for upstream in listed}
+        listed_by_id = {
+            upstream.id: leases.as_listed_by_peer(
+                upstream, self.lease_by_id.get(upstream.id)
+            )
+            for upstream in listed
+        }
         evacuated = [one for one in listed_by_id.values() if one.is_evacuated]
         self.evacuate(frozenset(one.zone for one in evacuated), now)
         for one in evacuated:
             listed_by_id[one.id] = msgspec.structs.replace(
                 one, state=sources.UpstreamState.READY, is_evacuated=False
             )
-        for upstream_id in [i for i in self.lease_by_id if i not in listed_by_id]:
-            del self.lease_by_id[upstream_id]
+        self.discard([i for i in self.lease_by_id if i not in listed_by_id])
         self.add(listed_by_id.values(), now)
+        for lease in self.lease_by_id.values():
+            # Peers of earlier releases leave the start out.
+            lease.is_start_known = lease.listed.born is not None
 
     def listed(self, now: ids.Instant) -> tuple[sources.ListedUpstream, ...]:
         """Return the whole list for a peer; ``cold_s`` counts from now."""
@@ -128,27 +116,66 @@
         """Add upstreams that are new or have changed; end the grace of all given."""
         for upstream in listed:
             lease = self.lease_by_id.get(upstream.id)
+            if lease is not None and not lease.is_same_start(upstream):
+                self._end(lease, is_replaced=True)
+                lease = None
             if lease is None or not lease.holds(upstream):
-                self.lease_by_id[upstream.id] = self._renewed(lease, upstream, now)
+                lease = self._renewed(lease, upstream, now)
+                self.lease_by_id[upstream.id] = lease
+            lease.is_start_known = True
 
     def remove(self, gone: abc.Iterable[ids.UpstreamId], now: ids.Instant) -> None:
         """Drop upstreams that the source no longer lists, or begin their grace."""
-        vanished = [i for i in gone if i in self.lease_by_id]
-        for upstream_id in vanished:
-            lease = self.lease_by_id[upstream_id]
-            if not self._is_expiry_in_outage(lease, vanished, now):
+        vanished = [self.lease_by_id[i] for i in gone if i in self.lease_by_id]
+        for lease in vanished:
+            if not lease_expiry.is_in_outage(
+                lease, vanished, self.lease_by_id.values(), self.fault_at, now
+            ):
                 lease.drop_at = now
             elif lease.drop_at == ids.NEVER:
-                lease.drop_at = ids.later(now, GRACE_S)
+                lease.drop_at = ids.later(now, lease_expiry.GRACE_S)
         self.drop_expired(now)
 
     def drop_expired(self, now: ids.Instant) -> bool:
         """Drop upstreams whose grace is over; tell whether there was any."""
         expired = [i for i, lease in self.lease_by_id.items() if lease.drop_at <= now]
-        for upstream_id in expired:
-            del self.lease_by_id[upstream_id]
+        self.discard(expired)
         return bool(expired)
 
+    def discard(self, unusable: abc.Iterable[ids.UpstreamId]) -> bool:
+        """
+        Drop upstreams at once, without grace; tell whether there was any.
+
+        An entry that can't be used was written: its upstream did not merely fail to
+        renew its lease.
+        """
+        dropped = [i for i in unusable if i in self.lease_by_id]
+        for upstream_id in dropped:
+            self._end(self.lease_by_id.pop(upstream_id), is_replaced=False)
+        return bool(dropped)
+
+    def take_ended(self) -> list[Ended]:
+        """Return the upstreams that are gone since the last call."""
+        ended, self._ended = self._ended, []
+        return ended
+
+    def _end(self, lease: leases.Lease, *, is_replaced: bool) -> None:
+        self._ended.append(Ended(lease.listed, is_replaced))
+
+    def _renewed(
+        self,
+        lease: leases.Lease | None,
+        listed: sources.ListedUpstream,
+        now: ids.Instant,
+    ) -> leases.Lease:
+        """Return the lease of a listed upstream, a new one where it holds none."""
+        self._generation += 1
+        found = leases.renewed(lease, listed, now, self._generation)
+        if found.leave_at == ids.NEVER and listed.zone in self.evacuated_zones:
+            # One that is new in an evacuated zone never gets any work.
+            found.leave_at = now
+        return found
+
     def specs(
         self, now: ids.Instant
     ) -> dict[ids.ServiceName, list[upstreams.UpstreamSpec]]:
@@ -161,7 +188,9 @@
                 specs.append(lease.spec)
         return specs_by_service
 
-    def _for_peer(self, lease: Lease, now: ids.Instant) -> sources.ListedUpstream:
+    def _for_peer(
+        self, lease: leases.Lease, now: ids.Instant
+    ) -> sources.ListedUpstream:
         """Return what a peer is told of an upstream."""
         listed = msgspec.structs.replace(
             lease.listed, cold_s=max(0.0, lease.spec.warming_up_until - now)
@@ -173,7 +202,7 @@
             listed, state=sources.UpstreamState.DRAINING, is_evacuated=True
         )
 
-    def _take_back(self, lease: Lease, now: ids.Instant) -> None:
+    def _take_back(self, lease: leases.Lease, now: ids.Instant) -> None:
         """Let an upstream whose zone is not evacuated get work if it did not."""
         if lease.leave_at <= now:
             self._generation += 1
@@ -186,54 +215,3 @@
         """Note when the next upstream leaves for an evacuation."""
         coming = [one.leave_at for one in self.lease_by_id.values()]
         self._next_leave_at = min((at for at in coming if at > now), default=ids.NEVER)
-
-    def _renewed(
-        self,
-        lease: Lease | None,
-        listed: sources.ListedUpstream,
-        now: ids.Instant,
-    ) -> Lease:
-        """Return the lease of a listed upstream that held ``lease`` before."""
-        restarted = lease is not None and lease.listed.state is not listed.state
-        if lease is None or restarted or lease.listed.address != listed.address:
-            self._generation += 1
-            generation = self._generation
-        else:
-            generation = lease.spec.generation
-        warming_up_until = ids.later(now, listed.cold_s)
-        if lease is not None and not restarted:
-            # It may become cold again at any time, and tells that in its record.
-            warming_up_until = max(warming_up_until, lease.spec.warming_up_until)
-        spec = upstreams.UpstreamSpec(
-            id=listed.id,
-            zone=listed.zone,
-            address=listed.address,
-            generation=generation,
-            slots=listed.slots,
-            warming_up_until=warming_up_until,
-        )
-        # One that is new in an evacuated zone never gets any work.
-        leave_at = now if listed.zone in self.evacuated_zones else ids.NEVER
-        if lease is not None and lease.leave_at != ids.NEVER:
-            leave_at = lease.leave_at
-        return Lease(listed, spec, leave_at=leave_at)
-
-    def _is_expiry_in_outage(
-        self, lease: Lease, vanished: list[ids.UpstreamId], now: ids.Instant
-    ) -> bool:
-        """
-        Tell whether a lease expired in an outage of the source and its upstream lives.
-
-        ``vanished`` are all upstreams that vanished at once. Many of one service
-        that vanish together right after an outage could more likely not renew
-        their leases than left; to drop them would leave the service without
-        upstreams. One that was draining has left.
-        """
-        if now - self.fault_at >= AFTER_OUTAGE_S:
-            return False
-        if lease.listed.state is not sources.UpstreamState.READY:
-            return False
-        service = lease.listed.service
-        gone = sum(self.lease_by_id[i].listed.service == service for i in vanished)
-        total = sum(one.listed.service == service for one in self.lease_by_id.values())
-        return gone > EXPIRY_SHARE * total
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -237,4 +237,5 @@
             listed = msgspec.json.decode(
                 document.body, type=tuple[sources.ListedUpstream, ...]
             )
-            self.state.apply_listing(listed)
+            revision = document.version // EXPIRIES_PER_REVISION
+            self.state.apply_listing(listed, revision)
--- a/spindlenotch/gateway/source/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -118,11 +118,15 @@
 
     async def _read(self) -> sources.SourceFault | None:
         self.state.metrics.store_calls.labels("read").inc()
+        before = self.state.listing.revision
         snapshot = await self.source.read()
         if isinstance(snapshot, sources.SourceFault):
             return snapshot
         self.revision = snapshot.revision
-        self.state.apply_snapshot(snapshot)
+        in_force = self.state.listing.revision
+        # Only where a peer's list came meanwhile: a source that was set back counts.
+        is_overtaken = in_force != before and snapshot.revision < in_force
+        self.state.apply_snapshot(snapshot, is_overtaken=is_overtaken)
         self.publisher.publish(snapshot.revision)
         return None
 
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -82,8 +82,9 @@
     """
     Everything the source holds; changes after ``revision`` are not in it.
 
-    ``configuration`` is None where there is none yet. No new work goes to the
-    upstreams of ``evacuated_zones``.
+    ``configuration`` is None where there is none yet. ``unusable`` are upstreams of
+    which the source holds what can't be used. No new work goes to the upstreams of
+    ``evacuated_zones``.
     """
 
     revision: int
@@ -92,12 +93,14 @@
     bad: tuple[BadItem, ...] = ()
     discovery_records: tuple[DiscoveryRecord, ...] = ()
     evacuated_zones: frozenset[ids.ZoneName] = frozenset()
+    unusable: frozenset[ids.UpstreamId] = frozenset()
 
 
 class Changes(msgspec.Struct, frozen=True):
     """
     What has changed up to ``revision``; only the newest state of each item.
 
+    ``unusable`` are upstreams whose entry now can't be used, whatever it was before.
     ``evacuated_zones`` are those newly evacuated, ``restored_zones`` those whose
     evacuation was taken back.
     """
@@ -110,6 +113,7 @@
     discovery_records: tuple[DiscoveryRecord, ...] = ()
     evacuated_zones: frozenset[ids.ZoneName] = frozenset()
     restored_zones: frozenset[ids.ZoneName] = frozenset()
+    unusable: frozenset[ids.UpstreamId] = frozenset()
 
 
 class Source(typing.Protocol):
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -12,6 +12,8 @@
 import random
 from collections import abc
 
+import msgspec
+
 from spindlenotch import clock, events, ids, metrics
 from spindlenotch.decisions import balancer
 from spindlenotch.forwarding import upstream_events
@@ -23,7 +25,7 @@
     wakeups,
 )
 from spindlenotch.gateway.cluster import demand_meter, own_record
-from spindlenotch.gateway.source import listing, routing, sources
+from spindlenotch.gateway.source import bad_items, listing, routing, sources
 from spindlenotch.kernel import ownership, upstreams
 from spindlenotch.peers import documents, gossip, timing
 
@@ -37,12 +39,8 @@
     asks_while_learning=True,
 )
 
-
-#: Keys of items that can't be used, of which it is remembered that they were logged.
-#: Chosen, not measured.
-MOST_BAD_KEYS = 1000
-#: Longest account of why a gateway is not ready, in characters. Chosen, not measured.
-LONGEST_REASON = 500
+#: Called with each upstream that is gone for good.
+EndListener = abc.Callable[[sources.ListedUpstream], None]
 
 
 class GatewayState:
@@ -75,7 +73,8 @@
         self.listed_once = False
         self.fence = documents.Fence()
         self.discovery_record_by_zone: dict[ids.ZoneName, sources.DiscoveryRecord] = {}
-        self._reason_by_bad_key: dict[str, str] = {}
+        self._bad_items = bad_items.BadItems()
+        self._end_listeners: list[EndListener] = []
 
     @property
     def unready_reason(self) -> str:
@@ -86,9 +85,7 @@
             return "a planned stop"
         if self.table is not None:
             return "no upstreams are known"
-        bad = self._reason_by_bad_key
-        reasons = "; ".join(f"{key}: {reason}" for key, reason in bad.items())
-        return reasons[:LONGEST_REASON] or "no configuration is known"
+        return self._bad_items.account() or "no configuration is known"
 
     @property
     def ready(self) -> bool:
@@ -149,21 +146,41 @@
         self._settle_phase()
         return True
 
-    def apply_snapshot(self, snapshot: sources.Snapshot) -> None:
-        """Put everything that the source holds in force."""
+    def add_end_listener(self, listener: EndListener) -> None:
+        """Call ``listener`` with each upstream that is gone for good from now on."""
+        self._end_listeners.append(listener)
+
+    def apply_snapshot(
+        self, snapshot: sources.Snapshot, *, is_overtaken: bool = False
+    ) -> None:
+        """
+        Put everything that the source holds in force.
+
+        Where it ``is_overtaken``, a peer's newer list came while it was read, and its
+        upstreams stay: an older list would bring back those that have ended.
+        """
         self._report_bad(snapshot.bad)
         self._store_discovery_records(snapshot.discovery_records)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration)
         now = self.clock.now()
         before = self.listing.evacuated_zones
-        self.listing.evacuate(snapshot.evacuated_zones, now)
-        self.listing.replace(snapshot.upstream_by_id.values(), now)
+        if is_overtaken:
+            # What of it was taken back since then comes as a change.
+            self.listing.evacuate(before | snapshot.evacuated_zones, now)
+        else:
+            self.listing.revision = snapshot.revision
+            self.listing.evacuate(snapshot.evacuated_zones, now)
+            self.listing.discard(snapshot.unusable)
+            self.listing.replace(snapshot.upstream_by_id.values(), now)
         self._report_evacuations(before)
         self._listing_changed()
 
-    def apply_listing(self, listed: abc.Iterable[sources.ListedUpstream]) -> None:
-        """Put the whole list that a peer holds in force."""
+    def apply_listing(
+        self, listed: abc.Iterable[sources.ListedUpstream], revision: int = 0
+    ) -> None:
+        """Put the whole list that a peer read at ``revision`` in force."""
+        self.listing.revision = revision
         before = self.listing.evacuated_zones
         self.listing.replace_by_peer(listed, self.clock.now())
         self._report_evacuations(before)
@@ -173,19 +190,37 @@
         """Put what has changed in the source in force; tell whether anything had."""
         self._report_bad(changes.bad)
         self._store_discovery_records(changes.discovery_records)
-        now = self.clock.now()
         if changes.configuration is not None:
             self.apply_configuration(changes.configuration)
+        is_relisted = self._apply_listing_changes(changes)
+        return is_relisted or changes.configuration is not None
+
+    def _apply_listing_changes(self, changes: sources.Changes) -> bool:
+        """
+        Put what has changed in the list in force; tell whether anything had.
+
+        Upstreams that changed before the list in force, which came from a peer then,
+        are in it as they are now; older entries would bring back what has ended.
+        """
+        if changes.revision < self.listing.revision:
+            changes = msgspec.structs.replace(
+                changes, listed=(), gone=(), unusable=frozenset()
+            )
+        else:
+            self.listing.revision = changes.revision
+        now = self.clock.now()
         before = self.listing.evacuated_zones
         zones = (before | changes.evacuated_zones) - changes.restored_zones
-        if changes.listed or changes.gone or zones != before:
-            self.listing.evacuate(zones, now)
-            self.listing.add(changes.listed, now)
-            self.listing.remove(changes.gone, now)
-            self._report_evacuations(before)
-            self._listing_changed()
-        configured = changes.configuration is not None
-        return configured or bool(changes.listed or changes.gone) or zones != before
+        # An entry that can't be used is written again and again: no news but once.
+        is_dropped = self.listing.discard(changes.unusable)
+        if not (changes.listed or changes.gone or is_dropped or zones != before):
+            return False
+        self.listing.evacuate(zones, now)
+        self.listing.add(changes.listed, now)
+        self.listing.remove(changes.gone, now)
+        self._report_evacuations(before)
+        self._listing_changed()
+        return True
 
     def leave_upstream(
         self, service: ids.ServiceName, spec: upstreams.UpstreamSpec, reason: str
@@ -259,6 +294,7 @@
             self._update_policy(name, service, specs)
             service.pool.set_listed(specs, now)
         self._report_changes()
+        self._report_ended()
 
     def _update_policy(
         self,
@@ -285,6 +321,20 @@
         for name, service in self.balancer_by_service.items():
             upstream_events.report_changes(name, service.pool)
 
+    def _report_ended(self) -> None:
+        """Tell which upstreams are gone, and log those that started again."""
+        for ended in self.listing.take_ended():
+            for listener in self._end_listeners:
+                listener(ended.listed)
+            service = ended.listed.service
+            if ended.is_replaced and service in self.balancer_by_service:
+                self.metrics.upstream_restarts.labels(service).inc()
+                events.emit(
+                    events.Event.UPSTREAM_RESTARTED,
+                    service=service,
+                    upstream=ended.listed.id,
+                )
+
     def _report_evacuations(self, before: frozenset[ids.ZoneName]) -> None:
         """Log which zones are newly evacuated or taken back."""
         zones = self.listing.evacuated_zones
@@ -294,14 +344,10 @@
             events.emit(events.Event.ZONE_RESTORED, zone=zone)
 
     def _report_bad(self, items: tuple[sources.BadItem, ...]) -> None:
-        """Log what can't be used, once for each reason: writers repeat themselves."""
+        """Count what can't be used, and log what of it is new."""
         for item in items:
             self.metrics.bad_items.labels(item.key.partition("/")[0]).inc()
-            if self._reason_by_bad_key.get(item.key) == item.reason:
-                continue
-            if len(self._reason_by_bad_key) >= MOST_BAD_KEYS:
-                self._reason_by_bad_key.clear()
-            self._reason_by_bad_key[item.key] = item.reason
+        for item in self._bad_items.worth_a_line(items, self.clock.now()):
             events.emit(
                 events.Event.SOURCE_ITEM_REFUSED, key=item.key, reason=item.reason
             )
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -1,27 +1,23 @@
 """
 The upstreams of one service as one process sees them.
 
-Keeps the set in step with the host list, works out the own slots (``ownership``)
-and ejects what fails or falls silent (``ejection``). Answers what the decisions
-ask: which upstreams may take work and how much they are estimated to have.
+Measures the service as a whole and ejects what fails or falls silent (``ejection``);
+which upstreams there are and which slots are the own ones lies in ``upstream_set``.
+Answers what the decisions ask: how much an upstream is estimated to have.
 """
 
 import random
-from collections import abc
 
 from spindlenotch import ids
 from spindlenotch.kernel import (
-    cold_start,
     completion_rate,
     crowding,
     ejection,
     latency,
     latency_table,
     ownership,
-    schedule,
     service_policy,
-    slot_division,
-    state_changes,
+    upstream_set,
     upstreams,
 )
 
@@ -36,21 +32,16 @@
 LATENCY_RATIO_WEIGHT = 0.02
 
 
-class Pool:
+class Pool(upstream_set.UpstreamSet):
     """
     The upstreams by id, and the running means of the service as a whole.
 
-    Invariants: ``usable_order`` lists the upstreams that are not leaving,
-    ``local_order`` those of them in this process's own zone;
-    ``owned`` lists those of them in which this process owns slots, in all
-    ``owned_total``; ``in_flight`` counts the calls sent and not ended,
+    Invariants: ``in_flight`` counts the calls sent and not ended,
     ``waiting`` those in the queue; at most ``eject_share`` of the pool (at least
     one) is ejected at a time. ``mean_foreign_load`` is the number of requests
     that other processes have in an upstream where this one owns no slots;
     ``refused_share`` is the share of calls refused for overload,
-    ``failed_share`` that of answers that are failures. ``revision`` rises with each
-    change of ``usable_order``. ``cold_senders`` are the processes that share what cold
-    upstreams bear.
+    ``failed_share`` that of answers that are failures.
     """
 
     def __init__(
@@ -59,28 +50,12 @@
         local_member: ownership.Member,
         rng: random.Random,
     ) -> None:
-        self.service = service
-        self.local_member = local_member
+        super().__init__(service, local_member)
         self.rng = rng
-        self.cold_senders: tuple[ids.HostId, ...] = ()
-        self.members: tuple[ownership.Member, ...] = (local_member,)
-        self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
-        self.usable_order: list[upstreams.Upstream] = []
-        self.local_order: list[upstreams.Upstream] = []
-        self.owned: list[upstreams.Upstream] = []
-        self.ejected: list[upstreams.Upstream] = []
-        self.zone_factor: dict[ids.ZoneName, float] = {}
-        self.plan: dict[ids.ZoneName, float] = schedule.planned(
-            service.zones, service.day, 0.0
-        )
         self.mean_foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
         self.refused_share = latency.Mean(0.0, REFUSED_WEIGHT)
         self.in_flight = 0
         self.waiting = 0
-        self.changes = state_changes.ChangeLog()
-        self._changed = False
-        self.owned_total = 0.0
-        self.revision = 0
         self.failed_share = latency.Mean(0.0, FAILED_WEIGHT)
         #: The mean over all answers; ``Upstream.latency_ratio`` is that of one.
         self.latency_ratio = latency.Mean(1.0, LATENCY_RATIO_WEIGHT)
@@ -90,113 +65,6 @@
             service.typical_s, service.latency_keys
         )
 
-    def set_members(self, members: abc.Iterable[ownership.Member]) -> None:
-        """Take in the live members, this process included."""
-        ordered = tuple(sorted({*members, self.local_member}))
-        if ordered != self.members:
-            self.members = ordered
-            self.refresh()
-
-    def set_listed(
-        self, specs: abc.Iterable[upstreams.UpstreamSpec], now: ids.Instant
-    ) -> None:
-        """
-        Take in the host list.
-
-        An upstream that is no longer listed leaves. One that is listed with a
-        higher generation starts anew. Calls in flight are not touched.
-        """
-        spec_by_id = {s.id: s for s in specs if s.zone in self.service.zones}
-        for upstream_id, upstream in self.upstream_by_id.items():
-            if upstream_id not in spec_by_id:
-                upstream.leave("not listed")
-        for spec in spec_by_id.values():
-            known = self.upstream_by_id.get(spec.id)
-            if known is None or known.spec.generation < spec.generation:
-                slots = spec.slots or self.service.slots
-                self.upstream_by_id[spec.id] = upstreams.Upstream(
-                    spec, slots, now, self._state_changed
-                )
-            else:
-                known.cold.listed(spec.warming_up_until, now)
-        self._forget_gone(spec_by_id)
-        self._limit_cold(now)
-        self.refresh()
-
-    def set_cold_senders(self, hosts: tuple[ids.HostId, ...], now: ids.Instant) -> None:
-        """Take in which processes share what cold upstreams bear."""
-        if hosts != self.cold_senders:
-            self.cold_senders = hosts
-            self._limit_cold(now)
-
-    def set_plan(self, plan: dict[ids.ZoneName, float]) -> None:
-        """Take in the day's weights by zone."""
-        if plan != self.plan:
-            self.plan = plan
-            self.refresh()
-
-    def leave(self, upstream_id: ids.UpstreamId, generation: int, reason: str) -> bool:
-        """Mark an upstream as leaving; tell whether it was not before."""
-        known = self.upstream_by_id.get(upstream_id)
-        if known is None or known.spec.generation > generation:
-            return False
-        if known.state is upstreams.State.LEAVING:
-            return False
-        known.leave(reason)
-        self.refresh()
-        return True
-
-    def refresh(self) -> None:
-        """Work out anew which upstreams are usable and which slots are the own ones."""
-        self._changed = False
-        self.revision += 1
-        self.usable_order = [
-            u
-            for u in self.upstream_by_id.values()
-            if u.state is not upstreams.State.LEAVING
-        ]
-        zone = self.local_member.zone
-        self.local_order = [u for u in self.usable_order if u.spec.zone == zone]
-        self.ejected = [
-            u for u in self.usable_order if u.state is upstreams.State.EJECTED
-        ]
-        slots = slot_division.slots_by_zone(self.usable_order)
-        self.zone_factor = schedule.effective(self.plan, slots)
-        self._assign_slots()
-
-    def _state_changed(self, upstream: upstreams.Upstream) -> None:
-        self.changes.record(upstream)
-        self._changed = True
-
-    def _limit_cold(self, now: ids.Instant) -> None:
-        """Work out anew what this process may send to cold upstreams."""
-        for upstream in self.upstream_by_id.values():
-            upstream.cold.lasts_s = self.service.cold_start_s
-            rate_per_s = cold_start.rate_per_s(
-                upstream.spec.id,
-                self.service.cold_rate_per_s,
-                self.cold_senders,
-                self.local_member.host,
-            )
-            upstream.cold.limit(rate_per_s, now)
-
-    def _assign_slots(self) -> None:
-        offers = slot_division.offers(self.usable_order, self.zone_factor)
-        own = ownership.owned(offers, self.members, self.local_member)
-        for upstream in self.upstream_by_id.values():
-            upstream.owned_slots = own.get(upstream.spec.id, 0.0)
-        self.owned = [u for u in self.usable_order if u.owned_slots > 0]
-        self.owned_total = sum(own.values())
-
-    def _forget_gone(self, listed: abc.Container[ids.UpstreamId]) -> None:
-        gone = [
-            upstream_id
-            for upstream_id, u in self.upstream_by_id.items()
-            if upstream_id not in listed and not u.sent_at_by_call
-        ]
-        for upstream_id in gone:
-            del self.upstream_by_id[upstream_id]
-
     def estimated_load(self, upstream: upstreams.Upstream, now: ids.Instant) -> float:
         """
         Estimate the requests in ``upstream``, those of other processes included.
--- /dev/null
+++ b/spindlenotch/kernel/upstream_set.py
@@ -0,0 +1,180 @@
+"""
+The upstreams of one service: which may be used, and which slots are the own ones.
+
+Keeps the set in step with the host list and works out the own slots (``ownership``).
+An upstream that starts again under its id is another one: it begins with nothing
+known of it. What is measured on them all is the business of ``upstream_pool``.
+"""
+
+from collections import abc
+
+import msgspec
+
+from spindlenotch import ids
+from spindlenotch.kernel import (
+    cold_start,
+    ownership,
+    schedule,
+    service_policy,
+    slot_division,
+    state_changes,
+    upstreams,
+)
+
+
+class UpstreamSet:
+    """
+    The upstreams by id, and those that may get work.
+
+    Invariants: ``usable_order`` lists the upstreams that are not leaving,
+    ``local_order`` those of them in this process's own zone, ``ejected`` those that
+    are ejected; ``owned`` lists those of them in which this process owns slots, in
+    all ``owned_total``. ``revision`` rises with each change of ``usable_order``.
+    ``cold_senders`` are the processes that share what cold upstreams bear.
+    """
+
+    def __init__(
+        self, service: service_policy.ServicePolicy, local_member: ownership.Member
+    ) -> None:
+        self.service = service
+        self.local_member = local_member
+        self.cold_senders: tuple[ids.HostId, ...] = ()
+        self.members: tuple[ownership.Member, ...] = (local_member,)
+        self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
+        self.usable_order: list[upstreams.Upstream] = []
+        self.local_order: list[upstreams.Upstream] = []
+        self.owned: list[upstreams.Upstream] = []
+        self.ejected: list[upstreams.Upstream] = []
+        self.zone_factor: dict[ids.ZoneName, float] = {}
+        self.plan: dict[ids.ZoneName, float] = schedule.planned(
+            service.zones, service.day, 0.0
+        )
+        self.changes = state_changes.ChangeLog()
+        self.owned_total = 0.0
+        self.revision = 0
+        self._changed = False
+
+    def set_members(self, members: abc.Iterable[ownership.Member]) -> None:
+        """Take in the live members, this process included."""
+        ordered = tuple(sorted({*members, self.local_member}))
+        if ordered != self.members:
+            self.members = ordered
+            self.refresh()
+
+    def set_listed(
+        self, specs: abc.Iterable[upstreams.UpstreamSpec], now: ids.Instant
+    ) -> None:
+        """
+        Take in the host list.
+
+        An upstream that is no longer listed leaves. One that is listed with a
+        higher generation starts anew. Calls in flight are not touched.
+        """
+        spec_by_id = {s.id: s for s in specs if s.zone in self.service.zones}
+        for upstream_id, upstream in self.upstream_by_id.items():
+            if upstream_id not in spec_by_id:
+                upstream.leave("not listed")
+        for spec in spec_by_id.values():
+            known = self.upstream_by_id.get(spec.id)
+            if known is None or known.spec.generation < spec.generation:
+                self.upstream_by_id[spec.id] = self._begin(spec, known, now)
+            else:
+                if known.spec.born != spec.born:
+                    # Told later of the same start.
+                    known.spec = msgspec.structs.replace(known.spec, born=spec.born)
+                known.cold.listed(spec.warming_up_until, now)
+        self._forget_gone(spec_by_id)
+        self._limit_cold(now)
+        self.refresh()
+
+    def set_cold_senders(self, hosts: tuple[ids.HostId, ...], now: ids.Instant) -> None:
+        """Take in which processes share what cold upstreams bear."""
+        if hosts != self.cold_senders:
+            self.cold_senders = hosts
+            self._limit_cold(now)
+
+    def set_plan(self, plan: dict[ids.ZoneName, float]) -> None:
+        """Take in the day's weights by zone."""
+        if plan != self.plan:
+            self.plan = plan
+            self.refresh()
+
+    def leave(self, upstream_id: ids.UpstreamId, generation: int, reason: str) -> bool:
+        """Mark an upstream as leaving; tell whether it was not before."""
+        known = self.upstream_by_id.get(upstream_id)
+        if known is None or known.spec.generation > generation:
+            return False
+        if known.state is upstreams.State.LEAVING:
+            return False
+        known.leave(reason)
+        self.refresh()
+        return True
+
+    def refresh(self) -> None:
+        """Work out anew which upstreams are usable and which slots are the own ones."""
+        self._changed = False
+        self.revision += 1
+        self.usable_order = [
+            u
+            for u in self.upstream_by_id.values()
+            if u.state is not upstreams.State.LEAVING
+        ]
+        zone = self.local_member.zone
+        self.local_order = [u for u in self.usable_order if u.spec.zone == zone]
+        self.ejected = [
+            u for u in self.usable_order if u.state is upstreams.State.EJECTED
+        ]
+        slots = slot_division.slots_by_zone(self.usable_order)
+        self.zone_factor = schedule.effective(self.plan, slots)
+        self._assign_slots()
+
+    def _begin(
+        self,
+        spec: upstreams.UpstreamSpec,
+        known: upstreams.Upstream | None,
+        now: ids.Instant,
+    ) -> upstreams.Upstream:
+        """Return a new upstream in place of the one that is ``known`` by its id."""
+        slots = spec.slots or self.service.slots
+        upstream = upstreams.Upstream(spec, slots, now, self._state_changed)
+        if known is None:
+            return upstream
+        known.end()
+        if known.spec.born != spec.born:
+            # Its entry may have been written when it was warm again, or say nothing.
+            upstream.cold.lasts_s = self.service.cold_start_s
+            upstream.cold.was_away_since(now, now)
+        return upstream
+
+    def _state_changed(self, upstream: upstreams.Upstream) -> None:
+        self.changes.record(upstream)
+        self._changed = True
+
+    def _limit_cold(self, now: ids.Instant) -> None:
+        """Work out anew what this process may send to cold upstreams."""
+        for upstream in self.upstream_by_id.values():
+            upstream.cold.lasts_s = self.service.cold_start_s
+            rate_per_s = cold_start.rate_per_s(
+                upstream.spec.id,
+                self.service.cold_rate_per_s,
+                self.cold_senders,
+                self.local_member.host,
+            )
+            upstream.cold.limit(rate_per_s, now)
+
+    def _assign_slots(self) -> None:
+        offers = slot_division.offers(self.usable_order, self.zone_factor)
+        own = ownership.owned(offers, self.members, self.local_member)
+        for upstream in self.upstream_by_id.values():
+            upstream.owned_slots = own.get(upstream.spec.id, 0.0)
+        self.owned = [u for u in self.usable_order if u.owned_slots > 0]
+        self.owned_total = sum(own.values())
+
+    def _forget_gone(self, listed: abc.Container[ids.UpstreamId]) -> None:
+        gone = [
+            upstream_id
+            for upstream_id, u in self.upstream_by_id.items()
+            if upstream_id not in listed and not u.sent_at_by_call
+        ]
+        for upstream_id in gone:
+            del self.upstream_by_id[upstream_id]
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -88,7 +88,8 @@
     One upstream as the host list gives it.
 
     ``slots`` is None where all upstreams of the service have as many;
-    ``warming_up_until`` is when it has warmed up after its start.
+    ``warming_up_until`` is when it has warmed up after its start. ``born`` tells that
+    start from others of the same id, None where nothing does.
     """
 
     id: ids.UpstreamId
@@ -97,6 +98,7 @@
     generation: int
     slots: int | None = None
     warming_up_until: ids.Instant = ids.Instant(0.0)
+    born: int | None = None
 
 
 class Upstream:
@@ -108,7 +110,8 @@
     higher generation; ``latency_ratio`` is the mean ratio of observed to typical
     latency; ``crowding_sample`` holds for about half of all upstreams, the same in
     every process (``crowding``). ``cold`` says what it may get while it is cold;
-    ``ejected_at`` is when it was ejected last.
+    ``ejected_at`` is when it was ejected last, ``known_since`` when this process
+    learnt of this start of it.
     """
 
     def __init__(
@@ -119,6 +122,7 @@
         on_change: ChangeListener,
     ) -> None:
         self.spec = spec
+        self.known_since = now
         self.cold = cold_start.ColdStart(spec.warming_up_until)
         self.on_change = on_change
         self.slots = slots
@@ -231,6 +235,15 @@
         """Give it no new work until a higher generation is listed."""
         self._become(State.LEAVING, reason, ids.NEVER)
 
+    def end(self) -> None:
+        """
+        Give its id to another one: nothing is told of this one from now on.
+
+        Calls that were sent to it still end here, and count for no other.
+        """
+        self.on_change = _tell_nobody
+        self.leave("started again")
+
     def tick(self, now: ids.Instant) -> None:
         """Let an ejection end in probation."""
         if self.state is State.EJECTED and now >= self.state_until:
@@ -256,3 +269,7 @@
         self.state_until = until
         if changed:
             self.on_change(self)
+
+
+def _tell_nobody(upstream: Upstream) -> None:
+    """Stand in for the listener of an upstream that has ended."""
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -104,6 +104,12 @@
             ("kind",),
             registry=self.registry,
         )
+        self.upstream_restarts = prometheus_client.Counter(
+            "spindlenotch_upstream_restarts_total",
+            "Upstreams that started again under their ids, by service",
+            ("service",),
+            registry=self.registry,
+        )
         self.in_flight = prometheus_client.Gauge(
             "spindlenotch_requests_in_flight",
             "Requests being served",
--- a/spindlenotch/peers/workload.py
+++ b/spindlenotch/peers/workload.py
@@ -29,7 +29,8 @@
     ``running`` and ``queued`` count requests; ``slowdown`` is the ratio of its
     latency now to its typical one, called ``pace`` on the wire. ``cold_s``: for how
     many seconds it was cold yet when this was sent, by a health answer made
-    ``cold_age_s`` seconds before; None where there is nothing to tell.
+    ``cold_age_s`` seconds before; None where there is nothing to tell. ``born`` tells
+    of which start of the upstream all that is, None where nothing does.
     """
 
     upstream: ids.UpstreamId
@@ -39,3 +40,4 @@
     age_s: float
     cold_s: float | None = None
     cold_age_s: float = 0.0
+    born: int | None = None
--- a/spindlenotch/ports.py
+++ b/spindlenotch/ports.py
@@ -180,6 +180,9 @@
         ``path`` is the service's own where it has one; None: the dialect's.
         """
 
+    def close_idle(self, address: ids.Address) -> None:
+        """Close the connections that are kept to ``address`` and not in use."""
+
     async def close(self) -> None:
         """Drop all connections."""
 
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -145,15 +145,18 @@
     ),
     Rule(
         question="How long a vanished upstream still gets work",
-        functions=("gateway/source/listing.Listing.remove",),
+        functions=(
+            "gateway/source/listing.Listing.remove",
+            "gateway/source/lease_expiry.is_in_outage",
+        ),
         inputs="when the store last failed (instant), the share that vanished"
         " at once, state in the list.",
         reason="Leases that expire together right after the store was out of reach more"
         " likely expired in its outage than by a stop of the upstreams.",
         constants=(
-            "gateway/source/listing.AFTER_OUTAGE_S",
-            "gateway/source/listing.GRACE_S",
-            "gateway/source/listing.EXPIRY_SHARE",
+            "gateway/source/lease_expiry.AFTER_OUTAGE_S",
+            "gateway/source/lease_expiry.GRACE_S",
+            "gateway/source/lease_expiry.EXPIRY_SHARE",
         ),
         events=("UPSTREAM_LEAVING",),
         tests=(
