--- a/features/steps/gateway_bad_entries.py
+++ b/features/steps/gateway_bad_entries.py
@@ -3,7 +3,7 @@
 import json
 
 from features.steps import kernel
-from features.support import captured_events, odd_values, store_reading
+from features.support import captured_events, odd_content, store_reading
 from spindlenotch import events, ids
 from spindlenotch.gateway.source import bad_items, sources
 from spindlenotch_platform import records, store_client
@@ -39,7 +39,7 @@
             found.append({k: v for k, v in store_reading.entry().items() if k != field})
         found += [
             store_reading.entry(**{field: value})
-            for value in odd_values.ODD_VALUES
+            for value in odd_content.ODD_VALUES
             if not is_of_same_type(value, store_reading.entry()[field])
         ]
     return found
@@ -86,7 +86,7 @@
         assert isinstance(found, sources.ListedUpstream), (field, found)
         assert found.cold_s == expected, (field, value)
     marked = json.dumps(store_reading.entry(coldLeftS=99))
-    for text in odd_values.ODD_TEXTS:
+    for text in odd_content.ODD_TEXTS:
         spoilt = marked.replace("99", text).encode()
         found = records.read_upstream("servers/u", spoilt)
         assert isinstance(found, sources.BadItem), text
--- a/features/steps/gateway_configuration.py
+++ b/features/steps/gateway_configuration.py
@@ -6,14 +6,14 @@
 from collections import abc
 
 from features.steps import kernel
-from features.support import odd_values, platform_fleet
+from features.support import odd_content, platform_fleet
 from spindlenotch.gateway.source import routing, sources
 from spindlenotch_platform import configuration_records
 
 Plain = typing.Any
 #: The keys and numbers that lead to a value within plain content.
 Place = tuple[Plain, ...]
-ODD_CONTENT = [value for value in odd_values.ODD_VALUES if value != []]
+ODD_CONTENT = [value for value in odd_content.ODD_VALUES if value != []]
 
 
 def good() -> Plain:
@@ -127,7 +127,7 @@
         # A list may be shorter, and empty, as its writer likes.
         if not isinstance(path[-1], int):
             odd.append(changed(path, lambda d, k: d.__delitem__(k)))
-        for value in odd_values.ODD_VALUES if path[-1] != "paths" else ODD_CONTENT:
+        for value in odd_content.ODD_VALUES if path[-1] != "paths" else ODD_CONTENT:
             odd.append(changed(path, lambda d, k, v=value: d.__setitem__(k, v)))
         for plain in odd:
             found = read(plain)
@@ -150,7 +150,7 @@
     marked = changed(
         ("hosts", 0, "paths", 0, "timeoutS"), lambda d, k: d.update({k: 99})
     )
-    for text in odd_values.ODD_TEXTS:
+    for text in odd_content.ODD_TEXTS:
         found = configuration_records.read(
             json.dumps(marked).replace("99", text).encode()
         )
