--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -107,7 +107,8 @@
 
     ``runs`` and ``heads`` are in order of start; ``heads`` has those of
     requests that were not run, too. ``cancelled`` counts work that was broken
-    off as its caller's connection closed.
+    off as its caller's connection closed, ``accepted`` the connections so far.
+    ``born`` is the Unix time of its start in ms, None where it tells none.
     """
 
     def __init__(self, worker_id: str, work_s: float = 0.002) -> None:
@@ -118,6 +119,8 @@
         self.runs: list[Run] = []
         self.heads: list[Head] = []
         self.cancelled = 0
+        self.accepted = 0
+        self.born: int | None = None
         self.coldness = Coldness(until=0.0, most_in_a_second=0.0)
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -129,6 +132,22 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{LOOPBACK}:{port}"
 
+    @property
+    def connected(self) -> int:
+        """Number of connections that are open now."""
+        return len(self._writers)
+
+    def start_again(self, born: int) -> None:
+        """
+        Crash and start again at once, at the same address.
+
+        Work that was begun ends without an answer, and nothing of before is known.
+        """
+        for writer in list(self._writers):
+            _reset(writer)
+        self.running = 0
+        self.born = born
+
     async def close(self) -> None:
         """Stop listening and drop all connections."""
         if self._server is not None:
@@ -140,6 +159,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        self.accepted += 1
         try:
             while await self._serve_one(reader, writer):
                 pass
--- a/features/support/store_reading.py
+++ b/features/support/store_reading.py
@@ -1,17 +1,18 @@
 """A gateway that reads entries of upstreams from a stand-in of the store's client."""
 
-import asyncio
 import base64
 import json
 import typing
+from collections import abc
 
 from features.support import started_gateway
 from spindlenotch import clock, ids
 from spindlenotch.gateway import state as states
-from spindlenotch.gateway.source import routing, sources
+from spindlenotch.gateway.source import routing, source_reader, sources
 from spindlenotch_platform import records, store, store_client
 
 Plain = dict[str, typing.Any]
+Result = typing.TypeVar("Result")
 
 SERVICE = ids.ServiceName("core")
 OTHER = ids.ServiceName("later")
@@ -64,7 +65,7 @@
     """A gateway that reads such a store; ``published`` counts what peers would get."""
 
     def __init__(self) -> None:
-        self.state, _ = started_gateway.gateway(started_gateway.SEED)
+        self.state, self.relay = started_gateway.gateway(started_gateway.SEED)
         assert isinstance(self.state.clock, clock.ManualClock)
         self.clock = self.state.clock
         self.store = Store()
@@ -76,14 +77,14 @@
     def read(self, *items: store_client.Item) -> None:
         """Read everything anew; the store holds just ``items``."""
         self._next(items)
-        snapshot = asyncio.run(self.source.read())
+        snapshot = run_now(self.source.read())
         assert isinstance(snapshot, sources.Snapshot)
         self.state.apply_snapshot(snapshot)
 
     def follow(self, *items: store_client.Item) -> None:
         """Take in a change of the store."""
         self._next(items)
-        changes = asyncio.run(self.source.follow(self.store.revision - 1, 1.0))
+        changes = run_now(self.source.follow(self.store.revision - 1, 1.0))
         assert isinstance(changes, sources.Changes)
         assert changes.revision == self.store.revision
         self.published += self.state.apply_changes(changes)
@@ -92,6 +93,10 @@
         self.store.items = items
         self.store.revision += 1
 
+    def reader(self, source: sources.Source) -> source_reader.SourceReader:
+        """Return what reads a source for this gateway."""
+        return source_reader.SourceReader(self.state, source, self.relay)
+
     def in_use(self, service: ids.ServiceName = SERVICE) -> set[str]:
         """Return the upstreams that get new work."""
         return in_use(self.state, service)
@@ -103,9 +108,27 @@
     return {one.spec.id for one in pool.usable_order}
 
 
-def configuration(version: int, *services: ids.ServiceName) -> routing.Configuration:
-    """Return a configuration that names services."""
+def configuration(
+    version: int, *services: ids.ServiceName, cold_s: float = 0.0
+) -> routing.Configuration:
+    """Return a configuration that names services, cold ones bounded for ``cold_s``."""
     spec_by_name = {
-        name: routing.ServiceSpec(name, "/health", 100) for name in services
+        name: routing.ServiceSpec(
+            name,
+            "/health",
+            100,
+            cold_rate_per_s=4.5 if cold_s else None,
+            cold_start_s=cold_s,
+        )
+        for name in services
     }
     return routing.Configuration(version, (), spec_by_name, routing.Limits())
+
+
+def run_now(work: abc.Coroutine[typing.Any, typing.Any, Result]) -> Result:
+    """Run a coroutine that waits for nothing, with or without a loop."""
+    try:
+        work.send(None)
+    except StopIteration as end:
+        return typing.cast(Result, end.value)
+    raise AssertionError("it waits")
