--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -34,7 +34,8 @@
 import sys, loguru
 sys.path.append("platform")
 loguru.logger.remove()
-from features.steps import gateway_cold, gateway_evacuation, kernel
+from features.steps import gateway_bad_entries, gateway_cold, gateway_evacuation
+from features.steps import gateway_reborn, kernel
 kernel.PROPERTIES.get({name!r})()
 """
 
@@ -173,10 +174,73 @@
     Mutant(
         "who learns of an upstream in an evacuated zone uses it",
         "gateway/source/listing",
-        "leave_at = now if listed.zone in self.evacuated_zones else ids.NEVER",
-        "leave_at = ids.NEVER",
+        "found.leave_at == ids.NEVER and listed.zone in self.evacuated_zones",
+        "False",
         held_by="who starts while a zone is evacuated never uses it",
     ),
+    Mutant(
+        "a start again is taken for the earlier start",
+        "gateway/source/listing",
+        "if lease is not None and not lease.is_same_start(upstream):",
+        "if False:",
+        held_by="an upstream that starts again begins with nothing known",
+    ),
+    Mutant(
+        "an earlier start that fails has the later one ejected",
+        "kernel/upstream_set",
+        "        known.end()\n",
+        "",
+        held_by="what ran on an earlier start is judged by that alone",
+    ),
+    Mutant(
+        "one that starts again counts as warm",
+        "kernel/upstream_set",
+        "            upstream.cold.was_away_since(now, now)\n",
+        "",
+        held_by="an upstream that starts again is cold",
+    ),
+    Mutant(
+        "a late load record of an earlier start counts",
+        "gateway/cluster/load_sharing",
+        "        return at >= upstream.known_since\n    return False",
+        "        return at >= upstream.known_since\n    return True",
+        held_by="what peers report of another start is not taken in",
+    ),
+    Mutant(
+        "probes of an earlier start go on",
+        "gateway/cluster/prober",
+        "return now is None or now.upstream is not before.upstream",
+        "return now is None",
+        held_by="probes of an earlier start end with it",
+    ),
+    Mutant(
+        "older changes bring back an earlier start",
+        "gateway/state",
+        "if changes.revision < self.listing.revision:",
+        "if False:",
+        held_by="an earlier start of an upstream never comes back",
+    ),
+    Mutant(
+        "a peer that tells no start makes every upstream another",
+        "gateway/source/leases",
+        "    if lease is None or listed.born is not None:",
+        "    if True:",
+        held_by="a peer that leaves out starts makes no upstream another",
+    ),
+    Mutant(
+        "an entry of another writer leaves the earlier lease in place",
+        "gateway/state",
+        "is_dropped = self.listing.discard(changes.unusable)",
+        "is_dropped = False",
+        held_by="an entry of another writer takes its upstream out of use",
+    ),
+    Mutant(
+        "an entry of another writer has the grace after outages",
+        "gateway/state",
+        "            self.listing.discard(snapshot.unusable)\n",
+        "",
+        held_by="an entry of another writer has no grace after an outage",
+    ),
     Mutant(
         "a zone that is taken back stays empty",
         "gateway/source/listing",
