--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -166,6 +166,81 @@
             Scenario("gateway", "entries that leave a sound store are dropped at once"),
         ),
     ),
+    Rule(
+        question="When an id of the list is another upstream than before",
+        functions=(
+            "gateway/source/leases.Lease.is_same_start",
+            "gateway/source/leases.renewed",
+            "kernel/upstream_set.UpstreamSet.set_listed",
+            "gateway/cluster/load_sharing.LoadSharing.message_received",
+        ),
+        inputs="the start that its entry tells (Unix ms, or none), state, service, zone"
+        " and address; of what peers report: its start, and how old it is (s).",
+        reason="Who starts again holds and knows nothing of before, so nothing that was"
+        " measured on the earlier start may count. Starts are compared for being equal"
+        " only, as clocks jump; that an earlier one does not come back follows from"
+        " the source's revisions. It is cold until it says otherwise.",
+        constants=(),
+        events=("UPSTREAM_RESTARTED",),
+        tests=(
+            Scenario(
+                "upstream_entries",
+                "an upstream that starts again begins with nothing known",
+            ),
+            Scenario(
+                "upstream_entries",
+                "what ran on an earlier start is judged by that alone",
+            ),
+            Scenario(
+                "upstream_entries", "an earlier start of an upstream never comes back"
+            ),
+            Scenario(
+                "upstream_entries",
+                "a peer that leaves out starts makes no upstream another",
+            ),
+            Scenario(
+                "platform_restarts",
+                "What ran on a worker that starts again runs nowhere else, and is not"
+                " denied",
+            ),
+        ),
+    ),
+    Rule(
+        question="What becomes of an upstream whose entry can't be used",
+        functions=(
+            "gateway/source/listing.Listing.discard",
+            "gateway/source/bad_items.BadItems.worth_a_line",
+        ),
+        inputs="whether the entry can be read and is within bounds; which lines were"
+        " written of it in the last minute.",
+        reason="Its entry was written, so its lease did not merely expire: it gets no"
+        " new work at once, like one that has left, until a good entry follows.",
+        constants=(
+            "gateway/source/bad_items.MOST_KEYS",
+            "gateway/source/bad_items.WINDOW_S",
+            "gateway/source/bad_items.MOST_LINES_OF_ONE",
+            "gateway/source/bad_items.MOST_LINES",
+        ),
+        events=("SOURCE_ITEM_REFUSED",),
+        tests=(
+            Scenario(
+                "upstream_entries",
+                "an entry of another writer takes its upstream out of use",
+            ),
+            Scenario(
+                "upstream_entries",
+                "an entry of another writer has no grace after an outage",
+            ),
+            Scenario(
+                "upstream_entries",
+                "entries of another writer are told once, and of few lines",
+            ),
+            Scenario(
+                "platform_restarts",
+                "An entry of another writer takes its worker out of use",
+            ),
+        ),
+    ),
     Rule(
         question="When a gateway is ready, leaves, takes nothing more",
         functions=(
