--- /dev/null
+++ b/spindlenotch/gateway/source/source_events.py
@@ -0,0 +1,46 @@
+"""
+Log events and metrics on what the source holds and how that changes.
+
+Relies on ``bad_items`` for which items are worth a line; decides nothing else.
+"""
+
+from collections import abc
+
+from spindlenotch import events, ids, metrics
+from spindlenotch.gateway.source import bad_items, sources
+
+
+class SourceEvents:
+    """Reports on the source of one gateway."""
+
+    def __init__(self, gateway_metrics: metrics.Metrics) -> None:
+        self.metrics = gateway_metrics
+        self.bad_items = bad_items.BadItems()
+
+    def report_bad(
+        self, items: abc.Collection[sources.BadItem], now: ids.Instant
+    ) -> None:
+        """Count what can't be used, and log what of it is new."""
+        for item in items:
+            self.metrics.bad_items.labels(item.key.partition("/")[0]).inc()
+        for item in self.bad_items.worth_a_line(items, now):
+            events.emit(
+                events.Event.SOURCE_ITEM_REFUSED, key=item.key, reason=item.reason
+            )
+
+    def report_restart(self, ended: sources.ListedUpstream) -> None:
+        """Count and log that an upstream has started again under its id."""
+        self.metrics.upstream_restarts.labels(ended.service).inc()
+        events.emit(
+            events.Event.UPSTREAM_RESTARTED, service=ended.service, upstream=ended.id
+        )
+
+
+def report_evacuations(
+    before: frozenset[ids.ZoneName], now: frozenset[ids.ZoneName]
+) -> None:
+    """Log which zones are newly evacuated or taken back."""
+    for zone in sorted(now - before):
+        events.emit(events.Event.ZONE_EVACUATED, zone=zone)
+    for zone in sorted(before - now):
+        events.emit(events.Event.ZONE_RESTORED, zone=zone)
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -25,7 +25,7 @@
     wakeups,
 )
 from spindlenotch.gateway.cluster import demand_meter, own_record
-from spindlenotch.gateway.source import bad_items, listing, routing, sources
+from spindlenotch.gateway.source import listing, routing, source_events, sources
 from spindlenotch.kernel import ownership, upstreams
 from spindlenotch.peers import documents, gossip, timing
 
@@ -73,7 +73,7 @@
         self.listed_once = False
         self.fence = documents.Fence()
         self.discovery_record_by_zone: dict[ids.ZoneName, sources.DiscoveryRecord] = {}
-        self._bad_items = bad_items.BadItems()
+        self._source_events = source_events.SourceEvents(self.metrics)
         self._end_listeners: list[EndListener] = []
 
     @property
@@ -85,7 +85,7 @@
             return "a planned stop"
         if self.table is not None:
             return "no upstreams are known"
-        return self._bad_items.account() or "no configuration is known"
+        return self._source_events.bad_items.account() or "no configuration is known"
 
     @property
     def ready(self) -> bool:
@@ -159,7 +159,7 @@
         Where it ``is_overtaken``, a peer's newer list came while it was read, and its
         upstreams stay: an older list would bring back those that have ended.
         """
-        self._report_bad(snapshot.bad)
+        self._source_events.report_bad(snapshot.bad, self.clock.now())
         self._store_discovery_records(snapshot.discovery_records)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration)
@@ -173,7 +173,7 @@
             self.listing.evacuate(snapshot.evacuated_zones, now)
             self.listing.discard(snapshot.unusable)
             self.listing.replace(snapshot.upstream_by_id.values(), now)
-        self._report_evacuations(before)
+        source_events.report_evacuations(before, self.listing.evacuated_zones)
         self._listing_changed()
 
     def apply_listing(
@@ -183,12 +183,12 @@
         self.listing.revision = revision
         before = self.listing.evacuated_zones
         self.listing.replace_by_peer(listed, self.clock.now())
-        self._report_evacuations(before)
+        source_events.report_evacuations(before, self.listing.evacuated_zones)
         self._listing_changed()
 
     def apply_changes(self, changes: sources.Changes) -> bool:
         """Put what has changed in the source in force; tell whether anything had."""
-        self._report_bad(changes.bad)
+        self._source_events.report_bad(changes.bad, self.clock.now())
         self._store_discovery_records(changes.discovery_records)
         if changes.configuration is not None:
             self.apply_configuration(changes.configuration)
@@ -218,7 +218,7 @@
         self.listing.evacuate(zones, now)
         self.listing.add(changes.listed, now)
         self.listing.remove(changes.gone, now)
-        self._report_evacuations(before)
+        source_events.report_evacuations(before, self.listing.evacuated_zones)
         self._listing_changed()
         return True
 
@@ -294,7 +294,7 @@
             self._update_policy(name, service, specs)
             service.pool.set_listed(specs, now)
         self._report_changes()
-        self._report_ended()
+        self._end_upstreams()
 
     def _update_policy(
         self,
@@ -321,36 +321,13 @@
         for name, service in self.balancer_by_service.items():
             upstream_events.report_changes(name, service.pool)
 
-    def _report_ended(self) -> None:
-        """Tell which upstreams are gone, and log those that started again."""
+    def _end_upstreams(self) -> None:
+        """Tell which upstreams are gone for good, and log those that started again."""
         for ended in self.listing.take_ended():
             for listener in self._end_listeners:
                 listener(ended.listed)
-            service = ended.listed.service
-            if ended.is_replaced and service in self.balancer_by_service:
-                self.metrics.upstream_restarts.labels(service).inc()
-                events.emit(
-                    events.Event.UPSTREAM_RESTARTED,
-                    service=service,
-                    upstream=ended.listed.id,
-                )
-
-    def _report_evacuations(self, before: frozenset[ids.ZoneName]) -> None:
-        """Log which zones are newly evacuated or taken back."""
-        zones = self.listing.evacuated_zones
-        for zone in sorted(zones - before):
-            events.emit(events.Event.ZONE_EVACUATED, zone=zone)
-        for zone in sorted(before - zones):
-            events.emit(events.Event.ZONE_RESTORED, zone=zone)
-
-    def _report_bad(self, items: tuple[sources.BadItem, ...]) -> None:
-        """Count what can't be used, and log what of it is new."""
-        for item in items:
-            self.metrics.bad_items.labels(item.key.partition("/")[0]).inc()
-        for item in self._bad_items.worth_a_line(items, self.clock.now()):
-            events.emit(
-                events.Event.SOURCE_ITEM_REFUSED, key=item.key, reason=item.reason
-            )
+            if ended.is_replaced and ended.listed.service in self.balancer_by_service:
+                self._source_events.report_restart(ended.listed)
 
     def _new_balancer(self, spec: routing.ServiceSpec) -> balancer.Balancer:
         policy = service_defaults.policy(spec, (self.config.zone,), self.config)
