--- a/features/steps/gateway_reborn.py
+++ b/features/steps/gateway_reborn.py
@@ -349,6 +349,22 @@
         assert not cold.is_cold(ids.later(playing.clock.now(), 0.3))
 
 
+@kernel.PROPERTIES.register("one that starts again in an evacuated zone is not used")
+def in_evacuated_zone() -> None:
+    playing = Playing()
+    zone = playing.state.local_member.zone
+    playing.state.listing.evacuate_s = 5.0
+    playing.state.apply_changes(
+        sources.Changes(playing.store.revision, evacuated_zones=frozenset({zone}))
+    )
+    playing.start_again()
+    assert NAME not in playing.in_use()
+    playing.state.apply_changes(
+        sources.Changes(playing.store.revision, restored_zones=frozenset({zone}))
+    )
+    assert NAME in playing.in_use()
+
+
 @kernel.PROPERTIES.register("what peers report of another start is not taken in")
 def peers_reports() -> None:
     cases = (
--- a/features/upstream_entries.feature
+++ b/features/upstream_entries.feature
@@ -15,6 +15,7 @@
       | a peer that leaves out starts makes no upstream another     |
       | one that drained or vanished is used again when it is ready |
       | an upstream that starts again is cold                       |
+      | one that starts again in an evacuated zone is not used      |
       | what peers report of another start is not taken in          |
       | probes of an earlier start end with it                      |
       | connections kept to an upstream that is gone are closed     |
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -142,14 +142,14 @@
         self.discard(expired)
         return bool(expired)
 
-    def discard(self, unusable: abc.Iterable[ids.UpstreamId]) -> bool:
+    def discard(self, upstream_ids: abc.Iterable[ids.UpstreamId]) -> bool:
         """
         Drop upstreams at once, without grace; tell whether there was any.
 
-        An entry that can't be used was written: its upstream did not merely fail to
-        renew its lease.
+        Also those whose entries can't be used: such an entry was written, so that its
+        upstream did not merely fail to renew its lease.
         """
-        dropped = [i for i in unusable if i in self.lease_by_id]
+        dropped = [i for i in upstream_ids if i in self.lease_by_id]
         for upstream_id in dropped:
             self._end(self.lease_by_id.pop(upstream_id), is_replaced=False)
         return bool(dropped)
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -237,5 +237,4 @@
             listed = msgspec.json.decode(
                 document.body, type=tuple[sources.ListedUpstream, ...]
             )
-            revision = document.version // EXPIRIES_PER_REVISION
-            self.state.apply_listing(listed, revision)
+            self.state.apply_listing(listed, document.version // EXPIRIES_PER_REVISION)
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -242,7 +242,7 @@
         Calls that were sent to it still end here, and count for no other.
         """
         self.on_change = _tell_nobody
-        self.leave("started again")
+        self.leave("replaced")
 
     def tick(self, now: ids.Instant) -> None:
         """Let an ejection end in probation."""
