--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -237,4 +237,4 @@
             listed = msgspec.json.decode(
                 document.body, type=tuple[sources.ListedUpstream, ...]
             )
-            self.state.apply_listing(listed)
+            self.state.apply_listing(listed, document.version // EXPIRIES_PER_REVISION)
