--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -31,9 +31,11 @@
 #: and that of the process or host that follows on it, which knows nothing of what
 #: was used before it.
 RESERVE_PARTS_EACH = 2
-#: Parts where the fleet is small or not known yet: a gateway that sees few others
-#: may be one of many.
+#: Parts where the fleet is small: a gateway that sees few others may be one of more.
 LEAST_RESERVE_PARTS = 24
+#: Gateways that the fleet may have as far as one knows that starts, or is cut off from
+#: all others: the largest that is planned for, so that many such use little.
+UNKNOWN_FLEET = 300
 #: Slots of an upstream that is listed without a number. The source always gives
 #: one today.
 DEFAULT_SLOTS = 1
@@ -57,9 +59,8 @@
     where all were killed meanwhile; in this way, and with what ``SlidingShareBudget``
     lets fade, 75 at most (the property of a fleet's retries).
     """
-    if size.is_alone:
-        return 0.0
-    parts = max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * size.largest)
+    largest = UNKNOWN_FLEET if size.is_alone else size.largest
+    parts = max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * largest)
     return config.extra_reserve / parts
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -188,22 +188,22 @@
     Mutant(
         "the reserve of retries is not divided by the size of the fleet",
         "gateway/service_defaults",
-        "max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * size.largest)",
+        "max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * largest)",
         "LEAST_RESERVE_PARTS",
         "a fleet's retries keep to what all may send together",
     ),
     Mutant(
         "a process that starts anew has the reserve of the one before it",
         "gateway/service_defaults",
-        "RESERVE_PARTS_EACH * size.largest",
-        "size.largest",
+        "RESERVE_PARTS_EACH * largest",
+        "largest",
         "a fleet's retries keep to what all may send together",
     ),
     Mutant(
         "a gateway without others in view takes itself for a small fleet",
         "gateway/service_defaults",
-        "if size.is_alone:",
-        "if False:",
+        "UNKNOWN_FLEET if size.is_alone else size.largest",
+        "size.largest",
         "a fleet's retries keep to what all may send together",
     ),
     Mutant(
