--- a/spindlenotch/decisions/admission.py
+++ b/spindlenotch/decisions/admission.py
@@ -6,6 +6,8 @@
 queue are the balancer's.
 """
 
+from collections import abc
+
 from spindlenotch import ids
 from spindlenotch.decisions import queueing, verdicts
 from spindlenotch.kernel import outcomes, upstream_pool, waiting
@@ -45,15 +47,19 @@
         refusal = outcomes.not_run(outcomes.Reason.DEADLINE_PASSED)
         return [verdicts.Settlement(call, refusal) for call in self.queue.expired(now)]
 
-    def refuse_all(self, now: ids.Instant) -> list[verdicts.Settlement]:
-        """Refuse all waiting calls: no upstream is usable."""
+    def refuse_stranded(
+        self,
+        any_usable: abc.Callable[[waiting.Call, ids.Instant], bool],
+        now: ids.Instant,
+    ) -> list[verdicts.Settlement]:
+        """Refuse the waiting calls for which no upstream is usable."""
         refusal = outcomes.not_run(
             outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
         )
-        waiting_calls = list(self.queue)
-        for call in waiting_calls:
+        stranded = [call for call in self.queue if not any_usable(call, now)]
+        for call in stranded:
             self.queue.remove(call.id)
-        return [verdicts.Settlement(call, refusal) for call in waiting_calls]
+        return [verdicts.Settlement(call, refusal) for call in stranded]
 
     def _enqueue(
         self, call: waiting.Call, now: ids.Instant
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -70,7 +70,7 @@
         self.extra.earn(now)
         if call.deadline <= now:
             return outcomes.not_run(outcomes.Reason.DEADLINE_PASSED)
-        if not self._any_usable(now):
+        if not self._any_usable(call, now):
             return outcomes.not_run(
                 outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
             )
@@ -132,8 +132,8 @@
                 break
             self.queue.take(call)
             settled.append(verdicts.Settlement(call, grant))
-        if len(self.queue) and not self._any_usable(now):
-            settled.extend(self.admission.refuse_all(now))
+        if len(self.queue) and (self.pool.far_order or not self._any_usable(None, now)):
+            settled.extend(self.admission.refuse_stranded(self._any_usable, now))
         return settled
 
     def give_up(self, now: ids.Instant) -> list[verdicts.Settlement]:
@@ -211,11 +211,13 @@
         if self.pool.frozen(upstream, grant.call.latency_key, now):
             self.pool.eject(upstream, "silent", now)
 
-    def _any_usable(self, now: ids.Instant) -> bool:
+    def _any_usable(self, call: waiting.Call | None, now: ids.Instant) -> bool:
+        """Tell whether an upstream may yet take a call where it may run, or any."""
         for upstream in self.pool.usable_order:
             upstream.tick(now)
             is_ejected = upstream.state is upstreams.State.EJECTED
-            if not is_ejected and upstream.cold.may_ever_send(now):
+            may_send = not is_ejected and upstream.cold.may_ever_send(now)
+            if may_send and (call is None or self.pool.allows(call, upstream)):
                 return True
         return False
 
--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -9,7 +9,7 @@
 """
 
 from spindlenotch import ids, selection
-from spindlenotch.decisions import silence
+from spindlenotch.decisions import overflow, silence
 from spindlenotch.kernel import crowding, upstream_pool, upstreams, waiting
 
 NAME = "paced"
@@ -74,6 +74,9 @@
         at its end, and its bytes cross between zones.
         """
         cost_by_id = _costs(pool, call, _options(pool, call, now, exclude), now)
+        if not cost_by_id and overflow.may_leave_region(pool, call, now, exclude):
+            far = overflow.candidates(pool, call, now, exclude)
+            cost_by_id = _costs(pool, call, without_slowed(far, now), now)
         if not cost_by_id:
             return None
         limit = min(cost_by_id.values()) * (1.0 + NEAR_SHARE)
@@ -103,11 +106,11 @@
     now: ids.Instant,
     exclude: selection.Exclusion,
 ) -> list[upstreams.Upstream]:
-    """Return the upstreams that are compared."""
-    if len(pool.usable_order) > MOST_COMPARED:
+    """Return the upstreams of the own region that are compared."""
+    if len(pool.near_order) > MOST_COMPARED:
         options = _sample(pool, now, exclude)
     else:
-        options = selection.eligible(pool, now, exclude)
+        options = selection.eligible_among(pool.near_order, now, exclude)
     # A further try takes a slowed one rather than none once the wait is over.
     if exclude and now >= call.wait_until:
         return options
@@ -117,11 +120,11 @@
 def _sample(
     pool: upstream_pool.Pool, now: ids.Instant, exclude: selection.Exclusion
 ) -> list[upstreams.Upstream]:
-    """Return some upstreams of the own zone, and some of all zones."""
+    """Return some upstreams of the own zone, and some of the own region."""
     rng = pool.rng
     local = selection.sample(pool.local_order, LOCAL_COMPARED, rng, now, exclude)
     count = MOST_COMPARED - len(local)
-    anywhere = selection.sample(pool.usable_order, count, rng, now, exclude)
+    anywhere = selection.sample(pool.near_order, count, rng, now, exclude)
     sampled_by_id = {u.spec.id: u for u in (*local, *anywhere)}
     return list(sampled_by_id.values())
 
@@ -137,7 +140,8 @@
     cost_by_id: dict[ids.UpstreamId, float] = {}
     for upstream in options:
         load = pool.estimated_load(upstream, now)
-        if has_room(upstream, load, pool.crowding):
+        spare = overflow.slots_to_spare(pool, upstream)
+        if has_room(upstream, load + spare, pool.crowding):
             cost = expected_s(pool, call, upstream, load, typical_s, now)
             cost_by_id[upstream.spec.id] = cost
     return cost_by_id
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -132,6 +132,13 @@
         "a peer message was dropped",
         "bad-code: compare the peer keys; otherwise find who sends it",
     )
+    REGION_LOST = CatalogueRow(
+        304,
+        "WARNING",
+        "nothing is heard of another region; its callers are served by the others",
+        "see OPERATIONS.md, a region is lost",
+    )
+    REGION_BACK = CatalogueRow(305, "INFO", "another region is heard again", "none")
     UPSTREAM_EJECTED = CatalogueRow(
         401, "WARNING", "an upstream was ejected", "look at the upstream's host"
     )
@@ -182,6 +189,12 @@
     REQUEST_SENT_AGAIN = CatalogueRow(
         605, "INFO", "a request was sent to another upstream", "see its reason"
     )
+    REGION_NOT_ALLOWED = CatalogueRow(
+        610,
+        "WARNING",
+        "a request was refused: its route may not be served in this region",
+        "send such callers to the allowed regions, or allow this one",
+    )
 
 
 def emit(event: Event, **fields: object) -> None:
--- a/spindlenotch/gateway/cluster/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -13,7 +13,7 @@
 
 from spindlenotch import ids
 from spindlenotch.gateway import lifecycle, state
-from spindlenotch.gateway.cluster import active_set, duties
+from spindlenotch.gateway.cluster import active_set, duties, region_exchange
 from spindlenotch.kernel import ownership
 from spindlenotch.peers import messages, workload
 
@@ -56,11 +56,16 @@
 
 
 class _Inputs(msgspec.Struct, frozen=True):
-    """What decides who is ready; the demand decides with it who is active."""
+    """
+    What decides who is ready; the demand decides with it who is active.
+
+    ``regions_heard`` are the other regions that are not lost.
+    """
 
     members_revision: int
     phase: lifecycle.Phase
     least_per_zone: int
+    regions_heard: frozenset[ids.RegionName]
 
 
 class Fleet:
@@ -73,6 +78,7 @@
         self._ranking = active_set.Ranking([], 0)
         self._view = View([], [], [])
         self._readers: list[ids.HostId] | None = None
+        self._regions = region_exchange.RegionExchange(gateway_state)
 
     def view(self) -> View:
         """Return who plays which part now; the same one until that changes."""
@@ -81,6 +87,7 @@
             gateway_state.gossip.members_revision,
             gateway_state.phase,
             gateway_state.config.entries_per_zone,
+            self._regions.heard(),
         )
         if inputs != self._inputs:
             self._inputs = inputs
@@ -98,6 +105,15 @@
             if record.host in view.active_zones
         }
 
+    def addresses_for(
+        self,
+        region: ids.RegionName,
+        allowed: frozenset[ids.RegionName] | None = None,
+    ) -> list[ids.Address]:
+        """Return the addresses for callers of a region, in ``allowed`` ones if any."""
+        own = self.active_addresses().values()
+        return self._regions.addresses(region, own, allowed)
+
     def active_zones(self) -> dict[ids.HostId, ids.ZoneName]:
         """Return the zones of the active gateways."""
         return self.view().active_zones
@@ -141,7 +157,11 @@
             sum(one.requests_per_s for one in demands),
             sum(one.bytes_per_s for one in demands),
         )
-        return self._ranking.active(demand)
+        active = self._ranking.active(self._regions.needed(demand))
+        hosts = {one.host for one in active}
+        records = [record for record in ready if record.host in hosts]
+        self._regions.describe(records, len(ready), demand)
+        return active
 
     def _believed_records(self) -> list[messages.MemberRecord]:
         """Return the records of the gateways believed to live, the own one last."""
--- a/spindlenotch/gateway/cluster/membership.py
+++ b/spindlenotch/gateway/cluster/membership.py
@@ -12,6 +12,7 @@
 
 from spindlenotch import events, ids
 from spindlenotch.gateway import jitter, state
+from spindlenotch.gateway.cluster import peer_distance
 from spindlenotch.peers import (
     documents,
     gossip,
@@ -19,6 +20,8 @@
     msgpack_codec,
     peer_link,
     peer_seal,
+    region_links,
+    regional_gossip,
 )
 
 #: Seconds between the first two questions of a gateway that starts, and the factor by
@@ -52,12 +55,15 @@
     def __init__(self, gateway_state: state.GatewayState) -> None:
         self.state = gateway_state
         self._listeners: list[MessageListener] = []
+        self._distances = peer_distance.PeerDistance(gateway_state)
+        self._lost_regions: set[ids.RegionName] = set()
         self.link = peer_link.PeerLink(
             peer_seal.Sealer(gateway_state.config.peer_keys),
             gateway_state.metrics,
             on_gossip=self._on_gossip,
             on_frame=self._on_frame,
             codec=msgpack_codec.MSGPACK,
+            distance_to=self._distances.to,
         )
 
     def add_listener(self, listener: MessageListener) -> None:
@@ -84,9 +90,39 @@
             self.link.send(gateway_state.gossip.compose(wants_reply=True), targets)
             for record in gateway_state.gossip.sweep(gateway_state.clock.now()):
                 events.emit(events.Event.PEER_GONE, host=record.host)
+            if isinstance(gateway_state.gossip, regional_gossip.RegionalGossip):
+                self._tell_regions(gateway_state.gossip)
             period_s = gateway_state.gossip.timing.period_s
             await gateway_state.wakeups.sleep(period_s)
 
+    def _tell_regions(self, local: regional_gossip.RegionalGossip) -> None:
+        """Tell another region of this one where it is time, and note which are lost."""
+        now = self.state.clock.now()
+        targets = local.far_targets(self._spare_by_region(local.links), now)
+        if targets:
+            self.link.send(local.compose_far(wants_reply=True), targets)
+        heard = local.links.young(now, region_links.LOST_S)
+        lost = local.links.heard_by_region.keys() - heard.keys()
+        for region in sorted(lost - self._lost_regions):
+            events.emit(events.Event.REGION_LOST, region=region)
+        for region in sorted(self._lost_regions - lost):
+            events.emit(events.Event.REGION_BACK, region=region)
+        self._lost_regions = lost
+
+    def _spare_by_region(
+        self, links: region_links.RegionLinks
+    ) -> dict[ids.RegionName, list[ids.Address]]:
+        """Return addresses by which a region may be reached that is not heard of."""
+        seeds = [
+            a for a in self.state.config.peers if a != self.state.config.peer_listen
+        ]
+        spare_by_region = {region: list(seeds) for region in links.others}
+        for record in self.state.discovery_record_by_zone.values():
+            region = links.known.region(record.zone)
+            if region in spare_by_region:
+                spare_by_region[region].append(record.peer_address)
+        return spare_by_region
+
     def announce(self) -> None:
         """Send the own record to every known peer at once."""
         everyone = [
@@ -130,6 +166,7 @@
             record.peer_address
             for record in records
             if record.peer_address not in reached
+            and self.state.regions.region(record.zone) == self.state.region
         ]
 
     def _on_gossip(self, message: messages.Message) -> None:
--- a/spindlenotch/gateway/dialect.py
+++ b/spindlenotch/gateway/dialect.py
@@ -21,6 +21,18 @@
     valid_for_s: float
 
 
+class Origin(msgspec.Struct, frozen=True):
+    """
+    Who asks the directory: the host it wants to reach and where it is itself.
+
+    None where it does not say.
+    """
+
+    host: str | None = None
+    zone: ids.ZoneName | None = None
+    region: ids.RegionName | None = None
+
+
 class Dialect(msgspec.Struct, frozen=True):
     """
     The names and forms of one protocol with callers and upstreams.
@@ -33,6 +45,7 @@
     ``replaced``: lower-case names of the headers that are set anew for upstreams.
     ``directory_path``, ``ready_path``: paths of the gateway's side ports.
     ``render_directory``: returns the body of the directory's answer.
+    ``read_origin``: reads who asks the directory from the query's fields.
     """
 
     upstream: upstream_dialect.UpstreamDialect
@@ -43,6 +56,7 @@
     directory_path: str
     ready_path: str
     render_directory: abc.Callable[[Directory], bytes]
+    read_origin: abc.Callable[[abc.Mapping[str, str]], Origin]
 
 
 DIALECTS: registry.Registry[abc.Callable[[], Dialect]] = registry.Registry("dialect")
@@ -60,6 +74,17 @@
         directory_path="/v1/entries",
         ready_path="/ready",
         render_directory=_render,
+        read_origin=read_origin,
+    )
+
+
+def read_origin(fields: abc.Mapping[str, str], host_field: str = "host") -> Origin:
+    """Return what a query says of who asks; ``host_field`` names the host's field."""
+    zone, region = fields.get("zone"), fields.get("region")
+    return Origin(
+        host=fields.get(host_field),
+        zone=ids.ZoneName(zone) if zone else None,
+        region=ids.RegionName(region) if region else None,
     )
 
 
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -10,7 +10,7 @@
 from spindlenotch.decisions import soonest
 from spindlenotch.gateway import settings
 from spindlenotch.gateway.source import routing
-from spindlenotch.kernel import extra_budgets, service_policy
+from spindlenotch.kernel import extra_budgets, regions, service_policy
 
 #: Typical latency of a route's requests before any was measured, as a share of
 #: the route's target. Chosen, not measured.
@@ -62,4 +62,5 @@
         eject_share=EJECT_SHARE,
         cold_rate_per_s=spec.cold_rate_per_s,
         cold_start_s=spec.cold_start_s,
+        region_map=regions.Regions(config.region_by_zone),
     )
--- a/spindlenotch/gateway/serving/answering.py
+++ b/spindlenotch/gateway/serving/answering.py
@@ -20,13 +20,14 @@
 from spindlenotch.gateway.serving import (
     answer_stream,
     answers,
+    body_traffic,
     job_factory,
     pipelining,
     refusals,
     request_body,
     request_log,
 )
-from spindlenotch.gateway.source import routing
+from spindlenotch.gateway.source import region_rules, routing
 from spindlenotch.kernel import outcomes, upstreams
 
 
@@ -43,7 +44,10 @@
         self.path = path
         self.dialect = gateway_dialect
         self.log = request_log.RequestLog(gateway_state)
-        self._jobs = job_factory.JobFactory(gateway_state, gateway_dialect)
+        self._traffic = body_traffic.BodyTraffic(gateway_state)
+        self._jobs = job_factory.JobFactory(
+            gateway_state, gateway_dialect, self._traffic
+        )
 
     async def answer(self, request: web_request.BaseRequest) -> pipelining.Answer:
         """
@@ -62,6 +66,8 @@
             return refusals.no_route()
         if isinstance(route, routing.RefusedRoute):
             return self._refuse_route(request, route)
+        if not region_rules.allows(route, self.state.region):
+            return self._refuse_region(request, route)
         limit_bytes = table.configuration.limits.body_bytes
         body = await request_body.read(request, limit_bytes)
         if isinstance(body, request_body.TooLong):
@@ -74,6 +80,12 @@
         self.log.route_refused(self._id(request), route.name)
         return refusals.route_refused()
 
+    def _refuse_region(
+        self, request: web_request.BaseRequest, route: routing.Route
+    ) -> web_response.Response:
+        self.log.region_refused(self._id(request), route.name)
+        return refusals.region_refused()
+
     async def _hold(self) -> float:
         """Hold a request while this gateway starts; return for how many seconds."""
         arrived_at = self.state.clock.now()
@@ -135,6 +147,7 @@
         if isinstance(answer, answers.LongAnswer):
             return answer_stream.StreamedAnswer(exchange, answer.start, loop_deadline)
         job = exchange.job
+        self._traffic.passed_on(exchange, len(answer.body))
         self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
         if answer.status >= outcomes.FIRST_FAILED_STATUS:
             self.log.failed_upstream(self._id(request), job, exchange)
@@ -150,6 +163,7 @@
     ) -> None:
         """Count and log an answer that was streamed to its end."""
         job = exchange.job
+        self._traffic.passed_on(exchange, exchange.answer.length or 0)
         self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
         self.log.served(self._id(request), job, exchange)
 
--- /dev/null
+++ b/spindlenotch/gateway/serving/body_traffic.py
@@ -0,0 +1,59 @@
+"""
+Bytes of requests' and answers' bodies: how far they went, and what to expect.
+
+Counts them by distance for the operator, and keeps the mean size of each route's
+answers, by which calls are held back from other regions. Relies on the metrics of
+the gateway's state.
+"""
+
+from spindlenotch.forwarding import exchanges
+from spindlenotch.gateway import state
+from spindlenotch.gateway.source import routing
+from spindlenotch.kernel import latency
+
+#: Weight of the newest answer in the mean size of a route's answers: sizes differ
+#: severalfold from one to the next, and change with the configuration only.
+SIZE_WEIGHT = 0.05
+#: Bytes expected of a large answer before there was one: such routes are worth
+#: keeping in the region from the first request on.
+LARGE_ANSWER_BYTES = 64 * 1024.0
+
+
+class BodyTraffic:
+    """
+    Follows the bodies that one gateway passes on.
+
+    Invariant: nothing is kept of routes that are no longer configured.
+    """
+
+    def __init__(self, gateway_state: state.GatewayState) -> None:
+        self.state = gateway_state
+        self._size_by_route: dict[str, latency.Mean] = {}
+
+    def expected_bytes(self, route: routing.Route) -> float:
+        """Return the expected size of a route's next answer."""
+        size = self._size_by_route.get(route.name)
+        if size is not None:
+            return size.value
+        return LARGE_ANSWER_BYTES if route.has_large_answers else 0.0
+
+    def passed_on(self, exchange: exchanges.Exchange, answer_bytes: int) -> None:
+        """Note an answer that is passed on, and the request that it answers."""
+        job = exchange.job
+        size = self._size_by_route.setdefault(
+            job.call.latency_key, latency.Mean(float(answer_bytes), SIZE_WEIGHT)
+        )
+        size.add(float(answer_bytes))
+        request_bytes = len(job.body) if isinstance(job.body, bytes) else 0
+        distance = self.state.regions.distance(
+            self.state.config.zone, exchange.grant.upstream.spec.zone
+        )
+        counted = self.state.metrics.traffic_bytes
+        counted.labels("requests", distance.value).inc(request_bytes)
+        counted.labels("answers", distance.value).inc(answer_bytes)
+
+    def forget_missing(self, routes: tuple[routing.Route, ...]) -> None:
+        """Drop the sizes of routes that are gone."""
+        names = {route.name for route in routes}
+        for name in self._size_by_route.keys() - names:
+            del self._size_by_route[name]
--- a/spindlenotch/gateway/serving/job_factory.py
+++ b/spindlenotch/gateway/serving/job_factory.py
@@ -13,10 +13,10 @@
 from aiohttp import web_request
 
 from spindlenotch import headers, ids
-from spindlenotch.decisions import balancer, start_limit, verdicts
+from spindlenotch.decisions import balancer, overflow, start_limit, verdicts
 from spindlenotch.forwarding import jobs
 from spindlenotch.gateway import dialect, state
-from spindlenotch.gateway.serving import caller_age, request_body
+from spindlenotch.gateway.serving import body_traffic, caller_age, request_body
 from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import waiting
 
@@ -52,9 +52,13 @@
     """
 
     def __init__(
-        self, gateway_state: state.GatewayState, gateway_dialect: dialect.Dialect
+        self,
+        gateway_state: state.GatewayState,
+        gateway_dialect: dialect.Dialect,
+        traffic: body_traffic.BodyTraffic,
     ) -> None:
         self.state = gateway_state
+        self.traffic = traffic
         self.dialect = gateway_dialect
         self._dropped = gateway_dialect.replaced | {"content-length"}
         self._numbers = itertools.count()
@@ -114,6 +118,12 @@
             wait_until=limit.wait_until,
             late=limit.late,
             cross_zone_s=cross_zone_s(body, typical_s),
+            far_from=overflow.leave_region_at(
+                now,
+                limit.wait_until,
+                body.known_bytes + self.traffic.expected_bytes(route),
+            ),
+            allowed_regions=allowed_regions(route),
         )
 
     def _follow_configuration(self) -> None:
@@ -122,6 +132,7 @@
         if table is not None and table is not self._table:
             self._table = table
             self._ages.forget_missing(table.configuration.routes)
+            self.traffic.forget_missing(table.configuration.routes)
 
     def _passed_headers(
         self, request: web_request.BaseRequest
@@ -173,6 +184,13 @@
     return crossing_s + CROSS_ZONE_S_PER_BYTE * body.known_bytes
 
 
+def allowed_regions(route: routing.Route) -> frozenset[ids.RegionName] | None:
+    """Return the regions in which a route's requests may run; None: anywhere."""
+    if route.allowed_regions is None:
+        return None
+    return frozenset(route.allowed_regions)
+
+
 def needs_new_connection(route: routing.Route, body: request_body.Body) -> bool:
     """
     Tell whether a request must not go over a kept connection.
--- a/spindlenotch/gateway/serving/refusals.py
+++ b/spindlenotch/gateway/serving/refusals.py
@@ -22,6 +22,9 @@
 #: Seconds after which a request of a refused route may come back: only an operator
 #: can mend the route, so sooner is in vain. Chosen, not measured.
 ROUTE_REFUSED_RETRY_S = 5.0
+#: Seconds after which a request may come back that was refused for its region: by
+#: then its caller has asked the directory again and may reach another one.
+REGION_REFUSED_RETRY_S = 1.0
 BODY_TOO_LONG_STATUS = 413
 
 
@@ -58,6 +61,11 @@
     return not_run(outcomes.Reason.ROUTE_REFUSED, ROUTE_REFUSED_RETRY_S)
 
 
+def region_refused() -> web_response.Response:
+    """Return the response to a request that may not be served in this region."""
+    return not_run(outcomes.Reason.REGION_NOT_ALLOWED, REGION_REFUSED_RETRY_S)
+
+
 def failed(reason: outcomes.Reason) -> web_response.Response:
     """Return the response to a request whose outcome is unknown."""
     return web_response.Response(
--- a/spindlenotch/gateway/serving/request_log.py
+++ b/spindlenotch/gateway/serving/request_log.py
@@ -103,6 +103,21 @@
             version=self.state.version,
         )
 
+    def region_refused(self, request_id: str, route: str) -> None:
+        """Count and log a request whose route may not be served in this region."""
+        refused = outcomes.Reason.REGION_NOT_ALLOWED.value
+        self.state.metrics.requests.labels(
+            NO_SERVICE, outcomes.Outcome.NOT_RUN.value, refused
+        ).inc()
+        events.emit(
+            events.Event.REGION_NOT_ALLOWED,
+            request=request_id,
+            route=route,
+            region=self.state.region,
+            reason=refused,
+            version=self.state.version,
+        )
+
     def failed(
         self,
         request_id: str,
--- a/spindlenotch/gateway/side_ports.py
+++ b/spindlenotch/gateway/side_ports.py
@@ -12,11 +12,13 @@
 import msgspec
 from aiohttp import web_request, web_response, web_server
 
+from spindlenotch import ids
 from spindlenotch.gateway import dialect, state, state_dump
 from spindlenotch.gateway.cluster import fleet
+from spindlenotch.gateway.source import region_rules
 from spindlenotch.peers import peer_link
 
-Responder = abc.Callable[[], web_response.Response]
+Responder = abc.Callable[[web_request.BaseRequest], web_response.Response]
 
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
@@ -71,16 +73,19 @@
         responder = self._responder_by_path.get(request.path)
         if responder is None:
             return web_response.Response(status=404, text="no such page\n")
-        return responder()
+        return responder(request)
 
-    def _ready(self) -> web_response.Response:
+    def _ready(self, request: web_request.BaseRequest) -> web_response.Response:
         if self.state.ready:
             return web_response.Response(status=200)
         return web_response.Response(status=503, text=f"{self.state.unready_reason}\n")
 
-    def _directory(self) -> web_response.Response:
+    def _directory(self, request: web_request.BaseRequest) -> web_response.Response:
         """Name the gateways that callers should use, for ``hand_out_s`` seconds."""
-        addresses = sorted(self.fleet.active_addresses().values())
+        origin = self.dialect.read_origin(request.query)
+        addresses = self.fleet.addresses_for(
+            self._region_of(origin), self._allowed_regions(origin)
+        )
         if not addresses:
             return web_response.Response(status=503, text="no gateway is ready\n")
         directory = dialect.Directory(
@@ -91,12 +96,29 @@
             content_type="application/json",
         )
 
-    def _metrics(self) -> web_response.Response:
+    def _region_of(self, origin: dialect.Origin) -> ids.RegionName:
+        """Return the caller's region; where it says nothing of it, this one."""
+        if origin.region is not None:
+            return origin.region
+        if origin.zone is not None:
+            return self.state.regions.region(origin.zone)
+        return self.state.region
+
+    def _allowed_regions(
+        self, origin: dialect.Origin
+    ) -> frozenset[ids.RegionName] | None:
+        """Return where requests to the caller's host may be served; None: anywhere."""
+        table = self.state.table
+        if table is None or origin.host is None:
+            return None
+        return region_rules.shared(table.routes_of(origin.host))
+
+    def _metrics(self, request: web_request.BaseRequest) -> web_response.Response:
         return web_response.Response(
             body=self.state.metrics.render(), content_type="text/plain"
         )
 
-    def _state(self) -> web_response.Response:
+    def _state(self, request: web_request.BaseRequest) -> web_response.Response:
         page = state_dump.create(self.state, self.fleet)
         return web_response.Response(
             body=msgspec.json.encode(page), content_type="application/json"
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -210,7 +210,12 @@
         self.duty.peer_heard(now)
         if sender.zone == self.state.config.zone:
             self.duty.zone_peer_heard(sender.host, now, reads=message.reads_source)
-        self.exchange.fetch(sender.peer_address, handled.newer)
+        if not self.state.is_far(sender.zone) or self._lacks_reader(now):
+            self.exchange.fetch(sender.peer_address, handled.newer)
+
+    def _lacks_reader(self, now: ids.Instant) -> bool:
+        """Tell whether this zone has no news but what other regions know."""
+        return not self.state.reads_source and not self.duty.hears_reader(now)
 
     def _receive(self, document: documents.Document) -> None:
         """Put a peer's document in force where it is newer."""
--- a/spindlenotch/gateway/source/routing.py
+++ b/spindlenotch/gateway/source/routing.py
@@ -9,6 +9,7 @@
 
 import enum
 import typing
+from collections import abc
 
 import msgspec
 
@@ -144,6 +145,10 @@
         for routes in self._routes_by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
 
+    def routes_of(self, host: str) -> abc.Sequence[Route | RefusedRoute]:
+        """Return the routes of a host."""
+        return self._routes_by_host.get(normalized_host(host), ())
+
     def find(self, host: str, target: str) -> Route | RefusedRoute | None:
         """
         Return the route of a request, or None where none fits.
@@ -153,7 +158,7 @@
         ``host`` is its ``Host`` header, ``target`` its path and query.
         """
         path = target.partition("?")[0]
-        for route in self._routes_by_host.get(normalized_host(host), ()):
+        for route in self.routes_of(host):
             if path.startswith(route.prefix):
                 return route
         return None
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -24,8 +24,8 @@
 )
 from spindlenotch.gateway.cluster import demand_meter, own_record
 from spindlenotch.gateway.source import listing, routing, sources
-from spindlenotch.kernel import ownership, upstreams
-from spindlenotch.peers import documents, gossip, timing
+from spindlenotch.kernel import ownership, regions, upstreams
+from spindlenotch.peers import documents, region_links, regional_gossip, timing
 
 #: Callers fail over by themselves within a second; peers are dropped a bit
 #: later. Chosen, not measured.
@@ -70,7 +70,10 @@
         self.balancer_by_service: dict[ids.ServiceName, balancer.Balancer] = {}
         self.local_member = ownership.Member(config.zone, config.host)
         record = own_record.first(config, self.rng, gateway_clock)
-        self.gossip = gossip.Gossip(record, self.rng, GOSSIP_TIMING)
+        self.regions = regions.Regions(config.region_by_zone)
+        self.gossip = regional_gossip.create(
+            record, self.rng, GOSSIP_TIMING, self.regions
+        )
         self.demand = demand_meter.DemandMeter()
         self.listed_once = False
         self.fence = documents.Fence()
@@ -95,6 +98,20 @@
         """Tell whether callers may be sent here."""
         return self.phase is lifecycle.Phase.SERVING
 
+    @property
+    def region(self) -> ids.RegionName:
+        """Return the region in which this gateway lies."""
+        return self.regions.region(self.config.zone)
+
+    def is_far(self, zone: ids.ZoneName) -> bool:
+        """Tell whether a zone lies in another region."""
+        return self.regions.region(zone) != self.region
+
+    @property
+    def links(self) -> region_links.RegionLinks | None:
+        """Return what is known of other regions; None where there are none."""
+        return regional_gossip.links_of(self.gossip)
+
     @property
     def can_serve(self) -> bool:
         """Tell whether routes and upstreams are known."""
--- a/spindlenotch/kernel/outcomes.py
+++ b/spindlenotch/kernel/outcomes.py
@@ -58,6 +58,7 @@
     FOREIGN_ANSWER = "foreign-answer"
     CALLER_GONE = "caller-gone"
     ROUTE_REFUSED = "route-refused"
+    REGION_NOT_ALLOWED = "region-not-allowed"
 
 
 class RefusalRule(enum.Enum):
--- a/spindlenotch/kernel/service_policy.py
+++ b/spindlenotch/kernel/service_policy.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.kernel import extra_budgets, schedule
+from spindlenotch.kernel import extra_budgets, regions, schedule
 
 
 class ServicePolicy(msgspec.Struct, frozen=True, kw_only=True):
@@ -24,7 +24,7 @@
     ``day`` holds the planned zone weights; empty where all zones count alike.
     ``cold_rate_per_s`` is how many requests a second a cold upstream bears from all
     processes together, None where nothing bounds it; one that starts is cold for
-    ``cold_start_s`` seconds.
+    ``cold_start_s`` seconds. ``region_map`` says which zones lie far from each other.
     """
 
     name: ids.ServiceName
@@ -39,3 +39,4 @@
     day: tuple[schedule.DayStep, ...] = ()
     cold_rate_per_s: float | None = None
     cold_start_s: float = 0.0
+    region_map: regions.Regions = regions.ONE_REGION
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -18,11 +18,13 @@
     latency,
     latency_table,
     ownership,
+    regions,
     schedule,
     service_policy,
     slot_division,
     state_changes,
     upstreams,
+    waiting,
 )
 
 #: Time constant with which a report of other processes' requests fades, as a
@@ -41,12 +43,14 @@
     The upstreams by id, and the running means of the service as a whole.
 
     Invariants: ``usable_order`` lists the upstreams that are not leaving,
-    ``local_order`` those of them in this process's own zone;
+    ``local_order`` those of them in this process's own zone, ``near_order`` in its
+    region and ``far_order`` in others;
     ``owned`` lists those of them in which this process owns slots, in all
     ``owned_total``; ``in_flight`` counts the calls sent and not ended,
     ``waiting`` those in the queue; at most ``eject_share`` of the pool (at least
     one) is ejected at a time. ``mean_foreign_load`` is the number of requests
-    that other processes have in an upstream where this one owns no slots;
+    that other processes have in an upstream where this one owns no slots,
+    ``far_foreign_load`` the same of those in other regions;
     ``refused_share`` is the share of calls refused for overload,
     ``failed_share`` that of answers that are failures. ``revision`` rises with each
     change of ``usable_order``. ``cold_senders`` are the processes that share what cold
@@ -67,6 +71,8 @@
         self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
         self.usable_order: list[upstreams.Upstream] = []
         self.local_order: list[upstreams.Upstream] = []
+        self.near_order: list[upstreams.Upstream] = []
+        self.far_order: list[upstreams.Upstream] = []
         self.owned: list[upstreams.Upstream] = []
         self.ejected: list[upstreams.Upstream] = []
         self.zone_factor: dict[ids.ZoneName, float] = {}
@@ -74,6 +80,7 @@
             service.zones, service.day, 0.0
         )
         self.mean_foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
+        self.far_foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
         self.refused_share = latency.Mean(0.0, REFUSED_WEIGHT)
         self.in_flight = 0
         self.waiting = 0
@@ -157,6 +164,8 @@
         ]
         zone = self.local_member.zone
         self.local_order = [u for u in self.usable_order if u.spec.zone == zone]
+        self.near_order = [u for u in self.usable_order if not self.is_far(u)]
+        self.far_order = [u for u in self.usable_order if self.is_far(u)]
         self.ejected = [
             u for u in self.usable_order if u.state is upstreams.State.EJECTED
         ]
@@ -175,7 +184,7 @@
             rate_per_s = cold_start.rate_per_s(
                 upstream.spec.id,
                 self.service.cold_rate_per_s,
-                self.cold_senders,
+                () if self.is_far(upstream) else self.cold_senders,
                 self.local_member.host,
             )
             upstream.cold.limit(rate_per_s, now)
@@ -197,15 +206,28 @@
         for upstream_id in gone:
             del self.upstream_by_id[upstream_id]
 
+    def is_far(self, upstream: upstreams.Upstream) -> bool:
+        """Tell whether an upstream lies in another region."""
+        known = self.service.region_map
+        distance = known.distance(self.local_member.zone, upstream.spec.zone)
+        return distance is regions.Distance.FAR
+
+    def allows(self, call: waiting.Call, upstream: upstreams.Upstream) -> bool:
+        """Tell whether a call may run in the region of an upstream."""
+        if call.allowed_regions is None:
+            return True
+        return self.service.region_map.region(upstream.spec.zone) in call.allowed_regions
+
     def estimated_load(self, upstream: upstreams.Upstream, now: ids.Instant) -> float:
         """
         Estimate the requests in ``upstream``, those of other processes included.
 
         Upstreams where this process owns slots report often enough to have a
-        mean of their own; the others count with the mean over all of them.
+        mean of their own; the others count with the mean over all of them, those of
+        other regions with their own: a region may be full while another is not.
         """
         decay_s = REPORT_DECAY_FACTOR * self.latencies.overall.value
-        typical = self.mean_foreign_load.value
+        typical = self._mean_foreign_load(upstream).value
         if upstream.owned_slots > 0:
             typical = upstream.foreign_load.value
         return upstream.outstanding + upstream.foreign_load_now(now, decay_s, typical)
@@ -220,7 +242,14 @@
         upstream.reported(report, now)
         if upstream.owned_slots <= 0:
             total = report.running + report.queued
-            self.mean_foreign_load.add(max(0, total - upstream.outstanding))
+            foreign = max(0, total - upstream.outstanding)
+            self._mean_foreign_load(upstream).add(foreign)
+
+    def _mean_foreign_load(self, upstream: upstreams.Upstream) -> latency.Mean:
+        """Return the mean with which an upstream counts of which little is known."""
+        if self.far_order and self.is_far(upstream):
+            return self.far_foreign_load
+        return self.mean_foreign_load
 
     def record_result(
         self,
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -70,6 +70,13 @@
             ("direction",),
             registry=self.registry,
         )
+        self.traffic_bytes = prometheus_client.Counter(
+            "spindlenotch_traffic_bytes_total",
+            "Bytes sent to peers, of documents fetched from them, and of bodies to and"
+            " from upstreams, by kind and distance",
+            ("kind", "distance"),
+            registry=self.registry,
+        )
         self.peer_drops = prometheus_client.Counter(
             "spindlenotch_peer_drops_total",
             "Peer messages dropped, by reason",
--- a/spindlenotch/peers/messages.py
+++ b/spindlenotch/peers/messages.py
@@ -28,6 +28,12 @@
 SUSPICIONS_PER_MESSAGE = 4
 #: Load records in a message. Chosen, not measured.
 LOADS_PER_MESSAGE = 64
+#: Summaries of regions in a message: fleets lie in a few regions, and a datagram that
+#: held more would no longer fit its limit.
+REGIONS_PER_MESSAGE = 8
+#: Gateways that a summary names: callers of a region that is lost spread over them,
+#: and the loss of some leaves others.
+GATEWAYS_PER_SUMMARY = 8
 #: Hexadecimal digits of a document's digest that a message carries. Chosen,
 #: not measured: enough to tell two documents of one version apart.
 DIGEST_DIGITS = 16
@@ -115,6 +121,28 @@
         return RecordVersion(self.epoch, self.heartbeat)
 
 
+class RegionGateway(msgspec.Struct, frozen=True):
+    """An active gateway of another region: where callers and where peers reach it."""
+
+    address: ids.Address
+    peer_address: ids.Address
+
+
+class RegionSummary(msgspec.Struct, frozen=True, omit_defaults=True):
+    """
+    What other regions need to know of one, made ``age_s`` seconds before this was sent.
+
+    ``gateways`` are some of its active ones, ``member_count`` is how many it has in
+    all, ``demand`` what callers ask of them together.
+    """
+
+    region: ids.RegionName
+    gateways: tuple[RegionGateway, ...] = ()
+    member_count: int = 0
+    demand: workload.Work = workload.NO_WORK
+    age_s: float = 0.0
+
+
 class Message(
     msgspec.Struct,
     frozen=True,
@@ -125,8 +153,8 @@
 
     ``wants_reply`` asks for one back; ``wants_members`` says that the sender
     knows fewer members than the host list names; ``reads_source`` that it reads
-    the source itself. On the wire ``drain_notices`` is called ``marks`` and
-    ``wants_members`` ``hungry``.
+    the source itself. ``regions`` is left out where there is nothing to tell of any.
+    On the wire ``drain_notices`` is called ``marks`` and ``wants_members`` ``hungry``.
     """
 
     sender: MemberRecord
@@ -139,6 +167,11 @@
     suspicions: tuple[Suspicion, ...] = ()
     reads_source: bool = False
     loads: tuple[workload.LoadRecord, ...] = ()
+    regions: tuple[RegionSummary, ...] | msgspec.UnsetType = msgspec.UNSET
+
+    def summaries(self) -> tuple[RegionSummary, ...]:
+        """Return the summaries of regions, none where there are none."""
+        return () if self.regions is msgspec.UNSET else self.regions
 
 
 class DocumentFrame(msgspec.Struct, frozen=True):
--- a/spindlenotch/peers/msgpack_codec.py
+++ b/spindlenotch/peers/msgpack_codec.py
@@ -29,7 +29,7 @@
     Writes each message as one MessagePack map, compressed.
 
     Invariant: what is decoded has at most as many members, suspicions, drain
-    notices and loads as a sender may put into one message.
+    notices, loads and summaries as a sender may put into one message.
     """
 
     def encode_gossip(self, message: messages.Message) -> bytes:
@@ -74,6 +74,13 @@
         or len(message.suspicions) > messages.SUSPICIONS_PER_MESSAGE
         or len(message.drain_notices) > messages.DRAIN_NOTICES_PER_MESSAGE
         or len(message.loads) > messages.LOADS_PER_MESSAGE
+        or _exceeds_region_limits(message.summaries())
+    )
+
+
+def _exceeds_region_limits(summaries: tuple[messages.RegionSummary, ...]) -> bool:
+    return len(summaries) > messages.REGIONS_PER_MESSAGE or any(
+        len(summary.gateways) > messages.GATEWAYS_PER_SUMMARY for summary in summaries
     )
 
 
--- a/spindlenotch/peers/peer_link.py
+++ b/spindlenotch/peers/peer_link.py
@@ -10,6 +10,7 @@
 import asyncio
 import struct
 import typing
+from collections import abc
 
 import loguru
 
@@ -48,6 +49,10 @@
         """Return the document to answer with."""
 
 
+#: Tells how far away the peer at an address is, as the metrics name it.
+DistanceTo = abc.Callable[[ids.Address], str]
+
+
 class PeerLink(asyncio.DatagramProtocol):
     """Sends and receives peer messages; ``start`` opens its ports."""
 
@@ -59,8 +64,10 @@
         on_gossip: GossipListener,
         on_frame: FrameListener,
         codec: wire_format.Codec,
+        distance_to: DistanceTo | None = None,
     ) -> None:
         self.on_gossip = on_gossip
+        self.distance_to = distance_to
         self.on_frame = on_frame
         self.correlation = 0
         self.connections = 0
@@ -94,8 +101,10 @@
         if self._udp is None:
             return
         data = self._wire.write_gossip(message)
+        kind = "loads" if message.loads else "gossip"
         for target in targets:
             self._wire.count_sent(len(data))
+            self._count_traffic(kind, target, len(data))
             self._udp.sendto(data, split(target))
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
@@ -141,10 +150,16 @@
     ) -> messages.DocumentFrame | None:
         reader, writer = await asyncio.open_connection(*split(target))
         try:
-            await self._write(writer, request)
-            return await self._read(reader)
+            sent = await self._write(writer, request)
+            data = await self._read(reader)
         finally:
             writer.close()
+        self._count_traffic("documents", target, sent + len(data or b""))
+        return None if data is None else self._wire.read_frame(data)
+
+    def _count_traffic(self, kind: str, target: ids.Address, size: int) -> None:
+        if self.distance_to is not None:
+            self._wire.count_traffic(kind, self.distance_to(target), size)
 
     # Documents: the answering side
 
@@ -169,7 +184,8 @@
     async def _answer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        request = await self._read(reader)
+        data = await self._read(reader)
+        request = None if data is None else self._wire.read_frame(data)
         if request is None:
             return
         document = self.on_frame(request)
@@ -180,21 +196,21 @@
 
     async def _write(
         self, writer: asyncio.StreamWriter, frame: messages.DocumentFrame
-    ) -> None:
+    ) -> int:
+        """Write a frame; return its bytes."""
         data = self._wire.write_frame(frame)
         self._wire.count_sent(len(data))
         writer.write(LENGTH.pack(len(data)) + data)
         await writer.drain()
+        return len(data)
 
-    async def _read(
-        self, reader: asyncio.StreamReader
-    ) -> messages.DocumentFrame | None:
-        """Read a frame; None if it was dropped."""
+    async def _read(self, reader: asyncio.StreamReader) -> bytes | None:
+        """Read the bytes of a sealed frame; None if it was dropped."""
         (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
         if length > wire_format.MAX_FRAME_BYTES:
             self._wire.drop(wire_format.CodecFault.TOO_LONG)
             return None
-        return self._wire.read_frame(await reader.readexactly(length))
+        return await reader.readexactly(length)
 
 
 def split(address: ids.Address) -> tuple[str, int]:
--- /dev/null
+++ b/spindlenotch/peers/regional_gossip.py
@@ -0,0 +1,115 @@
+"""
+Gossip of one member of a fleet that lies in several regions.
+
+Within its region a member does as ``gossip`` says. Members of other regions do not
+become its peers: they get and send summaries of regions, and which documents are in
+force. A pure state machine, as ``gossip``; relies on ``region_links`` for summaries.
+"""
+
+import random
+from collections import abc
+
+import msgspec
+
+from spindlenotch import ids
+from spindlenotch.kernel import regions
+from spindlenotch.peers import gossip, messages, region_links, timing
+
+
+class RegionalGossip(gossip.Gossip):
+    """
+    One member's side of the gossip in its region and between regions.
+
+    Invariant: ``known_by_host`` holds members of the own region only.
+    """
+
+    def __init__(
+        self,
+        local: messages.MemberRecord,
+        rng: random.Random,
+        timeouts: timing.Timing,
+        known: regions.Regions,
+    ) -> None:
+        super().__init__(local, rng, timeouts)
+        self.links = region_links.RegionLinks(local.zone, known, rng)
+
+    def compose(
+        self,
+        *,
+        wants_reply: bool = False,
+        fill_for: messages.MemberRecord | None = None,
+    ) -> messages.Message:
+        """Build the next message to the own region; some carry the summaries."""
+        message = super().compose(wants_reply=wants_reply, fill_for=fill_for)
+        summaries = self.links.to_near(message.sequence)
+        return msgspec.structs.replace(message, regions=summaries)
+
+    def far_targets(
+        self,
+        spare_by_region: abc.Mapping[ids.RegionName, abc.Sequence[ids.Address]],
+        now: ids.Instant,
+    ) -> list[ids.Address]:
+        """Return whom of another region to tell of this one in this period."""
+        return self.links.targets(len(self.known_by_host), spare_by_region, now)
+
+    def compose_far(
+        self,
+        *,
+        wants_reply: bool = False,
+        fill_for: messages.MemberRecord | None = None,
+    ) -> messages.Message:
+        """
+        Build a message to another region.
+
+        ``fill_for`` asked for members: it gets those of its own region that asked, too.
+        """
+        self.sequence += 1
+        return messages.Message(
+            sender=self.local,
+            sequence=self.sequence,
+            documents=tuple(self.version_by_kind.values()),
+            members=() if fill_for is None else self.links.introductions(fill_for),
+            wants_reply=wants_reply,
+            reads_source=self.reads_source,
+            regions=self.links.to_far(),
+        )
+
+    def handle(self, message: messages.Message, now: ids.Instant) -> gossip.Handled:
+        """Take in a message from a peer, or from a member of another region."""
+        self.links.take(message.summaries(), now)
+        if self.links.is_far(message.sender.zone):
+            return self._handle_far(message, now)
+        members = tuple(r for r in message.members if not self.links.is_far(r.zone))
+        return super().handle(msgspec.structs.replace(message, members=members), now)
+
+    def _handle_far(
+        self, message: messages.Message, now: ids.Instant
+    ) -> gossip.Handled:
+        changed = False
+        for record in message.members:
+            if not self.links.is_far(record.zone):
+                changed |= self.membership.update(record, now, direct=False)
+        self.links.note_far(message.sender)
+        newer = tuple(v for v in message.documents if self._is_newer(v))
+        reply = None
+        if message.wants_reply:
+            asking = message.sender if message.wants_members else None
+            reply = self.compose_far(fill_for=asking)
+        return gossip.Handled(changed, newer, (), reply)
+
+
+def create(
+    local: messages.MemberRecord,
+    rng: random.Random,
+    timeouts: timing.Timing,
+    known: regions.Regions,
+) -> gossip.Gossip:
+    """Return the gossip of a member; without links where there is one region."""
+    if len(known.names(local.zone)) == 1:
+        return gossip.Gossip(local, rng, timeouts)
+    return RegionalGossip(local, rng, timeouts, known)
+
+
+def links_of(local: gossip.Gossip) -> region_links.RegionLinks | None:
+    """Return what a member knows of other regions; None where there is one region."""
+    return local.links if isinstance(local, RegionalGossip) else None
--- a/spindlenotch/peers/sealed_codec.py
+++ b/spindlenotch/peers/sealed_codec.py
@@ -65,6 +65,10 @@
         """Count ``size`` bytes as sent, once for each target."""
         self._count("sent", size)
 
+    def count_traffic(self, kind: str, distance: str, size: int) -> None:
+        """Count ``size`` bytes by what they were and how far they went."""
+        self.metrics.traffic_bytes.labels(kind, distance).inc(size)
+
     def drop(self, fault: wire_format.CodecFault) -> None:
         """Count bytes that are dropped; log the first of each reason."""
         self.metrics.peer_drops.labels(fault.value).inc()
--- a/spindlenotch/selection.py
+++ b/spindlenotch/selection.py
@@ -85,9 +85,14 @@
     pool: upstream_pool.Pool, now: ids.Instant, exclude: Exclusion
 ) -> list[upstreams.Upstream]:
     """Return all upstreams that may take a call."""
-    return [
-        u for u in pool.usable_order if u.spec.id not in exclude and u.may_take(now)
-    ]
+    return eligible_among(pool.usable_order, now, exclude)
+
+
+def eligible_among(
+    order: abc.Iterable[upstreams.Upstream], now: ids.Instant, exclude: Exclusion
+) -> list[upstreams.Upstream]:
+    """Return all upstreams of ``order`` that may take a call."""
+    return [u for u in order if u.spec.id not in exclude and u.may_take(now)]
 
 
 def sample(
