--- a/features/regions.feature
+++ b/features/regions.feature
@@ -20,3 +20,10 @@
       | a summary never replaces a newer one, nor the own region's   |
       | a fleet of one region speaks and answers as before           |
       | the directory reads where its callers are                    |
+      | in calm all but a few in a thousand stay in their region     |
+      | a region that is overrun uses what others have to spare      |
+      | regions that are all overrun keep to themselves              |
+      | large answers stay in their region for longer                |
+      | a region without upstreams uses those of others at once      |
+      | no try of a call leaves the regions in which it may run      |
+      | calls that wait are refused once their regions have none     |
--- a/spindlenotch/decisions/overflow.py
+++ b/spindlenotch/decisions/overflow.py
@@ -2,9 +2,9 @@
 When a call leaves its region for an upstream of another one, and for which.
 
 Answers one load pattern: a burst fills the upstreams of one region while others have
-room. Little is known of far upstreams, as load reports do not cross regions, and each
-byte there costs many times as much. Pure rules; ``soonest`` applies them where the own
-region has no room.
+room. Of far upstreams only the mean load of their region is known, seconds old, and
+each byte there costs many times as much. Pure rules; ``soonest`` applies them where
+the own region has no room.
 """
 
 from spindlenotch import ids, selection
@@ -13,9 +13,9 @@
 #: Upstreams of other regions that are compared for a call that may go there: such
 #: calls are few, and what is known of far upstreams is old.
 COMPARED = 8
-#: Share of its slots that a far upstream must have to spare: the last ones belong to
-#: calls of its own region, and what is known of its load may be seconds old.
-SPARE_SHARE = 0.25
+#: Share of its slots in use above which a region gets no more calls of others: what
+#: is left is for the bursts of its own, and what is known of it is seconds old.
+MOST_USED = 0.75
 #: What the way to another region and back costs a call, in seconds: the round trip
 #: between places some hundred kilometres apart, and that of a new connection.
 WAY_S = 0.03
@@ -44,7 +44,7 @@
         return False
     if now >= call.far_from or exclude:
         return True
-    return not any(u.may_take(now) for u in pool.near_order)
+    return not _any_near(pool, now)
 
 
 def candidates(
@@ -53,14 +53,22 @@
     now: ids.Instant,
     exclude: selection.Exclusion,
 ) -> list[upstreams.Upstream]:
-    """Return the upstreams of other regions that are compared, in allowed ones only."""
-    allowed = [u for u in pool.far_order if pool.allows(call, u)]
-    return selection.sample(allowed, COMPARED, pool.rng, now, exclude)
-
+    """
+    Return the upstreams of other regions that are compared, in allowed ones only.
 
-def slots_to_spare(pool: upstream_pool.Pool, upstream: upstreams.Upstream) -> float:
-    """Return how many slots must stay free there beside that of the call."""
-    return SPARE_SHARE * upstream.slots if pool.is_far(upstream) else 0.0
+    Those of regions that are heard of and have room; while the own region has none
+    that may take the call, those of any region that doesn't say that it is full.
+    """
+    used_by_region = pool.far_used_by_region
+    if not _any_near(pool, now):
+        used_by_region = dict.fromkeys(pool.far_regions(), 0.0) | used_by_region
+    open_regions = {r for r, used in used_by_region.items() if used <= MOST_USED}
+    allowed = [
+        u
+        for u in pool.far_order
+        if pool.region_of(u) in open_regions and pool.allows(call, u)
+    ]
+    return selection.sample(allowed, COMPARED, pool.rng, now, exclude)
 
 
 def leave_region_at(
@@ -76,3 +84,7 @@
     return ids.later(
         arrived_at, min(way_s, MOST_WAIT_SHARE * (wait_until - arrived_at))
     )
+
+
+def _any_near(pool: upstream_pool.Pool, now: ids.Instant) -> bool:
+    return any(upstream.may_take(now) for upstream in pool.near_order)
--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -140,8 +140,7 @@
     cost_by_id: dict[ids.UpstreamId, float] = {}
     for upstream in options:
         load = pool.estimated_load(upstream, now)
-        spare = overflow.slots_to_spare(pool, upstream)
-        if has_room(upstream, load + spare, pool.crowding):
+        if has_room(upstream, load, pool.crowding):
             cost = expected_s(pool, call, upstream, load, typical_s, now)
             cost_by_id[upstream.spec.id] = cost
     return cost_by_id
--- a/spindlenotch/gateway/cluster/region_exchange.py
+++ b/spindlenotch/gateway/cluster/region_exchange.py
@@ -45,7 +45,7 @@
 
     def describe(
         self,
-        active: abc.Iterable[messages.MemberRecord],
+        active: abc.Collection[messages.MemberRecord],
         member_count: int,
         demand: workload.Work,
     ) -> None:
@@ -56,7 +56,9 @@
                 messages.RegionGateway(record.address, record.peer_address)
                 for record in active
             ]
-            links.describe(gateways, member_count, demand)
+            local_host = self.state.config.host
+            speaks = any(record.host == local_host for record in active)
+            links.describe(gateways, member_count, demand, speaks=speaks)
 
     def addresses(
         self,
--- /dev/null
+++ b/spindlenotch/gateway/cluster/region_loads.py
@@ -0,0 +1,65 @@
+"""
+How full the upstreams of each region are: told to other regions, learnt of them.
+
+Load reports of single upstreams do not cross regions; the mean over a service does,
+with the region's summary. Relies on the pools for the own region's and puts those of
+the others into them, where ``decisions.overflow`` looks.
+"""
+
+from spindlenotch import ids
+from spindlenotch.gateway import state
+from spindlenotch.kernel import upstream_pool, upstreams
+from spindlenotch.peers import messages, region_links
+
+#: Digits behind the point of a share: hundredths decide nothing.
+SHARE_DIGITS = 2
+
+
+class RegionLoads:
+    """Keeps summaries and pools in step; nothing where there is one region."""
+
+    def __init__(self, gateway_state: state.GatewayState) -> None:
+        self.state = gateway_state
+
+    def update(self) -> None:
+        """Tell what is known here, and take in what other regions have told."""
+        links = self.state.links
+        if links is None:
+            return
+        now = self.state.clock.now()
+        heard = links.young(now, region_links.LOST_S)
+        services = []
+        for name, service in self.state.balancer_by_service.items():
+            service.pool.far_used_by_region = _used_by_region(name, heard)
+            used = _used(service.pool, now)
+            services.append(messages.ServiceUse(name, round(used, SHARE_DIGITS)))
+        links.describe_services(services)
+
+
+def _used_by_region(
+    service: ids.ServiceName,
+    heard: dict[ids.RegionName, messages.RegionSummary],
+) -> dict[ids.RegionName, float]:
+    return {
+        region: use.used
+        for region, summary in heard.items()
+        for use in summary.services
+        if use.service == service
+    }
+
+
+def _used(pool: upstream_pool.Pool, now: ids.Instant) -> float:
+    """Return the share of the slots in use; those of slowed upstreams are."""
+    slots = sum(upstream.slots for upstream in pool.near_order)
+    if not slots:
+        return 1.0
+    return sum(_slots_used(pool, u, now) for u in pool.near_order) / slots
+
+
+def _slots_used(
+    pool: upstream_pool.Pool, upstream: upstreams.Upstream, now: ids.Instant
+) -> float:
+    slowed = upstream.slowdown(now) > upstreams.SLOWED_FACTOR
+    if slowed or upstream.state is not upstreams.State.ACTIVE:
+        return float(upstream.slots)
+    return min(float(upstream.slots), pool.estimated_load(upstream, now))
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -18,6 +18,7 @@
     load_sharing,
     membership,
     prober,
+    region_loads,
 )
 from spindlenotch.gateway.serving import answering, ingress, job_factory
 from spindlenotch.gateway.source import discovery, relay, source_reader, sources
@@ -59,6 +60,7 @@
         self.ingress = ingress.Ingress(gateway_state, answerer)
         self.fleet = fleet.Fleet(gateway_state)
         self.cold_senders = cold_senders.ColdSenders(gateway_state, self.fleet)
+        self.region_loads = region_loads.RegionLoads(gateway_state)
         self.side_ports = side_ports.SidePorts(
             gateway_state, self.fleet, gateway_dialect
         )
@@ -140,6 +142,7 @@
             if self.state.tick() and self.state.reads_source:
                 self.relay.publish_expiry()
             self.cold_senders.update()
+            self.region_loads.update()
             await self.state.wakeups.sleep(TICK_S)
 
 
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -50,7 +50,8 @@
     ``waiting`` those in the queue; at most ``eject_share`` of the pool (at least
     one) is ejected at a time. ``mean_foreign_load`` is the number of requests
     that other processes have in an upstream where this one owns no slots,
-    ``far_foreign_load`` the same of those in other regions;
+    ``far_used_by_region`` the share of their slots that upstreams of other regions
+    have in use, as these say;
     ``refused_share`` is the share of calls refused for overload,
     ``failed_share`` that of answers that are failures. ``revision`` rises with each
     change of ``usable_order``. ``cold_senders`` are the processes that share what cold
@@ -80,7 +81,7 @@
             service.zones, service.day, 0.0
         )
         self.mean_foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
-        self.far_foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
+        self.far_used_by_region: dict[ids.RegionName, float] = {}
         self.refused_share = latency.Mean(0.0, REFUSED_WEIGHT)
         self.in_flight = 0
         self.waiting = 0
@@ -212,13 +213,18 @@
         distance = known.distance(self.local_member.zone, upstream.spec.zone)
         return distance is regions.Distance.FAR
 
+    def region_of(self, upstream: upstreams.Upstream) -> ids.RegionName:
+        """Return the region of an upstream."""
+        return self.service.region_map.region(upstream.spec.zone)
+
+    def far_regions(self) -> set[ids.RegionName]:
+        """Return the other regions that have upstreams."""
+        return {self.region_of(upstream) for upstream in self.far_order}
+
     def allows(self, call: waiting.Call, upstream: upstreams.Upstream) -> bool:
         """Tell whether a call may run in the region of an upstream."""
-        if call.allowed_regions is None:
-            return True
-        return (
-            self.service.region_map.region(upstream.spec.zone) in call.allowed_regions
-        )
+        allowed = call.allowed_regions
+        return allowed is None or self.region_of(upstream) in allowed
 
     def estimated_load(self, upstream: upstreams.Upstream, now: ids.Instant) -> float:
         """
@@ -226,10 +232,13 @@
 
         Upstreams where this process owns slots report often enough to have a
         mean of their own; the others count with the mean over all of them, those of
-        other regions with their own: a region may be full while another is not.
+        other regions with what their region says.
         """
         decay_s = REPORT_DECAY_FACTOR * self.latencies.overall.value
-        typical = self._mean_foreign_load(upstream).value
+        typical = self.mean_foreign_load.value
+        if self.far_order and self.is_far(upstream):
+            used = self.far_used_by_region.get(self.region_of(upstream), 0.0)
+            typical = used * upstream.slots
         if upstream.owned_slots > 0:
             typical = upstream.foreign_load.value
         return upstream.outstanding + upstream.foreign_load_now(now, decay_s, typical)
@@ -242,16 +251,13 @@
     ) -> None:
         """Take in a load report that came with an answer or a probe."""
         upstream.reported(report, now)
-        if upstream.owned_slots <= 0:
-            total = report.running + report.queued
-            foreign = max(0, total - upstream.outstanding)
-            self._mean_foreign_load(upstream).add(foreign)
-
-    def _mean_foreign_load(self, upstream: upstreams.Upstream) -> latency.Mean:
-        """Return the mean with which an upstream counts of which little is known."""
         if self.far_order and self.is_far(upstream):
-            return self.far_foreign_load
-        return self.mean_foreign_load
+            # It came with an answer, whose call still counts as outstanding here; no
+            # probe will tell better.
+            upstream.outstanding_at_report -= 1
+        elif upstream.owned_slots <= 0:
+            total = report.running + report.queued
+            self.mean_foreign_load.add(max(0, total - upstream.outstanding))
 
     def record_result(
         self,
--- a/spindlenotch/peers/messages.py
+++ b/spindlenotch/peers/messages.py
@@ -34,6 +34,8 @@
 #: Gateways that a summary names: callers of a region that is lost spread over them,
 #: and the loss of some leaves others.
 GATEWAYS_PER_SUMMARY = 8
+#: Services in a summary; calls of further ones stay in their region while it can.
+SERVICES_PER_SUMMARY = 16
 #: Hexadecimal digits of a document's digest that a message carries. Chosen,
 #: not measured: enough to tell two documents of one version apart.
 DIGEST_DIGITS = 16
@@ -128,18 +130,27 @@
     peer_address: ids.Address
 
 
+class ServiceUse(msgspec.Struct, frozen=True):
+    """Which share of its slots the upstreams of a service have in use in a region."""
+
+    service: ids.ServiceName
+    used: float
+
+
 class RegionSummary(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     What other regions need to know of one, made ``age_s`` seconds before this was sent.
 
     ``gateways`` are some of its active ones, ``member_count`` is how many it has in
-    all, ``demand`` what callers ask of them together.
+    all, ``demand`` what callers ask of them together, ``services`` how full its
+    upstreams are.
     """
 
     region: ids.RegionName
     gateways: tuple[RegionGateway, ...] = ()
     member_count: int = 0
     demand: workload.Work = workload.NO_WORK
+    services: tuple[ServiceUse, ...] = ()
     age_s: float = 0.0
 
 
--- a/spindlenotch/peers/msgpack_codec.py
+++ b/spindlenotch/peers/msgpack_codec.py
@@ -80,7 +80,9 @@
 
 def _exceeds_region_limits(summaries: tuple[messages.RegionSummary, ...]) -> bool:
     return len(summaries) > messages.REGIONS_PER_MESSAGE or any(
-        len(summary.gateways) > messages.GATEWAYS_PER_SUMMARY for summary in summaries
+        len(summary.gateways) > messages.GATEWAYS_PER_SUMMARY
+        or len(summary.services) > messages.SERVICES_PER_SUMMARY
+        for summary in summaries
     )
 
 
--- a/spindlenotch/peers/region_links.py
+++ b/spindlenotch/peers/region_links.py
@@ -53,6 +53,7 @@
         self.rng = rng
         self.heard_by_region: dict[ids.RegionName, Heard] = {}
         self._own = messages.RegionSummary(self.local_region)
+        self._speakers = 0
         self._introduced_by_host: dict[ids.HostId, messages.MemberRecord] = {}
 
     def is_far(self, zone: ids.ZoneName) -> bool:
@@ -104,13 +105,27 @@
         gateways: abc.Sequence[messages.RegionGateway],
         member_count: int,
         demand: workload.Work,
+        *,
+        speaks: bool,
     ) -> None:
-        """Set what the summary of the own region says."""
-        named = tuple(gateways[: messages.GATEWAYS_PER_SUMMARY])
-        self._own = messages.RegionSummary(
-            self.local_region, named, member_count, demand
+        """
+        Set what the summary of the own region says.
+
+        Of the active ``gateways`` this one ``speaks`` to other regions if it is one.
+        """
+        self._speakers = len(gateways) if speaks else 0
+        self._own = msgspec.structs.replace(
+            self._own,
+            gateways=tuple(gateways[: messages.GATEWAYS_PER_SUMMARY]),
+            member_count=member_count,
+            demand=demand,
         )
 
+    def describe_services(self, services: abc.Sequence[messages.ServiceUse]) -> None:
+        """Set what the summary of the own region says of its upstreams."""
+        told = tuple(services[: messages.SERVICES_PER_SUMMARY])
+        self._own = msgspec.structs.replace(self._own, services=told)
+
     def to_far(self, now: ids.Instant) -> tuple[messages.RegionSummary, ...]:
         """Return what a message to another region carries: all that is known."""
         return (self._own, *self._heard(now))[: messages.REGIONS_PER_MESSAGE]
@@ -123,18 +138,17 @@
 
     def targets(
         self,
-        near_count: int,
         spare_by_region: abc.Mapping[ids.RegionName, abc.Sequence[ids.Address]],
         now: ids.Instant,
     ) -> list[ids.Address]:
         """
         Return whom to tell of this region in this period: mostly nobody.
 
-        On average one of the ``near_count`` other members and this one tells one
-        member of one other region. ``spare_by_region`` are addresses to try where a
-        region has not been heard of, or not lately.
+        On average one of the active members tells one member of one other region.
+        ``spare_by_region`` are addresses to try where a region has not been heard of,
+        or not lately.
         """
-        if not self.others or self.rng.random() * (near_count + 1) >= 1.0:
+        if not self._speakers or self.rng.random() * self._speakers >= 1.0:
             return []
         region = self.rng.choice(self.others)
         heard = self.heard_by_region.get(region)
--- a/spindlenotch/peers/regional_gossip.py
+++ b/spindlenotch/peers/regional_gossip.py
@@ -39,7 +39,7 @@
         now: ids.Instant,
     ) -> list[ids.Address]:
         """Return whom of another region to tell of this one in this period."""
-        return self.links.targets(len(self.known_by_host), spare_by_region, now)
+        return self.links.targets(spare_by_region, now)
 
     def compose_far(
         self,
