--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -40,6 +40,7 @@
 def peers() -> None:
     for count in (15, 60):
         made = world(count)
+        made.run(START_S)
         for gateway in made.gateways:
             known = {record.host for record in gateway.fleet.view().ready}
             assert known == {g.state.config.host for g in made.of(gateway.region)}
--- a/features/support/regional_fleet.py
+++ b/features/support/regional_fleet.py
@@ -71,7 +71,7 @@
     def directory(self, region: str) -> set[str]:
         """Return the regions of the gateways that callers of a region are sent to."""
         found = self.fleet.addresses_for(ids.RegionName(region))
-        return {self.world.gateway_by_address[_peer_address(a)].region for a in found}
+        return {self.world.region_at(address) for address in found}
 
 
 class World:
@@ -98,6 +98,11 @@
         self.gateways = list(self.gateway_by_address.values())
         self._ask_at = [self.rng.uniform(0, 0.4) for _ in self.gateways]
 
+    def region_at(self, address: ids.Address) -> str:
+        """Return the region of the gateway that callers reach at an address."""
+        peer_address = ids.Address(address.replace(":80", ":90"))
+        return self.gateway_by_address[peer_address].region
+
     def of(self, region: str) -> list[Gateway]:
         """Return the living gateways of a region."""
         return [g for g in self.alive() if g.region == region]
@@ -151,7 +156,3 @@
     return regions.Regions(
         {ids.ZoneName(z): ids.RegionName(r) for z, r in REGION_BY_ZONE.items()}
     )
-
-
-def _peer_address(address: ids.Address) -> ids.Address:
-    return ids.Address(address.replace(":80", ":90"))
