--- a/features/steps/gateway_overflow.py
+++ b/features/steps/gateway_overflow.py
@@ -204,7 +204,7 @@
         """Let the gateways of each region know its upstreams' load; look at queues."""
         self._at(at + REPORT_S, self._report)
         now = ids.later(NOW, at)
-        used_by_region = self._used_by_region()
+        used_by_region = self._used_by_region(at)
         for one in self.gateways:
             one.pool.far_used_by_region = used_by_region
             for upstream in one.pool.near_order:
@@ -213,18 +213,14 @@
             self._settle(one, one.settle(now), at)
             self._settle(one, one.give_up(now), at)
 
-    def _used_by_region(self) -> dict[ids.RegionName, float]:
+    def _used_by_region(self, at: float) -> dict[ids.RegionName, float]:
         """Return how full the regions are, as told a second ago."""
-        pool = self.gateways[0].pool
-        used: dict[str, float] = dict.fromkeys(REGIONS, 0.0)
-        slots: dict[str, int] = dict.fromkeys(REGIONS, 0)
-        for upstream in pool.usable_order:
-            region = regional_fleet.REGION_BY_ZONE[upstream.spec.zone]
-            running = self.running_by_id.get(upstream.spec.id, 0)
-            used[region] += min(upstream.slots, running)
-            slots[region] += upstream.slots
+        now = ids.later(NOW, at)
         self._told.append(
-            {ids.RegionName(r): used[r] / slots[r] for r in REGIONS if slots[r]}
+            {
+                ids.RegionName(self._region(one)): overflow.used_share(one.pool, now)
+                for one in self.gateways
+            }
         )
         return self._told[max(0, len(self._told) - TOLD_AFTER)]
 
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -113,6 +113,7 @@
         gateways=(gateway,),
         member_count=12,
         demand=workload.Work(90.0, 7000.0),
+        services=(messages.ServiceUse(ids.ServiceName("svc"), 0.5),),
         age_s=0.25,
     )
     return msgspec.structs.replace(added_message(), regions=(summary,))
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -10,6 +10,8 @@
 import collections
 import random
 
+import msgspec
+
 from spindlenotch import ids, selection
 from spindlenotch.decisions import admission, hedging, retrying, verdicts
 from spindlenotch.kernel import (
@@ -132,6 +134,7 @@
                 break
             self.queue.take(call)
             settled.append(verdicts.Settlement(call, grant))
+        settled.extend(self._send_far(now))
         if len(self.queue) and (self.pool.far_order or not self._any_usable(None, now)):
             settled.extend(self.admission.refuse_stranded(self._any_usable, now))
         return settled
@@ -141,9 +144,13 @@
         Refuse the waiting calls that are not worth waiting for any longer.
 
         Called while calls wait. They get their final answer now rather than
-        at the deadline, with the instant from which to try again.
+        at the deadline, with the instant from which to try again. One that finds
+        room in another region goes there instead.
         """
-        return self.admission.give_up(now)
+        return [
+            self._far_instead(settlement, now)
+            for settlement in self.admission.give_up(now)
+        ]
 
     def withdraw(self, call_id: ids.CallId) -> None:
         """Take a call out of the queue; its caller is gone."""
@@ -202,7 +209,39 @@
             grant = self._grant(call, verdicts.Kind.FIRST, now)
             if grant is not None:
                 return grant
-        return self.admission.admit(call, ahead, now)
+        verdict = self.admission.admit(call, ahead, now)
+        if isinstance(verdict, outcomes.Refusal):
+            return self._grant_far(call, now) or verdict
+        return verdict
+
+    def _send_far(self, now: ids.Instant) -> list[verdicts.Settlement]:
+        """Place the waiting calls that may leave their region by now."""
+        sent: list[verdicts.Settlement] = []
+        if not self.pool.far_order:
+            return sent
+        for call in [call for call in self.queue if call.far_from <= now]:
+            grant = self._grant(call, verdicts.Kind.FIRST, now)
+            if grant is None and call.allowed_regions is None:
+                break
+            if grant is not None:
+                self.queue.take(call)
+                sent.append(verdicts.Settlement(call, grant))
+        return sent
+
+    def _far_instead(
+        self, settlement: verdicts.Settlement, now: ids.Instant
+    ) -> verdicts.Settlement:
+        grant = self._grant_far(settlement.call, now)
+        if grant is None:
+            return settlement
+        return verdicts.Settlement(settlement.call, grant)
+
+    def _grant_far(self, call: waiting.Call, now: ids.Instant) -> verdicts.Grant | None:
+        """Place a call that its region would refuse: now it may leave it."""
+        if not self.pool.far_order:
+            return None
+        may_leave = msgspec.structs.replace(call, far_from=now)
+        return self._grant(may_leave, verdicts.Kind.FIRST, now)
 
     def _eject_if_frozen(self, grant: verdicts.Grant, now: ids.Instant) -> None:
         upstream = grant.upstream
--- a/spindlenotch/decisions/overflow.py
+++ b/spindlenotch/decisions/overflow.py
@@ -86,5 +86,25 @@
     )
 
 
+def used_share(pool: upstream_pool.Pool, now: ids.Instant) -> float:
+    """
+    Return how full the own region is: the share in use of what its upstreams can run.
+
+    Slots that stay empty because the service is crowded don't count, nor do upstreams
+    that are slowed or ejected; 1 where there are no others.
+    """
+    sound = [u for u in pool.near_order if _is_sound(u, now)]
+    crowded = pool.crowding
+    usable = sum(crowded.usable(u.slots, sample=u.crowding_sample) for u in sound)
+    if usable <= 0:
+        return 1.0
+    return sum(min(u.slots, pool.estimated_load(u, now)) for u in sound) / usable
+
+
+def _is_sound(upstream: upstreams.Upstream, now: ids.Instant) -> bool:
+    slowed = upstream.slowdown(now) > upstreams.SLOWED_FACTOR
+    return upstream.state is upstreams.State.ACTIVE and not slowed
+
+
 def _any_near(pool: upstream_pool.Pool, now: ids.Instant) -> bool:
     return any(upstream.may_take(now) for upstream in pool.near_order)
--- a/spindlenotch/gateway/cluster/region_loads.py
+++ b/spindlenotch/gateway/cluster/region_loads.py
@@ -7,8 +7,8 @@
 """
 
 from spindlenotch import ids
+from spindlenotch.decisions import overflow
 from spindlenotch.gateway import state
-from spindlenotch.kernel import upstream_pool, upstreams
 from spindlenotch.peers import messages, region_links
 
 #: Digits behind the point of a share: hundredths decide nothing.
@@ -31,7 +31,7 @@
         services = []
         for name, service in self.state.balancer_by_service.items():
             service.pool.far_used_by_region = _used_by_region(name, heard)
-            used = _used(service.pool, now)
+            used = overflow.used_share(service.pool, now)
             services.append(messages.ServiceUse(name, round(used, SHARE_DIGITS)))
         links.describe_services(services)
 
@@ -46,20 +46,3 @@
         for use in summary.services
         if use.service == service
     }
-
-
-def _used(pool: upstream_pool.Pool, now: ids.Instant) -> float:
-    """Return the share of the slots in use; those of slowed upstreams are."""
-    slots = sum(upstream.slots for upstream in pool.near_order)
-    if not slots:
-        return 1.0
-    return sum(_slots_used(pool, u, now) for u in pool.near_order) / slots
-
-
-def _slots_used(
-    pool: upstream_pool.Pool, upstream: upstreams.Upstream, now: ids.Instant
-) -> float:
-    slowed = upstream.slowdown(now) > upstreams.SLOWED_FACTOR
-    if slowed or upstream.state is not upstreams.State.ACTIVE:
-        return float(upstream.slots)
-    return min(float(upstream.slots), pool.estimated_load(upstream, now))
--- a/spindlenotch/gateway/state_dump.py
+++ b/spindlenotch/gateway/state_dump.py
@@ -29,6 +29,19 @@
     missed: int
 
 
+class RegionDump(msgspec.Struct):
+    """
+    Another region as it was last heard of.
+
+    ``used`` is the share of their slots that its upstreams have in use, by service.
+    """
+
+    heard_s_ago: float
+    members: int
+    gateways: list[ids.Address]
+    used: dict[ids.ServiceName, float]
+
+
 class UpstreamDump(
     msgspec.Struct,
     rename={
@@ -66,7 +79,8 @@
     A gateway; ``version`` is that of the configuration in force.
 
     ``refused_routes`` says why routes are not served, by host and prefix;
-    ``not_ready`` why callers may not be sent here, empty where they may.
+    ``not_ready`` why callers may not be sent here, empty where they may; ``regions``
+    holds what is known of the others.
     """
 
     host: ids.HostId
@@ -78,6 +92,7 @@
     services: dict[ids.ServiceName, ServiceDump]
     refused_routes: dict[str, str]
     not_ready: str
+    regions: dict[ids.RegionName, RegionDump] = {}
 
 
 def create(
@@ -101,9 +116,27 @@
         },
         refused_routes=_refused_routes(gateway_state),
         not_ready=gateway_state.unready_reason,
+        regions=_regions(gateway_state, now),
     )
 
 
+def _regions(
+    gateway_state: state.GatewayState, now: ids.Instant
+) -> dict[ids.RegionName, RegionDump]:
+    links = gateway_state.links
+    if links is None:
+        return {}
+    return {
+        region: RegionDump(
+            heard_s_ago=round(now - heard.made_at, AGE_DIGITS),
+            members=heard.summary.member_count,
+            gateways=[one.address for one in heard.summary.gateways],
+            used={use.service: use.used for use in heard.summary.services},
+        )
+        for region, heard in links.heard_by_region.items()
+    }
+
+
 def _refused_routes(gateway_state: state.GatewayState) -> dict[str, str]:
     if gateway_state.table is None:
         return {}
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -12,6 +12,44 @@
 Rule = decision_rules.Rule
 
 RULES = (
+    Rule(
+        question="When a request leaves its region",
+        functions=(
+            "decisions/overflow.may_leave_region",
+            "decisions/overflow.candidates",
+            "decisions/overflow.leave_region_at",
+        ),
+        inputs="arrival (instant), how long it may wait (instant), bytes of the request"
+        " and mean bytes of the route's answers, whether the own region has an upstream"
+        " that may take it, share of their slots that upstreams of each region have in"
+        " use, regions in which the route may be served.",
+        reason="It waits in its region for as long as the way costs, so that it costs"
+        " at most twice what the better of the two would have; an answer from afar is"
+        " better than a refusal. A region above the limit keeps its last slots for its"
+        " own calls. No try leaves the regions of the route.",
+        constants=(
+            "decisions/overflow.COMPARED",
+            "decisions/overflow.MOST_USED",
+            "decisions/overflow.WAY_S",
+            "decisions/overflow.WAY_S_PER_BYTE",
+            "decisions/overflow.MOST_WAIT_SHARE",
+            "gateway/serving/body_traffic.SIZE_WEIGHT",
+            "gateway/serving/body_traffic.LARGE_ANSWER_BYTES",
+        ),
+        events=("REGION_NOT_ALLOWED",),
+        tests=(
+            Scenario(
+                "regions", "in calm all but a few in a thousand stay in their region"
+            ),
+            Scenario(
+                "regions", "a region that is overrun uses what others have to spare"
+            ),
+            Scenario("regions", "regions that are all overrun keep to themselves"),
+            Scenario(
+                "regions", "no try of a call leaves the regions in which it may run"
+            ),
+        ),
+    ),
     Rule(
         question="Which upstream takes a request (gateway)",
         functions=(
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -42,6 +42,36 @@
             Scenario("gateway", "what callers ask rises at once and falls late"),
         ),
     ),
+    Rule(
+        question="Which region's gateways callers are sent to",
+        functions=(
+            "gateway/cluster/region_exchange.RegionExchange.addresses",
+            "gateway/cluster/moved_demand.MovedDemand.expected",
+            "peers/region_links.RegionLinks.targets",
+        ),
+        inputs="the caller's region or zone, setting `region_by_zone`, regions that all"
+        " restricted routes of the caller's host allow, age of each region's summary"
+        " (s), demand of each region (requests and bytes a second).",
+        reason="Those of the caller's region. Where it may be gone the own ones stand"
+        " beside them, and where it is lost only these. What its callers asked is"
+        " expected by the others before it is measured, as is an even part of all by"
+        " a region that nobody has asked anything yet. One active gateway a region and"
+        " period tells one of another region.",
+        constants=(
+            "peers/region_links.DOUBTFUL_S",
+            "peers/region_links.LOST_S",
+            "peers/region_links.MOST_INTRODUCED",
+            "gateway/cluster/moved_demand.EXPECTED_S",
+        ),
+        events=("REGION_LOST", "REGION_BACK"),
+        tests=(
+            Scenario("regions", "callers are sent to gateways of their own region"),
+            Scenario("regions", "regions that lose each other go on, and meet again"),
+            Scenario(
+                "regions", "callers of a region that is lost are served by the others"
+            ),
+        ),
+    ),
     Rule(
         question="When the upstreams of an evacuated zone get their last request",
         functions=(
