--- a/features/regions.feature
+++ b/features/regions.feature
@@ -31,3 +31,5 @@
       | elsewhere its requests are refused at once, and never run    |
       | the regions of a host are those that all its routes allow    |
       | the directory sends such callers to a region that may serve  |
+      | documents of other regions count while no reader is heard    |
+      | nobody of another region sends to a cold upstream            |
--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -9,10 +9,11 @@
 from features.steps import kernel
 from features.support import regional_fleet
 from spindlenotch import ids
-from spindlenotch.gateway import dialect
+from spindlenotch.gateway import dialect, service_defaults
 from spindlenotch.gateway.cluster import moved_demand
-from spindlenotch.kernel import cold_start
-from spindlenotch.peers import messages, region_links, workload
+from spindlenotch.gateway.source import reader_duty, relay, routing
+from spindlenotch.kernel import cold_start, upstream_pool, upstreams
+from spindlenotch.peers import documents, messages, region_links, workload
 from spindlenotch_platform import http_dialect
 
 REGIONS = regional_fleet.REGIONS
@@ -286,3 +287,58 @@
     )
     assert platform.read_origin({}) == dialect.ANYWHERE
     assert platform.read_origin({"region": "", "zone": ""}) == dialect.ANYWHERE
+
+
+@kernel.PROPERTIES.register("documents of other regions count while no reader is heard")
+def far_documents() -> None:
+    made = regional_fleet.World(6)
+    one, far = made.gateways[0], made.gateways[2]
+    assert one.region != far.region
+    passing = relay.Relay(one.state, one.fleet, one.membership.link)
+    asked: list[ids.Address] = []
+    passing.exchange.fetch = (  # type: ignore[method-assign]
+        lambda source, newer: asked.append(source)
+    )
+    newer = messages.DocumentVersion(
+        documents.DocumentKind.BUNDLE, 9, ids.Digest("0" * 16)
+    )
+    message = messages.Message(far.state.gossip.local, 1, documents=(newer,))
+
+    def hear() -> list[ids.Address]:
+        asked.clear()
+        handled = one.state.gossip.handle(message, made.clock.now())
+        passing.message_received(message, handled)
+        return asked
+
+    # A reader of its own may yet be heard, for a while after the start.
+    assert hear() == []
+    made.clock.advance(reader_duty.READER_LOST_S + 0.1)
+    assert hear() == [far.address]
+    passing.duty.zone_peer_heard(ids.HostId("near"), made.clock.now(), reads=True)
+    assert hear() == []
+    made.clock.advance(reader_duty.READER_LOST_S + 0.1)
+    one.state.reads_source = True
+    assert hear() == []
+
+
+@kernel.PROPERTIES.register("nobody of another region sends to a cold upstream")
+def cold_far() -> None:
+    made = regional_fleet.World(3)
+    state = made.gateways[0].state
+    service = routing.ServiceSpec(
+        ids.ServiceName("s"), health_path="/", connections=9, cold_rate_per_s=4.0
+    )
+    zones = tuple(ids.ZoneName(zone) for zone in regional_fleet.ZONES)
+    policy = service_defaults.policy(service, zones, state.config)
+    pool = upstream_pool.Pool(policy, state.local_member, state.rng)
+    until = ids.later(made.clock.now(), 3.0)
+    specs = [
+        upstreams.UpstreamSpec(ids.UpstreamId(zone), zone, ids.Address(""), 1, 4, until)
+        for zone in zones
+    ]
+    pool.set_listed(specs, made.clock.now())
+    pool.set_cold_senders((state.config.host,), made.clock.now())
+    for upstream in pool.usable_order:
+        is_near = upstream in pool.near_order
+        assert upstream.cold.rate_per_s == (4.0 if is_near else 0.0)
+    assert {u.spec.zone for u in pool.near_order} == {"north-a", "north-b"}
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -34,7 +34,8 @@
 import sys, loguru
 sys.path.append("platform")
 loguru.logger.remove()
-from features.steps import gateway_cold, gateway_evacuation, kernel
+from features.steps import gateway_allowed, gateway_cold, gateway_evacuation
+from features.steps import gateway_overflow, gateway_regions, kernel
 kernel.PROPERTIES.get({name!r})()
 """
 
@@ -184,6 +185,69 @@
         "\n    def _schedule",
         held_by="a zone that is taken back is in use again at once",
     ),
+    Mutant(
+        "a route is served in any region",
+        "gateway/source/region_rules",
+        "region != regions.UNNAMED and region in route.allowed_regions",
+        "True",
+        "elsewhere its requests are refused at once, and never run",
+    ),
+    Mutant(
+        "a call leaves the regions of its route",
+        "decisions/overflow",
+        "pool.region_of(u) in open_regions and pool.allows(call, u)",
+        "pool.region_of(u) in open_regions",
+        "no try of a call leaves the regions in which it may run",
+    ),
+    Mutant(
+        "calls wait though their regions have no upstream left",
+        "kernel/upstream_pool",
+        "return allowed is None or self.region_of(upstream) in allowed",
+        "return True",
+        "calls that wait are refused once their regions have none",
+    ),
+    Mutant(
+        "full regions get the calls of others",
+        "decisions/overflow",
+        "if used <= MOST_USED",
+        "if used <= MOST_USED + 9",
+        "regions that are all overrun keep to themselves",
+    ),
+    Mutant(
+        "a summary grows younger on its way",
+        "peers/region_links",
+        "now - max(0.0, summary.age_s)",
+        "now - 0.5 * max(0.0, summary.age_s)",
+        "regions that lose each other go on, and meet again",
+    ),
+    Mutant(
+        "members of other regions become peers",
+        "peers/regional_gossip",
+        "if self.links.is_far(message.sender.zone):",
+        "if False:",
+        "a gateway's peers are those of its region, all of them",
+    ),
+    Mutant(
+        "a lost region's callers are not expected",
+        "gateway/cluster/moved_demand",
+        "needed = _sum([own, _part(_sum(moved), parts)])",
+        "needed = own",
+        "what a lost region was asked is expected by the others",
+    ),
+    Mutant(
+        "gateways send to cold upstreams of other regions",
+        "kernel/upstream_pool",
+        "() if self.is_far(upstream) else self.cold_senders",
+        "self.cold_senders",
+        "nobody of another region sends to a cold upstream",
+    ),
+    Mutant(
+        "documents are fetched from other regions all the time",
+        "gateway/source/relay",
+        "if not self.state.is_far(sender.zone) or self._lacks_reader(now):",
+        "if True:",
+        "documents of other regions count while no reader is heard",
+    ),
 )
 
 
