--- a/features/regions.feature
+++ b/features/regions.feature
@@ -33,3 +33,4 @@
       | the directory sends such callers to a region that may serve  |
       | documents of other regions count while no reader is heard    |
       | nobody of another region sends to a cold upstream            |
+      | each region has one reader of the source                     |
--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -321,6 +321,20 @@
     assert hear() == []
 
 
+@kernel.PROPERTIES.register("each region has one reader of the source")
+def readers() -> None:
+    made = world(60)
+    made.run(START_S)
+    for region in REGIONS:
+        firsts = {g.fleet.readers()[0] for g in made.of(region)}
+        hosts = {g.state.config.host for g in made.of(region)}
+        assert len(firsts) == 1
+        assert firsts <= hosts
+        # When it dies, the next in the order of all zones is the same for all.
+        seconds = {g.fleet.readers()[1] for g in made.of(region)}
+        assert len(seconds) == 1
+
+
 @kernel.PROPERTIES.register("nobody of another region sends to a cold upstream")
 def cold_far() -> None:
     made = regional_fleet.World(3)
--- a/spindlenotch/gateway/cluster/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -54,6 +54,13 @@
             hosts = [record.host for record in self.starting if record.zone == zone]
         return duties.readers(zone, hosts)
 
+    def region_readers(self, region: ids.RegionName) -> list[ids.HostId]:
+        """Return those that may read for all zones in view, which are of a region."""
+        hosts = [host for some in self.standby_by_zone.values() for host in some]
+        if not hosts:
+            hosts = [record.host for record in self.starting]
+        return duties.readers(ids.ZoneName(region), hosts)
+
 
 class _Inputs(msgspec.Struct, frozen=True):
     """
@@ -119,12 +126,26 @@
         return self.view().active_zones
 
     def readers(self) -> list[ids.HostId]:
-        """Return who may read the source for this zone, in the order of duty."""
+        """
+        Return who may read the source for this zone, in the order of duty.
+
+        For all zones of the region where there are several: a reading crosses regions
+        then, and what it brings costs less between two zones.
+        """
         view = self.view()
         if self._readers is None:
-            self._readers = view.readers(self.state.config.zone)
+            if self.state.links is None:
+                self._readers = view.readers(self.state.config.zone)
+            else:
+                self._readers = view.region_readers(self.state.region)
         return self._readers
 
+    def shares_reader(self, zone: ids.ZoneName) -> bool:
+        """Tell whether who reads for this gateway's zone reads for that one too."""
+        if self.state.links is None:
+            return zone == self.state.config.zone
+        return not self.state.is_far(zone)
+
     def _look_at_members(self, least_per_zone: int) -> None:
         records = self._believed_records()
         ready = [r for r in records if r.status is messages.Status.READY]
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -1,10 +1,10 @@
 """
 Passes configuration and upstream list between gateways, so that few read them.
 
-In each zone one gateway reads the source; the others ask it a few times a
-second which versions it holds, and fetch documents from it or from whoever has
-newer ones. Too many readers or none for a moment do no harm: versions only grow.
-Relies on ``reader_duty`` for who reads and on ``fleet`` for the order of duty; the
+In each zone one gateway reads the source, in each region where there are several;
+the others ask it a few times a second which versions it holds, and fetch documents
+from it or from whoever has newer ones. Too many readers or none for a moment do no
+harm: versions only grow. Relies on ``reader_duty`` for who reads and on ``fleet`` for the order of duty; the
 documents lie in ``state.fence``.
 """
 
@@ -196,7 +196,7 @@
         return [
             peer.record.peer_address
             for peer in self.state.gossip.known_by_host.values()
-            if peer.record.zone == self.state.config.zone
+            if self.fleet.shares_reader(peer.record.zone)
         ]
 
     # Fetching
@@ -208,7 +208,7 @@
         sender = message.sender
         now = self.state.clock.now()
         self.duty.peer_heard(now)
-        if sender.zone == self.state.config.zone:
+        if self.fleet.shares_reader(sender.zone):
             self.duty.zone_peer_heard(sender.host, now, reads=message.reads_source)
         if not self.state.is_far(sender.zone) or self._lacks_reader(now):
             self.exchange.fetch(sender.peer_address, handled.newer)
