--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -44,6 +44,7 @@
     "Route.has_large_answers": "configuration-added-2.json",
     "Configuration.refused_routes": "configuration-added-2.json",
     "Configuration.remarks": "configuration-added-2.json",
+    "Message.regions": "gossip-added-3.msgpack.hex",
 }
 
 
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -119,6 +119,7 @@
         ),
         _added_gossip("gossip-added", recorded_messages.added_message()),
         _added_gossip("gossip-added-2", recorded_messages.added_later_message()),
+        _added_gossip("gossip-added-3", recorded_messages.regional_message()),
         Sample(
             "frame.msgpack.hex",
             "msgpack",
--- /dev/null
+++ b/spindlenotch/decisions/overflow.py
@@ -0,0 +1,110 @@
+"""
+When a call leaves its region for an upstream of another one, and for which.
+
+Answers one load pattern: a burst fills the upstreams of one region while others have
+room. Of far upstreams only the mean load of their region is known, seconds old, and
+each byte there costs many times as much. Pure rules; ``soonest`` applies them where
+the own region has no room.
+"""
+
+from spindlenotch import ids, selection
+from spindlenotch.kernel import upstream_pool, upstreams, waiting
+
+#: Upstreams of other regions that are compared for a call that may go there: such
+#: calls are few, and what is known of far upstreams is old.
+COMPARED = 8
+#: Share of its slots in use above which a region gets no more calls of others: what
+#: is left is for the bursts of its own, and what is known of it is seconds old.
+MOST_USED = 0.75
+#: What the way to another region and back costs a call, in seconds: the round trip
+#: between places some hundred kilometres apart, and that of a new connection.
+WAY_S = 0.03
+#: What each byte of a request and its answer costs beside that, in seconds: eight
+#: times a byte between zones (``job_factory.CROSS_ZONE_S_PER_BYTE``), as the lines
+#: between regions are few, and all hosts share them.
+WAY_S_PER_BYTE = 2e-5
+#: Share of the time that a call may wait after which it leaves whatever it costs.
+MOST_WAIT_SHARE = 0.5
+
+
+def may_leave_region(
+    pool: upstream_pool.Pool,
+    call: waiting.Call,
+    now: ids.Instant,
+    exclude: selection.Exclusion,
+) -> bool:
+    """
+    Tell whether a call that finds no room in its region may leave it.
+
+    Once it has waited as long as the way costs: so it costs at most twice what the
+    better of the two would have. A further try doesn't wait, nor does a call whose
+    region has no upstream that may take it.
+    """
+    if not pool.far_order:
+        return False
+    if now >= call.far_from or exclude:
+        return True
+    return not _any_near(pool, now)
+
+
+def candidates(
+    pool: upstream_pool.Pool,
+    call: waiting.Call,
+    now: ids.Instant,
+    exclude: selection.Exclusion,
+) -> list[upstreams.Upstream]:
+    """
+    Return the upstreams of other regions that are compared, in allowed ones only.
+
+    Those of regions that are heard of and have room; while the own region has none
+    that may take the call, those of any region that doesn't say that it is full.
+    """
+    used_by_region = pool.far_used_by_region
+    if not _any_near(pool, now):
+        used_by_region = dict.fromkeys(pool.far_regions(), 0.0) | used_by_region
+    open_regions = {r for r, used in used_by_region.items() if used <= MOST_USED}
+    allowed = [
+        u
+        for u in pool.far_order
+        if pool.region_of(u) in open_regions and pool.allows(call, u)
+    ]
+    return selection.sample(allowed, COMPARED, pool.rng, now, exclude)
+
+
+def leave_region_at(
+    arrived_at: ids.Instant, wait_until: ids.Instant, size: float
+) -> ids.Instant:
+    """
+    Return from when a call may go far: once it has waited as long as the way costs.
+
+    ``size`` are the bytes of its request and expected answer. Not later than half of
+    what it may wait: an answer from afar is better than a refusal.
+    """
+    way_s = WAY_S + WAY_S_PER_BYTE * size
+    return ids.later(
+        arrived_at, min(way_s, MOST_WAIT_SHARE * (wait_until - arrived_at))
+    )
+
+
+def used_share(pool: upstream_pool.Pool, now: ids.Instant) -> float:
+    """
+    Return how full the own region is: the share in use of what its upstreams can run.
+
+    Slots that stay empty because the service is crowded don't count, nor do upstreams
+    that are slowed or ejected; 1 where there are no others.
+    """
+    sound = [u for u in pool.near_order if _is_sound(u, now)]
+    crowded = pool.crowding
+    usable = sum(crowded.usable(u.slots, sample=u.crowding_sample) for u in sound)
+    if usable <= 0:
+        return 1.0
+    return sum(min(u.slots, pool.estimated_load(u, now)) for u in sound) / usable
+
+
+def _is_sound(upstream: upstreams.Upstream, now: ids.Instant) -> bool:
+    slowed = upstream.slowdown(now) > upstreams.SLOWED_FACTOR
+    return upstream.state is upstreams.State.ACTIVE and not slowed
+
+
+def _any_near(pool: upstream_pool.Pool, now: ids.Instant) -> bool:
+    return any(upstream.may_take(now) for upstream in pool.near_order)
--- a/spindlenotch/gateway/cluster/cold_senders.py
+++ b/spindlenotch/gateway/cluster/cold_senders.py
@@ -34,7 +34,7 @@
             service.pool.set_cold_senders(senders, now)
 
     def _senders(self) -> tuple[ids.HostId, ...]:
-        size = self.state.fleet_size
+        size = self.state.region_size
         if size.is_alone or size.seen <= QUORUM_SHARE * size.largest:
             return ()
         return tuple(sorted(self.fleet.view().active_zones))
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -39,7 +39,9 @@
     Invariants: ``in_flight`` counts the calls sent and not ended,
     ``waiting`` those in the queue; at most ``eject_share`` of the pool (at least
     one) is ejected at a time. ``mean_foreign_load`` is the number of requests
-    that other processes have in an upstream where this one owns no slots;
+    that other processes have in an upstream where this one owns no slots,
+    ``far_used_by_region`` the share of their slots that upstreams of other regions
+    have in use, as these say;
     ``refused_share`` is the share of calls refused for overload,
     ``failed_share`` that of answers that are failures.
     """
@@ -53,6 +55,7 @@
         super().__init__(service, local_member)
         self.rng = rng
         self.mean_foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
+        self.far_used_by_region: dict[ids.RegionName, float] = {}
         self.refused_share = latency.Mean(0.0, REFUSED_WEIGHT)
         self.in_flight = 0
         self.waiting = 0
@@ -70,10 +73,14 @@
         Estimate the requests in ``upstream``, those of other processes included.
 
         Upstreams where this process owns slots report often enough to have a
-        mean of their own; the others count with the mean over all of them.
+        mean of their own; the others count with the mean over all of them, those of
+        other regions with what their region says.
         """
         decay_s = REPORT_DECAY_FACTOR * self.latencies.overall.value
         typical = self.mean_foreign_load.value
+        if self.far_order and self.is_far(upstream):
+            used = self.far_used_by_region.get(self.region_of(upstream), 0.0)
+            typical = used * upstream.slots
         if upstream.owned_slots > 0:
             typical = upstream.foreign_load.value
         return upstream.outstanding + upstream.foreign_load_now(now, decay_s, typical)
@@ -86,7 +93,11 @@
     ) -> None:
         """Take in a load report that came with an answer or a probe."""
         upstream.reported(report, now)
-        if upstream.owned_slots <= 0:
+        if self.far_order and self.is_far(upstream):
+            # It came with an answer, whose call still counts as outstanding here; no
+            # probe will tell better.
+            upstream.outstanding_at_report -= 1
+        elif upstream.owned_slots <= 0:
             total = report.running + report.queued
             self.mean_foreign_load.add(max(0, total - upstream.outstanding))
 
--- a/spindlenotch/kernel/upstream_set.py
+++ b/spindlenotch/kernel/upstream_set.py
@@ -14,11 +14,13 @@
 from spindlenotch.kernel import (
     cold_start,
     ownership,
+    regions,
     schedule,
     service_policy,
     slot_division,
     state_changes,
     upstreams,
+    waiting,
 )
 
 
@@ -27,10 +29,11 @@
     The upstreams by id, and those that may get work.
 
     Invariants: ``usable_order`` lists the upstreams that are not leaving,
-    ``local_order`` those of them in this process's own zone, ``ejected`` those that
-    are ejected; ``owned`` lists those of them in which this process owns slots, in
-    all ``owned_total``. ``revision`` rises with each change of ``usable_order``.
-    ``cold_senders`` are the processes that share what cold upstreams bear.
+    ``local_order`` those of them in this process's own zone, ``near_order`` in its
+    region and ``far_order`` in others, ``ejected`` those that are ejected; ``owned``
+    lists those of them in which this process owns slots, in all ``owned_total``.
+    ``revision`` rises with each change of ``usable_order``. ``cold_senders`` are the
+    processes that share what cold upstreams bear.
     """
 
     def __init__(
@@ -43,6 +46,8 @@
         self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
         self.usable_order: list[upstreams.Upstream] = []
         self.local_order: list[upstreams.Upstream] = []
+        self.near_order: list[upstreams.Upstream] = []
+        self.far_order: list[upstreams.Upstream] = []
         self.owned: list[upstreams.Upstream] = []
         self.ejected: list[upstreams.Upstream] = []
         self.zone_factor: dict[ids.ZoneName, float] = {}
@@ -110,6 +115,25 @@
         self.refresh()
         return True
 
+    def is_far(self, upstream: upstreams.Upstream) -> bool:
+        """Tell whether an upstream lies in another region."""
+        known = self.service.region_map
+        distance = known.distance(self.local_member.zone, upstream.spec.zone)
+        return distance is regions.Distance.FAR
+
+    def region_of(self, upstream: upstreams.Upstream) -> ids.RegionName:
+        """Return the region of an upstream."""
+        return self.service.region_map.region(upstream.spec.zone)
+
+    def far_regions(self) -> set[ids.RegionName]:
+        """Return the other regions that have upstreams."""
+        return {self.region_of(upstream) for upstream in self.far_order}
+
+    def allows(self, call: waiting.Call, upstream: upstreams.Upstream) -> bool:
+        """Tell whether a call may run in the region of an upstream."""
+        allowed = call.allowed_regions
+        return allowed is None or self.region_of(upstream) in allowed
+
     def refresh(self) -> None:
         """Work out anew which upstreams are usable and which slots are the own ones."""
         self._changed = False
@@ -121,6 +145,8 @@
         ]
         zone = self.local_member.zone
         self.local_order = [u for u in self.usable_order if u.spec.zone == zone]
+        self.near_order = [u for u in self.usable_order if not self.is_far(u)]
+        self.far_order = [u for u in self.usable_order if self.is_far(u)]
         self.ejected = [
             u for u in self.usable_order if u.state is upstreams.State.EJECTED
         ]
@@ -157,7 +183,7 @@
             rate_per_s = cold_start.rate_per_s(
                 upstream.spec.id,
                 self.service.cold_rate_per_s,
-                self.cold_senders,
+                () if self.is_far(upstream) else self.cold_senders,
                 self.local_member.host,
             )
             upstream.cold.limit(rate_per_s, now)
