--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -11,7 +11,13 @@
 import random
 
 from spindlenotch import ids, selection
-from spindlenotch.decisions import admission, hedging, retrying, verdicts
+from spindlenotch.decisions import (
+    admission,
+    hedging,
+    retrying,
+    traffic_split,
+    verdicts,
+)
 from spindlenotch.kernel import (
     outcomes,
     ownership,
@@ -32,7 +38,7 @@
     Invariants: a grant names an upstream that is listed, not leaving and not
     ejected; a call is never granted twice to the same upstream; a call that may
     have run is granted again only where it is repeatable; every further grant is
-    taken from a budget.
+    taken from a budget. ``split`` is None unless the service changes its version.
     """
 
     def __init__(
@@ -47,6 +53,7 @@
         self.queue = waiting.WaitQueue(service.queue_limit)
         self.admission = admission.Admission(self.pool, self.queue)
         self.extra = service.extra.create()
+        self.split: traffic_split.TrafficSplit | None = None
         self.retries = self.extra.retries
         self.hedges = self.extra.hedges
         self.tried_by_call: dict[ids.CallId, set[ids.UpstreamId]] = {}
@@ -100,6 +107,8 @@
         slowdown = (grant.slowdown + upstream.slowdown(now)) / 2
         expected_s = typical_s * slowdown
         upstream.ended(grant.call.id, result, expected_s, now)
+        if self.split is not None:
+            self.split.ended(grant, result, expected_s, now)
         if answered:
             latency_ratio = took_s / expected_s
             self.pool.latency_ratio.add(min(upstreams.MAX_LATENCY_RATIO, latency_ratio))
@@ -212,19 +221,39 @@
             self.pool.eject(upstream, "silent", now)
 
     def _any_usable(self, now: ids.Instant) -> bool:
+        barred = () if self.split is None else self.split.barred(self.pool)
         for upstream in self.pool.usable_order:
+            if upstream.spec.id in barred:
+                continue
             upstream.tick(now)
             is_ejected = upstream.state is upstreams.State.EJECTED
             if not is_ejected and upstream.cold.may_ever_send(now):
                 return True
         return False
 
+    def _choose(
+        self,
+        call: waiting.Call,
+        kind: verdicts.Kind,
+        now: ids.Instant,
+        tried: set[ids.UpstreamId],
+    ) -> selection.Choice | None:
+        """Choose an upstream; a version that is tried gets first tries only."""
+        if self.split is None:
+            return self.policy.choose(self.pool, call, now, tried)
+        if kind is verdicts.Kind.FIRST:
+            choice = self.split.choose_target(self.pool, call, now)
+            if choice is not None:
+                return choice
+        excluded = self.split.excluding(self.pool, tried)
+        return self.policy.choose(self.pool, call, now, excluded)
+
     def _grant(
         self, call: waiting.Call, kind: verdicts.Kind, now: ids.Instant
     ) -> verdicts.Grant | None:
         tried = self.tried_by_call.get(call.id, set())
         self.pool.waiting = len(self.queue)
-        choice = self.policy.choose(self.pool, call, now, tried)
+        choice = self._choose(call, kind, now, tried)
         if choice is None:
             return None
         upstream = choice.upstream
--- /dev/null
+++ b/spindlenotch/gateway/rollout/merging.py
@@ -0,0 +1,69 @@
+"""
+The evidence of all gateways put together, none of it counted twice.
+
+Pure. Each process tells what it counted since the order, so the newest record of
+each replaces its earlier ones and only the difference is new; one that starts again
+is another process. Owns the newest record of each process.
+"""
+
+import msgspec
+
+from spindlenotch import ids
+from spindlenotch.gateway.rollout import evidence
+from spindlenotch.peers import rollout_notes
+
+
+class Source(msgspec.Struct, frozen=True):
+    """A process that counts: one run of a gateway on a host."""
+
+    host: ids.HostId
+    incarnation: ids.Incarnation
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """What a process has counted since its record before, by route and upstream."""
+
+    source: Source
+    counts_by_cell: dict[evidence.Cell, rollout_notes.Counts]
+
+
+class Merged:
+    """The newest records by process."""
+
+    def __init__(self) -> None:
+        self.record_by_source: dict[Source, rollout_notes.EvidenceRecord] = {}
+
+    def take(
+        self, source: Source, record: rollout_notes.EvidenceRecord
+    ) -> Delta | None:
+        """Take in a record; return what is new in it, None where it is not newer."""
+        known = self.record_by_source.get(source)
+        if known is not None and known.number >= record.number:
+            return None
+        self.record_by_source[source] = record
+        before = _counts_by_cell(known)
+        found: dict[evidence.Cell, rollout_notes.Counts] = {}
+        for cell, counts in _counts_by_cell(record).items():
+            new = counts.minus(before.get(cell, rollout_notes.NO_COUNTS))
+            if new != rollout_notes.NO_COUNTS:
+                found[cell] = new
+        return Delta(source, found)
+
+    def newest_by_host(self) -> dict[ids.HostId, rollout_notes.EvidenceRecord]:
+        """Return the record of the process that was heard last of each host."""
+        return {s.host: record for s, record in self.record_by_source.items()}
+
+    def sent(self) -> int:
+        """Return how many calls were placed on the target while it was tried."""
+        return sum(record.sent for record in self.record_by_source.values())
+
+    def answered(self) -> int:
+        """Return how many calls of the service all gateways saw answered."""
+        return sum(record.answered for record in self.record_by_source.values())
+
+
+def _counts_by_cell(
+    record: rollout_notes.EvidenceRecord | None,
+) -> dict[evidence.Cell, rollout_notes.Counts]:
+    rows = () if record is None else record.rows
+    return {(row.route, row.upstream): row.counts for row in rows}
--- /dev/null
+++ b/spindlenotch/gateway/rollout/promotion.py
@@ -0,0 +1,106 @@
+"""
+When all requests of a service move to the target of an order, and when that is done.
+
+Pure. As late as may be: until then a target that turns bad has had no more than its
+share. So late that the others' work still ends within the order's time.
+"""
+
+import enum
+from collections import abc
+
+import msgspec
+
+from spindlenotch import ids
+
+#: Seconds before an order's end that promotion takes beyond the work under way: news
+#: of the order came late, the phase and the records travel, the store is written.
+MESSAGES_S = 2.0
+#: Most of an order's time that promotion may take.
+MOST_SHARE = 0.35
+#: How many times its usual time the work under way may take.
+LONG_WORK = 3.0
+#: Seconds before an order's end until which gateways that are gone are waited for.
+LAST_CALL_S = 0.8
+#: Answers of the target without which nothing is known of it.
+LEAST_ANSWERS = 10
+#: Slots of the target by those of the others: fewer would not carry the load.
+LEAST_SLOTS_SHARE = 0.7
+#: Share of the likelihood that shows a bad target from which it is suspected.
+SUSPECTED_SHARE = 0.5
+#: Share of the gateways seen lately that must be in view, and more: one that is cut off
+#: can't know who still uses the other versions.
+QUORUM_SHARE = 0.5
+
+
+class Hindrance(enum.Enum):
+    """Why an order is not promoted or completed yet."""
+
+    NONE = "none"
+    EARLY = "early"
+    NO_UPSTREAMS = "no-upstreams-of-the-target"
+    TOO_FEW_SLOTS = "too-few-slots-of-the-target"
+    FEW_ANSWERS = "few-answers-of-the-target"
+    SUSPECTED = "suspected"
+    NO_QUORUM = "no-quorum"
+    UNDER_WAY = "work-under-way"
+    GATEWAYS_GONE = "gateways-gone"
+
+
+class Readiness(msgspec.Struct, frozen=True):
+    """What decides whether an order may be promoted; slots are usable, warm ones."""
+
+    target_slots: int
+    other_slots: int
+    answers: int
+    likelihood_share: float
+
+
+class Attendance(msgspec.Struct, frozen=True):
+    """
+    Who has to have left the other versions, who has, and who is in view.
+
+    ``seen`` gateways are in view of the ``most_seen`` that were lately.
+    """
+
+    needed: frozenset[ids.HostId]
+    empty: frozenset[ids.HostId]
+    in_view: frozenset[ids.HostId]
+    seen: int
+    most_seen: int
+
+
+def lead_s(by_s: float, usual_s: abc.Iterable[float]) -> float:
+    """
+    Return how many seconds before its end an order is promoted.
+
+    ``usual_s`` are the usual times of the service's routes.
+    """
+    longest_s = LONG_WORK * max(usual_s, default=0.0)
+    return min(MOST_SHARE * by_s, MESSAGES_S + longest_s)
+
+
+def hindrance(ready: Readiness, promote_at: ids.Instant, now: ids.Instant) -> Hindrance:
+    """Return why an order is not promoted now."""
+    if now < promote_at:
+        return Hindrance.EARLY
+    if not ready.target_slots:
+        return Hindrance.NO_UPSTREAMS
+    if ready.target_slots < LEAST_SLOTS_SHARE * ready.other_slots:
+        return Hindrance.TOO_FEW_SLOTS
+    if ready.answers < LEAST_ANSWERS:
+        return Hindrance.FEW_ANSWERS
+    if ready.likelihood_share >= SUSPECTED_SHARE:
+        return Hindrance.SUSPECTED
+    return Hindrance.NONE
+
+
+def incompleteness(who: Attendance, end_at: ids.Instant, now: ids.Instant) -> Hindrance:
+    """Return why a promoted order is not completed now."""
+    if who.seen <= QUORUM_SHARE * who.most_seen:
+        return Hindrance.NO_QUORUM
+    missing = who.needed - who.empty
+    if missing & who.in_view:
+        return Hindrance.UNDER_WAY
+    if missing and now < end_at - LAST_CALL_S:
+        return Hindrance.GATEWAYS_GONE
+    return Hindrance.NONE
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -211,6 +211,7 @@
             generation=generation,
             slots=listed.slots,
             warming_up_until=warming_up_until,
+            version=listed.version,
         )
         # One that is new in an evacuated zone never gets any work.
         leave_at = now if listed.zone in self.evacuated_zones else ids.NEVER
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -33,6 +33,53 @@
     DRAINING = "draining"
 
 
+class RolloutState(enum.Enum):
+    """What the source says has become of an order to change a service's version."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled-back"
+
+
+class RolloutOrder(msgspec.Struct, frozen=True):
+    """
+    An operator's order: a service's requests are to move to a version, its target.
+
+    It must have ended ``by_s`` seconds after it was written. ``revision``, that of the
+    source at which it was written, identifies it.
+    """
+
+    service: ids.ServiceName
+    target: ids.SoftwareVersion
+    by_s: float
+    revision: int
+
+
+class RolloutStatus(msgspec.Struct, frozen=True):
+    """
+    What has become of an order, as the source holds it.
+
+    ``revision`` is that at which it was written; zero where the source holds none yet.
+    """
+
+    service: ids.ServiceName
+    target: ids.SoftwareVersion
+    state: RolloutState
+    revision: int = 0
+
+
+class RolloutMark(msgspec.Struct, frozen=True, omit_defaults=True):
+    """
+    What a peer's list says on each upstream of a service that has an order or a status.
+
+    ``left_s``: for how many seconds after the list was made the order may run yet.
+    """
+
+    order: RolloutOrder | None = None
+    left_s: float = 0.0
+    status: RolloutStatus | None = None
+
+
 class ListedUpstream(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     An upstream as the source lists it.
@@ -44,6 +91,7 @@
     ``is_evacuated``: it gets
     no new work because its zone is evacuated; a peer's list gives its state as
     draining then, so that gateways which do not know this field send nothing there.
+    ``rollout`` is set only in a peer's list.
     """
 
     id: ids.UpstreamId
@@ -56,6 +104,7 @@
     is_evacuated: bool = False
     version: ids.SoftwareVersion = ids.SoftwareVersion("")
     born: int | None = None
+    rollout: RolloutMark | None = None
 
 
 class BadItem(msgspec.Struct, frozen=True):
@@ -83,7 +132,8 @@
     Everything the source holds; changes after ``revision`` are not in it.
 
     ``configuration`` is None where there is none yet. No new work goes to the
-    upstreams of ``evacuated_zones``.
+    upstreams of ``evacuated_zones``. ``unreadable_orders``: the services whose order
+    can't be read, which leaves the one before in force.
     """
 
     revision: int
@@ -92,6 +142,9 @@
     bad: tuple[BadItem, ...] = ()
     discovery_records: tuple[DiscoveryRecord, ...] = ()
     evacuated_zones: frozenset[ids.ZoneName] = frozenset()
+    order_by_service: dict[ids.ServiceName, RolloutOrder] = {}
+    status_by_service: dict[ids.ServiceName, RolloutStatus] = {}
+    unreadable_orders: frozenset[ids.ServiceName] = frozenset()
 
 
 class Changes(msgspec.Struct, frozen=True):
@@ -99,7 +152,7 @@
     What has changed up to ``revision``; only the newest state of each item.
 
     ``evacuated_zones`` are those newly evacuated, ``restored_zones`` those whose
-    evacuation was taken back.
+    evacuation was taken back. Orders and statuses are None where they are gone.
     """
 
     revision: int
@@ -110,6 +163,8 @@
     discovery_records: tuple[DiscoveryRecord, ...] = ()
     evacuated_zones: frozenset[ids.ZoneName] = frozenset()
     restored_zones: frozenset[ids.ZoneName] = frozenset()
+    order_by_service: dict[ids.ServiceName, RolloutOrder | None] = {}
+    status_by_service: dict[ids.ServiceName, RolloutStatus | None] = {}
 
 
 class Source(typing.Protocol):
@@ -126,6 +181,15 @@
     ) -> SourceFault | None:
         """Replace the record of the same zone if it is still of that ``revision``."""
 
+    async def write_rollout_status(
+        self, order: RolloutOrder, status: RolloutStatus
+    ) -> int | SourceFault:
+        """
+        Replace a status if it is still of that ``revision``, and the order as well.
+
+        Return the revision at which it was written.
+        """
+
     async def close(self) -> None:
         """Drop all connections."""
 
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -88,7 +88,8 @@
     One upstream as the host list gives it.
 
     ``slots`` is None where all upstreams of the service have as many;
-    ``warming_up_until`` is when it has warmed up after its start.
+    ``warming_up_until`` is when it has warmed up after its start. ``version`` is that
+    of its software, empty where it tells none.
     """
 
     id: ids.UpstreamId
@@ -97,6 +98,7 @@
     generation: int
     slots: int | None = None
     warming_up_until: ids.Instant = ids.Instant(0.0)
+    version: ids.SoftwareVersion = ids.SoftwareVersion("")
 
 
 class Upstream:
--- a/spindlenotch/peers/gossip.py
+++ b/spindlenotch/peers/gossip.py
@@ -23,6 +23,7 @@
     membership,
     messages,
     probing,
+    rollout_notes,
     timing,
     workload,
 )
@@ -73,6 +74,8 @@
         self.expected_members = 0
         self._learning = learning.Learning()
         self.reads_source = False
+        #: How far orders to change a service's version have come.
+        self.rollout_phases: tuple[rollout_notes.PhaseNote, ...] = ()
         self.sequence = 0
         self.swept_at = ids.NEVER
 
@@ -187,6 +190,7 @@
             wants_members=self._wants_members(),
             suspicions=self.membership.next_suspicions(),
             reads_source=self.reads_source,
+            rollout_phases=self.rollout_phases,
         )
 
     def handle(self, message: messages.Message, now: ids.Instant) -> Handled:
--- a/spindlenotch/peers/messages.py
+++ b/spindlenotch/peers/messages.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.peers import documents, workload
+from spindlenotch.peers import documents, rollout_notes, workload
 
 #: Changed member records in a message. Chosen, not measured; with it gossip
 #: took 2.6 to 4.7 KB/s at 1% loss (docs/CAPACITY.md, "Slopes").
@@ -118,6 +118,7 @@
 class Message(
     msgspec.Struct,
     frozen=True,
+    omit_defaults=True,
     rename={"drain_notices": "marks", "wants_members": "hungry"},
 ):
     """
@@ -125,7 +126,8 @@
 
     ``wants_reply`` asks for one back; ``wants_members`` says that the sender
     knows fewer members than the host list names; ``reads_source`` that it reads
-    the source itself. On the wire ``drain_notices`` is called ``marks`` and
+    the source itself. ``rollout_phases`` and ``evidence`` are there while a service
+    changes its version. On the wire ``drain_notices`` is called ``marks`` and
     ``wants_members`` ``hungry``.
     """
 
@@ -139,6 +141,8 @@
     suspicions: tuple[Suspicion, ...] = ()
     reads_source: bool = False
     loads: tuple[workload.LoadRecord, ...] = ()
+    rollout_phases: tuple[rollout_notes.PhaseNote, ...] = ()
+    evidence: rollout_notes.EvidenceRecord | None = None
 
 
 class DocumentFrame(msgspec.Struct, frozen=True):
--- a/spindlenotch/peers/msgpack_codec.py
+++ b/spindlenotch/peers/msgpack_codec.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from spindlenotch.peers import messages, wire_format
+from spindlenotch.peers import messages, rollout_notes, wire_format
 
 #: zlib's fastest: messages are small and sent several times a second. Chosen,
 #: not measured.
@@ -74,9 +74,15 @@
         or len(message.suspicions) > messages.SUSPICIONS_PER_MESSAGE
         or len(message.drain_notices) > messages.DRAIN_NOTICES_PER_MESSAGE
         or len(message.loads) > messages.LOADS_PER_MESSAGE
+        or len(message.rollout_phases) > rollout_notes.NOTES_PER_MESSAGE
+        or _is_long(message.evidence)
     )
 
 
+def _is_long(evidence: rollout_notes.EvidenceRecord | None) -> bool:
+    return evidence is not None and len(evidence.rows) > rollout_notes.ROWS_PER_RECORD
+
+
 def _decompress(payload: bytes) -> bytes | wire_format.CodecFault:
     """Decompress a message; refuse one that is cut or over the limit."""
     try:
--- a/spindlenotch/selection.py
+++ b/spindlenotch/selection.py
@@ -32,6 +32,7 @@
     LEAST_OUTSTANDING = "fewest own requests in flight"
     TWO_CHOICES = "better of two picked at random"
     SOONEST = "soonest expected end"
+    CANARY = "within the share of a version that is tried"
 
 
 class Candidate(typing.NamedTuple):
