Rollouts: orders are followed, tried, promoted, completed or rolled back

Cause: an order to change a service's version was not read; new upstreams got their full part of all requests at once. Change: the split in the balancer, runs in step with orders, evidence between gateways, one decider that writes the status by compare-and-set.

--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -128,10 +128,14 @@
         return self._session
 
     async def add_worker(
-        self, worker_id: str, service: str = "core", zone: str = "z1"
+        self,
+        worker_id: str,
+        service: str = "core",
+        zone: str = "z1",
+        version: str = "v1",
     ) -> platform_worker.PlatformWorker:
         """Start a worker and list it."""
-        worker = platform_worker.PlatformWorker(worker_id)
+        worker = platform_worker.PlatformWorker(worker_id, version=version)
         await worker.start()
         self.worker_by_id[worker_id] = worker
         self.list_worker(worker, service, zone)
@@ -151,7 +155,7 @@
                 "service": service,
                 "address": worker.address,
                 "zone": zone,
-                "version": "v1",
+                "version": worker.version,
                 "slots": 4,
                 "state": state,
                 "coldLeftS": worker.coldness.left_ms() / 1000,
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -110,8 +110,11 @@
     off as its caller's connection closed.
     """
 
-    def __init__(self, worker_id: str, work_s: float = 0.002) -> None:
+    def __init__(
+        self, worker_id: str, work_s: float = 0.002, version: str = "v1"
+    ) -> None:
         self.id = worker_id
+        self.version = version
         self.work_s = work_s
         self.mode = Mode.GOOD
         self.running = 0
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -119,6 +119,51 @@
         "a part of the configuration was passed over or read with caution",
         "see the place; update the gateways where it is of a newer form",
     )
+    ROLLOUT_BEGUN = CatalogueRow(
+        220, "INFO", "a service changes its version by an order", "none"
+    )
+    ROLLOUT_PROMOTING = CatalogueRow(
+        221, "INFO", "all requests of a service move to the ordered version", "none"
+    )
+    ROLLOUT_ROLLED_BACK = CatalogueRow(
+        222,
+        "WARNING",
+        "the ordered version of a service gets no more requests",
+        "see the reason and the figures in the line; mend the version",
+    )
+    ROLLOUT_STATUS_WRITTEN = CatalogueRow(
+        223, "INFO", "the status of an order to change a version was written", "none"
+    )
+    ROLLOUT_STATUS_FAILED = CatalogueRow(
+        224,
+        "WARNING",
+        "the status of an order could not be written; it is tried again",
+        "see the store's own alarms; a conflict means that another gateway wrote it",
+    )
+    ROLLOUT_HINDERED = CatalogueRow(
+        225,
+        "WARNING",
+        "an order to change a version can't be promoted or completed yet",
+        "see the reason: start upstreams of the version, or look for gateways cut off",
+    )
+    ROLLOUT_ENDED = CatalogueRow(
+        226, "INFO", "an order to change a version has its final status", "none"
+    )
+    ROLLOUT_WITHDRAWN = CatalogueRow(
+        227,
+        "INFO",
+        "an order to change a version was taken away; its version gets no requests",
+        "stop the upstreams of that version, or order it again",
+    )
+    ROLLOUT_UNTESTED = CatalogueRow(
+        228,
+        "WARNING",
+        "some routes had no answer of a version before it was promoted",
+        "watch these routes; they have too few requests to be judged",
+    )
+    ROLLOUT_DECIDER = CatalogueRow(
+        229, "INFO", "this gateway decides on an order, or no longer", "none"
+    )
     PEER_GONE = CatalogueRow(
         301,
         "WARNING",
--- a/spindlenotch/gateway/cluster/cold_senders.py
+++ b/spindlenotch/gateway/cluster/cold_senders.py
@@ -6,18 +6,12 @@
 partition at most one side does. Being on the safe side costs little, since upstreams
 are cold for some seconds only.
 
-Pure but for the fleet that it looks at. Owns how many gateways were seen lately.
+Pure but for the fleet that it looks at. Relies on ``quorum``.
 """
 
 from spindlenotch import ids
 from spindlenotch.gateway import state
-from spindlenotch.gateway.cluster import fleet
-
-#: Seconds for which the largest number of gateways seen counts: longer than hosts are
-#: cut off, far longer than upstreams are cold. Chosen, not measured.
-MEMORY_S = 60.0
-#: Share of the gateways seen lately that must be in view, and more.
-QUORUM_SHARE = 0.5
+from spindlenotch.gateway.cluster import fleet, quorum
 
 
 class ColdSenders:
@@ -28,8 +22,7 @@
     ) -> None:
         self.state = gateway_state
         self.fleet = gateway_fleet
-        self._most_seen = 0
-        self._seen_at = gateway_state.clock.now()
+        self.quorum = quorum.Quorum(gateway_state, gateway_fleet)
 
     def update(self) -> None:
         """Tell the pools who sends to cold upstreams now."""
@@ -39,17 +32,6 @@
             service.pool.set_cold_senders(senders, now)
 
     def _senders(self, now: ids.Instant) -> tuple[ids.HostId, ...]:
-        view = self.fleet.view()
-        seen = len(view.ready) + len(view.starting)
-        if seen >= self._most_seen or now - self._seen_at > MEMORY_S:
-            self._most_seen = seen
-            self._seen_at = now
-        is_alone = seen <= 1 and self._has_others()
-        if is_alone or seen <= QUORUM_SHARE * self._most_seen:
+        if not self.quorum.is_met(now):
             return ()
-        return tuple(sorted(view.active_zones))
-
-    def _has_others(self) -> bool:
-        """Tell whether the settings name gateways beside this one."""
-        config = self.state.config
-        return any(peer != config.peer_listen for peer in config.peers)
+        return tuple(sorted(self.fleet.view().active_zones))
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -19,6 +19,7 @@
     membership,
     prober,
 )
+from spindlenotch.gateway.rollout import loop as rollout_loop
 from spindlenotch.gateway.serving import answering, ingress, job_factory
 from spindlenotch.gateway.source import discovery, relay, source_reader, sources
 from spindlenotch.peers import background
@@ -75,7 +76,9 @@
         self.load_sharing = load_sharing.LoadSharing(
             gateway_state, self.fleet, link, self.prober.task_by_id.keys()
         )
+        self.rollout = rollout_loop.RolloutLoop(gateway_state, self.fleet, link, source)
         self.membership.add_listener(self.relay)
+        self.membership.add_listener(self.rollout)
         self.membership.add_listener(self.load_sharing)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -91,6 +94,7 @@
             self.discovery.run,
             self.prober.run,
             self.load_sharing.run,
+            self.rollout.run,
             self._tick,
         )
         for loop in loops:
--- a/spindlenotch/gateway/rollout/analysis.py
+++ b/spindlenotch/gateway/rollout/analysis.py
@@ -67,8 +67,8 @@
     """
     Why a target is bad.
 
-    ``likelihood`` is the logarithm of the test, ``without_worst`` that without the worst
-    upstreams; ``calls`` and ``bad`` are those since the test began anew.
+    ``likelihood`` is the logarithm of the test, ``without_worst`` that without the
+    worst upstreams; ``calls`` and ``bad`` are those since the test began anew.
     """
 
     symptom: Symptom
--- /dev/null
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -0,0 +1,190 @@
+"""
+Decides on one order while that is this gateway's duty.
+
+Puts together what is known (the run, the upstreams, who has left the other versions)
+and asks ``promotion`` and ``deciding``; has the status written. Owns the writer and
+which hindrances were logged.
+"""
+
+from spindlenotch import events, ids
+from spindlenotch.gateway import service_defaults, state
+from spindlenotch.gateway.cluster import fleet, quorum
+from spindlenotch.gateway.rollout import (
+    analysis,
+    deciding,
+    evidence,
+    promotion,
+    runs,
+    status_writer,
+)
+from spindlenotch.gateway.source import sources
+from spindlenotch.kernel import upstream_pool, upstreams
+from spindlenotch.peers import rollout_notes
+
+#: States in which an upstream counts as able to carry requests.
+USABLE = (upstreams.State.ACTIVE, upstreams.State.PROBATION)
+#: Why an order is rolled back that was not promoted in time.
+TIME_OVER = "time over"
+
+
+class Decider:
+    """Decides on one run; ``update`` is called a few times a second."""
+
+    def __init__(
+        self,
+        gateway_state: state.GatewayState,
+        gateway_fleet: fleet.Fleet,
+        known_quorum: quorum.Quorum,
+        writer: status_writer.StatusWriter,
+        one: runs.Run,
+    ) -> None:
+        self.state = gateway_state
+        self.fleet = gateway_fleet
+        self.quorum = known_quorum
+        self.writer = writer
+        self.run = one
+        self._reported: set[promotion.Hindrance] = set()
+
+    def update(self, pool: upstream_pool.Pool, now: ids.Instant) -> None:
+        """Promote, complete or roll back, and have the status written."""
+        is_settled = self.writer.unsettled is not sources.RolloutState.COMPLETED
+        if self.run.phase is rollout_notes.Phase.RUNNING:
+            self._promote(pool, now)
+        is_complete = not is_settled or self._is_complete(now)
+        status = self.state.rollouts.status_of(self.run)
+        known = None if status is None else status.state
+        phase = self.run.phase
+        if not is_settled:
+            # It may be done already: nothing else is right before that is known.
+            phase = rollout_notes.Phase.PROMOTING
+        wanted = deciding.next_state(known, phase, is_complete=is_complete)
+        if wanted is not None:
+            self.writer.write(wanted, now)
+
+    def _promote(self, pool: upstream_pool.Pool, now: ids.Instant) -> None:
+        """Let all requests move to the target if it is time and nothing hinders."""
+        if not self.run.had_others and any(map(self._is_target, pool.usable_order)):
+            # There is nothing to be replaced.
+            self.run.raise_phase(rollout_notes.Phase.PROMOTING)
+            return
+        end_at = self.state.rollouts.end_at(self.run.order.service)
+        ready = self._readiness(pool, now)
+        found = promotion.hindrance(ready, self._promote_at(end_at), now)
+        if found is promotion.Hindrance.NONE:
+            self.run.raise_phase(rollout_notes.Phase.PROMOTING)
+            self._report_promotion(ready)
+        elif now >= end_at:
+            self._give_up(found)
+        elif found is not promotion.Hindrance.EARLY:
+            self._report(found)
+
+    def _is_complete(self, now: ids.Instant) -> bool:
+        if self.run.phase is not rollout_notes.Phase.PROMOTING:
+            return False
+        end_at = self.state.rollouts.end_at(self.run.order.service)
+        is_met = self.quorum.is_met(now)
+        found = promotion.incompleteness(self._attendance(), end_at, now, is_met=is_met)
+        if found is promotion.Hindrance.NONE:
+            return True
+        if now >= end_at:
+            self._report(found)
+        return False
+
+    def _give_up(self, found: promotion.Hindrance) -> None:
+        """Roll back an order that was not promoted within its time."""
+        if self.run.raise_phase(rollout_notes.Phase.ROLLED_BACK):
+            self.run.reason = f"{TIME_OVER}: {found.value}"
+            events.emit(
+                events.Event.ROLLOUT_ROLLED_BACK,
+                service=self.run.order.service,
+                target=self.run.order.target,
+                reason=self.run.reason,
+            )
+
+    def _promote_at(self, end_at: ids.Instant) -> ids.Instant:
+        order = self.run.order
+        table = self.state.table
+        usual_s = [
+            service_defaults.typical_latency_s(route)
+            for route in (() if table is None else table.configuration.routes)
+            if any(part.service == order.service for part in route.parts)
+        ]
+        return ids.later(end_at, -promotion.lead_s(order.by_s, usual_s))
+
+    def _readiness(
+        self, pool: upstream_pool.Pool, now: ids.Instant
+    ) -> promotion.Readiness:
+        able = [
+            u
+            for u in pool.usable_order
+            if u.state in USABLE and not u.cold.is_cold(now)
+        ]
+        rows = [r for record in self._records() for r in record.rows]
+        return promotion.Readiness(
+            target_slots=sum(u.slots for u in able if self._is_target(u)),
+            other_slots=sum(u.slots for u in able if self.run.is_other(u)),
+            answers=sum(r.counts.judged for r in rows if r.upstream),
+            allowed=self.run.split.share * self.run.merged.answered(),
+            likelihood_share=self.run.analysis.most_likelihood() / analysis.BOUND,
+        )
+
+    def _attendance(self) -> promotion.Attendance:
+        local = self.state.local_member.host
+        newest = self.run.merged.newest_by_host()
+        took_part = {h for h, record in newest.items() if record.answered}
+        known = self.state.gossip.known_by_host
+        in_view = {
+            host
+            for host, peer in known.items()
+            if not peer.missed and not peer.suspected
+        }
+        return promotion.Attendance(
+            needed=frozenset({local, *took_part, *self.fleet.active_zones()}),
+            empty=frozenset(h for h, record in newest.items() if record.is_empty),
+            in_view=frozenset({local, *in_view}),
+        )
+
+    def _records(self) -> list[rollout_notes.EvidenceRecord]:
+        return list(self.run.merged.record_by_source.values())
+
+    def _is_target(self, upstream: upstreams.Upstream) -> bool:
+        return upstream.spec.version == self.run.order.target
+
+    def _report(self, found: promotion.Hindrance) -> None:
+        """Log once why an order can't go on."""
+        if found in self._reported:
+            return
+        self._reported.add(found)
+        attendance = self._attendance()
+        events.emit(
+            events.Event.ROLLOUT_HINDERED,
+            service=self.run.order.service,
+            target=self.run.order.target,
+            phase=self.run.phase.name,
+            reason=found.value,
+            missing=",".join(sorted(attendance.needed - attendance.empty)),
+        )
+
+    def _report_promotion(self, ready: promotion.Readiness) -> None:
+        order = self.run.order
+        events.emit(
+            events.Event.ROLLOUT_PROMOTING,
+            service=order.service,
+            target=order.target,
+            answers=ready.answers,
+            sent=self.run.merged.sent(),
+            answered=self.run.merged.answered(),
+            target_slots=ready.target_slots,
+            other_slots=ready.other_slots,
+            likelihood=round(self.run.analysis.most_likelihood(), 2),
+        )
+        rows = [r for record in self._records() for r in record.rows]
+        tested = {r.route for r in rows if r.upstream != evidence.OTHER_VERSIONS}
+        untested = {r.route for r in rows} - tested
+        if untested:
+            events.emit(
+                events.Event.ROLLOUT_UNTESTED,
+                service=order.service,
+                target=order.target,
+                routes=",".join(sorted(untested)),
+            )
--- /dev/null
+++ b/spindlenotch/gateway/rollout/loop.py
@@ -0,0 +1,222 @@
+"""
+Carries out orders to change a service's version: the loop, and talk with peers.
+
+A few times a second each gateway tells what it counted to those that get callers and
+to those that may decide, judges what it knows, and decides where that is its duty. A
+phase is told to everyone at once, and goes with all gossip after that. Owns one
+decider for each run. What is decided lies in the pure modules beside it.
+"""
+
+from spindlenotch import events, ids
+from spindlenotch.gateway import state
+from spindlenotch.gateway.cluster import fleet, quorum
+from spindlenotch.gateway.rollout import (
+    decider,
+    deciding,
+    merging,
+    runs,
+    status_writer,
+)
+from spindlenotch.gateway.source import sources
+from spindlenotch.kernel import upstream_pool
+from spindlenotch.peers import (
+    background,
+    gossip,
+    messages,
+    peer_link,
+    rollout_notes,
+)
+
+#: Seconds between two rounds: how old evidence is at most where it is judged; short
+#: beside the bound on rollbacks, and few messages beside those of load reports.
+PERIOD_S = 0.2
+#: Rounds in which a new phase is told to everyone, as datagrams get lost.
+ANNOUNCE_ROUNDS = 3
+
+
+class RolloutLoop:
+    """Drives the runs of one gateway."""
+
+    def __init__(
+        self,
+        gateway_state: state.GatewayState,
+        gateway_fleet: fleet.Fleet,
+        link: peer_link.PeerLink,
+        source: sources.Source,
+    ) -> None:
+        self.state = gateway_state
+        self.fleet = gateway_fleet
+        self.link = link
+        self.source = source
+        self.quorum = quorum.Quorum(gateway_state, gateway_fleet)
+        self.tasks = background.BackgroundTasks()
+        self._decider_by_run: dict[runs.Run, decider.Decider] = {}
+        self._deciding: set[ids.ServiceName] = set()
+        self._announce_rounds = 0
+        self._announced: tuple[rollout_notes.PhaseNote, ...] = ()
+
+    async def run(self) -> None:
+        """Drive all runs until cancelled."""
+        while True:
+            self.update()
+            await self.state.wakeups.sleep(PERIOD_S)
+
+    def update(self) -> None:
+        """Judge, decide and tell, once."""
+        now = self.state.clock.now()
+        self.quorum.is_met(now)
+        every = self._runs()
+        for one in every:
+            one.measure()
+            if one.final is None:
+                self._update_run(one, now)
+        self._forget_old(every)
+        self._publish(every)
+
+    def message_received(
+        self, message: messages.Message, handled: gossip.Handled
+    ) -> None:
+        """Take in a peer's phases and what it counted."""
+        for note in message.rollout_phases:
+            one = self.state.rollouts.take_note(note)
+            if one is not None:
+                self._report_phase(one, f"told by {message.sender.host}")
+        record = message.evidence
+        if record is None:
+            return
+        one = self.state.rollouts.run_by_service.get(record.service)
+        if one is None or one.order.revision != record.revision:
+            return
+        sender = message.sender
+        now = self.state.clock.now()
+        one.take(merging.Source(sender.host, sender.incarnation), record, now)
+        self._judge(one)
+
+    def _update_run(self, one: runs.Run, now: ids.Instant) -> None:
+        pool = self.state.balancer_by_service[one.order.service].pool
+        local = self.state.gossip.local
+        record = one.record(pool)
+        one.take(merging.Source(local.host, local.incarnation), record, now)
+        candidates = deciding.candidates(one.order.service, self.fleet.view())
+        self._note_duty(one, is_decider=candidates[:1] == [local.host])
+        self._judge(one)
+        if one.order.service in self._deciding:
+            self._decider(one).update(pool, now)
+        self._tell(one, pool, candidates)
+
+    def _judge(self, one: runs.Run) -> None:
+        """Roll back at once where the evidence shows that the target is bad."""
+        if one.final is not None or one.phase is rollout_notes.Phase.ROLLED_BACK:
+            return
+        is_decider = one.order.service in self._deciding
+        if one.phase is rollout_notes.Phase.PROMOTING and not is_decider:
+            # The decider relies on those that have left the other versions.
+            return
+        if is_decider and self._may_be_completed(one):
+            return
+        found = one.analysis.finding()
+        if found is None or not one.raise_phase(rollout_notes.Phase.ROLLED_BACK):
+            return
+        one.reason = f"{found.symptom.value} on {found.route}"
+        events.emit(
+            events.Event.ROLLOUT_ROLLED_BACK,
+            service=one.order.service,
+            target=one.order.target,
+            reason=one.reason,
+            likelihood=found.likelihood,
+            without_worst=found.without_worst,
+            calls=found.calls,
+            bad=found.bad,
+            upstreams=found.upstreams,
+            sent=one.merged.sent(),
+            answered=one.merged.answered(),
+        )
+        self._publish(self._runs())
+
+    def _may_be_completed(self, one: runs.Run) -> bool:
+        known = self._decider_by_run.get(one)
+        if known is None:
+            return False
+        return known.writer.unsettled is sources.RolloutState.COMPLETED
+
+    def _report_phase(self, one: runs.Run, reason: str) -> None:
+        if one.phase is rollout_notes.Phase.ROLLED_BACK:
+            one.reason = one.reason or reason
+            event = events.Event.ROLLOUT_ROLLED_BACK
+        else:
+            event = events.Event.ROLLOUT_PROMOTING
+        events.emit(
+            event, service=one.order.service, target=one.order.target, reason=reason
+        )
+
+    def _note_duty(self, one: runs.Run, *, is_decider: bool) -> None:
+        service = one.order.service
+        if is_decider == (service in self._deciding):
+            return
+        if is_decider:
+            self._deciding.add(service)
+        else:
+            self._deciding.discard(service)
+        self.state.metrics.rollout_decides.labels(service).set(int(is_decider))
+        events.emit(
+            events.Event.ROLLOUT_DECIDER, service=service, decides=int(is_decider)
+        )
+
+    def _decider(self, one: runs.Run) -> decider.Decider:
+        if one not in self._decider_by_run:
+            writer = status_writer.StatusWriter(
+                self.state, self.source, one.order, self.tasks
+            )
+            self._decider_by_run[one] = decider.Decider(
+                self.state, self.fleet, self.quorum, writer, one
+            )
+        return self._decider_by_run[one]
+
+    def _runs(self) -> list[runs.Run]:
+        return list(self.state.rollouts.run_by_service.values())
+
+    def _forget_old(self, every: list[runs.Run]) -> None:
+        for one in [one for one in self._decider_by_run if one not in every]:
+            del self._decider_by_run[one]
+
+    # Telling peers
+
+    def _publish(self, every: list[runs.Run]) -> None:
+        """Let all gossip carry the phases; tell everyone at once of a new one."""
+        later = [one for one in every if one.phase is not rollout_notes.Phase.RUNNING]
+        notes = tuple(one.note() for one in later[: rollout_notes.NOTES_PER_MESSAGE])
+        self.state.gossip.rollout_phases = notes
+        if notes != self._announced:
+            self._announced = notes
+            self._announce_rounds = ANNOUNCE_ROUNDS if notes else 0
+        if self._announce_rounds:
+            self._announce_rounds -= 1
+            self._send(list(self.state.gossip.known_by_host), None)
+
+    def _tell(
+        self, one: runs.Run, pool: upstream_pool.Pool, candidates: list[ids.HostId]
+    ) -> None:
+        """Tell what was counted to those that get callers and those that may decide."""
+        active = self.fleet.active_zones()
+        local = self.state.local_member.host
+        if not one.split.answered and local not in active:
+            return
+        # Made anew: it also says whether this gateway follows a phase of just now.
+        record = one.record(pool)
+        self._send(sorted({*active, *candidates}), record)
+
+    def _send(
+        self, hosts: list[ids.HostId], record: rollout_notes.EvidenceRecord | None
+    ) -> None:
+        gossip_state = self.state.gossip
+        message = messages.Message(
+            gossip_state.local,
+            0,
+            reads_source=self.state.reads_source,
+            rollout_phases=gossip_state.rollout_phases,
+            evidence=record,
+        )
+        known = gossip_state.known_by_host
+        targets = [known[host].record.peer_address for host in hosts if host in known]
+        if targets:
+            self.link.send(message, targets)
--- a/spindlenotch/gateway/rollout/promotion.py
+++ b/spindlenotch/gateway/rollout/promotion.py
@@ -21,15 +21,15 @@
 LONG_WORK = 3.0
 #: Seconds before an order's end until which gateways that are gone are waited for.
 LAST_CALL_S = 0.8
-#: Answers of the target without which nothing is known of it.
-LEAST_ANSWERS = 10
+#: Answers of the target that are enough, however many it was allowed.
+LEAST_ANSWERS = 10.0
+#: Share of the calls it was allowed that it must have answered otherwise: a service
+#: with few requests still has to be able to change its version.
+LEAST_ANSWERED_SHARE = 0.5
 #: Slots of the target by those of the others: fewer would not carry the load.
 LEAST_SLOTS_SHARE = 0.7
 #: Share of the likelihood that shows a bad target from which it is suspected.
 SUSPECTED_SHARE = 0.5
-#: Share of the gateways seen lately that must be in view, and more: one that is cut off
-#: can't know who still uses the other versions.
-QUORUM_SHARE = 0.5
 
 
 class Hindrance(enum.Enum):
@@ -47,26 +47,25 @@
 
 
 class Readiness(msgspec.Struct, frozen=True):
-    """What decides whether an order may be promoted; slots are usable, warm ones."""
+    """
+    What decides whether an order may be promoted; slots are usable, warm ones.
+
+    The target gave ``answers`` to the ``allowed`` calls it might have had.
+    """
 
     target_slots: int
     other_slots: int
     answers: int
+    allowed: float
     likelihood_share: float
 
 
 class Attendance(msgspec.Struct, frozen=True):
-    """
-    Who has to have left the other versions, who has, and who is in view.
-
-    ``seen`` gateways are in view of the ``most_seen`` that were lately.
-    """
+    """Who has to have left the other versions, who has, and who is in view."""
 
     needed: frozenset[ids.HostId]
     empty: frozenset[ids.HostId]
     in_view: frozenset[ids.HostId]
-    seen: int
-    most_seen: int
 
 
 def lead_s(by_s: float, usual_s: abc.Iterable[float]) -> float:
@@ -87,16 +86,23 @@
         return Hindrance.NO_UPSTREAMS
     if ready.target_slots < LEAST_SLOTS_SHARE * ready.other_slots:
         return Hindrance.TOO_FEW_SLOTS
-    if ready.answers < LEAST_ANSWERS:
+    if ready.answers < min(LEAST_ANSWERS, LEAST_ANSWERED_SHARE * ready.allowed):
         return Hindrance.FEW_ANSWERS
     if ready.likelihood_share >= SUSPECTED_SHARE:
         return Hindrance.SUSPECTED
     return Hindrance.NONE
 
 
-def incompleteness(who: Attendance, end_at: ids.Instant, now: ids.Instant) -> Hindrance:
-    """Return why a promoted order is not completed now."""
-    if who.seen <= QUORUM_SHARE * who.most_seen:
+def incompleteness(
+    who: Attendance, end_at: ids.Instant, now: ids.Instant, *, is_met: bool
+) -> Hindrance:
+    """
+    Return why a promoted order is not completed now.
+
+    ``is_met``: more than half of the fleet is in view. One that is cut off can't know
+    who still uses the other versions.
+    """
+    if not is_met:
         return Hindrance.NO_QUORUM
     missing = who.needed - who.empty
     if missing & who.in_view:
--- /dev/null
+++ b/spindlenotch/gateway/rollout/registry.py
@@ -0,0 +1,160 @@
+"""
+The runs of this process, in step with the orders, the statuses and the balancers.
+
+Owns one run for each service that has an order, or whose order was taken away while
+upstreams of its target are left. No input or output but log events.
+"""
+
+from collections import abc
+
+from spindlenotch import events, ids, metrics
+from spindlenotch.decisions import balancer
+from spindlenotch.gateway.rollout import orders, runs
+from spindlenotch.gateway.source import sources
+from spindlenotch.kernel import upstream_pool
+from spindlenotch.peers import rollout_notes
+
+#: Why upstreams get no new work once their version was replaced.
+REPLACED = "its version was replaced"
+#: A version is spared where its order has gone and the status is not "completed".
+NO_REVISION = 0
+
+
+class Registry:
+    """
+    Runs by service.
+
+    Invariant: the split of a service's balancer is that of its run, None without one
+    or where it is completed.
+    """
+
+    def __init__(self, share: float, measured: metrics.Metrics) -> None:
+        self.share = share
+        self.metrics = measured
+        self.orders = orders.Orders()
+        self.run_by_service: dict[ids.ServiceName, runs.Run] = {}
+
+    def follow(
+        self, balancer_by_service: abc.Mapping[ids.ServiceName, balancer.Balancer]
+    ) -> None:
+        """Bring runs and splits in step with the orders; called after each change."""
+        services = self.orders.services() | set(self.run_by_service)
+        for service in sorted(services):
+            chosen = balancer_by_service.get(service)
+            if chosen is not None:
+                self._follow(service, chosen)
+
+    def end_at(self, service: ids.ServiceName) -> ids.Instant:
+        """Return when a service's order must have ended."""
+        return self.orders.end_at_by_service.get(service, ids.NEVER)
+
+    def status_of(self, one: runs.Run) -> sources.RolloutStatus | None:
+        """Return the status of a run's order as far as it is known."""
+        return self.orders.status_of(one.order)
+
+    def take_note(self, note: rollout_notes.PhaseNote) -> runs.Run | None:
+        """Take in a peer's phase; return the run where it is news."""
+        one = self.run_by_service.get(note.service)
+        if one is None or one.order.revision != note.revision:
+            return None
+        return one if one.raise_phase(note.phase) else None
+
+    def _follow(self, service: ids.ServiceName, chosen: balancer.Balancer) -> None:
+        order = self.orders.order_by_service.get(service)
+        if order is None:
+            self._end_run(service, chosen.pool)
+        else:
+            self._keep_run(order, chosen.pool)
+        one = self.run_by_service.get(service)
+        if one is None or one.final is sources.RolloutState.COMPLETED:
+            chosen.split = None
+        else:
+            one.look_at(chosen.pool)
+            chosen.split = one.split
+
+    def _keep_run(self, order: sources.RolloutOrder, pool: upstream_pool.Pool) -> None:
+        """Begin the run of an order if there is none; take in its status."""
+        known = self.run_by_service.get(order.service)
+        status = self.orders.status_of(order)
+        is_final = (
+            status is not None and status.state is not sources.RolloutState.RUNNING
+        )
+        if known is None or known.order.revision != order.revision:
+            known = self._begin(order, known)
+            if not is_final:
+                self._report_begin(known)
+        elif is_final and known.final is None:
+            self._leave_replaced(known, status, pool)
+        if status is not None and known.finish(status.state):
+            events.emit(
+                events.Event.ROLLOUT_ENDED,
+                service=order.service,
+                target=order.target,
+                state=status.state.value,
+            )
+
+    def _begin(self, order: sources.RolloutOrder, before: runs.Run | None) -> runs.Run:
+        held = self._held_for(order, before)
+        begun = runs.Run(order, self.share, held, self.metrics)
+        self.run_by_service[order.service] = begun
+        return begun
+
+    def _held_for(
+        self, order: sources.RolloutOrder, before: runs.Run | None
+    ) -> frozenset[ids.SoftwareVersion]:
+        """Return the versions that earlier orders tried and did not complete."""
+        held: set[ids.SoftwareVersion] = set()
+        if before is not None and before.final is not sources.RolloutState.COMPLETED:
+            held |= {before.order.target, *before.split.held}
+        status = self.orders.status_by_service.get(order.service)
+        if status is not None and status.state is not sources.RolloutState.COMPLETED:
+            held.add(status.target)
+        return frozenset(held - {order.target})
+
+    def _report_begin(self, begun: runs.Run) -> None:
+        events.emit(
+            events.Event.ROLLOUT_BEGUN,
+            service=begun.order.service,
+            target=begun.order.target,
+            by_s=begun.order.by_s,
+            revision=begun.order.revision,
+            share=begun.split.share,
+            held=",".join(sorted(begun.split.held)),
+        )
+
+    def _leave_replaced(
+        self,
+        known: runs.Run,
+        status: sources.RolloutStatus | None,
+        pool: upstream_pool.Pool,
+    ) -> None:
+        """Give the upstreams that a completed order replaced no new work."""
+        if status is None or status.state is not sources.RolloutState.COMPLETED:
+            return
+        replaced = [
+            u for u in pool.usable_order if u.spec.version != known.order.target
+        ]
+        for upstream in replaced:
+            pool.leave(upstream.spec.id, upstream.spec.generation, REPLACED)
+
+    def _end_run(self, service: ids.ServiceName, pool: upstream_pool.Pool) -> None:
+        """Spare the target of an order that has gone while it has upstreams."""
+        known = self.run_by_service.get(service)
+        if known is None:
+            known = self._begin_spared(service)
+        if known is None:
+            return
+        target = known.order.target
+        is_left = any(u.spec.version == target for u in pool.usable_order)
+        if known.final is sources.RolloutState.COMPLETED or not is_left:
+            self.run_by_service.pop(service, None)
+        elif known.finish(sources.RolloutState.ROLLED_BACK):
+            events.emit(events.Event.ROLLOUT_WITHDRAWN, service=service, target=target)
+
+    def _begin_spared(self, service: ids.ServiceName) -> runs.Run | None:
+        """Return the run that spares a version whose status is not completed."""
+        status = self.orders.status_by_service.get(service)
+        if status is None or status.state is sources.RolloutState.COMPLETED:
+            return None
+        order = sources.RolloutOrder(service, status.target, 0.0, NO_REVISION)
+        return self._begin(order, None)
--- /dev/null
+++ b/spindlenotch/gateway/rollout/runs.py
@@ -0,0 +1,162 @@
+"""
+What one process does for one order to change a service's version.
+
+Owns the split of the service's calls, what was counted since the order and how far it
+has come. Phases only go forward: running, promoting, rolled back; a final status of
+the source comes last. No input or output; ``registry`` makes runs, ``loop`` drives
+them.
+"""
+
+from spindlenotch import ids, metrics
+from spindlenotch.decisions import traffic_split, verdicts
+from spindlenotch.gateway.rollout import analysis, evidence, merging
+from spindlenotch.gateway.source import sources
+from spindlenotch.kernel import upstream_pool, upstreams
+from spindlenotch.peers import rollout_notes
+
+#: Share of the operator's bound that gateways use: calls under way at the end and
+#: answers that were counted but did not reach the service are within the rest.
+SHARE_MARGIN = 0.8
+#: What the metric shows of a completed order, beyond the phases.
+COMPLETED_VALUE = 4
+
+ACCESS_BY_PHASE = {
+    rollout_notes.Phase.RUNNING: traffic_split.Access.SHARED,
+    rollout_notes.Phase.PROMOTING: traffic_split.Access.TARGET_ONLY,
+    rollout_notes.Phase.ROLLED_BACK: traffic_split.Access.OTHERS_ONLY,
+}
+
+
+class Run:
+    """
+    One order in one process.
+
+    Invariants: ``phase`` never falls, ``final`` never changes once set. ``had_others``:
+    since the order there were upstreams to be replaced; without any the target gets all
+    calls. ``reason`` says why it was rolled back.
+    """
+
+    def __init__(
+        self,
+        order: sources.RolloutOrder,
+        share: float,
+        held: frozenset[ids.SoftwareVersion],
+        measured: metrics.Metrics,
+    ) -> None:
+        self.order = order
+        self.metrics = measured
+        self.phase = rollout_notes.Phase.RUNNING
+        self.final: sources.RolloutState | None = None
+        self.reason = ""
+        self.had_others = False
+        self.evidence = evidence.Evidence()
+        self.merged = merging.Merged()
+        self.analysis = analysis.Analysis()
+        self.split = traffic_split.TrafficSplit(
+            order.target, SHARE_MARGIN * share, f"{order.revision}", self, held
+        )
+        self._number = 0
+
+    def raise_phase(self, phase: rollout_notes.Phase) -> bool:
+        """Go on to a phase; tell whether it is later than the one before."""
+        if phase <= self.phase or self.final is not None:
+            return False
+        self.phase = phase
+        self._set_access()
+        return True
+
+    def finish(self, final: sources.RolloutState) -> bool:
+        """Take in the final status; tell whether it is news."""
+        if self.final is not None or final is sources.RolloutState.RUNNING:
+            return False
+        self.final = final
+        if final is sources.RolloutState.ROLLED_BACK:
+            self.phase = rollout_notes.Phase.ROLLED_BACK
+        self._set_access()
+        return True
+
+    def look_at(self, pool: upstream_pool.Pool) -> None:
+        """Note whether there are upstreams that are to be replaced."""
+        self.had_others |= any(self.is_other(u) for u in pool.usable_order)
+        self._set_access()
+
+    def is_other(self, upstream: upstreams.Upstream) -> bool:
+        """Tell whether an upstream may do the service's work until the target does."""
+        version = upstream.spec.version
+        return version != self.order.target and version not in self.split.held
+
+    def call_ended(
+        self,
+        grant: verdicts.Grant,
+        result: upstreams.Result,
+        *,
+        is_target: bool,
+        expected_s: float,
+        now: ids.Instant,
+    ) -> None:
+        """Count the end of a call; see ``traffic_split.Observer``."""
+        self.evidence.call_ended(
+            grant, result, is_target=is_target, expected_s=expected_s, now=now
+        )
+        version = self.order.target if is_target else ""
+        labels = (self.order.service, version)
+        self.metrics.rollout_requests.labels(*labels, result.value).inc()
+        self.metrics.rollout_time.labels(*labels).observe(now - grant.sent_at)
+
+    def is_empty(self, pool: upstream_pool.Pool) -> bool:
+        """Tell whether it is left to the target and nothing is under way elsewhere."""
+        if self.split.access is not traffic_split.Access.TARGET_ONLY:
+            return False
+        others = (
+            u
+            for u in pool.upstream_by_id.values()
+            if u.spec.version != self.order.target
+        )
+        return not any(u.outstanding for u in others)
+
+    def record(self, pool: upstream_pool.Pool) -> rollout_notes.EvidenceRecord:
+        """Return what was counted until now."""
+        self._number += 1
+        return rollout_notes.EvidenceRecord(
+            service=self.order.service,
+            revision=self.order.revision,
+            number=self._number,
+            phase=self.phase,
+            sent=self.split.sent,
+            answered=self.split.answered,
+            is_empty=self.is_empty(pool),
+            rows=self.evidence.rows(),
+        )
+
+    def take(
+        self,
+        source: merging.Source,
+        record: rollout_notes.EvidenceRecord,
+        now: ids.Instant,
+    ) -> None:
+        """Take in a record of this process or of another one."""
+        delta = self.merged.take(source, record)
+        if delta is not None:
+            self.analysis.add(delta, now)
+
+    def note(self) -> rollout_notes.PhaseNote:
+        """Return what peers are told of the phase."""
+        order = self.order
+        return rollout_notes.PhaseNote(order.service, order.revision, self.phase)
+
+    def measure(self) -> None:
+        """Bring the metrics up to date."""
+        labels = (self.order.service, self.order.target)
+        is_completed = self.final is sources.RolloutState.COMPLETED
+        value = COMPLETED_VALUE if is_completed else int(self.phase)
+        self.metrics.rollout_phase.labels(*labels).set(value)
+        self.metrics.rollout_allowed.labels(*labels).set(self.split.allowed())
+        self.metrics.rollout_sent.labels(*labels).set(self.split.sent)
+
+    def _set_access(self) -> None:
+        access = ACCESS_BY_PHASE[self.phase]
+        is_completed = self.final is sources.RolloutState.COMPLETED
+        is_alone = not self.had_others and self.phase is rollout_notes.Phase.RUNNING
+        if is_completed or is_alone:
+            access = traffic_split.Access.TARGET_ONLY
+        self.split.access = access
--- /dev/null
+++ b/spindlenotch/gateway/rollout/status_writer.py
@@ -0,0 +1,107 @@
+"""
+Writes the status of one order into the source, one write at a time.
+
+A write whose answer is lost may have been done, or be done later: it is repeated under
+the same condition until the source refuses it or its effect is seen, and while that may
+be so nothing that contradicts it is written. Pauses grow, so that a source that is down
+or refuses is asked a few times only.
+"""
+
+from spindlenotch import events, ids
+from spindlenotch.gateway import state
+from spindlenotch.gateway.source import sources
+from spindlenotch.kernel import backoff
+from spindlenotch.peers import background
+
+#: Bounds of the pause before a write is repeated, in seconds: half a second is far
+#: above a store's usual answer, and some tries fit into an order's last seconds.
+LEAST_PAUSE_S = 0.3
+MOST_PAUSE_S = 2.0
+#: Seconds that what was written has to come back from the source before it is written
+#: again, which does nothing but meet a conflict.
+ECHO_S = 3.0
+
+
+class StatusWriter:
+    """
+    Writes the status of one order.
+
+    ``unsettled`` is the state of a write whose end is not known.
+    """
+
+    def __init__(
+        self,
+        gateway_state: state.GatewayState,
+        source: sources.Source,
+        order: sources.RolloutOrder,
+        tasks: background.BackgroundTasks,
+    ) -> None:
+        self.state = gateway_state
+        self.source = source
+        self.order = order
+        self.unsettled: sources.RolloutState | None = None
+        self._tasks = tasks
+        self._is_writing = False
+        self._next_at = ids.Instant(float("-inf"))
+        self._pauses = backoff.Backoff(gateway_state.rng, LEAST_PAUSE_S, MOST_PAUSE_S)
+
+    def write(self, wanted: sources.RolloutState, now: ids.Instant) -> None:
+        """Begin to write a state, unless a write is under way or was just made."""
+        if self._is_writing or now < self._next_at:
+            return
+        self._is_writing = True
+        self._tasks.spawn(self._write(wanted))
+
+    async def _write(self, wanted: sources.RolloutState) -> None:
+        try:
+            known = self.state.rollouts.orders.status_by_service.get(self.order.service)
+            revision = 0 if known is None else known.revision
+            status = sources.RolloutStatus(
+                self.order.service, self.order.target, wanted, revision
+            )
+            self.unsettled = wanted
+            self.state.metrics.store_calls.labels("rollout").inc()
+            outcome = await self.source.write_rollout_status(self.order, status)
+            self._settle(status, outcome)
+        finally:
+            self._is_writing = False
+
+    def _settle(
+        self, status: sources.RolloutStatus, outcome: int | sources.SourceFault
+    ) -> None:
+        now = self.state.clock.now()
+        if isinstance(outcome, sources.SourceFault):
+            # Turned away or refused, it is known not to have been done.
+            if outcome is not sources.SourceFault.UNAVAILABLE:
+                self.unsettled = None
+            self._next_at = ids.later(now, self._pauses.next())
+            self._report_fault(status, outcome)
+            return
+        self.unsettled = None
+        self._pauses.reset()
+        self._next_at = ids.later(now, ECHO_S)
+        written = sources.RolloutStatus(
+            status.service, status.target, status.state, outcome
+        )
+        events.emit(
+            events.Event.ROLLOUT_STATUS_WRITTEN,
+            service=status.service,
+            target=status.target,
+            state=status.state.value,
+            revision=outcome,
+        )
+        if outcome:
+            self._next_at = now
+            self.state.rollout_status_written(written)
+
+    def _report_fault(
+        self, status: sources.RolloutStatus, fault: sources.SourceFault
+    ) -> None:
+        events.emit(
+            events.Event.ROLLOUT_STATUS_FAILED,
+            service=status.service,
+            target=status.target,
+            state=status.state.value,
+            expected=status.revision,
+            reason=fault.value,
+        )
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -150,7 +150,7 @@
                 documents.DocumentKind.BUNDLE, configuration.version, configuration
             )
         if gateway_state.listed_once:
-            listed = gateway_state.listing.listed(gateway_state.clock.now())
+            listed = gateway_state.listed_for_peers()
             self._offer_own(documents.DocumentKind.HOSTS, listing_version, listed)
 
     def _offer_own(
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -23,6 +23,7 @@
     wakeups,
 )
 from spindlenotch.gateway.cluster import demand_meter, own_record
+from spindlenotch.gateway.rollout import registry
 from spindlenotch.gateway.source import listing, routing, sources
 from spindlenotch.kernel import ownership, upstreams
 from spindlenotch.peers import documents, gossip, timing
@@ -67,6 +68,7 @@
         self.table: routing.RouteTable | None = None
         self.round_robin = routing.WeightedRoundRobin()
         self.listing = listing.Listing(config.evacuate_s)
+        self.rollouts = registry.Registry(config.exposure_share, self.metrics)
         self.balancer_by_service: dict[ids.ServiceName, balancer.Balancer] = {}
         self.local_member = ownership.Member(config.zone, config.host)
         record = own_record.first(config, self.rng, gateway_clock)
@@ -156,6 +158,7 @@
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration)
         now = self.clock.now()
+        self.rollouts.orders.replace(snapshot, now)
         before = self.listing.evacuated_zones
         self.listing.evacuate(snapshot.evacuated_zones, now)
         self.listing.replace(snapshot.upstream_by_id.values(), now)
@@ -164,8 +167,10 @@
 
     def apply_listing(self, listed: abc.Iterable[sources.ListedUpstream]) -> None:
         """Put the whole list that a peer holds in force."""
+        now = self.clock.now()
         before = self.listing.evacuated_zones
-        self.listing.replace_by_peer(listed, self.clock.now())
+        plain = self.rollouts.orders.take_marks(listed, now)
+        self.listing.replace_by_peer(plain, now)
         self._report_evacuations(before)
         self._listing_changed()
 
@@ -176,6 +181,7 @@
         now = self.clock.now()
         if changes.configuration is not None:
             self.apply_configuration(changes.configuration)
+        ordered = self.rollouts.orders.change(changes, now)
         before = self.listing.evacuated_zones
         zones = (before | changes.evacuated_zones) - changes.restored_zones
         if changes.listed or changes.gone or zones != before:
@@ -184,8 +190,21 @@
             self.listing.remove(changes.gone, now)
             self._report_evacuations(before)
             self._listing_changed()
+        elif ordered:
+            self._follow_rollouts()
         configured = changes.configuration is not None
-        return configured or bool(changes.listed or changes.gone) or zones != before
+        relisted = bool(changes.listed or changes.gone) or zones != before
+        return configured or relisted or ordered
+
+    def listed_for_peers(self) -> tuple[sources.ListedUpstream, ...]:
+        """Return the list of upstreams, with orders, as peers are to know it."""
+        now = self.clock.now()
+        return self.rollouts.orders.marked(self.listing.listed(now), now)
+
+    def rollout_status_written(self, status: sources.RolloutStatus) -> None:
+        """Take in a status that this gateway has written into the source."""
+        self.rollouts.orders.written(status)
+        self._follow_rollouts()
 
     def leave_upstream(
         self, service: ids.ServiceName, spec: upstreams.UpstreamSpec, reason: str
@@ -258,6 +277,11 @@
             specs = specs_by_service.get(name, [])
             self._update_policy(name, service, specs)
             service.pool.set_listed(specs, now)
+        self._follow_rollouts()
+
+    def _follow_rollouts(self) -> None:
+        """Bring the splits of calls between versions in step with the orders."""
+        self.rollouts.follow(self.balancer_by_service)
         self._report_changes()
 
     def _update_policy(
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -104,6 +104,43 @@
             ("kind",),
             registry=self.registry,
         )
+        self.rollout_requests = prometheus_client.Counter(
+            "spindlenotch_rollout_requests_total",
+            "Requests that ended while a service changes its version, by result",
+            ("service", "version", "result"),
+            registry=self.registry,
+        )
+        self.rollout_time = prometheus_client.Histogram(
+            "spindlenotch_rollout_request_seconds",
+            "Their time at upstreams; version is empty for those that are replaced",
+            ("service", "version"),
+            buckets=REQUEST_TIME_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.rollout_allowed = prometheus_client.Gauge(
+            "spindlenotch_rollout_allowed_requests",
+            "Requests this process may have sent to a version that is tried",
+            ("service", "version"),
+            registry=self.registry,
+        )
+        self.rollout_sent = prometheus_client.Gauge(
+            "spindlenotch_rollout_sent_requests",
+            "Requests this process has sent to a version that is tried",
+            ("service", "version"),
+            registry=self.registry,
+        )
+        self.rollout_phase = prometheus_client.Gauge(
+            "spindlenotch_rollout_phase",
+            "1: running, 2: promoting, 3: rolled back, 4: completed",
+            ("service", "version"),
+            registry=self.registry,
+        )
+        self.rollout_decides = prometheus_client.Gauge(
+            "spindlenotch_rollout_decides",
+            "1 where this process writes the status of the service's order",
+            ("service",),
+            registry=self.registry,
+        )
         self.in_flight = prometheus_client.Gauge(
             "spindlenotch_requests_in_flight",
             "Requests being served",
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -81,8 +81,8 @@
         " cold. Who sees no more than half of the gateways seen lately sends none, so"
         " that of a partition one side does at most.",
         constants=(
-            "gateway/cluster/cold_senders.MEMORY_S",
-            "gateway/cluster/cold_senders.QUORUM_SHARE",
+            "gateway/cluster/quorum.MEMORY_S",
+            "gateway/cluster/quorum.QUORUM_SHARE",
             "gateway/cluster/load_sharing.COLDNESS_TOLD_S",
             "decisions/soonest.COLD_FACTOR",
         ),
