--- a/features/support/recorded_gateway.py
+++ b/features/support/recorded_gateway.py
@@ -135,10 +135,11 @@
 
 
 def latest_listed() -> tuple[sources.ListedUpstream, ...]:
-    """Return a list of upstreams that tell their version and start."""
+    """Return a list of upstreams that tell their version and start, and an order."""
     return tuple(
         msgspec.structs.replace(
             one,
+            rollout=rollout_mark(),
             version=ids.SoftwareVersion(f"v{number}"),
             born=1_700_000_000_000 + number,
         )
@@ -146,6 +147,18 @@
     )
 
 
+def rollout_mark() -> sources.RolloutMark:
+    """Return what is told of an order to change the version of "core"."""
+    core, target = ids.ServiceName("core"), ids.SoftwareVersion("v2")
+    return sources.RolloutMark(
+        order=sources.RolloutOrder(core, target, by_s=12.0, revision=811),
+        left_s=12.0,
+        status=sources.RolloutStatus(
+            core, target, sources.RolloutState.RUNNING, revision=812
+        ),
+    )
+
+
 def gateway() -> tuple[states.GatewayState, relay.Relay]:
     """Return a gateway's state and its relay, without any socket."""
     given = {
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.peers import documents, messages, workload
+from spindlenotch.peers import documents, messages, rollout_notes, workload
 
 
 def member(number: int, status: messages.Status) -> messages.MemberRecord:
@@ -110,6 +110,30 @@
     return msgspec.structs.replace(message(), loads=(added,))
 
 
+def latest_message() -> messages.Message:
+    """Return a message of a gateway while services change their versions."""
+    notes = tuple(
+        rollout_notes.PhaseNote(ids.ServiceName(f"s-{phase}"), 810 + phase, phase)
+        for phase in rollout_notes.Phase
+    )
+    row = rollout_notes.Row(
+        "read", ids.UpstreamId("up-2"), rollout_notes.Counts(40, 3, 37, 2)
+    )
+    evidence = rollout_notes.EvidenceRecord(
+        service=ids.ServiceName("core"),
+        revision=811,
+        number=12,
+        phase=rollout_notes.Phase.PROMOTING,
+        sent=41,
+        answered=512,
+        is_empty=True,
+        rows=(row,),
+    )
+    return msgspec.structs.replace(
+        added_message(), rollout_phases=notes, evidence=evidence
+    )
+
+
 def frame(kind: documents.DocumentKind, body: bytes) -> messages.DocumentFrame:
     """Return a document frame."""
     return messages.DocumentFrame(
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -59,6 +59,8 @@
         )
     }
     first_zone = recorded_gateway.listed()[0].zone
+    mark = recorded_gateway.rollout_mark()
+    assert mark.order is not None and mark.status is not None
     return published(
         kind,
         sources.Snapshot(
@@ -66,6 +68,8 @@
             recorded_gateway.latest_configuration(),
             by_id,
             evacuated_zones=frozenset({first_zone}),
+            order_by_service={mark.order.service: mark.order},
+            status_by_service={mark.status.service: mark.status},
         ),
     )
 
@@ -89,7 +93,7 @@
         state, passing = recorded_gateway.gateway()
         passing._receive(documents.Document(kind, 9, ids.Digest(""), body))
         if kind is documents.DocumentKind.HOSTS:
-            return state.listing.listed(state.clock.now())
+            return state.listed_for_peers()
         return None if state.table is None else state.table.configuration
 
     return recorded_gateway.run(take())
@@ -127,6 +131,16 @@
             lambda data: codec.decode_gossip(zlib.compress(data)),
             strangers="passed over",
         ),
+        Sample(
+            "gossip-added-2.msgpack.hex",
+            "msgpack",
+            recorded_messages.latest_message(),
+            lambda: zlib.decompress(
+                codec.encode_gossip(recorded_messages.latest_message())
+            ),
+            lambda data: codec.decode_gossip(zlib.compress(data)),
+            strangers="passed over",
+        ),
         Sample(
             "frame.msgpack.hex",
             "msgpack",
--- a/features/support/recorded_state.py
+++ b/features/support/recorded_state.py
@@ -13,6 +13,7 @@
 from features.support import recorded_gateway, virtual_fleet
 from spindlenotch.entry import explain, plugins
 from spindlenotch.gateway import dialect, side_ports
+from spindlenotch.gateway.source import sources
 
 Plain = typing.Any
 #: Maps of numbers by zone; which zones are in them is a matter of decisions.
@@ -47,6 +48,10 @@
         state, passing = recorded_gateway.serving(
             recorded_gateway.latest_configuration()
         )
+        mark = recorded_gateway.rollout_mark()
+        assert mark.order is not None
+        order_by_service = {mark.order.service: mark.order}
+        state.apply_changes(sources.Changes(9, order_by_service=order_by_service))
         found = side_ports.SidePorts(
             state, passing.fleet, dialect.DIALECTS.get("native")()
         )
--- a/features/support/recorded_store.py
+++ b/features/support/recorded_store.py
@@ -18,7 +18,7 @@
 from spindlenotch.entry import claims, entry_state, once, plugins, settings
 from spindlenotch.gateway.source import discovery, routing, sources
 from spindlenotch.peers import documents
-from spindlenotch_platform import configuration_records, records, store
+from spindlenotch_platform import configuration_records, records, rollout_records, store
 
 Sample = recorded.Sample
 OTHER = ids.Address("127.0.0.2:9001")
@@ -168,10 +168,42 @@
     return recorded_gateway.run(read())
 
 
+def rollout_samples() -> list[Sample]:
+    """Return the samples of orders to change a service's version."""
+    mark = recorded_gateway.rollout_mark()
+    return [
+        Sample(
+            "platform-rollout-order-added-2.json",
+            "json",
+            mark.order,
+            read=lambda data: rollout_records.read_order("op/rollout/core", 811, data),
+            strangers="passed over",
+        ),
+        *(rollout_status_sample(state) for state in sources.RolloutState),
+    ]
+
+
+def rollout_status_sample(state: sources.RolloutState) -> Sample:
+    """Return the sample of a status."""
+    status = recorded_gateway.rollout_mark().status
+    assert status is not None
+    key = rollout_records.STATUS_PREFIX + status.service
+    value = msgspec.structs.replace(status, state=state)
+    return Sample(
+        f"platform-rollout-{state.value}-added-2.json",
+        "json",
+        value,
+        lambda: rollout_records.write_status(value)[1],
+        lambda data: rollout_records.read_status(key, status.revision, data),
+        strangers="passed over",
+    )
+
+
 def store_samples() -> list[Sample]:
     """Return the samples of what lies in the store."""
     home = claims.Home(host="host-1", incarnation="0123456789abcdef")
     return [
+        *rollout_samples(),
         Sample("claim.json", "json", home, write_claim, read_claim),
         Sample(
             "published.json",
--- a/spindlenotch/gateway/rollout/analysis.py
+++ b/spindlenotch/gateway/rollout/analysis.py
@@ -162,7 +162,7 @@
     """
 
     def __init__(self) -> None:
-        self.tests: dict[tuple[Symptom, str], Test] = {}
+        self.test_by_key: dict[tuple[Symptom, str], Test] = {}
         self._moments: dict[tuple[Symptom, str], Rate] = {}
         self._memories: dict[tuple[Symptom, str], Rate] = {}
         self._source_rates: dict[tuple[Symptom, merging.Source], Rate] = {}
@@ -178,7 +178,7 @@
 
     def finding(self) -> Finding | None:
         """Return why the target is bad, None where nothing shows that."""
-        for (symptom, route), test in self.tests.items():
+        for (symptom, route), test in self.test_by_key.items():
             left = test.without_worst()
             if test.likelihood >= BOUND and left >= BOUND_WITHOUT_WORST:
                 return Finding(
@@ -194,7 +194,7 @@
 
     def most_likelihood(self) -> float:
         """Return the highest likelihood of all tests."""
-        return max((test.likelihood for test in self.tests.values()), default=0.0)
+        return max((test.likelihood for test in self.test_by_key.values()), default=0.0)
 
     def _add_others(
         self,
@@ -222,7 +222,7 @@
             rate = self._others_rate(symptom, source, route, now)
             effect = EFFECT_BY_SYMPTOM[symptom]
             for name in (route, ALL_ROUTES):
-                test = self.tests.setdefault((symptom, name), Test())
+                test = self.test_by_key.setdefault((symptom, name), Test())
                 test.add(upstream_id, tally, rate, effect)
 
     def _others_rate(
--- /dev/null
+++ b/spindlenotch/gateway/rollout/dump.py
@@ -0,0 +1,100 @@
+"""
+What the operators' ``/state`` page shows of orders to change a service's version.
+
+The types are the page's form, so their fields stay as they are. Changes nothing.
+"""
+
+import msgspec
+
+from spindlenotch import ids
+from spindlenotch.gateway import state
+from spindlenotch.gateway.cluster import fleet
+from spindlenotch.gateway.rollout import deciding, runs
+
+#: Decimal places.
+DIGITS = 2
+#: What ``status`` says while nothing is known to have been written.
+NO_STATUS = ""
+
+
+class TestDump(msgspec.Struct):
+    """One test on the target: its likelihood, and the calls since it began anew."""
+
+    symptom: str
+    route: str
+    likelihood: float
+    without_worst: float
+    calls: int
+    bad: int
+
+
+class RolloutDump(msgspec.Struct):
+    """
+    An order; ``status`` is that in the source, ``phase`` how far this gateway has come.
+
+    ``allowed``, ``sent`` and ``answered`` count this gateway's requests, the
+    ``fleet_`` ones those of all that it heard of.
+    """
+
+    target: ids.SoftwareVersion
+    phase: str
+    status: str
+    reason: str
+    ends_in_s: float | None
+    decider: ids.HostId
+    allowed: float
+    sent: int
+    answered: int
+    fleet_sent: int
+    fleet_answered: int
+    tests: list[TestDump]
+
+
+def create(
+    gateway_state: state.GatewayState, gateway_fleet: fleet.Fleet
+) -> dict[ids.ServiceName, RolloutDump]:
+    """Return what this gateway knows of each order."""
+    return {
+        service: _rollout(gateway_state, gateway_fleet, one)
+        for service, one in gateway_state.rollouts.run_by_service.items()
+    }
+
+
+def _rollout(
+    gateway_state: state.GatewayState, gateway_fleet: fleet.Fleet, one: runs.Run
+) -> RolloutDump:
+    service = one.order.service
+    status = gateway_state.rollouts.status_of(one)
+    candidates = deciding.candidates(service, gateway_fleet.view())
+    end_at = gateway_state.rollouts.end_at(service)
+    left_s = None
+    if end_at != ids.NEVER:
+        left_s = round(end_at - gateway_state.clock.now(), DIGITS)
+    return RolloutDump(
+        target=one.order.target,
+        phase=one.phase.name.lower(),
+        status=NO_STATUS if status is None else status.state.value,
+        reason=one.reason,
+        ends_in_s=left_s,
+        decider=candidates[0] if candidates else ids.HostId(""),
+        allowed=round(one.split.allowed(), DIGITS),
+        sent=one.split.sent,
+        answered=one.split.answered,
+        fleet_sent=one.merged.sent(),
+        fleet_answered=one.merged.answered(),
+        tests=_tests(one),
+    )
+
+
+def _tests(one: runs.Run) -> list[TestDump]:
+    return [
+        TestDump(
+            symptom=symptom.value,
+            route=route,
+            likelihood=round(test.likelihood, DIGITS),
+            without_worst=round(test.without_worst(), DIGITS),
+            calls=test.calls,
+            bad=test.bad,
+        )
+        for (symptom, route), test in one.analysis.test_by_key.items()
+    ]
--- a/spindlenotch/gateway/state_dump.py
+++ b/spindlenotch/gateway/state_dump.py
@@ -13,6 +13,7 @@
 from spindlenotch.decisions import balancer
 from spindlenotch.gateway import state
 from spindlenotch.gateway.cluster import fleet
+from spindlenotch.gateway.rollout import dump
 from spindlenotch.kernel import upstreams
 from spindlenotch.peers import known_peer
 
@@ -66,7 +67,8 @@
     A gateway; ``version`` is that of the configuration in force.
 
     ``refused_routes`` says why routes are not served, by host and prefix;
-    ``not_ready`` why callers may not be sent here, empty where they may.
+    ``not_ready`` why callers may not be sent here, empty where they may;
+    ``rollouts`` are the services that change their version.
     """
 
     host: ids.HostId
@@ -78,6 +80,7 @@
     services: dict[ids.ServiceName, ServiceDump]
     refused_routes: dict[str, str]
     not_ready: str
+    rollouts: dict[ids.ServiceName, dump.RolloutDump]
 
 
 def create(
@@ -101,6 +104,7 @@
         },
         refused_routes=_refused_routes(gateway_state),
         not_ready=gateway_state.unready_reason,
+        rollouts=dump.create(gateway_state, gateway_fleet),
     )
 
 
