--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -128,6 +128,7 @@
         answered=512,
         is_empty=True,
         rows=(row,),
+        left_s=3.5,
     )
     return msgspec.structs.replace(
         added_message(), rollout_phases=notes, evidence=evidence
--- a/spindlenotch/gateway/rollout/analysis.py
+++ b/spindlenotch/gateway/rollout/analysis.py
@@ -27,6 +27,8 @@
 BOUND = math.log(20_000)
 #: The same without the worst upstreams of the target: weaker, as less evidence is left.
 BOUND_WITHOUT_WORST = math.log(20)
+#: The same for one upstream, from which others of the target are tried in its place.
+BOUND_OF_UPSTREAM = math.log(20)
 #: Share of the upstreams of the target that may be bad by themselves, rounded up.
 WORST_SHARE = 0.25
 #: Time constants, in seconds, of the others' rates: bursts are to be known in the
@@ -147,6 +149,19 @@
         worst = math.ceil(WORST_SHARE * len(left))
         return sum(left[: len(left) - worst])
 
+    def suspicion(self) -> float:
+        """Return how near it is to a finding, 1 where it is one."""
+        whole = self.likelihood / BOUND
+        return max(0.0, min(whole, self.without_worst() / BOUND_WITHOUT_WORST))
+
+    def bad_upstreams(self) -> list[ids.UpstreamId]:
+        """Return the upstreams that speak against the target by themselves."""
+        return [
+            upstream_id
+            for upstream_id, likelihood in self._by_upstream.items()
+            if likelihood >= BOUND_OF_UPSTREAM
+        ]
+
     def _begin_anew(self) -> None:
         self.likelihood = 0.0
         self.calls = 0
@@ -179,22 +194,30 @@
     def finding(self) -> Finding | None:
         """Return why the target is bad, None where nothing shows that."""
         for (symptom, route), test in self.test_by_key.items():
-            left = test.without_worst()
-            if test.likelihood >= BOUND and left >= BOUND_WITHOUT_WORST:
+            if test.suspicion() >= 1.0:
                 return Finding(
                     symptom=symptom,
                     route=route,
                     likelihood=round(test.likelihood, 2),
-                    without_worst=round(left, 2),
+                    without_worst=round(test.without_worst(), 2),
                     calls=test.calls,
                     bad=test.bad,
                     upstreams=test.upstreams,
                 )
         return None
 
-    def most_likelihood(self) -> float:
-        """Return the highest likelihood of all tests."""
-        return max((test.likelihood for test in self.test_by_key.values()), default=0.0)
+    def suspicion(self) -> float:
+        """Return how near the nearest test is to a finding, 1 where it is one."""
+        return max((test.suspicion() for test in self.test_by_key.values()), default=0)
+
+    def bad_upstreams(self) -> set[ids.UpstreamId]:
+        """Return the upstreams of the target that look bad by themselves."""
+        return {
+            upstream_id
+            for (_, route), test in self.test_by_key.items()
+            if route == ALL_ROUTES
+            for upstream_id in test.bad_upstreams()
+        }
 
     def _add_others(
         self,
--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -10,7 +10,6 @@
 from spindlenotch.gateway import service_defaults, state
 from spindlenotch.gateway.cluster import fleet, quorum
 from spindlenotch.gateway.rollout import (
-    analysis,
     deciding,
     evidence,
     promotion,
@@ -125,7 +124,7 @@
             other_slots=sum(u.slots for u in able if self.run.is_other(u)),
             answers=sum(r.counts.judged for r in rows if r.upstream),
             allowed=self.run.split.share * self.run.merged.answered(),
-            likelihood_share=self.run.analysis.most_likelihood() / analysis.BOUND,
+            suspicion=self.run.analysis.suspicion(),
         )
 
     def _attendance(self) -> promotion.Attendance:
@@ -176,7 +175,7 @@
             answered=self.run.merged.answered(),
             target_slots=ready.target_slots,
             other_slots=ready.other_slots,
-            likelihood=round(self.run.analysis.most_likelihood(), 2),
+            suspicion=round(ready.suspicion, 2),
         )
         rows = [r for record in self._records() for r in record.rows]
         tested = {r.route for r in rows if r.upstream != evidence.OTHER_VERSIONS}
--- a/spindlenotch/gateway/rollout/loop.py
+++ b/spindlenotch/gateway/rollout/loop.py
@@ -90,19 +90,20 @@
         sender = message.sender
         now = self.state.clock.now()
         one.take(merging.Source(sender.host, sender.incarnation), record, now)
+        self.state.rollouts.orders.told_left(record.service, record.left_s, now)
         self._judge(one)
 
     def _update_run(self, one: runs.Run, now: ids.Instant) -> None:
         pool = self.state.balancer_by_service[one.order.service].pool
         local = self.state.gossip.local
-        record = one.record(pool)
+        record = one.record(pool, self._left_s(one, now))
         one.take(merging.Source(local.host, local.incarnation), record, now)
         candidates = deciding.candidates(one.order.service, self.fleet.view())
         self._note_duty(one, is_decider=candidates[:1] == [local.host])
         self._judge(one)
         if one.order.service in self._deciding:
             self._decider(one).update(pool, now)
-        self._tell(one, pool, candidates)
+        self._tell(one, pool, candidates, now)
 
     def _judge(self, one: runs.Run) -> None:
         """Roll back at once where the evidence shows that the target is bad."""
@@ -133,6 +134,9 @@
         )
         self._publish(self._runs())
 
+    def _left_s(self, one: runs.Run, now: ids.Instant) -> float:
+        return self.state.rollouts.end_at(one.order.service) - now
+
     def _may_be_completed(self, one: runs.Run) -> bool:
         known = self._decider_by_run.get(one)
         if known is None:
@@ -194,7 +198,11 @@
             self._send(list(self.state.gossip.known_by_host), None)
 
     def _tell(
-        self, one: runs.Run, pool: upstream_pool.Pool, candidates: list[ids.HostId]
+        self,
+        one: runs.Run,
+        pool: upstream_pool.Pool,
+        candidates: list[ids.HostId],
+        now: ids.Instant,
     ) -> None:
         """Tell what was counted to those that get callers and those that may decide."""
         active = self.fleet.active_zones()
@@ -202,7 +210,7 @@
         if not one.split.answered and local not in active:
             return
         # Made anew: it also says whether this gateway follows a phase of just now.
-        record = one.record(pool)
+        record = one.record(pool, self._left_s(one, now))
         self._send(sorted({*active, *candidates}), record)
 
     def _send(
--- a/spindlenotch/gateway/rollout/orders.py
+++ b/spindlenotch/gateway/rollout/orders.py
@@ -55,6 +55,14 @@
         if known is None or known.revision < status.revision:
             self._set_status(status.service, status)
 
+    def told_left(
+        self, service: ids.ServiceName, left_s: float, now: ids.Instant
+    ) -> None:
+        """Take in a peer's word on how long an order may run; the shortest counts."""
+        known = self.end_at_by_service.get(service)
+        if known is not None:
+            self.end_at_by_service[service] = min(known, ids.later(now, left_s))
+
     def status_of(
         self, order: sources.RolloutOrder | None
     ) -> sources.RolloutStatus | None:
@@ -104,9 +112,7 @@
         known = self.status_by_service.get(service)
         self._set_order(service, mark.order, now)
         if mark.order is not None:
-            end_at = ids.later(now, mark.left_s)
-            end_at = min(end_at, self.end_at_by_service[service])
-            self.end_at_by_service[service] = end_at
+            self.told_left(service, mark.left_s, now)
         # What this gateway has written itself may be newer than the peer's list.
         if (
             known is None
--- a/spindlenotch/gateway/rollout/promotion.py
+++ b/spindlenotch/gateway/rollout/promotion.py
@@ -28,8 +28,8 @@
 LEAST_ANSWERED_SHARE = 0.5
 #: Slots of the target by those of the others: fewer would not carry the load.
 LEAST_SLOTS_SHARE = 0.7
-#: Share of the likelihood that shows a bad target from which it is suspected.
-SUSPECTED_SHARE = 0.5
+#: Share of the evidence that shows a bad target from which it is not promoted.
+MOST_SUSPICION = 0.5
 
 
 class Hindrance(enum.Enum):
@@ -50,14 +50,15 @@
     """
     What decides whether an order may be promoted; slots are usable, warm ones.
 
-    The target gave ``answers`` to the ``allowed`` calls it might have had.
+    ``suspicion`` is 1 where the target is known to be bad. It gave ``answers`` to the
+    ``allowed`` calls it might have had.
     """
 
     target_slots: int
     other_slots: int
     answers: int
     allowed: float
-    likelihood_share: float
+    suspicion: float
 
 
 class Attendance(msgspec.Struct, frozen=True):
@@ -88,7 +89,7 @@
         return Hindrance.TOO_FEW_SLOTS
     if ready.answers < min(LEAST_ANSWERS, LEAST_ANSWERED_SHARE * ready.allowed):
         return Hindrance.FEW_ANSWERS
-    if ready.likelihood_share >= SUSPECTED_SHARE:
+    if ready.suspicion >= MOST_SUSPICION:
         return Hindrance.SUSPECTED
     return Hindrance.NONE
 
--- a/spindlenotch/gateway/rollout/runs.py
+++ b/spindlenotch/gateway/rollout/runs.py
@@ -114,8 +114,10 @@
         )
         return not any(u.outstanding for u in others)
 
-    def record(self, pool: upstream_pool.Pool) -> rollout_notes.EvidenceRecord:
-        """Return what was counted until now."""
+    def record(
+        self, pool: upstream_pool.Pool, left_s: float
+    ) -> rollout_notes.EvidenceRecord:
+        """Return what was counted until now; the order may run ``left_s`` yet."""
         self._number += 1
         return rollout_notes.EvidenceRecord(
             service=self.order.service,
@@ -126,6 +128,7 @@
             answered=self.split.answered,
             is_empty=self.is_empty(pool),
             rows=self.evidence.rows(),
+            left_s=left_s,
         )
 
     def take(
@@ -138,6 +141,7 @@
         delta = self.merged.take(source, record)
         if delta is not None:
             self.analysis.add(delta, now)
+            self.split.passed_over |= self.analysis.bad_upstreams()
 
     def note(self) -> rollout_notes.PhaseNote:
         """Return what peers are told of the phase."""
--- a/spindlenotch/peers/rollout_notes.py
+++ b/spindlenotch/peers/rollout_notes.py
@@ -87,7 +87,7 @@
 
     ``sent`` calls were placed on the target while it was tried, ``answered`` ones were
     answered by the service. ``is_empty``: the sender is in ``phase`` and has nothing
-    under way on other versions.
+    under way on other versions. ``left_s``: for how many seconds the order may run yet.
     """
 
     service: ids.ServiceName
@@ -98,3 +98,4 @@
     answered: int
     is_empty: bool
     rows: tuple[Row, ...]
+    left_s: float
