--- a/spindlenotch/gateway/rollout/analysis.py
+++ b/spindlenotch/gateway/rollout/analysis.py
@@ -30,7 +30,11 @@
 #: The same for one upstream, from which others of the target are tried in its place.
 BOUND_OF_UPSTREAM = math.log(20)
 #: Share of the upstreams of the target that may be bad by themselves, rounded up.
-WORST_SHARE = 0.25
+WORST_SHARE = 0.34
+#: The least number of them, and their share of all upstreams of the target where there
+#: are few: two of those that are tried first may be bad by chance.
+LEAST_WORST = 2
+LEAST_WORST_SHARE = 0.5
 #: Time constants, in seconds, of the others' rates: bursts are to be known in the
 #: moment, seldom failures in the long run.
 MOMENT_S = 0.5
@@ -114,9 +118,11 @@
     One CUSUM test; ``likelihood`` is never below zero.
 
     Invariant: it is the sum over the upstreams since the test began anew.
+    ``available`` is how many upstreams the target has.
     """
 
     def __init__(self) -> None:
+        self.available = 1
         self.likelihood = 0.0
         self.calls = 0
         self.bad = 0
@@ -146,11 +152,15 @@
     def without_worst(self) -> float:
         """Return the likelihood without the upstreams that speak most against it."""
         left = sorted(self._by_upstream.values())
-        worst = math.ceil(WORST_SHARE * len(left))
+        least = min(LEAST_WORST, int(LEAST_WORST_SHARE * self.available))
+        worst = max(math.ceil(WORST_SHARE * len(left)), least)
+        worst = min(worst, self.available - 1, len(left))
         return sum(left[: len(left) - worst])
 
     def suspicion(self) -> float:
         """Return how near it is to a finding, 1 where it is one."""
+        if self.likelihood <= 0.0:
+            return 0.0
         whole = self.likelihood / BOUND
         return max(0.0, min(whole, self.without_worst() / BOUND_WITHOUT_WORST))
 
@@ -173,10 +183,12 @@
     """
     The tests of one target, and the rates of the other versions.
 
-    ``add`` takes in what one process has newly counted.
+    ``add`` takes in what one process has newly counted; ``available`` is how many
+    upstreams the target has.
     """
 
     def __init__(self) -> None:
+        self.available = 1
         self.test_by_key: dict[tuple[Symptom, str], Test] = {}
         self._moments: dict[tuple[Symptom, str], Rate] = {}
         self._memories: dict[tuple[Symptom, str], Rate] = {}
@@ -194,7 +206,7 @@
     def finding(self) -> Finding | None:
         """Return why the target is bad, None where nothing shows that."""
         for (symptom, route), test in self.test_by_key.items():
-            if test.suspicion() >= 1.0:
+            if test.likelihood >= BOUND and test.suspicion() >= 1.0:
                 return Finding(
                     symptom=symptom,
                     route=route,
@@ -246,6 +258,7 @@
             effect = EFFECT_BY_SYMPTOM[symptom]
             for name in (route, ALL_ROUTES):
                 test = self.test_by_key.setdefault((symptom, name), Test())
+                test.available = self.available
                 test.add(upstream_id, tally, rate, effect)
 
     def _others_rate(
--- a/spindlenotch/gateway/rollout/runs.py
+++ b/spindlenotch/gateway/rollout/runs.py
@@ -76,8 +76,10 @@
         return True
 
     def look_at(self, pool: upstream_pool.Pool) -> None:
-        """Note whether there are upstreams that are to be replaced."""
+        """Note which upstreams there are."""
         self.had_others |= any(self.is_other(u) for u in pool.usable_order)
+        versions = [u.spec.version for u in pool.usable_order]
+        self.analysis.available = max(1, versions.count(self.order.target))
         self._set_access()
 
     def is_other(self, upstream: upstreams.Upstream) -> bool:
