--- /dev/null
+++ b/features/rollout_rules.feature
@@ -0,0 +1,26 @@
+Feature: What holds while a service changes its version, in virtual time
+
+  Scenario Outline: <property>
+    Then the property "<property>" holds
+
+    Examples:
+      | property                                                         |
+      | a bad version is taken back, within share and bound              |
+      | so it is under trouble                                           |
+      | a good version is completed in time, whatever else fails         |
+      | what all processes send to a version stays in its share          |
+      | no evidence counts twice, however often it is told               |
+      | a few bad upstreams are not taken for their version              |
+      | what strikes all versions alike speaks against none              |
+      | a status only goes forward, and is written under conditions      |
+      | a status is written only in place of what was read               |
+      | of two that decide one writes, and neither goes back             |
+      | a version that nobody runs is given up when time is over         |
+      | a version that all run is completed at once                      |
+      | too few upstreams of a version are not promoted                  |
+      | an order that is taken away sends nothing more to its version    |
+      | a second order spares the version of the first                   |
+      | the same order again is a new one                                |
+      | orders that can't be read move nothing else                      |
+      | an order found at the start goes on by its status                |
+      | peers learn of an order with the upstreams it is about           |
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -14,6 +14,8 @@
 import typing
 from collections import abc
 
+import msgspec
+
 from features.support import rollout_store
 from spindlenotch import clock, ids, metrics
 from spindlenotch.decisions import balancer, soonest, verdicts
@@ -28,7 +30,7 @@
     upstreams,
     waiting,
 )
-from spindlenotch.peers import messages
+from spindlenotch.peers import messages, rollout_notes
 
 SERVICE = ids.ServiceName("s")
 ZONE = ids.ZoneName("z")
@@ -349,8 +351,9 @@
         seen = self.seen
         seen.to_new += 1
         seen.new_sent_at.append(self.at_s)
-        is_tried = all(g.run.phase.name == "RUNNING" for g in self.gateways)
-        if is_tried:
+        runs_now = [g.rollouts.run_by_service.get(SERVICE) for g in self.gateways]
+        phases = {one.phase for one in runs_now if one is not None}
+        if phases == {rollout_notes.Phase.RUNNING}:
             ahead = seen.to_new - SHARE * seen.reached
             seen.most_ahead = max(seen.most_ahead, ahead)
 
@@ -423,6 +426,13 @@
 )
 
 
+def with_version(
+    spec: upstreams.UpstreamSpec, version: ids.SoftwareVersion
+) -> upstreams.UpstreamSpec:
+    """Return an upstream that runs another version."""
+    return msgspec.structs.replace(spec, version=version)
+
+
 def policy() -> service_policy.ServicePolicy:
     """Return how the service is balanced."""
     return service_policy.ServicePolicy(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -34,7 +34,7 @@
 import sys, loguru
 sys.path.append("platform")
 loguru.logger.remove()
-from features.steps import gateway_cold, gateway_evacuation, kernel
+from features.steps import gateway_cold, gateway_evacuation, gateway_rollout, kernel
 kernel.PROPERTIES.get({name!r})()
 """
 
@@ -184,6 +184,62 @@
         "\n    def _schedule",
         held_by="a zone that is taken back is in use again at once",
     ),
+    Mutant(
+        "a version that is tried gets what it can take",
+        "decisions/traffic_split",
+        "if self.sent + 1 > self.allowed():",
+        "if self.sent + 1 > 10 * self.allowed():",
+        held_by="what all processes send to a version stays in its share",
+    ),
+    Mutant(
+        "a process that starts again has its whole share at once",
+        "decisions/traffic_split",
+        "return self.share * self.answered",
+        "return self.share * (self.answered + 300)",
+        held_by="what all processes send to a version stays in its share",
+    ),
+    Mutant(
+        "evidence that is told again counts again",
+        "gateway/rollout/merging",
+        "new = counts.minus(before.get(cell, rollout_notes.NO_COUNTS))",
+        "new = counts",
+        held_by="no evidence counts twice, however often it is told",
+    ),
+    Mutant(
+        "a final status is written over",
+        "gateway/rollout/deciding",
+        "if known in (sources.RolloutState.COMPLETED, sources.RolloutState.ROLLED_BACK):",
+        "if known is sources.RolloutState.COMPLETED:",
+        held_by="a status only goes forward, and is written under conditions",
+    ),
+    Mutant(
+        "a status is written whatever the source holds",
+        "../platform/spindlenotch_platform/store",
+        "            key: status.revision,\n",
+        "",
+        held_by="a status is written only in place of what was read",
+    ),
+    Mutant(
+        "an order is completed while calls run on what it replaces",
+        "gateway/rollout/runs",
+        "return not any(u.outstanding for u in others)",
+        "return True",
+        held_by="a good version is completed in time, whatever else fails",
+    ),
+    Mutant(
+        "a bad upstream is taken for its version",
+        "gateway/rollout/analysis",
+        "return sum(left[: len(left) - worst])",
+        "return sum(left)",
+        held_by="a few bad upstreams are not taken for their version",
+    ),
+    Mutant(
+        "the others' failures in the moment count for nothing",
+        "gateway/rollout/analysis",
+        "return max(guess, fleet, at_moment, there)",
+        "return guess",
+        held_by="what strikes all versions alike speaks against none",
+    ),
 )
 
 
