--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -6,7 +6,14 @@
 from features.steps import kernel
 from features.support import rollout_store, rollout_trials, rollout_world as worlds
 from spindlenotch import ids
-from spindlenotch.gateway.rollout import analysis, deciding, evidence, merging, orders
+from spindlenotch.gateway.rollout import (
+    analysis,
+    deciding,
+    evidence,
+    merging,
+    orders,
+    sequential_test,
+)
 from spindlenotch.gateway.source import sources
 from spindlenotch.peers import rollout_notes
 from spindlenotch_platform import rollout_records, store, store_client
@@ -132,16 +139,16 @@
 
 @kernel.PROPERTIES.register("a few bad upstreams are not taken for their version")
 def not_the_version() -> None:
-    test = analysis.Test()
+    test = sequential_test.Test()
     test.available = 10
     for number in itertools.chain((1, 2) * 20):
         upstream_id = ids.UpstreamId(f"u{number}")
-        test.add(upstream_id, analysis.Tally(1, 1), rate=0.01, effect=0.1)
-    assert test.likelihood > 5 * analysis.BOUND
+        test.add(upstream_id, sequential_test.Tally(1, 1), rate=0.01, effect=0.1)
+    assert test.likelihood > 5 * sequential_test.BOUND
     assert test.suspicion() < 1.0
     for number in range(3, 9):
         upstream_id = ids.UpstreamId(f"u{number}")
-        test.add(upstream_id, analysis.Tally(3, 2), rate=0.01, effect=0.1)
+        test.add(upstream_id, sequential_test.Tally(3, 2), rate=0.01, effect=0.1)
     assert test.suspicion() >= 1.0
 
 
--- a/spindlenotch/gateway/rollout/analysis.py
+++ b/spindlenotch/gateway/rollout/analysis.py
@@ -12,29 +12,14 @@
 """
 
 import enum
-import math
 
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.gateway.rollout import evidence, merging
+from spindlenotch.gateway.rollout import evidence, merging, sequential_test
 from spindlenotch.kernel import latency
 from spindlenotch.peers import rollout_notes
 
-#: Logarithm of how much likelier "bad" has to be. By Wald's inequality one test of a
-#: good version passes it with a probability below 1 in 20,000 for each time it begins
-#: anew, if the others' rate is known.
-BOUND = math.log(20_000)
-#: The same without the worst upstreams of the target: weaker, as less evidence is left.
-BOUND_WITHOUT_WORST = math.log(20)
-#: The same for one upstream, from which others of the target are tried in its place.
-BOUND_OF_UPSTREAM = math.log(20)
-#: Share of the upstreams of the target that may be bad by themselves, rounded up.
-WORST_SHARE = 0.34
-#: The least number of them, and their share of all upstreams of the target where there
-#: are few: two of those that are tried first may be bad by chance.
-LEAST_WORST = 2
-LEAST_WORST_SHARE = 0.5
 #: Time constants, in seconds, of the others' rates: bursts are to be known in the
 #: moment, seldom failures in the long run.
 MOMENT_S = 0.5
@@ -42,8 +27,6 @@
 #: Calls that the first guess of the others' rate counts as, and at one gateway.
 GUESS_CALLS = 30.0
 SOURCE_GUESS_CALLS = 10.0
-#: The highest rate that counts as a good version's, so that logarithms stay finite.
-MOST_RATE = 0.9
 #: Name of the test over all routes.
 ALL_ROUTES = "*"
 
@@ -62,13 +45,6 @@
 EFFECT_BY_SYMPTOM = {Symptom.FAILURES: 0.1, Symptom.SLOWNESS: 0.3}
 
 
-class Tally(msgspec.Struct, frozen=True):
-    """Calls that were looked at, and bad ones of them."""
-
-    calls: int
-    bad: int
-
-
 class Finding(msgspec.Struct, frozen=True):
     """
     Why a target is bad.
@@ -95,7 +71,7 @@
         self.bad = 0.0
         self.at = ids.Instant(0.0)
 
-    def add(self, tally: Tally, now: ids.Instant) -> None:
+    def add(self, tally: sequential_test.Tally, now: ids.Instant) -> None:
         """Take in calls."""
         self._fade(now)
         self.calls += tally.calls
@@ -113,72 +89,6 @@
         self.at = now
 
 
-class Test:
-    """
-    One CUSUM test; ``likelihood`` is never below zero.
-
-    Invariant: it is the sum over the upstreams since the test began anew.
-    ``available`` is how many upstreams the target has.
-    """
-
-    def __init__(self) -> None:
-        self.available = 1
-        self.likelihood = 0.0
-        self.calls = 0
-        self.bad = 0
-        self._by_upstream: dict[ids.UpstreamId, float] = {}
-
-    def add(
-        self, upstream_id: ids.UpstreamId, tally: Tally, rate: float, effect: float
-    ) -> None:
-        """Take in calls of an upstream of the target; ``rate`` is the others'."""
-        expected = min(MOST_RATE, rate)
-        if_bad = min((1.0 + MOST_RATE) / 2, expected + effect)
-        added = tally.bad * math.log(if_bad / expected)
-        added += (tally.calls - tally.bad) * math.log((1 - if_bad) / (1 - expected))
-        self.likelihood += added
-        self.calls += tally.calls
-        self.bad += tally.bad
-        known = self._by_upstream.get(upstream_id, 0.0)
-        self._by_upstream[upstream_id] = known + added
-        if self.likelihood <= 0.0:
-            self._begin_anew()
-
-    @property
-    def upstreams(self) -> int:
-        """Return how many upstreams of the target had calls."""
-        return len(self._by_upstream)
-
-    def without_worst(self) -> float:
-        """Return the likelihood without the upstreams that speak most against it."""
-        left = sorted(self._by_upstream.values())
-        least = min(LEAST_WORST, int(LEAST_WORST_SHARE * self.available))
-        worst = max(math.ceil(WORST_SHARE * len(left)), least)
-        worst = min(worst, self.available - 1, len(left))
-        return sum(left[: len(left) - worst])
-
-    def suspicion(self) -> float:
-        """Return how near it is to a finding, 1 where it is one."""
-        if self.likelihood <= 0.0:
-            return 0.0
-        whole = self.likelihood / BOUND
-        return max(0.0, min(whole, self.without_worst() / BOUND_WITHOUT_WORST))
-
-    def bad_upstreams(self) -> list[ids.UpstreamId]:
-        """Return the upstreams that speak against the target by themselves."""
-        return [
-            upstream_id
-            for upstream_id, likelihood in self._by_upstream.items()
-            if likelihood >= BOUND_OF_UPSTREAM
-        ]
-
-    def _begin_anew(self) -> None:
-        self.likelihood = 0.0
-        self.calls = 0
-        self.bad = 0
-        self._by_upstream.clear()
-
-
 class Analysis:
     """
     The tests of one target, and the rates of the other versions.
@@ -189,7 +99,7 @@
 
     def __init__(self) -> None:
         self.available = 1
-        self.test_by_key: dict[tuple[Symptom, str], Test] = {}
+        self.test_by_key: dict[tuple[Symptom, str], sequential_test.Test] = {}
         self._moments: dict[tuple[Symptom, str], Rate] = {}
         self._memories: dict[tuple[Symptom, str], Rate] = {}
         self._source_rates: dict[tuple[Symptom, merging.Source], Rate] = {}
@@ -206,7 +116,7 @@
     def finding(self) -> Finding | None:
         """Return why the target is bad, None where nothing shows that."""
         for (symptom, route), test in self.test_by_key.items():
-            if test.likelihood >= BOUND and test.suspicion() >= 1.0:
+            if test.likelihood >= sequential_test.BOUND and test.suspicion() >= 1.0:
                 return Finding(
                     symptom=symptom,
                     route=route,
@@ -257,7 +167,9 @@
             rate = self._others_rate(symptom, source, route, now)
             effect = EFFECT_BY_SYMPTOM[symptom]
             for name in (route, ALL_ROUTES):
-                test = self.test_by_key.setdefault((symptom, name), Test())
+                test = self.test_by_key.setdefault(
+                    (symptom, name), sequential_test.Test()
+                )
                 test.available = self.available
                 test.add(upstream_id, tally, rate, effect)
 
@@ -279,8 +191,8 @@
         return max(guess, fleet, at_moment, there)
 
 
-def _tallies(counts: rollout_notes.Counts) -> dict[Symptom, Tally]:
+def _tallies(counts: rollout_notes.Counts) -> dict[Symptom, sequential_test.Tally]:
     return {
-        Symptom.FAILURES: Tally(counts.judged, counts.failed),
-        Symptom.SLOWNESS: Tally(counts.timed, counts.slow),
+        Symptom.FAILURES: sequential_test.Tally(counts.judged, counts.failed),
+        Symptom.SLOWNESS: sequential_test.Tally(counts.timed, counts.slow),
     }
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -186,16 +186,16 @@
     ),
     Mutant(
         "a version that is tried gets what it can take",
-        "decisions/traffic_split",
-        "if self.sent + 1 > self.allowed():",
-        "if self.sent + 1 > 10 * self.allowed():",
+        "gateway/rollout/runs",
+        "order.target, SHARE_MARGIN * share,",
+        "order.target, 10.0 * share,",
         held_by="what all processes send to a version stays in its share",
     ),
     Mutant(
         "a process that starts again has its whole share at once",
         "decisions/traffic_split",
-        "return self.share * self.answered",
-        "return self.share * (self.answered + 300)",
+        "self.answered = 0",
+        "self.answered = 300",
         held_by="what all processes send to a version stays in its share",
     ),
     Mutant(
@@ -208,8 +208,8 @@
     Mutant(
         "a final status is written over",
         "gateway/rollout/deciding",
-        "if known in (sources.RolloutState.COMPLETED, sources.RolloutState.ROLLED_BACK):",
-        "if known is sources.RolloutState.COMPLETED:",
+        "(sources.RolloutState.COMPLETED, sources.RolloutState.ROLLED_BACK)",
+        "(sources.RolloutState.COMPLETED,)",
         held_by="a status only goes forward, and is written under conditions",
     ),
     Mutant(
@@ -228,7 +228,7 @@
     ),
     Mutant(
         "a bad upstream is taken for its version",
-        "gateway/rollout/analysis",
+        "gateway/rollout/sequential_test",
         "return sum(left[: len(left) - worst])",
         "return sum(left)",
         held_by="a few bad upstreams are not taken for their version",
