--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -6,7 +6,7 @@
     And 3 workers of a new version
 
   Scenario: A good version is tried, promoted and completed in time
-    When the operator orders it within 6 s while requests are sent
+    When the operator orders it within 5 s while requests are sent
     Then the order is "completed" in time
     And its status was "running" before, and was written 2 times
     And until then no more than its share went to the new version
@@ -15,7 +15,14 @@
 
   Scenario: A version that fails is taken back at once
     Given the new version fails all requests
-    When the operator orders it within 6 s while requests are sent
+    When the operator orders it within 5 s while requests are sent
     Then the order is "rolled_back" in time
     And no more than 20 requests ran on the new version
     And all requests were answered
+
+  Scenario: Where the gateway that decides dies, another one goes on
+    Given a third gateway
+    When the operator orders it within 6 s, and the gateway that decides is killed
+    Then the order is "completed" in time
+    And its status was "running" before, and was written 2 times
+    And nothing runs on the old workers then
--- a/features/steps/rollout.py
+++ b/features/steps/rollout.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import signal
 import time
 import typing
 
+import aiohttp
 import behave
 
 from features.support import platform_context, platform_fleet, platform_worker
@@ -66,6 +68,41 @@
     run(context, play(context, by_s))
 
 
+@behave.given("a third gateway")
+def third(context: typing.Any) -> None:
+    async def start() -> None:
+        fleet = fleet_of(context)
+        await fleet.until_ready(await fleet.start_gateway(3))
+
+    run(context, start())
+
+
+@behave.when(
+    "the operator orders it within {by_s:d} s, and the gateway that decides is killed"
+)
+def orders_and_kills(context: typing.Any, by_s: int) -> None:
+    async def both() -> None:
+        await asyncio.gather(play(context, by_s), kill_decider(context))
+
+    run(context, both())
+
+
+async def kill_decider(context: typing.Any) -> None:
+    """Kill the gateway that decides, once it has written."""
+    fleet = fleet_of(context)
+
+    async def is_written() -> bool:
+        return STATUS in fleet.store.item_by_key
+
+    await fleet.until(is_written)
+    node = platform_context.living(context)[0]
+    async with fleet.session.get(fleet.url(node, "control", "/state")) as answer:
+        decider = (await answer.json())["rollouts"]["core"]["decider"]
+    process = fleet.process_by_node[decider]
+    process.send_signal(signal.SIGKILL)
+    await process.wait()
+
+
 async def play(context: typing.Any, by_s: int) -> None:
     """Order the new version, start its workers and send requests until the end."""
     fleet = fleet_of(context)
@@ -77,9 +114,9 @@
     for number in range(3):
         worker = await fleet.add_worker(f"new-{number}", version=TARGET)
         worker.mode = getattr(context, "mode", platform_worker.Mode.GOOD)
-    nodes = platform_context.living(context)
     tasks = []
     while time.monotonic() < began_at + by_s + AFTER_S:
+        nodes = platform_context.living(context)
         node = nodes[story.sent % len(nodes)]
         tasks.append(asyncio.ensure_future(send(fleet, story, node)))
         look(fleet, story, time.monotonic() - began_at)
@@ -89,7 +126,11 @@
 
 async def send(fleet: platform_fleet.PlatformFleet, story: Story, node: str) -> None:
     story.sent += 1
-    answer = await fleet.send(node, "/read/x", f"r-{story.sent}")
+    try:
+        answer = await fleet.send(node, "/read/x", f"r-{story.sent}")
+    except (aiohttp.ClientError, OSError):
+        # Its gateway was killed.
+        return
     story.answers.append(answer.status)
 
 
--- a/features/support/rollout_trials.py
+++ b/features/support/rollout_trials.py
@@ -43,6 +43,11 @@
     return worlds.Harm(slower=rng.uniform(3.0, 6.0))
 
 
+@HARMS.register("slow at once, and says so")
+def slow_and_tells(rng: random.Random) -> worlds.Harm:
+    return worlds.Harm(slower=rng.uniform(3.0, 6.0), is_told=True)
+
+
 @HARMS.register("failing late")
 def late(rng: random.Random) -> worlds.Harm:
     return worlds.Harm(fails=rng.uniform(0.25, 0.7), from_s=0.6 * worlds.BY_S)
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -68,6 +68,8 @@
     from_s: float = 0.0
     route: str = ""
     only_full: bool = False
+    #: Whether upstreams report it where they are slow.
+    is_told: bool = False
 
     @property
     def is_bad(self) -> bool:
@@ -369,7 +371,7 @@
         result = upstreams.Result.FAILED if failed else upstreams.Result.ANSWERED
         if is_late or self.rng.random() < self.leaving:
             result, failed = upstreams.Result.CANCELLED, False
-        report = upstreams.LoadReport(machine.running, 0, machine.slowdown)
+        report = self._load(machine)
         settled = gateway.balancer.finish(grant, result, report, self.now)
         retry = None
         if failed:
@@ -387,6 +389,12 @@
             if not isinstance(one.verdict, outcomes.Refusal):
                 self._send(gateway, one.verdict)
 
+    def _load(self, machine: Machine) -> upstreams.LoadReport:
+        slowdown = machine.slowdown
+        if self.plan.harm.is_told and machine.spec.version == NEW:
+            slowdown *= self.plan.harm.slower
+        return upstreams.LoadReport(machine.running, 0, slowdown)
+
     # Rounds
 
     def _round(self, gateway: Gateway) -> None:
@@ -400,7 +408,7 @@
             pool = gateway.balancer.pool
             for upstream in pool.usable_order:
                 machine = self.machine_by_id[upstream.spec.id]
-                load = upstreams.LoadReport(machine.running, 0, machine.slowdown)
+                load = self._load(machine)
                 pool.reported(upstream, load, self.now)
 
 
--- a/spindlenotch/gateway/rollout/analysis.py
+++ b/spindlenotch/gateway/rollout/analysis.py
@@ -38,8 +38,11 @@
     SLOWNESS = "slowness"
 
 
-#: The first guess of the others' rate.
-GUESS_BY_SYMPTOM = {Symptom.FAILURES: 0.01, Symptom.SLOWNESS: 0.04}
+#: The first guess of the others' rate, which counts again once they get no calls: on
+#: the high side, as nothing tells then what strikes all alike.
+GUESS_BY_SYMPTOM = {Symptom.FAILURES: 0.03, Symptom.SLOWNESS: 0.1}
+#: The least rate that is expected of a good version, however good the others are.
+LEAST_BY_SYMPTOM = {Symptom.FAILURES: 0.01, Symptom.SLOWNESS: 0.04}
 #: How far above the others' rate a bad target's is: of the smallest harm that is to be
 #: found for certain. A version "several times slower" is slow far oftener than that.
 EFFECT_BY_SYMPTOM = {Symptom.FAILURES: 0.1, Symptom.SLOWNESS: 0.3}
@@ -188,7 +191,7 @@
         at_moment = moment.value(fleet, GUESS_CALLS, now)
         at_source = self._source_rates.setdefault((symptom, source), Rate(MEMORY_S))
         there = at_source.value(fleet, SOURCE_GUESS_CALLS, now)
-        return max(guess, fleet, at_moment, there)
+        return max(LEAST_BY_SYMPTOM[symptom], fleet, at_moment, there)
 
 
 def _tallies(counts: rollout_notes.Counts) -> dict[Symptom, sequential_test.Tally]:
--- a/spindlenotch/gateway/rollout/evidence.py
+++ b/spindlenotch/gateway/rollout/evidence.py
@@ -5,6 +5,9 @@
 upstream is counted by itself, so that a few bad ones are not taken for their version.
 """
 
+import statistics
+from collections import abc
+
 from spindlenotch import ids
 from spindlenotch.decisions import verdicts
 from spindlenotch.kernel import upstreams
@@ -30,6 +33,9 @@
     upstreams.Result.CONNECT_FAILED: 1,
 }
 
+#: Upstreams of each version without which their reports are not compared.
+LEAST_TELLING = 3
+
 Cell = tuple[str, ids.UpstreamId]
 
 
@@ -87,6 +93,23 @@
         return cell
 
 
+def own_slowdown(
+    target: abc.Collection[upstreams.Upstream],
+    others: abc.Collection[upstreams.Upstream],
+) -> float:
+    """
+    Return how much slower than the others the target's upstreams say they work.
+
+    Slow neighbours strike some upstreams; what most of the target's report is its own
+    doing, and excuses no slow answer. 1 where too few tell to know.
+    """
+    if min(len(target), len(others)) < LEAST_TELLING:
+        return 1.0
+    here = statistics.median(u.mean_slowdown.value for u in target)
+    there = statistics.median(u.mean_slowdown.value for u in others)
+    return max(1.0, here / there)
+
+
 def judge(
     grant: verdicts.Grant,
     result: upstreams.Result,
--- a/spindlenotch/gateway/rollout/orders.py
+++ b/spindlenotch/gateway/rollout/orders.py
@@ -109,16 +109,15 @@
     def _take_mark(
         self, service: ids.ServiceName, mark: sources.RolloutMark, now: ids.Instant
     ) -> None:
-        known = self.status_by_service.get(service)
+        before = self.order_by_service.get(service)
         self._set_order(service, mark.order, now)
         if mark.order is not None:
             self.told_left(service, mark.left_s, now)
         # What this gateway has written itself may be newer than the peer's list.
-        if (
-            known is None
-            or mark.status is None
-            or mark.status.revision > known.revision
-        ):
+        known = self.status_of(before)
+        is_same = before is not None and before == mark.order
+        told = 0 if mark.status is None else mark.status.revision
+        if known is None or not is_same or told > known.revision:
             self._set_status(service, mark.status)
 
     def _set_order(
--- a/spindlenotch/gateway/rollout/registry.py
+++ b/spindlenotch/gateway/rollout/registry.py
@@ -107,7 +107,7 @@
         if before is not None and before.final is not sources.RolloutState.COMPLETED:
             held |= {before.order.target, *before.split.held}
         status = self.orders.status_by_service.get(order.service)
-        if status is not None and status.state is not sources.RolloutState.COMPLETED:
+        if status is not None and _is_open(status):
             held.add(status.target)
         return frozenset(held - {order.target})
 
@@ -154,7 +154,13 @@
     def _begin_spared(self, service: ids.ServiceName) -> runs.Run | None:
         """Return the run that spares a version whose status is not completed."""
         status = self.orders.status_by_service.get(service)
-        if status is None or status.state is sources.RolloutState.COMPLETED:
+        if status is None or not _is_open(status):
             return None
         order = sources.RolloutOrder(service, status.target, 0.0, NO_REVISION)
         return self._begin(order, None)
+
+
+def _is_open(status: sources.RolloutStatus) -> bool:
+    """Tell whether a version was tried and did not take over."""
+    is_completed = status.state is sources.RolloutState.COMPLETED
+    return status.target != sources.NO_TARGET and not is_completed
--- a/spindlenotch/gateway/rollout/runs.py
+++ b/spindlenotch/gateway/rollout/runs.py
@@ -56,6 +56,7 @@
             order.target, SHARE_MARGIN * share, f"{order.revision}", self, held
         )
         self._number = 0
+        self._own_slowdown = 1.0
 
     def raise_phase(self, phase: rollout_notes.Phase) -> bool:
         """Go on to a phase; tell whether it is later than the one before."""
@@ -97,6 +98,8 @@
         now: ids.Instant,
     ) -> None:
         """Count the end of a call; see ``traffic_split.Observer``."""
+        if is_target:
+            expected_s /= self._own_slowdown
         self.evidence.call_ended(
             grant, result, is_target=is_target, expected_s=expected_s, now=now
         )
@@ -150,6 +153,13 @@
         order = self.order
         return rollout_notes.PhaseNote(order.service, order.revision, self.phase)
 
+    def compare(self, pool: upstream_pool.Pool) -> None:
+        """Learn from the upstreams' reports how slow the target itself is."""
+        usable = pool.usable_order
+        target = [u for u in usable if u.spec.version == self.order.target]
+        others = [u for u in usable if self.is_other(u)]
+        self._own_slowdown = evidence.own_slowdown(target, others)
+
     def measure(self) -> None:
         """Bring the metrics up to date."""
         labels = (self.order.service, self.order.target)
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -41,6 +41,10 @@
     ROLLED_BACK = "rolled-back"
 
 
+#: The target of a status that can't be read.
+NO_TARGET = ids.SoftwareVersion("")
+
+
 class RolloutOrder(msgspec.Struct, frozen=True):
     """
     An operator's order: a service's requests are to move to a version, its target.
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -236,8 +236,8 @@
     Mutant(
         "the others' failures in the moment count for nothing",
         "gateway/rollout/analysis",
-        "return max(guess, fleet, at_moment, there)",
-        "return guess",
+        "fleet, at_moment, there)",
+        "0.0)",
         held_by="what strikes all versions alike speaks against none",
     ),
 )
