--- a/spindlenotch/gateway/rollout/status_writer.py
+++ b/spindlenotch/gateway/rollout/status_writer.py
@@ -50,6 +50,7 @@
         if self._is_writing or now < self._next_at:
             return
         self._is_writing = True
+        self.unsettled = wanted
         self._tasks.spawn(self._write(wanted))
 
     async def _write(self, wanted: sources.RolloutState) -> None:
@@ -59,7 +60,6 @@
             status = sources.RolloutStatus(
                 self.order.service, self.order.target, wanted, revision
             )
-            self.unsettled = wanted
             self.state.metrics.store_calls.labels("rollout").inc()
             outcome = await self.source.write_rollout_status(self.order, status)
             self._settle(status, outcome)
