--- /dev/null
+++ b/spindlenotch/gateway/rollout/promotion.py
@@ -0,0 +1,113 @@
+"""
+When all requests of a service move to the target of an order, and when that is done.
+
+Pure. As late as may be: until then a target that turns bad has had no more than its
+share. So late that the others' work still ends within the order's time.
+"""
+
+import enum
+from collections import abc
+
+import msgspec
+
+from spindlenotch import ids
+
+#: Seconds before an order's end that promotion takes beyond the work under way: news
+#: of the order came late, the phase and the records travel, the store is written.
+MESSAGES_S = 2.0
+#: Most of an order's time that promotion may take.
+MOST_SHARE = 0.35
+#: How many times its usual time the work under way may take.
+LONG_WORK = 3.0
+#: Seconds before an order's end until which gateways that are gone are waited for.
+LAST_CALL_S = 0.8
+#: Answers of the target that are enough, however many it was allowed.
+LEAST_ANSWERS = 10.0
+#: Share of the calls it was allowed that it must have answered otherwise: a service
+#: with few requests still has to be able to change its version.
+LEAST_ANSWERED_SHARE = 0.5
+#: Slots of the target by those of the others: fewer would not carry the load.
+LEAST_SLOTS_SHARE = 0.7
+#: Share of the evidence that shows a bad target from which it is not promoted.
+MOST_SUSPICION = 0.5
+
+
+class Hindrance(enum.Enum):
+    """Why an order is not promoted or completed yet."""
+
+    NONE = "none"
+    EARLY = "early"
+    NO_UPSTREAMS = "no-upstreams-of-the-target"
+    TOO_FEW_SLOTS = "too-few-slots-of-the-target"
+    FEW_ANSWERS = "few-answers-of-the-target"
+    SUSPECTED = "suspected"
+    NO_QUORUM = "no-quorum"
+    UNDER_WAY = "work-under-way"
+    GATEWAYS_GONE = "gateways-gone"
+
+
+class Readiness(msgspec.Struct, frozen=True):
+    """
+    What decides whether an order may be promoted; slots are usable, warm ones.
+
+    ``suspicion`` is 1 where the target is known to be bad. It gave ``answers`` to the
+    ``allowed`` calls it might have had.
+    """
+
+    target_slots: int
+    other_slots: int
+    answers: int
+    allowed: float
+    suspicion: float
+
+
+class Attendance(msgspec.Struct, frozen=True):
+    """Who has to have left the other versions, who has, and who is in view."""
+
+    needed: frozenset[ids.HostId]
+    empty: frozenset[ids.HostId]
+    in_view: frozenset[ids.HostId]
+
+
+def lead_s(by_s: float, usual_s: abc.Iterable[float]) -> float:
+    """
+    Return how many seconds before its end an order is promoted.
+
+    ``usual_s`` are the usual times of the service's routes.
+    """
+    longest_s = LONG_WORK * max(usual_s, default=0.0)
+    return min(MOST_SHARE * by_s, MESSAGES_S + longest_s)
+
+
+def hindrance(ready: Readiness, promote_at: ids.Instant, now: ids.Instant) -> Hindrance:
+    """Return why an order is not promoted now."""
+    if now < promote_at:
+        return Hindrance.EARLY
+    if not ready.target_slots:
+        return Hindrance.NO_UPSTREAMS
+    if ready.target_slots < LEAST_SLOTS_SHARE * ready.other_slots:
+        return Hindrance.TOO_FEW_SLOTS
+    if ready.answers < min(LEAST_ANSWERS, LEAST_ANSWERED_SHARE * ready.allowed):
+        return Hindrance.FEW_ANSWERS
+    if ready.suspicion >= MOST_SUSPICION:
+        return Hindrance.SUSPECTED
+    return Hindrance.NONE
+
+
+def incompleteness(
+    who: Attendance, end_at: ids.Instant, now: ids.Instant, *, is_met: bool
+) -> Hindrance:
+    """
+    Return why a promoted order is not completed now.
+
+    ``is_met``: more than half of the fleet is in view. One that is cut off can't know
+    who still uses the other versions.
+    """
+    if not is_met:
+        return Hindrance.NO_QUORUM
+    missing = who.needed - who.empty
+    if missing & who.in_view:
+        return Hindrance.UNDER_WAY
+    if missing and now < end_at - LAST_CALL_S:
+        return Hindrance.GATEWAYS_GONE
+    return Hindrance.NONE
--- a/spindlenotch/gateway/source/leases.py
+++ b/spindlenotch/gateway/source/leases.py
@@ -99,4 +99,5 @@
         slots=listed.slots,
         warming_up_until=warming_up_until,
         born=listed.born,
+        version=listed.version,
     )
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -33,6 +33,57 @@
     DRAINING = "draining"
 
 
+class RolloutState(enum.Enum):
+    """What the source says has become of an order to change a service's version."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled-back"
+
+
+#: The target of a status that can't be read.
+NO_TARGET = ids.SoftwareVersion("")
+
+
+class RolloutOrder(msgspec.Struct, frozen=True):
+    """
+    An operator's order: a service's requests are to move to a version, its target.
+
+    It must have ended ``by_s`` seconds after it was written. ``revision``, that of the
+    source at which it was written, identifies it.
+    """
+
+    service: ids.ServiceName
+    target: ids.SoftwareVersion
+    by_s: float
+    revision: int
+
+
+class RolloutStatus(msgspec.Struct, frozen=True):
+    """
+    What has become of an order, as the source holds it.
+
+    ``revision`` is that at which it was written; zero where the source holds none yet.
+    """
+
+    service: ids.ServiceName
+    target: ids.SoftwareVersion
+    state: RolloutState
+    revision: int = 0
+
+
+class RolloutMark(msgspec.Struct, frozen=True, omit_defaults=True):
+    """
+    What a peer's list says on each upstream of a service that has an order or a status.
+
+    ``left_s``: for how many seconds after the list was made the order may run yet.
+    """
+
+    order: RolloutOrder | None = None
+    left_s: float = 0.0
+    status: RolloutStatus | None = None
+
+
 class ListedUpstream(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     An upstream as the source lists it.
@@ -44,6 +95,7 @@
     ``is_evacuated``: it gets
     no new work because its zone is evacuated; a peer's list gives its state as
     draining then, so that gateways which do not know this field send nothing there.
+    ``rollout`` is set only in a peer's list.
     """
 
     id: ids.UpstreamId
@@ -56,6 +108,7 @@
     is_evacuated: bool = False
     version: ids.SoftwareVersion = ids.SoftwareVersion("")
     born: int | None = None
+    rollout: RolloutMark | None = None
 
 
 class BadItem(msgspec.Struct, frozen=True):
@@ -84,7 +137,8 @@
 
     ``configuration`` is None where there is none yet. ``unusable`` are upstreams of
     which the source holds what can't be used. No new work goes to the upstreams of
-    ``evacuated_zones``.
+    ``evacuated_zones``. ``unreadable_orders``: the services whose order can't be read,
+    which leaves the one before in force.
     """
 
     revision: int
@@ -94,6 +148,9 @@
     discovery_records: tuple[DiscoveryRecord, ...] = ()
     evacuated_zones: frozenset[ids.ZoneName] = frozenset()
     unusable: frozenset[ids.UpstreamId] = frozenset()
+    order_by_service: dict[ids.ServiceName, RolloutOrder] = {}
+    status_by_service: dict[ids.ServiceName, RolloutStatus] = {}
+    unreadable_orders: frozenset[ids.ServiceName] = frozenset()
 
 
 class Changes(msgspec.Struct, frozen=True):
@@ -102,7 +159,7 @@
 
     ``unusable`` are upstreams whose entry now can't be used, whatever it was before.
     ``evacuated_zones`` are those newly evacuated, ``restored_zones`` those whose
-    evacuation was taken back.
+    evacuation was taken back. Orders and statuses are None where they are gone.
     """
 
     revision: int
@@ -114,6 +171,8 @@
     evacuated_zones: frozenset[ids.ZoneName] = frozenset()
     restored_zones: frozenset[ids.ZoneName] = frozenset()
     unusable: frozenset[ids.UpstreamId] = frozenset()
+    order_by_service: dict[ids.ServiceName, RolloutOrder | None] = {}
+    status_by_service: dict[ids.ServiceName, RolloutStatus | None] = {}
 
 
 class Source(typing.Protocol):
@@ -130,6 +189,15 @@
     ) -> SourceFault | None:
         """Replace the record of the same zone if it is still of that ``revision``."""
 
+    async def write_rollout_status(
+        self, order: RolloutOrder, status: RolloutStatus
+    ) -> int | SourceFault:
+        """
+        Replace a status if it is still of that ``revision``, and the order as well.
+
+        Return the revision at which it was written.
+        """
+
     async def close(self) -> None:
         """Drop all connections."""
 
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -25,6 +25,7 @@
     wakeups,
 )
 from spindlenotch.gateway.cluster import demand_meter, fleet_size, own_record
+from spindlenotch.gateway.rollout import registry
 from spindlenotch.gateway.source import listing, routing, source_events, sources
 from spindlenotch.kernel import ownership, regions, upstreams
 from spindlenotch.peers import documents, region_links, regional_gossip, timing
@@ -65,6 +66,7 @@
         self.table: routing.RouteTable | None = None
         self.round_robin = routing.WeightedRoundRobin()
         self.listing = listing.Listing(config.evacuate_s)
+        self.rollouts = registry.Registry(config.exposure_share, self.metrics)
         self.balancer_by_service: dict[ids.ServiceName, balancer.Balancer] = {}
         self.local_member = ownership.Member(config.zone, config.host)
         record = own_record.first(config, self.rng, gateway_clock)
@@ -184,6 +186,7 @@
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration)
         now = self.clock.now()
+        self.rollouts.orders.replace(snapshot, now)
         before = self.listing.evacuated_zones
         if is_overtaken:
             # What of it was taken back since then comes as a change.
@@ -201,8 +204,10 @@
     ) -> None:
         """Put the whole list that a peer read at ``revision`` in force."""
         self.listing.revision = revision
+        now = self.clock.now()
         before = self.listing.evacuated_zones
-        self.listing.replace_by_peer(listed, self.clock.now())
+        plain = self.rollouts.orders.take_marks(listed, now)
+        self.listing.replace_by_peer(plain, now)
         source_events.report_evacuations(before, self.listing.evacuated_zones)
         self._listing_changed()
 
@@ -212,8 +217,11 @@
         self._store_discovery_records(changes.discovery_records)
         if changes.configuration is not None:
             self.apply_configuration(changes.configuration)
+        ordered = self.rollouts.orders.change(changes, self.clock.now())
         is_relisted = self._apply_listing_changes(changes)
-        return is_relisted or changes.configuration is not None
+        if ordered and not is_relisted:
+            self._follow_rollouts()
+        return is_relisted or ordered or changes.configuration is not None
 
     def _apply_listing_changes(self, changes: sources.Changes) -> bool:
         """
@@ -242,6 +250,16 @@
         self._listing_changed()
         return True
 
+    def listed_for_peers(self) -> tuple[sources.ListedUpstream, ...]:
+        """Return the list of upstreams, with orders, as peers are to know it."""
+        now = self.clock.now()
+        return self.rollouts.orders.marked(self.listing.listed(now), now)
+
+    def rollout_status_written(self, status: sources.RolloutStatus) -> None:
+        """Take in a status that this gateway has written into the source."""
+        self.rollouts.orders.written(status)
+        self._follow_rollouts()
+
     def leave_upstream(
         self, service: ids.ServiceName, spec: upstreams.UpstreamSpec, reason: str
     ) -> bool:
@@ -316,6 +334,11 @@
             specs = specs_by_service.get(name, [])
             self._update_policy(name, service, specs)
             service.pool.set_listed(specs, now)
+        self._follow_rollouts()
+
+    def _follow_rollouts(self) -> None:
+        """Bring the splits of calls between versions in step with the orders."""
+        self.rollouts.follow(self.balancer_by_service)
         self._report_changes()
         self._end_upstreams()
 
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -89,7 +89,8 @@
 
     ``slots`` is None where all upstreams of the service have as many;
     ``warming_up_until`` is when it has warmed up after its start. ``born`` tells that
-    start from others of the same id, None where nothing does.
+    start from others of the same id, None where nothing does. ``version`` is that of
+    its software, empty where it tells none.
     """
 
     id: ids.UpstreamId
@@ -99,6 +100,7 @@
     slots: int | None = None
     warming_up_until: ids.Instant = ids.Instant(0.0)
     born: int | None = None
+    version: ids.SoftwareVersion = ids.SoftwareVersion("")
 
 
 class Upstream:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -36,7 +36,8 @@
 loguru.logger.remove()
 from features.steps import gateway_allowed, gateway_bad_entries, gateway_budget
 from features.steps import gateway_cold, gateway_directory, gateway_evacuation
-from features.steps import gateway_overflow, gateway_reborn, gateway_regions, kernel
+from features.steps import gateway_overflow, gateway_reborn, gateway_regions
+from features.steps import gateway_rollout, kernel
 kernel.PROPERTIES.get({name!r})()
 """
 
@@ -361,6 +362,62 @@
         "if True:",
         "documents of other regions count while no reader is heard",
     ),
+    Mutant(
+        "a version that is tried gets what it can take",
+        "gateway/rollout/runs",
+        "order.target, SHARE_MARGIN * share,",
+        "order.target, 10.0 * share,",
+        held_by="what all processes send to a version stays in its share",
+    ),
+    Mutant(
+        "a process that starts again has its whole share at once",
+        "decisions/traffic_split",
+        "self.answered = 0",
+        "self.answered = 300",
+        held_by="what all processes send to a version stays in its share",
+    ),
+    Mutant(
+        "evidence that is told again counts again",
+        "gateway/rollout/merging",
+        "new = counts.minus(before.get(cell, rollout_notes.NO_COUNTS))",
+        "new = counts",
+        held_by="no evidence counts twice, however often it is told",
+    ),
+    Mutant(
+        "a final status is written over",
+        "gateway/rollout/deciding",
+        "(sources.RolloutState.COMPLETED, sources.RolloutState.ROLLED_BACK)",
+        "(sources.RolloutState.COMPLETED,)",
+        held_by="a status only goes forward, and is written under conditions",
+    ),
+    Mutant(
+        "a status is written whatever the source holds",
+        "../platform/spindlenotch_platform/store",
+        "            key: status.revision,\n",
+        "",
+        held_by="a status is written only in place of what was read",
+    ),
+    Mutant(
+        "an order is completed while calls run on what it replaces",
+        "gateway/rollout/runs",
+        "return not any(u.outstanding for u in others)",
+        "return True",
+        held_by="a good version is completed in time, whatever else fails",
+    ),
+    Mutant(
+        "a bad upstream is taken for its version",
+        "gateway/rollout/sequential_test",
+        "return sum(left[: len(left) - worst])",
+        "return sum(left)",
+        held_by="a few bad upstreams are not taken for their version",
+    ),
+    Mutant(
+        "the others' failures in the moment count for nothing",
+        "gateway/rollout/analysis",
+        "fleet, at_moment, there)",
+        "0.0)",
+        held_by="what strikes all versions alike speaks against none",
+    ),
 )
 
 
