Known red, traced: foreign answers that used up the budget of retries

"A fault of one worker is covered ... @1.10" had failed once: 502 foreign-answer to one of 30 requests.

New: a scenario without processes that shows the cause, foreign answers are covered as long as the budget lasts and told to the caller afterwards.

--- a/features/mended_faults.feature
+++ b/features/mended_faults.feature
@@ -24,6 +24,11 @@
     When a caller gives its request an endless time
     Then it is served like that of a caller that states none
 
+  Scenario: Foreign answers are covered by other upstreams as long as the budget lasts
+    Given upstreams whose first answer to each request is a foreign one
+    When the budget allows 3 retries and 5 lookups are sent
+    Then the first 3 get a good answer and the others are told of the foreign one
+
   Scenario: An upstream gets its trial request soon after its ejection
     Given an upstream of an owned pool whose ejection has ended
     When a call comes before the next tick of the pool
--- a/features/steps/mended_faults.py
+++ b/features/steps/mended_faults.py
@@ -16,6 +16,7 @@
 from spindlenotch.peers import documents
 
 LONG = served_gateway.LONG_ANSWER_BYTES
+OK = 200
 UPLOAD_BYTES = 2 * request_body.MAX_WHOLE_BODY_BYTES
 #: Long enough for the head and the first pieces on a loaded machine.
 DEADLINE_MS = 1000
@@ -121,6 +122,54 @@
     assert sizes == [UPLOAD_BYTES], f"bytes of the body with each try: {sizes}"
 
 
+class FirstForeignPort(served_gateway.ScriptedPort):
+    """Gives a foreign answer to the first try after ``is_first`` was set."""
+
+    is_first = False
+
+    async def send(
+        self, request: ports.UpstreamRequest
+    ) -> ports.UpstreamAnswer | ports.UpstreamFault:
+        """Answer all but first tries as scripted."""
+        answer = await super().send(request)
+        if self.is_first:
+            self.is_first = False
+            return ports.UpstreamFault.FOREIGN_ANSWER
+        return answer
+
+
+@behave.given("upstreams whose first answer to each request is a foreign one")
+def first_foreign(context: typing.Any) -> None:
+    good(context)
+
+
+@behave.when("the budget allows {retries:d} retries and {count:d} lookups are sent")
+def limited(context: typing.Any, retries: int, count: int) -> None:
+    async def run() -> None:
+        with mock.patch.object(served_gateway, "ScriptedPort", FirstForeignPort):
+            gateway = served_gateway.ServedGateway(context.answer)
+        for service in gateway.state.balancer_by_service.values():
+            service.extra.set_reserve(float(retries))
+        assert isinstance(gateway.port, FirstForeignPort)
+        context.found = []
+        async with gateway:
+            for _ in range(count):
+                gateway.port.is_first = True
+                context.found.append(await gateway.request())
+
+    context.runner.run(run())
+
+
+@behave.then(
+    "the first {count:d} get a good answer and the others are told of the foreign one"
+)
+def covered(context: typing.Any, count: int) -> None:
+    statuses = [status for status, _ in context.found]
+    rest = len(statuses) - count
+    failure = refusals.failure_status(outcomes.Reason.FOREIGN_ANSWER)
+    assert statuses == [OK] * count + [failure] * rest, context.found
+
+
 @behave.when("a caller gives its request an endless time")
 def endless(context: typing.Any) -> None:
     async def run() -> None:
