Each region has an equal part of the reserve of retries

A gateway of a fleet in several regions will see those of its own region alone, so the size of the fleet that it knows is that of a region.

--- a/features/steps/gateway_budget.py
+++ b/features/steps/gateway_budget.py
@@ -17,7 +17,7 @@
 from features.steps import kernel
 from features.support import recorded_settings
 from spindlenotch import ids
-from spindlenotch.gateway import service_defaults
+from spindlenotch.gateway import service_defaults, settings
 from spindlenotch.gateway.cluster import fleet_size
 from spindlenotch.gateway.source import routing
 
@@ -41,18 +41,25 @@
 )
 
 
+IN_REGIONS = msgspec.structs.replace(
+    CONFIG,
+    region_by_zone={zone: ids.RegionName(f"region-{zone}") for zone in kernel.ZONES},
+)
+
+
 class Gateway:
     """One gateway's budget and its view of the fleet."""
 
-    def __init__(self) -> None:
+    def __init__(self, config: settings.GatewaySettings = CONFIG) -> None:
+        self.config = config
         self.size = fleet_size.FleetSize()
-        policy = service_defaults.policy(SPEC, (), CONFIG, self.size)
+        policy = service_defaults.policy(SPEC, (), config, self.size)
         self.budgets = policy.extra.create()
 
     def look(self, seen: int, now: ids.Instant) -> None:
         """See this many gateways."""
         self.size.update(seen, now, has_others=True)
-        reserve = service_defaults.extra_reserve(CONFIG, self.size)
+        reserve = service_defaults.extra_reserve(self.config, self.size)
         self.budgets.set_reserve(reserve)
 
 
@@ -85,6 +92,8 @@
 class Story:
     """What happens to a fleet; this one just serves."""
 
+    config = CONFIG
+
     def __init__(self, count: int) -> None:
         self.count = count
 
@@ -163,6 +172,16 @@
         return min(self.count, 1 + int(at * self.count / 3.0))
 
 
+class InRegions(AllKilled):
+    """Gateways see those of their own region, a third of all, before and after."""
+
+    config = IN_REGIONS
+
+    def seen(self, number: int, at: float) -> int:
+        """Return how many gateways one sees."""
+        return self.count // 3
+
+
 STORIES = (
     Story,
     AllKilled,
@@ -172,19 +191,20 @@
     CutOff,
     CutOffAndKilled,
     Grows,
+    InRegions,
 )
 
 
 def play(story: Story) -> Played:
     """Play a story: every gateway sends again whenever its budget lets it."""
     rng = random.Random(story.count)
-    gateways = [Gateway() for _ in range(story.count)]
+    gateways = [Gateway(story.config) for _ in range(story.count)]
     played = Played([], [])
     for step in range(int(PLAYED_S / STEP_S)):
         at = step * STEP_S
         now = ids.later(kernel.NOW, at)
         for number in story.killed(at):
-            gateways[number] = Gateway()
+            gateways[number] = Gateway(story.config)
         for number, gateway in enumerate(gateways):
             gateway.look(story.seen(number, at), now)
         serving = story.serving(at)
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -58,9 +58,13 @@
     their budgets were 791 a window beyond the share of which 188 are allowed, and 2155
     where all were killed meanwhile; in this way, and with what ``SlidingShareBudget``
     lets fade, 75 at most (the property of a fleet's retries).
+
+    A gateway of a fleet in several regions sees those of its own; each region has an
+    equal part, so that the sum holds while they have lost each other.
     """
     largest = UNKNOWN_FLEET if size.is_alone else size.largest
-    parts = max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * largest)
+    regions = max(1, len(set(config.region_by_zone.values())))
+    parts = max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * regions * largest)
     return config.extra_reserve / parts
 
 
