--- a/spindlenotch/decisions/overflow.py
+++ b/spindlenotch/decisions/overflow.py
@@ -16,6 +16,12 @@
 #: Share of its slots in use above which a region gets no more calls of others: what
 #: is left is for the bursts of its own, and what is known of it is seconds old.
 MOST_USED = 0.75
+#: How much less full than the own region another must be to take calls that have room
+#: here, as a share: regions that are alike would only swap calls.
+LESS_USED = 0.25
+#: How many times as long as expected work is taken to last at a far upstream: at near
+#: ones the slowed are known and passed over, at far ones they are not.
+UNKNOWN_FACTOR = 1.3
 #: What the way to another region and back costs a call, in seconds: the round trip
 #: between places some hundred kilometres apart, and that of a new connection.
 WAY_S = 0.03
@@ -47,18 +53,42 @@
     return not _any_near(pool, now)
 
 
+def pays(pool: upstream_pool.Pool, call: waiting.Call, near_s: float) -> bool:
+    """
+    Tell whether the way may bring an answer sooner than the best near upstream.
+
+    ``near_s`` is the expected time there. So few upstreams are left in the own region
+    that all are slow, and another region is far less full.
+    """
+    if not pool.far_order or not pool.far_used_by_region:
+        return False
+    if min(pool.far_used_by_region.values()) > pool.near_used - LESS_USED:
+        return False
+    typical_s = pool.latencies.typical_s(call.latency_key)
+    return near_s > UNKNOWN_FACTOR * typical_s + call.far_s
+
+
 def candidates(
     pool: upstream_pool.Pool,
     call: waiting.Call,
+    near_s: float | None,
     now: ids.Instant,
     exclude: selection.Exclusion,
 ) -> list[upstreams.Upstream]:
     """
     Return the upstreams of other regions that are compared, in allowed ones only.
 
-    Those of regions that are heard of and have room; while the own region has none
-    that may take the call, those of any region that doesn't say that it is full.
+    ``near_s`` is the expected time at the best of the own region, None where none has
+    room. There are none while the call had better stay. Else those of regions that are
+    heard of and have room; where the own region has none that may take the call, those
+    of any region that doesn't say that it is full.
     """
+    if near_s is None:
+        leaves = may_leave_region(pool, call, now, exclude)
+    else:
+        leaves = pays(pool, call, near_s)
+    if not leaves:
+        return []
     used_by_region = pool.far_used_by_region
     if not _any_near(pool, now):
         used_by_region = dict.fromkeys(pool.far_regions(), 0.0) | used_by_region
@@ -71,16 +101,20 @@
     return selection.sample(allowed, COMPARED, pool.rng, now, exclude)
 
 
+def way_s(size: float) -> float:
+    """Return what the way costs a call whose request and answer have these bytes."""
+    return WAY_S + WAY_S_PER_BYTE * size
+
+
 def leave_region_at(
-    arrived_at: ids.Instant, wait_until: ids.Instant, size: float
+    arrived_at: ids.Instant, wait_until: ids.Instant, way_s: float
 ) -> ids.Instant:
     """
     Return from when a call may go far: once it has waited as long as the way costs.
 
-    ``size`` are the bytes of its request and expected answer. Not later than half of
-    what it may wait: an answer from afar is better than a refusal.
+    Not later than half of what it may wait: an answer from afar is better than a
+    refusal.
     """
-    way_s = WAY_S + WAY_S_PER_BYTE * size
     return ids.later(
         arrived_at, min(way_s, MOST_WAIT_SHARE * (wait_until - arrived_at))
     )
--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -74,9 +74,9 @@
         at its end, and its bytes cross between zones.
         """
         cost_by_id = _costs(pool, call, _options(pool, call, now, exclude), now)
-        if not cost_by_id and overflow.may_leave_region(pool, call, now, exclude):
-            far = overflow.candidates(pool, call, now, exclude)
-            cost_by_id = _costs(pool, call, without_slowed(far, now), now)
+        near_s = min(cost_by_id.values(), default=None)
+        far = overflow.candidates(pool, call, near_s, now, exclude)
+        cost_by_id |= _costs(pool, call, without_slowed(far, now), now)
         if not cost_by_id:
             return None
         limit = min(cost_by_id.values()) * (1.0 + NEAR_SHARE)
@@ -228,6 +228,9 @@
     ahead = max(0.0, load + 1 - slots)
     work_s *= 1.0 + failure_cost(pool, call, upstream, now)
     work_s *= 1.0 + silence.overdue_cost(upstream, pool.latencies.overall.value, now)
-    local = upstream.spec.zone == pool.local_member.zone
-    crossing_s = 0.0 if local else call.cross_zone_s
-    return work_s * (1.0 + ahead / slots) + crossing_s
+    work_s *= 1.0 + ahead / slots
+    if upstream.spec.zone == pool.local_member.zone:
+        return work_s
+    if pool.far_order and pool.is_far(upstream):
+        return overflow.UNKNOWN_FACTOR * work_s + call.far_s
+    return work_s + call.cross_zone_s
--- a/spindlenotch/gateway/cluster/region_loads.py
+++ b/spindlenotch/gateway/cluster/region_loads.py
@@ -32,6 +32,7 @@
         for name, service in self.state.balancer_by_service.items():
             service.pool.far_used_by_region = _used_by_region(name, heard)
             used = overflow.used_share(service.pool, now)
+            service.pool.near_used = used
             services.append(messages.ServiceUse(name, round(used, SHARE_DIGITS)))
         links.describe_services(services)
 
--- a/spindlenotch/gateway/serving/job_factory.py
+++ b/spindlenotch/gateway/serving/job_factory.py
@@ -107,6 +107,8 @@
             age_s=self._ages.age_s(route.name, timeout_s),
             typical_s=typical_s,
         )
+        size = body.known_bytes + self.traffic.expected_bytes(route)
+        far_s = overflow.way_s(size)
         return waiting.Call(
             id=ids.CallId(f"{next(self._numbers):x}"),
             priority=route.rank,
@@ -118,11 +120,8 @@
             wait_until=limit.wait_until,
             late=limit.late,
             cross_zone_s=cross_zone_s(body, typical_s),
-            far_from=overflow.leave_region_at(
-                now,
-                limit.wait_until,
-                body.known_bytes + self.traffic.expected_bytes(route),
-            ),
+            far_s=far_s,
+            far_from=overflow.leave_region_at(now, limit.wait_until, far_s),
             allowed_regions=allowed_regions(route),
         )
 
--- a/spindlenotch/gateway/source/reader_duty.py
+++ b/spindlenotch/gateway/source/reader_duty.py
@@ -89,9 +89,9 @@
         """Tell whether any gateway of the fleet has been heard since the start."""
         return self._peer_heard_at > float("-inf")
 
-    def hears_reader(self, now: ids.Instant) -> bool:
-        """Tell whether a reader of this zone was heard lately, or may yet be."""
-        return not self._is_stale(self._reader_heard_at, now)
+    def lacks_reader(self, now: ids.Instant) -> bool:
+        """Tell whether no reader was heard lately, so that other regions know more."""
+        return self._is_stale(self._reader_heard_at, now)
 
     def peer_heard(self, now: ids.Instant) -> None:
         """Note a message of any gateway of the fleet."""
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -4,8 +4,8 @@
 In each zone one gateway reads the source, in each region where there are several;
 the others ask it a few times a second which versions it holds, and fetch documents
 from it or from whoever has newer ones. Too many readers or none for a moment do no
-harm: versions only grow. Relies on ``reader_duty`` for who reads and on ``fleet`` for the order of duty; the
-documents lie in ``state.fence``.
+harm: versions only grow. Relies on ``reader_duty`` for who reads and on ``fleet`` for
+the order of duty; the documents lie in ``state.fence``.
 """
 
 import asyncio
@@ -210,13 +210,11 @@
         self.duty.peer_heard(now)
         if self.fleet.shares_reader(sender.zone):
             self.duty.zone_peer_heard(sender.host, now, reads=message.reads_source)
-        if not self.state.is_far(sender.zone) or self._lacks_reader(now):
+        if not self.state.is_far(sender.zone) or (
+            self.duty.lacks_reader(now) and not self.state.reads_source
+        ):
             self.exchange.fetch(sender.peer_address, handled.newer)
 
-    def _lacks_reader(self, now: ids.Instant) -> bool:
-        """Tell whether this zone has no news but what other regions know."""
-        return not self.state.reads_source and not self.duty.hears_reader(now)
-
     def _receive(self, document: documents.Document) -> None:
         """Put a peer's document in force where it is newer."""
         if document.version <= self.state.fence.version(document.kind):
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -50,8 +50,8 @@
     ``waiting`` those in the queue; at most ``eject_share`` of the pool (at least
     one) is ejected at a time. ``mean_foreign_load`` is the number of requests
     that other processes have in an upstream where this one owns no slots,
-    ``far_used_by_region`` the share of their slots that upstreams of other regions
-    have in use, as these say;
+    ``near_used`` the share of their slots that upstreams of the own region have in
+    use, ``far_used_by_region`` the same of other regions as these say;
     ``refused_share`` is the share of calls refused for overload,
     ``failed_share`` that of answers that are failures. ``revision`` rises with each
     change of ``usable_order``. ``cold_senders`` are the processes that share what cold
@@ -81,6 +81,7 @@
             service.zones, service.day, 0.0
         )
         self.mean_foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
+        self.near_used = 0.0
         self.far_used_by_region: dict[ids.RegionName, float] = {}
         self.refused_share = latency.Mean(0.0, REFUSED_WEIGHT)
         self.in_flight = 0
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -244,8 +244,8 @@
     Mutant(
         "documents are fetched from other regions all the time",
         "gateway/source/relay",
-        "if not self.state.is_far(sender.zone) or self._lacks_reader(now):",
-        "if True:",
+        "if not self.state.is_far(sender.zone) or (",
+        "if True or (",
         "documents of other regions count while no reader is heard",
     ),
 )
