--- a/features/regions.feature
+++ b/features/regions.feature
@@ -34,3 +34,4 @@
       | documents of other regions count while no reader is heard    |
       | nobody of another region sends to a cold upstream            |
       | each region has one reader of the source                     |
+      | each upstream is probed by one gateway of its region         |
--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -4,14 +4,16 @@
 Plays fleets of 15 and 60 gateways in virtual time (``regional_fleet``).
 """
 
+import typing
+
 import msgspec
 
 from features.steps import kernel
 from features.support import regional_fleet
-from spindlenotch import ids
+from spindlenotch import ids, ports
 from spindlenotch.gateway import dialect, service_defaults
-from spindlenotch.gateway.cluster import moved_demand
-from spindlenotch.gateway.source import reader_duty, relay, routing
+from spindlenotch.gateway.cluster import moved_demand, prober
+from spindlenotch.gateway.source import reader_duty, relay, routing, sources
 from spindlenotch.kernel import cold_start, upstream_pool, upstreams
 from spindlenotch.peers import documents, messages, region_links, workload
 from spindlenotch_platform import http_dialect
@@ -335,6 +337,40 @@
         assert len(seconds) == 1
 
 
+@kernel.PROPERTIES.register("each upstream is probed by one gateway of its region")
+def probers() -> None:
+    made = world(15)
+    service = ids.ServiceName("s")
+    configuration = routing.Configuration(
+        version=1,
+        routes=(),
+        service_by_name={service: routing.ServiceSpec(service, "/health", 9)},
+        limits=routing.Limits(),
+    )
+    listed = {
+        ids.UpstreamId(f"{zone}{n}"): sources.ListedUpstream(
+            id=ids.UpstreamId(f"{zone}{n}"),
+            service=service,
+            address=ids.Address("127.0.0.1:9"),
+            zone=ids.ZoneName(zone),
+            slots=4,
+            state=sources.UpstreamState.READY,
+            cold_s=0.0,
+        )
+        for zone in regional_fleet.ZONES
+        for n in range(5)
+    }
+    probed: list[tuple[ids.UpstreamId, str]] = []
+    for gateway in made.gateways:
+        gateway.state.apply_snapshot(sources.Snapshot(1, configuration, listed))
+        port = typing.cast(ports.UpstreamPort, None)
+        one = prober.Prober(gateway.state, gateway.fleet, port)
+        probed += [(name, gateway.region) for name in one._targets()]
+    assert sorted(name for name, _ in probed) == sorted(listed)
+    for name, region in probed:
+        assert regional_fleet.REGION_BY_ZONE[listed[name].zone] == region
+
+
 @kernel.PROPERTIES.register("nobody of another region sends to a cold upstream")
 def cold_far() -> None:
     made = regional_fleet.World(3)
