Stand-in fleet of roll-outs: it tells how many gateways are in view

Cause: joined with the shared look at the fleet's size, three properties of rollout_rules ended with AttributeError (update_size): the stand-in lacked it. Change: it has one, with the product's own FleetSize. No property was touched. Result: features/rollout_rules.feature, 3 errors before, none after.

--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -19,7 +19,7 @@
 from features.support import rollout_store
 from spindlenotch import clock, ids, metrics
 from spindlenotch.decisions import balancer, soonest, verdicts
-from spindlenotch.gateway.cluster import fleet as fleets
+from spindlenotch.gateway.cluster import fleet as fleets, fleet_size
 from spindlenotch.gateway.rollout import loop as loops, registry, runs
 from spindlenotch.gateway.source import routing, sources
 from spindlenotch.kernel import (
@@ -143,6 +143,8 @@
                 local=self.local, known_by_host={}, rollout_phases=()
             ),
             local_member=member,
+            region_size=fleet_size.FleetSize(),
+            fleet_size=fleet_size.FleetSize(),
             reads_source=True,
             metrics=measured,
             table=types.SimpleNamespace(configuration=CONFIGURATION),
@@ -176,6 +178,11 @@
         """Return the gateways that get callers: all of them here."""
         return self.view().active_zones
 
+    def update_size(self) -> None:
+        """Tell the state how many gateways are in view; see ``fleet.Fleet``."""
+        for size in (self.state.region_size, self.state.fleet_size):
+            size.update(self.view().count, self.world.now, has_others=True)
+
     def send(self, message: messages.Message, targets: list[ids.Address]) -> None:
         """Send a datagram; see ``peer_link.PeerLink``."""
         if not self.is_cut:
