Rollouts: an older reading takes no newer order back

Cause: what a reader got late (a whole reading that a peer's list overtook, a watch that lags behind such a list) replaced orders and statuses whatever their revision. An order written in between counted as withdrawn, the run ended as rolled back, and its phase, told to the fleet, took a good version back everywhere. Change: what was written after the revision that was read stays; a source that was set back still counts. Result: new property in rollout_rules, red before, green after.

--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -22,5 +22,6 @@
       | a second order spares the version of the first                   |
       | the same order again is a new one                                |
       | orders that can't be read move nothing else                      |
+      | an older reading takes no newer order back                       |
       | an order found at the start goes on by its status                |
       | peers learn of an order with the upstreams it is about           |
--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -3,8 +3,15 @@
 import itertools
 import random
 
+import msgspec
+
 from features.steps import kernel
-from features.support import rollout_store, rollout_trials, rollout_world as worlds
+from features.support import (
+    rollout_store,
+    rollout_trials,
+    rollout_world as worlds,
+    store_reading,
+)
 from spindlenotch import ids
 from spindlenotch.gateway.rollout import (
     analysis,
@@ -338,6 +345,38 @@
     )
 
 
+@kernel.PROPERTIES.register("an older reading takes no newer order back")
+def overtaken() -> None:
+    newer = msgspec.structs.replace(ORDER, service=store_reading.SERVICE, revision=40)
+    status = sources.RolloutStatus(newer.service, NEW, State.RUNNING, revision=41)
+    reading = store_reading.Reading()
+    known = reading.state.rollouts.orders
+    listed = reading.state.listing.listed(reading.clock.now())
+    mark = sources.RolloutMark(newer, newer.by_s, status)
+    marked = [msgspec.structs.replace(one, rollout=mark) for one in listed]
+    reading.state.apply_listing(marked, 50)
+    by_id = {one.id: one for one in listed}
+    gone = {newer.service: None}
+    for older in (
+        lambda: reading.state.apply_snapshot(
+            sources.Snapshot(30, None, by_id), is_overtaken=True
+        ),
+        lambda: reading.state.apply_changes(
+            sources.Changes(35, order_by_service=gone, status_by_service=gone)
+        ),
+    ):
+        older()
+        assert known.order_by_service == {newer.service: newer}
+        assert known.status_by_service == {newer.service: status}
+        run = reading.state.rollouts.run_by_service[newer.service]
+        assert run.phase is rollout_notes.Phase.RUNNING
+    reading.state.apply_changes(sources.Changes(51, order_by_service=gone))
+    assert not known.order_by_service
+    # A source that was set back counts.
+    known.replace(snapshot({SERVICE: ORDER}), NOW)
+    assert known.order_by_service == {SERVICE: ORDER}
+
+
 @kernel.PROPERTIES.register("an order found at the start goes on by its status")
 def found_at_start() -> None:
     by_state = {State.RUNNING: True, State.COMPLETED: False, State.ROLLED_BACK: True}
--- a/spindlenotch/gateway/rollout/orders.py
+++ b/spindlenotch/gateway/rollout/orders.py
@@ -31,22 +31,48 @@
         """Return the services with an order or a status."""
         return {*self.order_by_service, *self.status_by_service}
 
-    def replace(self, snapshot: sources.Snapshot, now: ids.Instant) -> None:
-        """Put what the source holds in place of what is known."""
-        kept = snapshot.unreadable_orders
-        for service in list(self.order_by_service):
-            if service not in snapshot.order_by_service and service not in kept:
+    def replace(
+        self,
+        snapshot: sources.Snapshot,
+        now: ids.Instant,
+        *,
+        is_overtaken: bool = False,
+    ) -> None:
+        """
+        Put what the source holds in place of what is known.
+
+        Where it ``is_overtaken``, a peer's newer list came while it was read, and what
+        is known of changes since then stays.
+        """
+        orders = self.order_by_service
+        newer = _newer_than(snapshot.revision, orders) if is_overtaken else set()
+        found = {n: o for n, o in snapshot.order_by_service.items() if n not in newer}
+        for service in orders.keys() - found.keys() - newer:
+            if service not in snapshot.unreadable_orders:
                 self._set_order(service, None, now)
-        for service, order in snapshot.order_by_service.items():
+        for service, order in found.items():
             self._set_order(service, order, now)
-        self.status_by_service = dict(snapshot.status_by_service)
+        known = self.status_by_service
+        newer = _newer_than(snapshot.revision, known) if is_overtaken else set()
+        self.status_by_service = {
+            **snapshot.status_by_service,
+            **{service: known[service] for service in newer},
+        }
 
     def change(self, changes: sources.Changes, now: ids.Instant) -> bool:
-        """Take in what has changed in the source; tell whether anything had."""
+        """
+        Take in what has changed in the source; tell whether anything had.
+
+        A watch that lags behind a peer's list takes nothing newer back.
+        """
+        newer = _newer_than(changes.revision, self.order_by_service)
         for service, order in changes.order_by_service.items():
-            self._set_order(service, order, now)
+            if service not in newer:
+                self._set_order(service, order, now)
+        newer = _newer_than(changes.revision, self.status_by_service)
         for service, status in changes.status_by_service.items():
-            self._set_status(service, status)
+            if service not in newer:
+                self._set_status(service, status)
         return bool(changes.order_by_service or changes.status_by_service)
 
     def written(self, status: sources.RolloutStatus) -> None:
@@ -143,6 +169,16 @@
             self.status_by_service[service] = status
 
 
+def _newer_than(
+    revision: int,
+    known_by_service: abc.Mapping[
+        ids.ServiceName, sources.RolloutOrder | sources.RolloutStatus
+    ],
+) -> set[ids.ServiceName]:
+    """Return the services whose order or status was written after a revision."""
+    return {name for name, one in known_by_service.items() if one.revision > revision}
+
+
 def _marked(
     one: sources.ListedUpstream, mark: sources.RolloutMark | None
 ) -> sources.ListedUpstream:
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -186,7 +186,7 @@
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration)
         now = self.clock.now()
-        self.rollouts.orders.replace(snapshot, now)
+        self.rollouts.orders.replace(snapshot, now, is_overtaken=is_overtaken)
         before = self.listing.evacuated_zones
         if is_overtaken:
             # What of it was taken back since then comes as a change.
