Rollouts: what an ended process had told hinders no completion, and vouches for none

Cause: the newest record of a host was that of the process heard last. One that took part, ended and began again without callers tells nothing any more: its host was in view and never empty, so a promoted order stayed 'running' for good. The other way round, 'empty' of an earlier process counted for the one that runs. Change: records count only if gossip knows of no other process on their host. Result: two new properties in rollout_rules, red before, green after.

--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -8,6 +8,8 @@
       | a bad version is taken back, within share and bound              |
       | so it is under trouble                                           |
       | a good version is completed in time, whatever else fails         |
+      | gateways that start again without callers hinder no order        |
+      | what an ended process said does not count for the next           |
       | what all processes send to a version stays in its share          |
       | no evidence counts twice, however often it is told               |
       | a few bad upstreams are not taken for their version              |
--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -1,5 +1,6 @@
 """A service that changes its version: rules on values, and fleets in virtual time."""
 
+import functools
 import itertools
 import random
 
@@ -87,6 +88,41 @@
         assert not found, (trouble, found)
 
 
+def start_again_without_callers(
+    world: worlds.World, *, standby: int, again: int
+) -> None:
+    """Let a gateway have no callers, and later another one after it began again."""
+
+    def begin() -> None:
+        world.standby.add(world.gateways[again].host)
+        world.restart(again)
+
+    world.standby.add(world.gateways[standby].host)
+    world.after(3.0, begin)
+
+
+@kernel.PROPERTIES.register("gateways that start again without callers hinder no order")
+def again_without_callers() -> None:
+    # One of the two decides, and has heard of the other's earlier process.
+    for standby, again in ((1, 2), (2, 1)):
+        disturb = functools.partial(
+            start_again_without_callers, standby=standby, again=again
+        )
+        world = played(worlds.Plan(seed=1, by_s=8.0, per_s=60.0, disturb=disturb))
+        assert not rollout_trials.complaints(world), rollout_trials.complaints(world)
+
+
+@kernel.PROPERTIES.register("what an ended process said does not count for the next")
+def ended_process() -> None:
+    host = ids.HostId("h")
+    first, second = (merging.Source(host, ids.Incarnation(name)) for name in "ab")
+    merged = merging.Merged()
+    merged.take(first, record(1, 0))
+    assert merged.newest_by_host({host: first.incarnation}) == {host: record(1, 0)}
+    assert not merged.newest_by_host({host: second.incarnation})
+    assert merged.newest_by_host({}) == {host: record(1, 0)}
+
+
 # The share
 
 
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -171,11 +171,15 @@
         """Return who plays which part; see ``fleet.Fleet``."""
         peers = self.state.gossip.known_by_host.values()
         ready = [self.local, *(peer.record for peer in peers)]
-        active = [types.SimpleNamespace(host=r.host, zone=ZONE) for r in ready]
+        active = [
+            types.SimpleNamespace(host=r.host, zone=ZONE)
+            for r in ready
+            if r.host not in self.world.standby
+        ]
         return fleets.View(ready, [], active)  # type: ignore[arg-type]
 
     def active_zones(self) -> dict[ids.HostId, ids.ZoneName]:
-        """Return the gateways that get callers: all of them here."""
+        """Return the gateways that get callers."""
         return self.view().active_zones
 
     def update_size(self) -> None:
@@ -219,6 +223,8 @@
         self.loss = 0.0
         #: Share of the calls whose callers leave.
         self.leaving = 0.0
+        #: Gateways that get no callers.
+        self.standby: set[ids.HostId] = set()
         self.per_s = plan.per_s
         self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
         self.began_at = self.now
@@ -316,7 +322,9 @@
     # Requests
 
     def _arrive(self) -> None:
-        gateway = self.rng.choice(self.gateways)
+        gateway = self.rng.choice(
+            [one for one in self.gateways if one.host not in self.standby]
+        )
         (route,) = self.rng.choices(list(PART_BY_ROUTE), list(PART_BY_ROUTE.values()))
         call = waiting.Call(
             id=ids.CallId(f"c{next(self.numbers)}"),
--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -129,9 +129,11 @@
 
     def _attendance(self) -> promotion.Attendance:
         local = self.state.local_member.host
-        newest = self.run.merged.newest_by_host()
-        took_part = {h for h, record in newest.items() if record.answered}
         known = self.state.gossip.known_by_host
+        running = {host: peer.record.incarnation for host, peer in known.items()}
+        running[local] = self.state.gossip.local.incarnation
+        newest = self.run.merged.newest_by_host(running)
+        took_part = {h for h, record in newest.items() if record.answered}
         in_view = {
             host
             for host, peer in known.items()
--- a/spindlenotch/gateway/rollout/merging.py
+++ b/spindlenotch/gateway/rollout/merging.py
@@ -6,6 +6,8 @@
 is another process. Owns the newest record of each process.
 """
 
+from collections import abc
+
 import msgspec
 
 from spindlenotch import ids
@@ -49,9 +51,21 @@
                 found[cell] = new
         return Delta(source, found)
 
-    def newest_by_host(self) -> dict[ids.HostId, rollout_notes.EvidenceRecord]:
-        """Return the record of the process that was heard last of each host."""
-        return {s.host: record for s, record in self.record_by_source.items()}
+    def newest_by_host(
+        self, incarnation_by_host: abc.Mapping[ids.HostId, ids.Incarnation]
+    ) -> dict[ids.HostId, rollout_notes.EvidenceRecord]:
+        """
+        Return the record of each host's process.
+
+        ``incarnation_by_host`` are the processes that are known to run: what an earlier
+        one on the host had under way ended with it.
+        """
+        return {
+            source.host: record
+            for source, record in self.record_by_source.items()
+            if incarnation_by_host.get(source.host, source.incarnation)
+            == source.incarnation
+        }
 
     def sent(self) -> int:
         """Return how many calls were placed on the target while it was tried."""
