Rollouts: a write keeps the condition under which it was decided

Cause: the status to be replaced was looked up when the write began, a moment after it was decided on. A final status that was read in between became its condition, and 'completed' could replace 'rolled_back'. Change: the condition is taken where the write is decided. Result: new property in rollout_rules, red before, green after.

--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -1,8 +1,10 @@
 """A service that changes its version: rules on values, and fleets in virtual time."""
 
+import asyncio
 import functools
 import itertools
 import random
+import typing
 
 import msgspec
 
@@ -21,9 +23,10 @@
     merging,
     orders,
     sequential_test,
+    status_writer,
 )
 from spindlenotch.gateway.source import sources
-from spindlenotch.peers import rollout_notes
+from spindlenotch.peers import background, rollout_notes
 from spindlenotch_platform import rollout_records, store, store_client
 
 NOW = kernel.NOW
@@ -262,6 +265,43 @@
     assert client.revision_by_key == expected, client.revision_by_key
 
 
+class WrittenStatuses:
+    """A source that notes what it is asked to write."""
+
+    def __init__(self) -> None:
+        self.written: list[sources.RolloutStatus] = []
+
+    async def write_rollout_status(
+        self, order: sources.RolloutOrder, status: sources.RolloutStatus
+    ) -> int | sources.SourceFault:
+        """Note a status and refuse it."""
+        self.written.append(status)
+        return sources.SourceFault.CONFLICT
+
+
+@kernel.PROPERTIES.register("a write keeps the condition under which it was decided")
+def decided_on() -> None:
+    reading = store_reading.Reading()
+    known = reading.state.rollouts.orders
+    known.replace(snapshot({SERVICE: ORDER}), NOW)
+    known.written(sources.RolloutStatus(SERVICE, NEW, State.RUNNING, revision=21))
+    source = WrittenStatuses()
+
+    async def write() -> None:
+        tasks = background.BackgroundTasks()
+        writer = status_writer.StatusWriter(
+            reading.state, typing.cast(sources.Source, source), ORDER, tasks
+        )
+        writer.write(State.COMPLETED, NOW)
+        # Read before the write begins: another gateway has rolled it back.
+        known.written(sources.RolloutStatus(SERVICE, NEW, State.ROLLED_BACK, 22))
+        await asyncio.sleep(0.01)
+
+    asyncio.run(write())
+    (status,) = source.written
+    assert status.revision == 21, status
+
+
 @kernel.PROPERTIES.register("of two that decide one writes, and neither goes back")
 def two_deciders() -> None:
     def split(world: worlds.World) -> None:
--- a/spindlenotch/gateway/rollout/status_writer.py
+++ b/spindlenotch/gateway/rollout/status_writer.py
@@ -51,15 +51,16 @@
             return
         self._is_writing = True
         self.unsettled = wanted
-        self._tasks.spawn(self._write(wanted))
+        # It replaces what was known when it was decided on, nothing read since.
+        known = self.state.rollouts.orders.status_by_service.get(self.order.service)
+        revision = 0 if known is None else known.revision
+        status = sources.RolloutStatus(
+            self.order.service, self.order.target, wanted, revision
+        )
+        self._tasks.spawn(self._write(status))
 
-    async def _write(self, wanted: sources.RolloutState) -> None:
+    async def _write(self, status: sources.RolloutStatus) -> None:
         try:
-            known = self.state.rollouts.orders.status_by_service.get(self.order.service)
-            revision = 0 if known is None else known.revision
-            status = sources.RolloutStatus(
-                self.order.service, self.order.target, wanted, revision
-            )
             self.state.metrics.store_calls.labels("rollout").inc()
             outcome = await self.source.write_rollout_status(self.order, status)
             self._settle(status, outcome)
