Rollouts: a write that may be done is settled by nothing but its effect

Cause: a write without an answer may be done later. The repeated one was refused (429, or a conflict with the first one itself), and that settled the first one as well: its decider could then roll back what was completed. Change: a refusal leaves an earlier write under the same condition open until what it was to replace is seen to have changed.

--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -17,6 +17,7 @@
       | a status only goes forward, and is written under conditions      |
       | a status is written only in place of what was read               |
       | a write keeps the condition under which it was decided           |
+      | a write that may be done is settled by nothing but its effect    |
       | of two that decide one writes, and neither goes back             |
       | a version that nobody runs is given up when time is over         |
       | a version that all run is completed at once                      |
--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import typing
+from collections import abc
 
 import msgspec
 
@@ -20,13 +21,15 @@
     analysis,
     deciding,
     evidence,
+    loop,
     merging,
     orders,
+    runs,
     sequential_test,
     status_writer,
 )
 from spindlenotch.gateway.source import sources
-from spindlenotch.peers import background, rollout_notes
+from spindlenotch.peers import background, messages, peer_link, rollout_notes
 from spindlenotch_platform import rollout_records, store, store_client
 
 NOW = kernel.NOW
@@ -221,6 +224,52 @@
     return rollout_notes.Counts(judged=calls, failed=failed)
 
 
+class CountingLink:
+    """Passes messages on; counts those with evidence, each target for one."""
+
+    def __init__(self, gateway: worlds.Gateway) -> None:
+        self.gateway = gateway
+        self.count = 0
+
+    def send(self, message: messages.Message, targets: list[ids.Address]) -> None:
+        """Send a datagram."""
+        self.count += len(targets) if message.evidence is not None else 0
+        self.gateway.send(message, targets)
+
+
+@kernel.PROPERTIES.register("in a larger fleet a gateway tells no more")
+def tells_no_more() -> None:
+    seconds = 2.0
+    for gateways in (5, 30):
+        world = worlds.World(worlds.Plan(seed=1, gateways=gateways, per_s=60.0))
+        links = [CountingLink(gateway) for gateway in world.gateways]
+        for link in links:
+            link.gateway.loop.link = typing.cast(peer_link.PeerLink, link)
+        world.play(seconds)
+        rounds = seconds / loop.PERIOD_S + 1
+        most = max(link.count for link in links)
+        assert most <= rounds * (1 + deciding.OTHERS_PER_ROUND), (gateways, most)
+
+
+@kernel.PROPERTIES.register("orders that have ended crowd out no news of others")
+def crowded() -> None:
+    world = worlds.World(worlds.Plan(seed=1, gateways=2))
+    (gateway, _) = world.gateways
+    known = gateway.rollouts.run_by_service
+    for number in range(rollout_notes.NOTES_PER_MESSAGE):
+        order = msgspec.structs.replace(
+            ORDER, service=ids.ServiceName(f"ended{number}")
+        )
+        ended = runs.Run(order, worlds.SHARE, frozenset(), world.metrics)
+        ended.finish(State.ROLLED_BACK)
+        known[order.service] = ended
+    current = runs.Run(ORDER, worlds.SHARE, frozenset(), world.metrics)
+    current.raise_phase(rollout_notes.Phase.ROLLED_BACK)
+    known[SERVICE] = current
+    gateway.loop.update()
+    assert current.note() in gateway.state.gossip.rollout_phases
+
+
 # Who writes what
 
 
@@ -266,17 +315,18 @@
 
 
 class WrittenStatuses:
-    """A source that notes what it is asked to write."""
+    """A source that notes what it is asked to write, and fails in turn."""
 
-    def __init__(self) -> None:
+    def __init__(self, *faults: sources.SourceFault) -> None:
         self.written: list[sources.RolloutStatus] = []
+        self.faults = list(faults)
 
     async def write_rollout_status(
         self, order: sources.RolloutOrder, status: sources.RolloutStatus
     ) -> int | sources.SourceFault:
-        """Note a status and refuse it."""
+        """Note a status and do not write it."""
         self.written.append(status)
-        return sources.SourceFault.CONFLICT
+        return self.faults.pop(0)
 
 
 @kernel.PROPERTIES.register("a write keeps the condition under which it was decided")
@@ -285,7 +335,7 @@
     known = reading.state.rollouts.orders
     known.replace(snapshot({SERVICE: ORDER}), NOW)
     known.written(sources.RolloutStatus(SERVICE, NEW, State.RUNNING, revision=21))
-    source = WrittenStatuses()
+    source = WrittenStatuses(sources.SourceFault.CONFLICT)
 
     async def write() -> None:
         tasks = background.BackgroundTasks()
@@ -302,6 +352,41 @@
     assert status.revision == 21, status
 
 
+@kernel.PROPERTIES.register(
+    "a write that may be done is settled by nothing but its effect"
+)
+def may_be_done() -> None:
+    fault = sources.SourceFault
+    for faults in (
+        (fault.UNAVAILABLE, fault.OVER_LIMIT),
+        (fault.UNAVAILABLE, fault.CONFLICT),
+        (fault.OVER_LIMIT,),
+        (fault.CONFLICT,),
+    ):
+        reading = store_reading.Reading()
+        known = reading.state.rollouts.orders
+        known.replace(snapshot({SERVICE: ORDER}), NOW)
+        known.written(sources.RolloutStatus(SERVICE, NEW, State.RUNNING, revision=21))
+        source = typing.cast(sources.Source, WrittenStatuses(*faults))
+        unsettled = asyncio.run(written_again(reading, source, len(faults)))
+        expected = State.COMPLETED if fault.UNAVAILABLE in faults else None
+        assert unsettled() is expected, faults
+        known.written(sources.RolloutStatus(SERVICE, NEW, State.COMPLETED, 22))
+        assert unsettled() is None, faults
+
+
+async def written_again(
+    reading: store_reading.Reading, source: sources.Source, times: int
+) -> abc.Callable[[], State | None]:
+    """Write a status that many times; return what tells which is not settled."""
+    tasks = background.BackgroundTasks()
+    writer = status_writer.StatusWriter(reading.state, source, ORDER, tasks)
+    for number in range(times):
+        writer.write(State.COMPLETED, ids.later(NOW, 10.0 * number))
+        await asyncio.sleep(0.01)
+    return lambda: writer.unsettled
+
+
 @kernel.PROPERTIES.register("of two that decide one writes, and neither goes back")
 def two_deciders() -> None:
     def split(world: worlds.World) -> None:
--- a/spindlenotch/gateway/rollout/status_writer.py
+++ b/spindlenotch/gateway/rollout/status_writer.py
@@ -20,13 +20,20 @@
 #: Seconds that what was written has to come back from the source before it is written
 #: again, which does nothing but meet a conflict.
 ECHO_S = 3.0
+#: Faults after which a write is known not to have been done: turned away or refused.
+KNOWN_NOT_DONE = (
+    sources.SourceFault.OVER_LIMIT,
+    sources.SourceFault.HISTORY_GONE,
+    sources.SourceFault.CONFLICT,
+)
 
 
 class StatusWriter:
     """
     Writes the status of one order.
 
-    ``unsettled`` is the state of a write whose end is not known.
+    Invariant: ``_open`` is a write whose end is not known, None where there is none;
+    it counts until what it was to replace has changed.
     """
 
     def __init__(
@@ -39,30 +46,46 @@
         self.state = gateway_state
         self.source = source
         self.order = order
-        self.unsettled: sources.RolloutState | None = None
+        self._open: sources.RolloutStatus | None = None
         self._tasks = tasks
         self._is_writing = False
         self._next_at = ids.Instant(float("-inf"))
         self._pauses = backoff.Backoff(gateway_state.rng, LEAST_PAUSE_S, MOST_PAUSE_S)
 
+    @property
+    def unsettled(self) -> sources.RolloutState | None:
+        """Return the state of a write whose end is not known; None: there is none."""
+        if self._open is None or self._open.revision != self._known_revision():
+            # What it was to replace has changed: it was done, or never will be.
+            return None
+        return self._open.state
+
     def write(self, wanted: sources.RolloutState, now: ids.Instant) -> None:
         """Begin to write a state, unless a write is under way or was just made."""
         if self._is_writing or now < self._next_at:
             return
         self._is_writing = True
-        self.unsettled = wanted
+        before = None if self.unsettled is None else self._open
         # It replaces what was known when it was decided on, nothing read since.
-        known = self.state.rollouts.orders.status_by_service.get(self.order.service)
-        revision = 0 if known is None else known.revision
         status = sources.RolloutStatus(
-            self.order.service, self.order.target, wanted, revision
+            self.order.service, self.order.target, wanted, self._known_revision()
         )
-        self._tasks.spawn(self._write(status))
+        self._open = status
+        self._tasks.spawn(self._write(status, before))
 
-    async def _write(self, status: sources.RolloutStatus) -> None:
+    def _known_revision(self) -> int:
+        known = self.state.rollouts.orders.status_by_service.get(self.order.service)
+        return 0 if known is None else known.revision
+
+    async def _write(
+        self, status: sources.RolloutStatus, before: sources.RolloutStatus | None
+    ) -> None:
         try:
             self.state.metrics.store_calls.labels("rollout").inc()
             outcome = await self.source.write_rollout_status(self.order, status)
+            if outcome in KNOWN_NOT_DONE:
+                # But an earlier one under the same condition may be.
+                self._open = before
             self._settle(status, outcome)
         finally:
             self._is_writing = False
@@ -72,13 +95,10 @@
     ) -> None:
         now = self.state.clock.now()
         if isinstance(outcome, sources.SourceFault):
-            # Turned away or refused, it is known not to have been done.
-            if outcome is not sources.SourceFault.UNAVAILABLE:
-                self.unsettled = None
             self._next_at = ids.later(now, self._pauses.next())
             self._report_fault(status, outcome)
             return
-        self.unsettled = None
+        self._open = None
         self._pauses.reset()
         self._next_at = ids.later(now, ECHO_S)
         written = sources.RolloutStatus(
