Rollouts: each gateway tells its evidence to three others, whatever the fleet's size

Cause: each gateway with callers told all others with callers and the candidates, five times a second: messages by the square of the fleet. Change: the decider gets each record, two others drawn anew each round get one too. Records are cumulative, so who decides next has all evidence after one round.

--- a/spindlenotch/gateway/rollout/deciding.py
+++ b/spindlenotch/gateway/rollout/deciding.py
@@ -6,6 +6,7 @@
 a status is written under a condition, and states only go forward.
 """
 
+import random
 from collections import abc
 
 from spindlenotch import ids
@@ -16,8 +17,11 @@
 
 #: Salt of the hash; part of the choice, so gateways of two releases must agree on it.
 SALT = "rollout"
-#: Gateways that get all evidence: the decider and those that take over from it.
+#: The decider and those that take over from it.
 CANDIDATES = 3
+#: Gateways beside the decider that get a record each round, drawn anew each time: so
+#: each may judge for itself soon in a small fleet, and what one sends does not grow.
+OTHERS_PER_ROUND = 2
 #: The decider is chosen among all gateways, whatever their zone.
 ANY_ZONE = ids.ZoneName("")
 
@@ -31,6 +35,21 @@
     return chosen + _chosen(service, ready - standby, missing)
 
 
+def told(
+    active: abc.Collection[ids.HostId],
+    known_candidates: abc.Sequence[ids.HostId],
+    rng: random.Random,
+) -> list[ids.HostId]:
+    """
+    Return who is told in this round what a gateway counted.
+
+    Records are cumulative: the next decider gets all of it within one round.
+    """
+    decider = known_candidates[:1]
+    others = sorted({*active, *known_candidates} - {*decider})
+    return [*decider, *rng.sample(others, min(OTHERS_PER_ROUND, len(others)))]
+
+
 def next_state(
     known: sources.RolloutState | None,
     phase: rollout_notes.Phase,
--- a/spindlenotch/gateway/rollout/loop.py
+++ b/spindlenotch/gateway/rollout/loop.py
@@ -204,14 +204,15 @@
         candidates: list[ids.HostId],
         now: ids.Instant,
     ) -> None:
-        """Tell what was counted to those that get callers and those that may decide."""
+        """Tell the decider, and some others, what was counted."""
         active = self.fleet.active_zones()
         local = self.state.local_member.host
         if not one.split.answered and local not in active:
             return
         # Made anew: it also says whether this gateway follows a phase of just now.
         record = one.record(pool, self._left_s(one, now))
-        self._send(sorted({*active, *candidates}), record)
+        told = deciding.told({*active} - {local}, candidates, self.state.rng)
+        self._send(told, record)
 
     def _send(
         self, hosts: list[ids.HostId], record: rollout_notes.EvidenceRecord | None
