Rollouts: orders that have ended crowd out no news of others

Cause: gossip carries 16 notes; runs of ended orders stay while their orders do, and came first: with 16 of them a new rollback was told to nobody. Change: ended runs come last. Result: new property in rollout_rules, red before, green after.

--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -15,6 +15,7 @@
       | a few bad upstreams are not taken for their version              |
       | what strikes all versions alike speaks against none              |
       | in a larger fleet a gateway tells no more                        |
+      | orders that have ended crowd out no news of others               |
       | a status only goes forward, and is written under conditions      |
       | a status is written only in place of what was read               |
       | a write keeps the condition under which it was decided           |
--- a/spindlenotch/gateway/rollout/loop.py
+++ b/spindlenotch/gateway/rollout/loop.py
@@ -177,7 +177,9 @@
         return self._decider_by_run[one]
 
     def _runs(self) -> list[runs.Run]:
-        return list(self.state.rollouts.run_by_service.values())
+        """Return all runs; those that have ended last, as notes are bounded."""
+        every = self.state.rollouts.run_by_service.values()
+        return sorted(every, key=lambda one: one.final is not None)
 
     def _forget_old(self, every: list[runs.Run]) -> None:
         for one in [one for one in self._decider_by_run if one not in every]:
