Rollouts: four rules that no test held

Cause: these mutants survived rollout_rules: retries and hedges that may go to a version that is tried; calls that wait where no version may get them; a replaced version that keeps getting calls; a gateway that has gone and is waited for without end. Change: a property for each.

--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -11,6 +11,10 @@
       | gateways that start again without callers hinder no order        |
       | what an ended process said does not count for the next           |
       | what all processes send to a version stays in its share          |
+      | only first tries go to a version that is tried                   |
+      | calls that no version may get are refused, and wait for none     |
+      | a version that was replaced gets no new work                     |
+      | a gateway that has gone delays an order, and not too long        |
       | no evidence counts twice, however often it is told               |
       | a few bad upstreams are not taken for their version              |
       | what strikes all versions alike speaks against none              |
--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -17,6 +17,7 @@
     store_reading,
 )
 from spindlenotch import ids
+from spindlenotch.decisions import verdicts
 from spindlenotch.gateway.rollout import (
     analysis,
     deciding,
@@ -24,11 +25,13 @@
     loop,
     merging,
     orders,
+    promotion,
     runs,
     sequential_test,
     status_writer,
 )
 from spindlenotch.gateway.source import sources
+from spindlenotch.kernel import outcomes, upstreams
 from spindlenotch.peers import background, messages, peer_link, rollout_notes
 from spindlenotch_platform import rollout_records, store, store_client
 
@@ -118,6 +121,22 @@
         assert not rollout_trials.complaints(world), rollout_trials.complaints(world)
 
 
+@kernel.PROPERTIES.register("a gateway that has gone delays an order, and not too long")
+def one_has_gone() -> None:
+    def disturb(world: worlds.World) -> None:
+        def end() -> None:
+            world.gateways[1].is_up = False
+            world.standby.add(world.gateways[1].host)
+            world.see_peers()
+
+        world.after(4.0, end)
+
+    world = played(worlds.Plan(seed=1, by_s=8.0, per_s=60.0, disturb=disturb))
+    assert not rollout_trials.complaints(world), rollout_trials.complaints(world)
+    latest_s = world.plan.by_s - promotion.LAST_CALL_S
+    assert world.seen.statuses[-1][0] >= latest_s, world.seen.statuses
+
+
 @kernel.PROPERTIES.register("what an ended process said does not count for the next")
 def ended_process() -> None:
     host = ids.HostId("h")
@@ -151,6 +170,60 @@
     assert seen.to_new <= worlds.SHARE * seen.reached, (seen.to_new, seen.reached)
 
 
+def began(plan: worlds.Plan) -> worlds.Gateway:
+    """Return a gateway that has just read an order."""
+    world = worlds.World(plan)
+    world.store.order(plan.by_s)
+    (gateway,) = world.gateways
+    gateway.take_list(world.store.snapshot())
+    return gateway
+
+
+@kernel.PROPERTIES.register("only first tries go to a version that is tried")
+def first_tries_only() -> None:
+    gateway = began(worlds.Plan(seed=1, gateways=1))
+    now = gateway.world.now
+    # As much as it can take is within its share.
+    gateway.run.split.answered = 100_000
+    for number in range(3):
+        call = msgspec.structs.replace(
+            kernel.call(number), deadline=ids.later(now, 60.0), most_tries=2
+        )
+        grant = gateway.balancer.offer(call, now)
+        assert isinstance(grant, verdicts.Grant), grant
+        assert grant.upstream.spec.version == NEW
+        gateway.balancer.finish(grant, upstreams.Result.FAILED, None, now)
+        again = gateway.balancer.retry(grant, now)
+        assert again is not None
+        assert again.upstream.spec.version == OLD
+
+
+@kernel.PROPERTIES.register(
+    "calls that no version may get are refused, and wait for none"
+)
+def none_left() -> None:
+    gateway = began(worlds.Plan(seed=1, gateways=1))
+    now = gateway.world.now
+    gateway.run.raise_phase(rollout_notes.Phase.ROLLED_BACK)
+    for upstream in list(gateway.balancer.pool.usable_order):
+        if upstream.spec.version == OLD:
+            gateway.balancer.pool.leave(upstream.spec.id, 1, "gone")
+    call = msgspec.structs.replace(kernel.call(1), deadline=ids.later(now, 60.0))
+    verdict = gateway.balancer.offer(call, now)
+    assert isinstance(verdict, outcomes.Refusal), verdict
+
+
+@kernel.PROPERTIES.register("a version that was replaced gets no new work")
+def replaced() -> None:
+    gateway = began(worlds.Plan(seed=1, gateways=1))
+    store = gateway.world.store
+    status = sources.RolloutStatus(SERVICE, NEW, State.COMPLETED, store.revision + 1)
+    store.status_by_service[SERVICE] = status
+    gateway.take_list(store.snapshot())
+    versions = {u.spec.version for u in gateway.balancer.pool.usable_order}
+    assert versions == {NEW}, versions
+
+
 # Evidence
 
 
