--- a/spindlenotch/decisions/admission.py
+++ b/spindlenotch/decisions/admission.py
@@ -52,11 +52,19 @@
         any_usable: abc.Callable[[waiting.Call, ids.Instant], bool],
         now: ids.Instant,
     ) -> list[verdicts.Settlement]:
-        """Refuse the waiting calls for which no upstream is usable."""
+        """
+        Refuse the waiting calls for which no upstream is usable.
+
+        That is the same for all that may run in the same regions.
+        """
         refusal = outcomes.not_run(
             outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
         )
-        stranded = [call for call in self.queue if not any_usable(call, now)]
+        usable_by_regions: dict[frozenset[ids.RegionName] | None, bool] = {}
+        for call in self.queue:
+            if call.allowed_regions not in usable_by_regions:
+                usable_by_regions[call.allowed_regions] = any_usable(call, now)
+        stranded = [c for c in self.queue if not usable_by_regions[c.allowed_regions]]
         for call in stranded:
             self.queue.remove(call.id)
         return [verdicts.Settlement(call, refusal) for call in stranded]
