--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -261,6 +261,8 @@
     links.take((fresh, messages.RegionSummary(north, member_count=3)), kernel.NOW)
     links.take((old, stranger), ids.later(kernel.NOW, 0.5))
     assert links.members_elsewhere() == 5
+    # The third region has not been heard of.
+    assert links.members_elsewhere(unheard=4) == 9
     links.take((msgspec.structs.replace(old, age_s=-5.0),), kernel.NOW)
     assert links.heard_by_region[south].made_at <= kernel.NOW
 
