--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -43,6 +43,7 @@
         self.writer = writer
         self.run = one
         self._reported: set[promotion.Hindrance] = set()
+        self._watch_until = ids.NEVER
 
     def update(self, pool: upstream_pool.Pool, now: ids.Instant) -> None:
         """Promote, complete or roll back, and have the status written."""
@@ -81,8 +82,17 @@
         if self.run.phase is not rollout_notes.Phase.PROMOTING:
             return False
         end_at = self.state.rollouts.end_at(self.run.order.service)
-        is_met = self.quorum.is_met(now)
-        found = promotion.incompleteness(self._attendance(), end_at, now, is_met=is_met)
+        if self._watch_until == ids.NEVER:
+            self._watch_until = ids.later(now, promotion.WATCH_S)
+        if now < self._watch_until:
+            return False
+        found = promotion.incompleteness(
+            self._attendance(),
+            end_at,
+            now,
+            is_met=self.quorum.is_met(now),
+            suspicion=self.run.analysis.suspicion(),
+        )
         if found is promotion.Hindrance.NONE:
             return True
         if now >= end_at:
--- /dev/null
+++ b/spindlenotch/gateway/rollout/others_rates.py
@@ -0,0 +1,125 @@
+"""
+How often other versions fail or are slow just now: what a good version may do as well.
+
+Pure. The rate is the worse of two: on the same route in the fleet, and at the gateway
+that tells, whose link may be bad. One such gateway does not count in the fleet's, or it
+would hide what a bad version does elsewhere. Rates follow the moment, up and down;
+what is known of longer is bounded, so that a fault that is over hides nothing.
+"""
+
+import enum
+
+from spindlenotch import ids
+from spindlenotch.gateway.rollout import merging, sequential_test
+from spindlenotch.kernel import latency
+
+#: Time constants, in seconds, of the rates: of the moment, and of what is usual.
+MOMENT_S = 0.7
+USUAL_S = 4.0
+#: Calls that what is usual counts as in the fleet's rate, and that in a gateway's.
+FLEET_GUESS_CALLS = 15.0
+SOURCE_GUESS_CALLS = 10.0
+#: Gateways from which on the worst one does not count in the fleet's rate.
+LEAST_SOURCES = 3
+
+
+class Symptom(enum.Enum):
+    """What may be worse in the target."""
+
+    FAILURES = "failures"
+    SLOWNESS = "slowness"
+
+
+#: The least rate that is expected of a good version, however good the others are.
+LEAST_BY_SYMPTOM = {Symptom.FAILURES: 0.01, Symptom.SLOWNESS: 0.04}
+#: What is taken to be usual where nothing is known.
+GUESS_BY_SYMPTOM = {Symptom.FAILURES: 0.02, Symptom.SLOWNESS: 0.08}
+#: The most that is taken to be usual.
+MOST_BY_SYMPTOM = {Symptom.FAILURES: 0.05, Symptom.SLOWNESS: 0.15}
+
+
+class Rate:
+    """The share of bad calls among others' calls; older ones count less."""
+
+    def __init__(self, time_constant_s: float) -> None:
+        self.time_constant_s = time_constant_s
+        self.calls = 0.0
+        self.bad = 0.0
+        self.at = ids.Instant(0.0)
+
+    def add(self, tally: sequential_test.Tally, now: ids.Instant) -> None:
+        """Take in calls."""
+        self.fade(now)
+        self.calls += tally.calls
+        self.bad += tally.bad
+
+    def value(self, guess: float, guess_calls: float, now: ids.Instant) -> float:
+        """Return the share, where few are known mostly the guess."""
+        self.fade(now)
+        return (self.bad + guess * guess_calls) / (self.calls + guess_calls)
+
+    def fade(self, now: ids.Instant) -> None:
+        """Let older calls count less."""
+        weight = latency.decay(max(0.0, now - self.at), self.time_constant_s)
+        self.calls *= weight
+        self.bad *= weight
+        self.at = now
+
+
+Key = tuple[Symptom, str]
+
+
+class OthersRates:
+    """The rates of other versions by route and gateway."""
+
+    def __init__(self) -> None:
+        self._usual_by_key: dict[Key, Rate] = {}
+        self._moments_by_key: dict[Key, dict[merging.Source, Rate]] = {}
+        self._moment_by_source: dict[tuple[Symptom, merging.Source], Rate] = {}
+
+    def add(
+        self,
+        symptom: Symptom,
+        route: str,
+        source: merging.Source,
+        tally: sequential_test.Tally,
+        now: ids.Instant,
+    ) -> None:
+        """Take in calls that a gateway placed on other versions."""
+        key = (symptom, route)
+        self._usual_by_key.setdefault(key, Rate(USUAL_S)).add(tally, now)
+        moments = self._moments_by_key.setdefault(key, {})
+        moments.setdefault(source, Rate(MOMENT_S)).add(tally, now)
+        at_source = (symptom, source)
+        self._moment_by_source.setdefault(at_source, Rate(MOMENT_S)).add(tally, now)
+
+    def rate(
+        self, symptom: Symptom, route: str, source: merging.Source, now: ids.Instant
+    ) -> float:
+        """Return what is expected of a good version on a route, at a gateway."""
+        fleet = self._fleet_rate(symptom, route, now)
+        at_source = self._moment_by_source.get((symptom, source))
+        if at_source is None:
+            return max(LEAST_BY_SYMPTOM[symptom], fleet)
+        there = at_source.value(fleet, SOURCE_GUESS_CALLS, now)
+        return max(LEAST_BY_SYMPTOM[symptom], fleet, there)
+
+    def _fleet_rate(self, symptom: Symptom, route: str, now: ids.Instant) -> float:
+        usual = self._usual(symptom, route, now)
+        moments = list(self._moments_by_key.get((symptom, route), {}).values())
+        for moment in moments:
+            moment.fade(now)
+        moments.sort(key=lambda moment: moment.bad)
+        if len(moments) >= LEAST_SOURCES:
+            moments.pop()
+        calls = sum(moment.calls for moment in moments)
+        bad = sum(moment.bad for moment in moments)
+        return (bad + usual * FLEET_GUESS_CALLS) / (calls + FLEET_GUESS_CALLS)
+
+    def _usual(self, symptom: Symptom, route: str, now: ids.Instant) -> float:
+        known = self._usual_by_key.get((symptom, route))
+        guess = GUESS_BY_SYMPTOM[symptom]
+        if known is None:
+            return guess
+        value = known.value(guess, FLEET_GUESS_CALLS, now)
+        return min(MOST_BY_SYMPTOM[symptom], value)
--- a/spindlenotch/gateway/rollout/promotion.py
+++ b/spindlenotch/gateway/rollout/promotion.py
@@ -28,6 +28,9 @@
 LEAST_ANSWERED_SHARE = 0.5
 #: Slots of the target by those of the others: fewer would not carry the load.
 LEAST_SLOTS_SHARE = 0.7
+#: Seconds for which it is watched after promotion, with all requests, before the others
+#: are given up: twice as long as records are old at most.
+WATCH_S = 0.4
 #: Share of the evidence that shows a bad target from which it is not promoted.
 MOST_SUSPICION = 0.5
 
@@ -95,7 +98,12 @@
 
 
 def incompleteness(
-    who: Attendance, end_at: ids.Instant, now: ids.Instant, *, is_met: bool
+    who: Attendance,
+    end_at: ids.Instant,
+    now: ids.Instant,
+    *,
+    is_met: bool,
+    suspicion: float,
 ) -> Hindrance:
     """
     Return why a promoted order is not completed now.
@@ -103,6 +111,8 @@
     ``is_met``: more than half of the fleet is in view. One that is cut off can't know
     who still uses the other versions.
     """
+    if suspicion >= MOST_SUSPICION:
+        return Hindrance.SUSPECTED
     if not is_met:
         return Hindrance.NO_QUORUM
     missing = who.needed - who.empty
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -105,6 +105,7 @@
             "gateway/rollout/merging.Merged.take",
             "gateway/rollout/analysis.Analysis.finding",
             "gateway/rollout/sequential_test.Test.suspicion",
+            "gateway/rollout/others_rates.OthersRates.rate",
         ),
         inputs="calls judged and failed, timed and slow, by route and upstream of the"
         " version, and by route of the others, of each gateway since the order.",
@@ -119,8 +120,9 @@
             "gateway/rollout/sequential_test.WORST_SHARE",
             "gateway/rollout/sequential_test.LEAST_WORST",
             "gateway/rollout/sequential_test.LEAST_WORST_SHARE",
-            "gateway/rollout/analysis.MOMENT_S",
-            "gateway/rollout/analysis.MEMORY_S",
+            "gateway/rollout/others_rates.MOMENT_S",
+            "gateway/rollout/others_rates.USUAL_S",
+            "gateway/rollout/others_rates.LEAST_SOURCES",
             "gateway/rollout/evidence.SLOW_FACTOR",
         ),
         events=("ROLLOUT_ROLLED_BACK",),
@@ -160,6 +162,7 @@
         " the order that were read as its condition.",
         constants=(
             "gateway/rollout/promotion.MESSAGES_S",
+            "gateway/rollout/promotion.WATCH_S",
             "gateway/rollout/promotion.MOST_SHARE",
             "gateway/rollout/promotion.LONG_WORK",
             "gateway/rollout/promotion.LAST_CALL_S",
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -235,9 +235,9 @@
     ),
     Mutant(
         "the others' failures in the moment count for nothing",
-        "gateway/rollout/analysis",
-        "fleet, at_moment, there)",
-        "0.0)",
+        "gateway/rollout/others_rates",
+        "LEAST_BY_SYMPTOM[symptom], fleet, there)",
+        "LEAST_BY_SYMPTOM[symptom], 0.0)",
         held_by="what strikes all versions alike speaks against none",
     ),
 )
