Rollouts: upstreams bad on one route are passed over too; what is doubtful under all requests is not completed

Cause: on a rare route two bad upstreams held all the evidence, and a version was completed while its test stood near the bound.

--- a/spindlenotch/gateway/rollout/analysis.py
+++ b/spindlenotch/gateway/rollout/analysis.py
@@ -92,12 +92,16 @@
         """Return how near the nearest test is to a finding, 1 where it is one."""
         return max((test.suspicion() for test in self.test_by_key.values()), default=0)
 
+    def doubt(self) -> float:
+        """Return the highest likelihood, some upstreams or all, by the bound on it."""
+        found = (test.likelihood for test in self.test_by_key.values())
+        return max(found, default=0.0) / sequential_test.BOUND
+
     def bad_upstreams(self) -> set[ids.UpstreamId]:
         """Return the upstreams of the target that look bad by themselves."""
         return {
             upstream_id
-            for (_, route), test in self.test_by_key.items()
-            if route == ALL_ROUTES
+            for test in self.test_by_key.values()
             for upstream_id in test.bad_upstreams()
         }
 
--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -91,7 +91,7 @@
             end_at,
             now,
             is_met=self.quorum.is_met(now),
-            suspicion=self.run.analysis.suspicion(),
+            doubt=self.run.analysis.doubt(),
         )
         if found is promotion.Hindrance.NONE:
             return True
--- a/spindlenotch/gateway/rollout/promotion.py
+++ b/spindlenotch/gateway/rollout/promotion.py
@@ -32,7 +32,10 @@
 #: are given up: twice as long as records are old at most.
 WATCH_S = 0.4
 #: Share of the evidence that shows a bad target from which it is not promoted.
-MOST_SUSPICION = 0.5
+MOST_SUSPICION = 0.4
+#: The same, whether some upstreams show it or all, from which the others are not given
+#: up: with all requests it is soon known.
+MOST_DOUBT = 0.3
 
 
 class Hindrance(enum.Enum):
@@ -103,7 +106,7 @@
     now: ids.Instant,
     *,
     is_met: bool,
-    suspicion: float,
+    doubt: float,
 ) -> Hindrance:
     """
     Return why a promoted order is not completed now.
@@ -111,7 +114,7 @@
     ``is_met``: more than half of the fleet is in view. One that is cut off can't know
     who still uses the other versions.
     """
-    if suspicion >= MOST_SUSPICION:
+    if doubt >= MOST_DOUBT:
         return Hindrance.SUSPECTED
     if not is_met:
         return Hindrance.NO_QUORUM
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -169,6 +169,7 @@
             "gateway/rollout/promotion.LEAST_ANSWERS",
             "gateway/rollout/promotion.LEAST_SLOTS_SHARE",
             "gateway/rollout/promotion.MOST_SUSPICION",
+            "gateway/rollout/promotion.MOST_DOUBT",
             "gateway/rollout/deciding.CANDIDATES",
         ),
         events=(
