Start limit: whether a request is late is told by the sum that its wait comes from

Cause: the difference, rounded otherwise than the sum, called a request in time that has exactly its target's time left; the property 'a request waits for what its target leaves beside its work' met such a case (its examples are drawn from constants in the code, so they change with every module that is added). Change: one sum, compared and subtracted.

--- a/spindlenotch/decisions/start_limit.py
+++ b/spindlenotch/decisions/start_limit.py
@@ -64,7 +64,7 @@
     """
     if target_s is None:
         return StartLimit(ids.later(now, WAIT_WITHOUT_TARGET_S), late=False)
-    spare_s = target_s - age_s - typical_s - RETURN_S
-    if spare_s > 0:
-        return StartLimit(ids.later(now, spare_s), late=False)
+    used_s = age_s + typical_s + RETURN_S
+    if used_s < target_s:
+        return StartLimit(ids.later(now, target_s - used_s), late=False)
     return StartLimit(ids.later(now, LATE_WAIT_SHARE * target_s), late=True)
