--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -15,6 +15,7 @@
       | a status only goes forward, and is written under conditions      |
       | a status is written only in place of what was read               |
       | of two that decide one writes, and neither goes back             |
+      | only who begins a phase announces it to everyone                 |
       | a version that nobody runs is given up when time is over         |
       | a version that all run is completed at once                      |
       | too few upstreams of a version are not promoted                  |
--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -237,6 +237,20 @@
     assert final_state(good) is not State.COMPLETED, good.seen.statuses
 
 
+@kernel.PROPERTIES.register("only who begins a phase announces it to everyone")
+def announced_by_few() -> None:
+    def disturb(world: worlds.World) -> None:
+        for gateway in world.gateways[1:]:
+            gateway.loop._judge = lambda one: None  # type: ignore[method-assign]
+
+    plan = worlds.Plan(seed=1, gateways=8, harm=worlds.Harm(fails=0.9), per_s=100.0)
+    plan.disturb = disturb
+    world = played(plan)
+    assert final_state(world) is State.ROLLED_BACK
+    rounds = [gateway.announced for gateway in world.gateways]
+    assert 0 < rounds[0] <= 3 and not sum(rounds[1:]), rounds
+
+
 # Orders of all kinds
 
 
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -124,6 +124,8 @@
         self.host = host
         self.is_up = True
         self.is_cut = False
+        #: Messages to everyone.
+        self.announced = 0
         #: Share of the calls that its link breaks.
         self.link_fails = 0.0
         rng = random.Random(world.rng.random())
@@ -178,6 +180,7 @@
 
     def send(self, message: messages.Message, targets: list[ids.Address]) -> None:
         """Send a datagram; see ``peer_link.PeerLink``."""
+        self.announced += message.evidence is None
         if not self.is_cut:
             for target in targets:
                 self.world.datagram(message, target)
--- a/spindlenotch/gateway/rollout/loop.py
+++ b/spindlenotch/gateway/rollout/loop.py
@@ -53,7 +53,6 @@
         self._decider_by_run: dict[runs.Run, decider.Decider] = {}
         self._deciding: set[ids.ServiceName] = set()
         self._announce_rounds = 0
-        self._announced: tuple[rollout_notes.PhaseNote, ...] = ()
 
     async def run(self) -> None:
         """Drive all runs until cancelled."""
@@ -64,6 +63,7 @@
     def update(self) -> None:
         """Judge, decide and tell, once."""
         now = self.state.clock.now()
+        # Looked at also without orders: it remembers how many gateways there were.
         self.quorum.is_met(now)
         every = self._runs()
         for one in every:
@@ -103,7 +103,10 @@
         self._note_duty(one, is_decider=candidates[:1] == [local.host])
         self._judge(one)
         if one.order.service in self._deciding:
+            before = one.phase
             self._decider(one).update(pool, now)
+            if one.phase is not before:
+                self._announce()
         self._tell(one, pool, candidates, now)
 
     def _judge(self, one: runs.Run) -> None:
@@ -133,7 +136,7 @@
             sent=one.merged.sent(),
             answered=one.merged.answered(),
         )
-        self._publish(self._runs())
+        self._announce()
 
     def _left_s(self, one: runs.Run, now: ids.Instant) -> float:
         return self.state.rollouts.end_at(one.order.service) - now
@@ -186,14 +189,21 @@
 
     # Telling peers
 
+    def _announce(self) -> None:
+        """
+        Tell everyone at once of a phase that this gateway has begun.
+
+        Those that are told pass it on with their gossip only: were each of them to
+        announce it, one phase would cost messages by the square of the fleet.
+        """
+        self._announce_rounds = ANNOUNCE_ROUNDS
+        self._publish(self._runs())
+
     def _publish(self, every: list[runs.Run]) -> None:
-        """Let all gossip carry the phases; tell everyone at once of a new one."""
+        """Let all gossip carry the phases; announce new ones."""
         later = [one for one in every if one.phase is not rollout_notes.Phase.RUNNING]
         notes = tuple(one.note() for one in later[: rollout_notes.NOTES_PER_MESSAGE])
         self.state.gossip.rollout_phases = notes
-        if notes != self._announced:
-            self._announced = notes
-            self._announce_rounds = ANNOUNCE_ROUNDS if notes else 0
         if self._announce_rounds:
             self._announce_rounds -= 1
             self._send(list(self.state.gossip.known_by_host), None)
