--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -19,6 +19,7 @@
     Then the order is "rolled_back" in time
     And no more than 20 requests ran on the new version
     And all requests were answered
+    And explain tells from the logs that failures were the reason
 
   Scenario: Where the gateway that decides dies, another one goes on
     Given a third gateway
--- a/features/steps/rollout.py
+++ b/features/steps/rollout.py
@@ -10,6 +10,7 @@
 import behave
 
 from features.support import platform_context, platform_fleet, platform_worker
+from spindlenotch.cli import explain_logs
 
 ORDER, STATUS = "op/rollout/core", "status/rollout/core"
 TARGET = "v2"
@@ -180,6 +181,14 @@
     assert 0 < ran <= count, ran
 
 
+@behave.then("explain tells from the logs that failures were the reason")
+def explained(context: typing.Any) -> None:
+    logs = list(fleet_of(context).logs.values())
+    subject = explain_logs.Subject(explain_logs.SubjectKind.ROLLOUT, "core")
+    told = explain_logs.describe(explain_logs.read_story(logs, subject))
+    assert any("E222" in line and "reason=failures on" in line for line in told), told
+
+
 @behave.then("all requests were answered")
 def answered(context: typing.Any) -> None:
     story: Story = context.story
--- a/spindlenotch/cli/explain_commands.py
+++ b/spindlenotch/cli/explain_commands.py
@@ -25,6 +25,7 @@
     request: str = "",
     upstream: str = "",
     config: str = "",
+    rollout: str = "",
 ) -> None:
     """
     Say why an entry decides as it does, or why a gateway did so.
@@ -39,9 +40,16 @@
     request: With --logs: tell the story of this request id.
     upstream: With --logs: tell what was believed of this upstream.
     config: With --logs: tell when this version of the configuration came.
+    rollout: With --logs: tell what became of orders to change this service's version.
     """
     if logs:
-        _explain_logs(logs, request=request, upstream=upstream, config=config)
+        id_by_kind = {
+            explain_logs.SubjectKind.REQUEST: request,
+            explain_logs.SubjectKind.UPSTREAM: upstream,
+            explain_logs.SubjectKind.VERSION: config,
+            explain_logs.SubjectKind.ROLLOUT: rollout,
+        }
+        _explain_logs(logs, id_by_kind)
     elif bool(service) == bool(call):
         _end_with("give exactly one of --service and --call")
     else:
@@ -66,16 +74,11 @@
 
 
 def _explain_logs(
-    logs: list[pathlib.Path], *, request: str, upstream: str, config: str
+    logs: list[pathlib.Path], id_by_kind: dict[explain_logs.SubjectKind, str]
 ) -> None:
-    given = {
-        explain_logs.SubjectKind.REQUEST: request,
-        explain_logs.SubjectKind.UPSTREAM: upstream,
-        explain_logs.SubjectKind.VERSION: config,
-    }
-    subjects = [explain_logs.Subject(kind, id) for kind, id in given.items() if id]
+    subjects = [explain_logs.Subject(kind, id) for kind, id in id_by_kind.items() if id]
     if len(subjects) != 1:
-        _end_with("give exactly one of --request, --upstream, --config")
+        _end_with("give exactly one of --request, --upstream, --config, --rollout")
     try:
         story = explain_logs.read_story(logs, subjects[0])
     except OSError as error:
--- a/spindlenotch/cli/explain_logs.py
+++ b/spindlenotch/cli/explain_logs.py
@@ -1,5 +1,5 @@
 """
-Tell the story of a request, an upstream or a configuration from log lines.
+Tell the story of a request, an upstream, a configuration or a rollout from log lines.
 
 The story holds the latest lines about the subject and, for a request, what
 its processes reported about upstreams, peers and configuration shortly before:
@@ -39,6 +39,14 @@
     REQUEST = "request"
     UPSTREAM = "upstream"
     VERSION = "version"
+    #: Orders to change the version of a service.
+    ROLLOUT = "service"
+
+
+#: Events that are about orders to change a service's version.
+ROLLOUT_EVENTS = frozenset(
+    event.value.number for event in events.Event if event.name.startswith("ROLLOUT_")
+)
 
 
 class Subject(msgspec.Struct, frozen=True):
@@ -49,6 +57,8 @@
 
     def concerns(self, line: log_lines.LogLine) -> bool:
         """Tell whether ``line`` is about this subject."""
+        if self.kind is SubjectKind.ROLLOUT and line.event not in ROLLOUT_EVENTS:
+            return False
         return line.details.get(self.kind.value) == self.id
 
 
