Stand-ins: versions with faults, rebirth, leases, orders and their state, lost and slow answers

Cause: the new parts of the product need a platform that orders versions, starts workers again under their id and turns single hosts away. Change: the store learns leases, single keys, slow, lost and selectively refused calls, keys that only others write, and reads back what is said of an order; a worker writes its own entry with version and birth, and a version's fault (a mode, its share, route, load and time) goes before the worker's own mode.

--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -108,6 +108,7 @@
     def __init__(self) -> None:
         self.store = platform_store.PlatformStore()
         self.worker_by_id: dict[str, platform_worker.PlatformWorker] = {}
+        self.fault_by_version: platform_worker.FaultByVersion = {}
         self.process_by_node: dict[str, asyncio.subprocess.Process] = {}
         self.ip_by_node: dict[str, str] = {}
         self.logs: dict[str, pathlib.Path] = {}
@@ -128,10 +129,16 @@
         return self._session
 
     async def add_worker(
-        self, worker_id: str, service: str = "core", zone: str = "z1"
+        self,
+        worker_id: str,
+        service: str = "core",
+        zone: str = "z1",
+        version: str = "v1",
     ) -> platform_worker.PlatformWorker:
         """Start a worker and list it."""
-        worker = platform_worker.PlatformWorker(worker_id)
+        worker = platform_worker.PlatformWorker(
+            worker_id, version=version, fault_by_version=self.fault_by_version
+        )
         await worker.start()
         self.worker_by_id[worker_id] = worker
         self.list_worker(worker, service, zone)
@@ -144,20 +151,8 @@
         zone: str = "z1",
         state: str = "ready",
     ) -> None:
-        """Write a worker's entry, with what is left of its coldness."""
-        self.store.put(
-            f"servers/{worker.id}",
-            {
-                "service": service,
-                "address": worker.address,
-                "zone": zone,
-                "version": "v1",
-                "slots": 4,
-                "state": state,
-                "coldLeftS": worker.coldness.left_ms() / 1000,
-                "callSeq": 1,
-            },
-        )
+        """Write a worker's entry."""
+        self.store.put(f"servers/{worker.id}", worker.entry(service, zone, state))
 
     async def start_gateway(
         self, number: int, grace_s: float = 6.0, seed: str = FIRST_IP
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -1,13 +1,14 @@
 """
 Stand-in for the platform's metadata store, by its published protocol.
 
-Keys with revisions, paged ranges, watches and conditional writes: the calls
-that the adapter makes, no others. Runs in the scenario's own loop.
+Keys with revisions, paged ranges, watches, conditional writes and leases: the
+calls that the adapter may make, no others. Runs in the scenario's own loop.
 """
 
 import asyncio
 import base64
 import dataclasses
+import enum
 import json
 import time
 import typing
@@ -17,6 +18,17 @@
 from standins import server
 
 PAGE = 50
+#: Keys that only the operator and the workers write.
+FOREIGN_PREFIXES = ("op/", "servers/")
+#: Longer than any call waits.
+FOR_GOOD_S = 3600.0
+
+
+class Lost(enum.Enum):
+    """What became of a call whose answer is lost."""
+
+    DONE = "done"
+    NOT_DONE = "not-done"
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,6 +39,7 @@
     value: bytes
     revision: int
     made: int
+    lease: int = 0
 
     def as_json(self) -> dict[str, typing.Any]:
         """Return the item as it is sent."""
@@ -35,7 +48,7 @@
             "value": base64.b64encode(self.value).decode(),
             "revision": self.revision,
             "made": self.made,
-            "lease": 0,
+            "lease": self.lease,
         }
 
 
@@ -45,11 +58,16 @@
     What is wrong just now.
 
     ``refuse`` is the status that every call is answered with, 0: none;
-    ``silent`` never answers.
+    ``refuse_by_ip`` the same for the hosts that are turned away. ``silent`` never
+    answers, ``slow_s`` is the time that each call takes more, and ``lost`` says
+    that no answer arrives and what became of the call.
     """
 
     refuse: int = 0
     silent: bool = False
+    slow_s: float = 0.0
+    lost: Lost | None = None
+    refuse_by_ip: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class PlatformStore:
@@ -63,29 +81,53 @@
         self.revision = 0
         self.calls_by_name: dict[str, int] = {}
         self.address = ""
+        self.lease_ttl_s: dict[int, float] = {}
+        self._expiry_by_lease: dict[int, asyncio.TimerHandle] = {}
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._trouble])
+        app.router.add_get("/kv-key", self._key)
         app.router.add_get("/kv-range", self._range)
         app.router.add_get("/kv-watch", self._watch)
         app.router.add_post("/kv-txn", self._txn)
+        app.router.add_post("/kv-lease", self._lease)
+        app.router.add_post("/kv-keep/{lease}", self._keep)
+        app.router.add_delete("/kv-lease-end/{lease}", self._end_lease)
         self._runner, self.address = await server.serve(app)
 
     async def close(self) -> None:
         """Stop listening."""
+        for timer in self._expiry_by_lease.values():
+            timer.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def put(self, key: str, value: typing.Any) -> int:
+    def read(self, key: str) -> typing.Any:
+        """Return a key's decoded value as the operator reads it; None: no such key."""
+        item = self.item_by_key.get(key)
+        return None if item is None else json.loads(item.value)
+
+    def order_version(self, service: str, version: str, ramp_s: float) -> int:
+        """Ask for a service's traffic to move to a version, as the operator does."""
+        order = {"service": service, "targetVersion": version, "rampS": ramp_s}
+        return self.put(f"op/rollout/{service}", order)
+
+    def order_state(self, service: str, version: str) -> str:
+        """Return what is said of the order for a version; empty: nothing yet."""
+        status = self.read(f"status/rollout/{service}") or {}
+        is_of_order = status.get("targetVersion") == version
+        return str(status["state"]) if is_of_order else ""
+
+    def put(self, key: str, value: typing.Any, lease: int = 0) -> int:
         """Write a key as the operator or a worker does; return the revision."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
         old = self.item_by_key.get(key)
         made = old.made if old else self.revision
-        item = Item(key, data, self.revision, made)
+        item = Item(key, data, self.revision, made, lease)
         self.item_by_key[key] = item
         self._log(item.as_json())
         return self.revision
@@ -110,18 +152,30 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _before(self, request: web.Request, name: str) -> web.Response | None:
+    @web.middleware
+    async def _trouble(self, request: web.Request, handler: typing.Any) -> typing.Any:
+        name = request.path.split("/")[1].removeprefix("kv-")
         self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
-        if self.trouble.silent:
-            await asyncio.sleep(3600)
-        if self.trouble.refuse:
-            return web.Response(status=self.trouble.refuse)
-        return None
+        trouble = self.trouble
+        refuse = trouble.refuse_by_ip.get(request.remote or "", trouble.refuse)
+        if trouble.silent or trouble.lost is Lost.NOT_DONE:
+            await asyncio.sleep(FOR_GOOD_S)
+        if trouble.slow_s:
+            await asyncio.sleep(trouble.slow_s)
+        if refuse:
+            return web.Response(status=refuse)
+        answer = await handler(request)
+        if self.trouble.lost is not None:
+            await asyncio.sleep(FOR_GOOD_S)
+        return answer
+
+    async def _key(self, request: web.Request) -> web.Response:
+        item = self.item_by_key.get(request.query["key"])
+        if item is None:
+            return web.json_response({"at": self.revision}, status=404)
+        return web.json_response({**item.as_json(), "at": self.revision})
 
     async def _range(self, request: web.Request) -> web.Response:
-        refused = await self._before(request, "range")
-        if refused is not None:
-            return refused
         prefix = request.query["pathPrefix"]
         after = request.query.get("after", "")
         keys = sorted(k for k in self.item_by_key if k.startswith(prefix) and k > after)
@@ -130,9 +184,6 @@
         return web.json_response({"items": items, "more": more, "at": self.revision})
 
     async def _watch(self, request: web.Request) -> web.Response:
-        refused = await self._before(request, "watch")
-        if refused is not None:
-            return refused
         prefix = request.query["pathPrefix"]
         after = int(request.query["after"])
         end = time.monotonic() + int(request.query["waitMs"]) / 1000
@@ -155,18 +206,60 @@
                 continue
 
     async def _txn(self, request: web.Request) -> web.Response:
-        refused = await self._before(request, "txn")
-        if refused is not None:
-            return refused
         body = await request.json()
+        put, remove = body.get("put", []), body.get("remove", [])
+        if any(k.startswith(FOREIGN_PREFIXES) for k in [*_keys(put), *remove]):
+            return web.Response(status=403)
+        if any(row.get("lease", 0) not in {0, *self.lease_ttl_s} for row in put):
+            return web.Response(status=404)
         for row in body.get("expectedRev", []):
             item = self.item_by_key.get(row["key"])
             if (item.revision if item else 0) != row["revision"]:
                 return web.json_response(
                     {"items": [item.as_json() if item else {}]}, status=412
                 )
-        for row in body.get("put", []):
-            self.put(row["key"], base64.b64decode(row["value"]))
-        for key in body.get("remove", []):
+        for row in put:
+            value = base64.b64decode(row["value"])
+            self.put(row["key"], value, row.get("lease", 0))
+        for key in remove:
             self.remove(key)
         return web.json_response({"revision": self.revision})
+
+    async def _lease(self, request: web.Request) -> web.Response:
+        ttl_s = (await request.json())["ttl_s"]
+        self.revision += 1
+        self.lease_ttl_s[self.revision] = ttl_s
+        self._expire_later(self.revision)
+        return web.json_response({"lease": self.revision, "ttl_s": ttl_s})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["lease"])
+        if lease not in self.lease_ttl_s:
+            return web.Response(status=404)
+        self._expire_later(lease)
+        return web.json_response({"ttl_s": self.lease_ttl_s[lease]})
+
+    async def _end_lease(self, request: web.Request) -> web.Response:
+        self._expire(int(request.match_info["lease"]))
+        return web.json_response({"revision": self.revision})
+
+    def _expire_later(self, lease: int) -> None:
+        old = self._expiry_by_lease.pop(lease, None)
+        if old is not None:
+            old.cancel()
+        self._expiry_by_lease[lease] = asyncio.get_running_loop().call_later(
+            self.lease_ttl_s[lease], self._expire, lease
+        )
+
+    def _expire(self, lease: int) -> None:
+        """End a lease; its keys go with it."""
+        timer = self._expiry_by_lease.pop(lease, None)
+        if timer is not None:
+            timer.cancel()
+        self.lease_ttl_s.pop(lease, None)
+        for key in [k for k, i in self.item_by_key.items() if i.lease == lease]:
+            self.remove(key)
+
+
+def _keys(rows: list[dict[str, typing.Any]]) -> list[str]:
+    return [row["key"] for row in rows]
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import enum
+import random
 import socket
 import struct
 import time
@@ -51,6 +52,33 @@
     LOST = "lost"
     #: Works until the caller's connection closes.
     HANG = "hang"
+    #: Works several times as long.
+    SLOW = "slow"
+
+
+#: How many times as long work takes in the mode "slow".
+SLOWDOWN = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionFault:
+    """
+    What is wrong with a version of the workers' software.
+
+    A part ``share`` of its requests is treated as ``mode`` says: only of those
+    whose target begins with ``prefix``, only where ``least_running`` others run
+    at the worker, and only ``after_s`` seconds after the worker's start.
+    """
+
+    mode: Mode
+    share: float = 1.0
+    prefix: str = "/"
+    least_running: int = 0
+    after_s: float = 0.0
+
+
+#: The faults of versions that have any.
+FaultByVersion = dict[str, VersionFault]
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,14 +88,22 @@
     method: str
     target: str
     fields: dict[str, str]
+    at: float = 0.0
 
 
 class Run(typing.NamedTuple):
-    """A request that began to run."""
+    """
+    A request that began to run; ``mode`` is how it was treated.
+
+    ``at`` is on the monotonic clock, and ``born`` names the life that ran it.
+    """
 
     request_id: str
     target: str
     body: bytes
+    mode: Mode = Mode.GOOD
+    at: float = 0.0
+    born: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,12 +143,28 @@
 
     ``runs`` and ``heads`` are in order of start; ``heads`` has those of
     requests that were not run, too. ``cancelled`` counts work that was broken
-    off as its caller's connection closed.
+    off as its caller's connection closed. ``born`` is the Unix millisecond of its
+    start; ``probed_at`` has the times of health checks. At ``most_at_once``
+    requests it turns further ones away. ``fault_by_version`` is shared by the
+    workers of a fleet.
     """
 
-    def __init__(self, worker_id: str, work_s: float = 0.002) -> None:
+    def __init__(
+        self,
+        worker_id: str,
+        work_s: float = 0.002,
+        version: str = "v1",
+        fault_by_version: FaultByVersion | None = None,
+    ) -> None:
         self.id = worker_id
         self.work_s = work_s
+        self.version = version
+        self.fault_by_version = {} if fault_by_version is None else fault_by_version
+        self.slots = 4
+        self.most_at_once = 1000
+        self.born = 0
+        self.calls = 0
+        self.probed_at: list[float] = []
         self.mode = Mode.GOOD
         self.running = 0
         self.runs: list[Run] = []
@@ -120,14 +172,40 @@
         self.cancelled = 0
         self.coldness = Coldness(until=0.0, most_in_a_second=0.0)
         self.address = ""
+        self._rng = random.Random(worker_id)
+        self._started_at = 0.0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> None:
-        """Listen on a free loopback port."""
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+    async def start(self, port: int = 0) -> None:
+        """
+        Begin a life: listen on a loopback port, 0: any free one.
+
+        After ``close`` this is a start under the id that it had; it knows nothing
+        of before. Only the ledgers go on.
+        """
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{LOOPBACK}:{port}"
+        self._started_at = time.monotonic()
+        self.born = max(self.born + 1, int(time.time() * 1000))
+        self.calls = 0
+        self.coldness = Coldness(until=0.0, most_in_a_second=0.0)
+
+    def entry(self, service: str, zone: str, state: str) -> dict[str, typing.Any]:
+        """Return what it writes of itself, with what is left of its coldness."""
+        self.calls += 1
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": self.version,
+            "slots": self.slots,
+            "state": state,
+            "coldLeftS": self.coldness.left_ms() / 1000,
+            "callSeq": self.calls,
+            "born": self.born,
+        }
 
     async def close(self) -> None:
         """Stop listening and drop all connections."""
@@ -154,16 +232,18 @@
     ) -> bool:
         head = _parse(await reader.readuntil(b"\r\n\r\n"))
         if head.target.startswith("/health"):
+            self.probed_at.append(head.at)
             writer.write(self._head("200 OK", "", 0, extra=self._cold_header()))
             return True
         self.coldness.arrives()
         if self.coldness.has_fallen:
-            _reset(writer)
+            reset(writer)
             return False
         self.heads.append(head)
         request_id = head.fields.get("x-spindlenotch-request-id", "")
         expected = head.fields.get("x-spindlenotch-expect-instance", self.id)
-        if self.mode is Mode.EARLY:
+        mode = self._mode(head)
+        if mode is Mode.EARLY:
             writer.write(self._answer(request_id, b"early"))
             await asyncio.sleep(0.05)
             await _body(reader, head)
@@ -172,34 +252,46 @@
         if expected != self.id:
             writer.write(self._head("421 Misdirected Request", request_id, 0))
             return True
-        return await self._run(reader, writer, head, request_id, body)
+        run = Run(request_id, head.target, body, mode, head.at, self.born)
+        return await self._run(reader, writer, run)
+
+    def _mode(self, head: Head) -> Mode:
+        """Return how a request is treated, by its version's fault or its own mode."""
+        fault = self.fault_by_version.get(self.version)
+        if (
+            fault is not None
+            and head.target.startswith(fault.prefix)
+            and self.running >= fault.least_running
+            and head.at >= self._started_at + fault.after_s
+            and self._rng.random() < fault.share
+        ):
+            return fault.mode
+        return self.mode
 
     async def _run(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        head: Head,
-        request_id: str,
-        body: bytes,
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, run: Run
     ) -> bool:
-        if self.mode is Mode.SHED:
+        request_id = run.request_id
+        if run.mode is Mode.SHED or self.running >= self.most_at_once:
             not_run = "X-Spindlenotch-Not-Executed: 1\r\n"
             writer.write(
                 self._head("503 Service Unavailable", request_id, 0, extra=not_run)
             )
             return True
-        self.runs.append(Run(request_id, head.target, body))
+        self.runs.append(run)
         self.running += 1
         try:
-            if not await self._work(reader):
+            if not await self._work(reader, run.mode):
                 return False
         finally:
             self.running -= 1
-        return self._reply(writer, request_id, head.target.encode())
+        return self._reply(writer, run)
 
-    async def _work(self, reader: asyncio.StreamReader) -> bool:
+    async def _work(self, reader: asyncio.StreamReader, mode: Mode) -> bool:
         """Work, and stop when the caller's connection closes."""
-        limit_s = 3600.0 if self.mode is Mode.HANG else self.work_s
+        limit_s = self.work_s * (SLOWDOWN if mode is Mode.SLOW else 1.0)
+        if mode is Mode.HANG:
+            limit_s = 3600.0
         closed = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait({closed}, timeout=limit_s)
         if done:
@@ -209,13 +301,12 @@
         await asyncio.gather(closed, return_exceptions=True)
         return True
 
-    def _reply(
-        self, writer: asyncio.StreamWriter, request_id: str, body: bytes
-    ) -> bool:
+    def _reply(self, writer: asyncio.StreamWriter, run: Run) -> bool:
+        request_id, mode, body = run.request_id, run.mode, run.target.encode()
         whole = self._answer(request_id, body)
-        match self.mode:
+        match mode:
             case Mode.LOST:
-                _reset(writer)
+                reset(writer)
                 return False
             case Mode.BARE_503:
                 writer.write(self._head("503 Service Unavailable", request_id, 0))
@@ -226,9 +317,9 @@
                 return False
             case Mode.UNFRAMED | Mode.RESET_UNFRAMED:
                 head = self._head("200 OK", request_id, None)
-                writer.write(head + (body if self.mode is Mode.UNFRAMED else body[:1]))
-                if self.mode is Mode.RESET_UNFRAMED:
-                    asyncio.get_running_loop().call_later(0.05, _reset, writer)
+                writer.write(head + (body if mode is Mode.UNFRAMED else body[:1]))
+                if mode is Mode.RESET_UNFRAMED:
+                    asyncio.get_running_loop().call_later(0.05, reset, writer)
                     return True
                 return False
             case Mode.FOREIGN:
@@ -267,7 +358,7 @@
         ).encode()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection so that its peer sees a reset and not an end."""
     no_linger = struct.pack("ii", 1, 0)
     connection = writer.get_extra_info("socket")
@@ -279,7 +370,8 @@
     first, *lines = data.decode("latin-1").split("\r\n")
     method, target, _ = first.split(" ")
     pairs = (line.split(":", 1) for line in lines if ":" in line)
-    return Head(method, target, {k.strip().lower(): v.strip() for k, v in pairs})
+    fields = {k.strip().lower(): v.strip() for k, v in pairs}
+    return Head(method, target, fields, time.monotonic())
 
 
 async def _body(reader: asyncio.StreamReader, head: Head) -> bytes:
