Soak of processes: plan, faults, callers, ledger and checks

Cause: the soak so far plays state machines in one process; real programs, signals and paths between them were never played with fresh seeds. Change: tools/soak_processes starts gateways through the adapter among the existing stand-ins; a seed draws the steps; checks read what callers and upstreams saw. A path of our own (features/support/link.py) lies before the store and each upstream.

--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -36,11 +36,11 @@
 role = "gateway"
 ip = "{ip}"
 zone = "{zone}"
-region = "r"
+region = "{region}"
 portRange = [{peer},{peer}]
 seeds = ["{seed}:{control}"]
 bounds = ["graceS={grace}","retryBudgetRatio=0.2","budgetWindowS=10","retrySlack=2400",
-  "ttl_max_s=1","probesPerS=60"]
+  "ttl_max_s=1","probesPerS=60"{more_bounds}]
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -48,6 +48,8 @@
 directory = "{ip}:{directory}"
 [provider]
 address = "{store}"
+[zones]
+{zones}
 """
 
 
@@ -112,6 +114,10 @@
         self.process_by_node: dict[str, asyncio.subprocess.Process] = {}
         self.ip_by_node: dict[str, str] = {}
         self.logs: dict[str, pathlib.Path] = {}
+        #: Address of the store for gateways that reach it on a path of their own.
+        self.store_by_node: dict[str, str] = {}
+        self.region_by_zone: dict[str, str] = {}
+        self.more_bounds: tuple[str, ...] = ()
         self.folder = tempfile.TemporaryDirectory()
         names = ("front", "ready", "control", "directory", "peer")
         hosts = [f"127.0.1.{number + 1}" for number in range(MOST_GATEWAYS)]
@@ -157,16 +163,20 @@
     async def start_gateway(
         self, number: int, grace_s: float = 6.0, seed: str = FIRST_IP
     ) -> str:
-        """Start a gateway and return its node name."""
+        """Start a gateway, or start it again, and return its node name."""
         node = f"node-{number}"
         self.ip_by_node[node] = f"127.0.1.{number}"
+        zone = ZONES[(number - 1) % len(ZONES)]
         path = pathlib.Path(self.folder.name) / f"{node}.toml"
         path.write_text(
             SETTINGS.format(
                 node=node,
                 ip=self.ip_by_node[node],
-                zone=ZONES[(number - 1) % len(ZONES)],
-                store=self.store.address,
+                zone=zone,
+                region=self.region_by_zone.get(zone, "r"),
+                zones="\n".join(f'{z} = "{r}"' for z, r in self.region_by_zone.items()),
+                store=self.store_by_node.get(node, self.store.address),
+                more_bounds="".join(f',"{bound}"' for bound in self.more_bounds),
                 grace=grace_s,
                 seed=seed,
                 **self.port_by_name,
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -172,6 +172,8 @@
         self.cancelled = 0
         self.coldness = Coldness(until=0.0, most_in_a_second=0.0)
         self.address = ""
+        #: Where gateways reach it, where that is not ``address``.
+        self.listed_address = ""
         self._rng = random.Random(worker_id)
         self._started_at = 0.0
         self._server: asyncio.Server | None = None
@@ -197,7 +199,7 @@
         self.calls += 1
         return {
             "service": service,
-            "address": self.address,
+            "address": self.listed_address or self.address,
             "zone": zone,
             "version": self.version,
             "slots": self.slots,
--- /dev/null
+++ b/tools/soak_processes/faults.py
@@ -0,0 +1,361 @@
+"""
+The faults of a play, and what operators and upstreams do meanwhile, by name.
+
+Each is registered with a coroutine that draws what it hits, acts, lasts ``for_s``
+seconds and puts things right again. One that would act on what another step already
+has in hand raises ``world.TakenError`` and is left out.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import signal
+import typing
+from collections import abc
+
+from features.support import link, platform_store, platform_worker
+from spindlenotch import registry
+from tools.soak_processes import ledger, world as worlds
+
+Fault = abc.Callable[
+    [worlds.World, random.Random, float], abc.Coroutine[typing.Any, typing.Any, None]
+]
+FAULTS: registry.Registry[Fault] = registry.Registry("fault")
+World = worlds.World
+Mode = platform_worker.Mode
+
+#: Most that an upstream serves on after it said that it leaves, in seconds.
+LEAVES_AFTER_S = 3.5
+#: Time after which an upstream's address may go to another service, in seconds.
+ADDRESS_REUSE_S = 2.0
+#: Ways in which upstreams treat requests badly.
+BAD_MODES = (Mode.SHED, Mode.BARE_503, Mode.ERROR, Mode.CUT, Mode.RESET_UNFRAMED)
+BAD_MODES += (Mode.FOREIGN, Mode.UNSTAMPED, Mode.GARBAGE, Mode.SURPLUS, Mode.LOST)
+BAD_MODES += (Mode.LATE_SURPLUS, Mode.HANG, Mode.SLOW)
+#: Entries of other writers, none of which names an upstream.
+BAD_ENTRIES: tuple[typing.Any, ...] = (
+    b"\xff\xfe no json",
+    b'{"service":"core","address":"127.0.',
+    [],
+    {"service": "core"},
+    {"service": "core", "address": 7, "zone": "z1", "slots": "two", "state": "ready"},
+    {"service": "core", "address": "127.0.0.1:9", "zone": "z1", "slots": 4,
+     "state": "resting", "version": "v1", "coldLeftS": 0, "callSeq": 1, "born": "x"},
+    {"service": "unheard", "address": "127.0.0.1:9", "zone": "z9", "slots": 4,
+     "state": "ready", "version": "v1", "coldLeftS": 0, "callSeq": 1, "born": 5},
+)  # fmt: skip
+
+
+# Gateways.
+
+
+@FAULTS.register("gateway-killed")
+async def gateway_killed(world: World, rng: random.Random, for_s: float) -> None:
+    """One gateway is killed and started again."""
+    await _kill(world, [rng.choice(world.nodes)], for_s)
+
+
+@FAULTS.register("gateways-killed")
+async def gateways_killed(world: World, rng: random.Random, for_s: float) -> None:
+    """Several gateways are killed at once, now and then all."""
+    count = rng.randint(2, len(world.nodes))
+    await _kill(world, rng.sample(world.nodes, count), for_s)
+
+
+async def _kill(world: World, nodes: list[str], for_s: float) -> None:
+    with world.trouble("gateway-killed", *nodes, of="process"):
+        await asyncio.gather(*(world.kill_gateway(node) for node in nodes))
+        await asyncio.sleep(for_s)
+        await asyncio.gather(*(world.start_gateway(node) for node in nodes))
+
+
+@FAULTS.register("gateway-stopped")
+async def gateway_stopped(world: World, rng: random.Random, for_s: float) -> None:
+    """One gateway is stopped as planned and started again."""
+    node = rng.choice(world.nodes)
+    with world.trouble("gateway-stopped", node, of="process"):
+        await world.stop_gateway(node)
+        await world.start_gateway(node)
+
+
+@FAULTS.register("gateway-paused")
+async def gateway_paused(world: World, rng: random.Random, for_s: float) -> None:
+    """One gateway stands still."""
+    node = rng.choice(world.nodes)
+    with world.trouble("gateway-paused", node, of="process"):
+        world.signal_gateway(node, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(for_s)
+        finally:
+            world.signal_gateway(node, signal.SIGCONT)
+
+
+@FAULTS.register("settings-changed")
+async def settings_changed(world: World, rng: random.Random, for_s: float) -> None:
+    """A gateway's settings change, now and then to what is no file; SIGHUP says so."""
+    node = rng.choice(world.nodes)
+    with world.trouble("settings-changed", node, of="process", excuses=False):
+        path = world.fleet.logs[node].with_suffix(".toml")
+        whole = path.read_text()
+        changed = whole.replace("ttl_max_s=1", "ttl_max_s=0.5")
+        path.write_text(rng.choice((changed, whole[:120])))
+        world.signal_gateway(node, signal.SIGHUP)
+        await asyncio.sleep(for_s)
+        path.write_text(whole)
+        world.signal_gateway(node, signal.SIGHUP)
+
+
+# Paths.
+
+
+def _break(path: link.Link, how: str) -> None:
+    match how:
+        case "slow":
+            path.delay_s = 0.3
+        case "to":
+            path.hold(link.Way.TO)
+        case "from":
+            path.hold(link.Way.FROM)
+        case "both":
+            path.hold(*link.Way)
+        case "reset":
+            path.takes_new = False
+            path.reset()
+        case "silent":
+            path.silence()
+
+
+PATH_FAULTS = ("slow", "to", "from", "both", "reset", "silent")
+
+
+async def _break_paths(
+    paths: list[link.Link], rng: random.Random, for_s: float
+) -> None:
+    how = rng.choice(PATH_FAULTS)
+    for path in paths:
+        _break(path, how)
+    try:
+        await asyncio.sleep(for_s)
+    finally:
+        for path in paths:
+            path.restore()
+
+
+@FAULTS.register("store-path")
+async def store_path(world: World, rng: random.Random, for_s: float) -> None:
+    """The path of one gateway to the store is broken."""
+    await _store_paths(world, [rng.choice(world.nodes)], rng, for_s)
+
+
+@FAULTS.register("store-paths-of-zone")
+async def store_paths_of_zone(world: World, rng: random.Random, for_s: float) -> None:
+    """The paths of a zone's gateways to the store are broken."""
+    first = rng.randrange(len(worlds.ZONES))
+    nodes = world.nodes[first :: len(worlds.ZONES)]
+    await _store_paths(world, nodes, rng, for_s)
+
+
+async def _store_paths(
+    world: World, nodes: list[str], rng: random.Random, for_s: float
+) -> None:
+    with world.trouble("store-path", *nodes, of="path"):
+        await _break_paths([world.link_by_node[n] for n in nodes], rng, for_s)
+
+
+@FAULTS.register("upstream-path")
+async def upstream_path(world: World, rng: random.Random, for_s: float) -> None:
+    """The paths to one upstream are broken."""
+    await _upstream_paths(world, [rng.choice(world.upstreams)], rng, for_s)
+
+
+@FAULTS.register("upstream-paths-of-zone")
+async def upstream_paths_of_zone(
+    world: World, rng: random.Random, for_s: float
+) -> None:
+    """The paths to a zone's upstreams are broken."""
+    zone = rng.choice(worlds.ZONES)
+    hit = [u for u in world.upstreams if world.zone_by_upstream[u] == zone]
+    await _upstream_paths(world, hit, rng, for_s)
+
+
+async def _upstream_paths(
+    world: World, hit: list[str], rng: random.Random, for_s: float
+) -> None:
+    with world.trouble("upstream-path", *hit, of="path"):
+        await _break_paths([world.link_by_upstream[u] for u in hit], rng, for_s)
+
+
+# The store.
+
+
+@FAULTS.register("store-fails")
+async def store_fails(world: World, rng: random.Random, for_s: float) -> None:
+    """The store is down, busy, slow, silent, or loses answers."""
+    how = rng.choice(("down", "busy", "slow", "silent", "lost", "in vain"))
+    with world.trouble(f"store {how}", ledger.STORE, of="state"):
+        store = world.fleet.store
+        store.trouble = dataclasses.replace(
+            store.trouble,
+            refuse={"down": 503, "busy": 429}.get(how, 0),
+            silent=how == "silent",
+            slow_s=0.8 if how == "slow" else 0.0,
+            lost={
+                "lost": platform_store.Lost.DONE,
+                "in vain": platform_store.Lost.NOT_DONE,
+            }.get(how),
+        )
+        try:
+            await asyncio.sleep(for_s)
+        finally:
+            store.trouble = dataclasses.replace(
+                store.trouble, refuse=0, silent=False, slow_s=0.0, lost=None
+            )
+
+
+@FAULTS.register("store-turns-away")
+async def store_turns_away(world: World, rng: random.Random, for_s: float) -> None:
+    """The store turns some gateways away and serves the others."""
+    nodes = rng.sample(world.nodes, rng.randint(1, len(world.nodes) - 1))
+    status = rng.choice((429, 503))
+    with world.trouble("store-turns-away", *nodes, of="door"):
+        turned_away = world.fleet.store.trouble.refuse_by_ip
+        ips = [world.link_by_node[node].source_ip or "" for node in nodes]
+        turned_away |= dict.fromkeys(ips, status)
+        try:
+            await asyncio.sleep(for_s)
+        finally:
+            for ip in ips:
+                turned_away.pop(ip, None)
+
+
+@FAULTS.register("store-forgets")
+async def store_forgets(world: World, rng: random.Random, for_s: float) -> None:
+    """The store forgets its history, twice."""
+    with world.trouble("store-forgets", ledger.STORE, of="history"):
+        world.fleet.store.forget_history()
+        await asyncio.sleep(min(for_s, 1.0))
+        world.fleet.store.forget_history()
+
+
+# Upstreams.
+
+
+@FAULTS.register("upstream-drains")
+async def upstream_drains(world: World, rng: random.Random, for_s: float) -> None:
+    """An upstream says that it leaves, ends, and starts again under its id."""
+    upstream = rng.choice(world.upstreams)
+    with world.trouble("upstream-drains", upstream, of="life", excuses=False):
+        with world.closed(upstream, "drains", "drainS"):
+            world.list_upstream(upstream, "draining")
+            await asyncio.sleep(LEAVES_AFTER_S)
+            await world.fleet.worker_by_id[upstream].close()
+            world.fleet.store.remove(f"servers/{upstream}")
+            await asyncio.sleep(for_s)
+        await world.restart_upstream(upstream, is_cold=True)
+
+
+@FAULTS.register("upstream-vanishes")
+async def upstream_vanishes(world: World, rng: random.Random, for_s: float) -> None:
+    """An upstream's entry goes, while it serves on; then it is back."""
+    upstream = rng.choice(world.upstreams)
+    with world.trouble("upstream-vanishes", upstream, of="life", excuses=False):
+        with world.closed(upstream, "has no entry", "drainS"):
+            world.fleet.store.remove(f"servers/{upstream}")
+            await asyncio.sleep(LEAVES_AFTER_S + for_s)
+        world.list_upstream(upstream)
+
+
+@FAULTS.register("upstreams-crash")
+async def upstreams_crash(world: World, rng: random.Random, for_s: float) -> None:
+    """Upstreams crash and start again under their ids, cold, some in a loop."""
+    hit = rng.sample(world.upstreams, rng.randint(1, 1 + len(world.upstreams) // 4))
+    with world.trouble("upstreams-crash", *hit, of="life"):
+        for _ in range(rng.randint(1, 2)):
+            for upstream in hit:
+                await world.fleet.worker_by_id[upstream].close()
+            await asyncio.sleep(for_s)
+            for upstream in hit:
+                await world.restart_upstream(upstream, is_cold=True)
+
+
+@FAULTS.register("upstream-address-reused")
+async def address_reused(world: World, rng: random.Random, for_s: float) -> None:
+    """An upstream ends, and its address goes to an upstream of the other service."""
+    gone = rng.choice(world.upstreams_of("core"))
+    heir = rng.choice(world.upstreams_of("side"))
+    with world.trouble("address-reused", gone, heir, of="life", excuses=False):
+        with world.closed(gone, "has ended", "drainS"):
+            await world.fleet.worker_by_id[gone].close()
+            world.fleet.store.remove(f"servers/{gone}")
+            await asyncio.sleep(ADDRESS_REUSE_S)
+            path = world.link_by_upstream[gone]
+            path.target = world.fleet.worker_by_id[heir].address
+            await asyncio.sleep(for_s)
+            path.reset()
+        await world.restart_upstream(gone, is_cold=True)
+
+
+@FAULTS.register("upstreams-treat-badly")
+async def treat_badly(world: World, rng: random.Random, for_s: float) -> None:
+    """Upstreams treat requests badly, with a health that looks good."""
+    hit = rng.sample(world.upstreams, rng.randint(1, 1 + len(world.upstreams) // 3))
+    mode = rng.choice(BAD_MODES)
+    with world.trouble(f"upstreams {mode.value}", *hit, of="mode", excuses=False):
+        for upstream in hit:
+            world.fleet.worker_by_id[upstream].mode = mode
+        try:
+            await asyncio.sleep(for_s)
+        finally:
+            for upstream in hit:
+                world.fleet.worker_by_id[upstream].mode = Mode.GOOD
+
+
+@FAULTS.register("bad-entries")
+async def bad_entries(world: World, rng: random.Random, for_s: float) -> None:
+    """Other writers leave entries that name no upstream to use."""
+    with world.trouble("bad-entries", ledger.STORE, of="entries", excuses=False):
+        keys = [f"servers/odd-{number}" for number in range(3)]
+        for key in keys:
+            world.fleet.store.put(key, rng.choice(BAD_ENTRIES))
+        await asyncio.sleep(for_s)
+        for key in keys:
+            world.fleet.store.remove(key)
+
+
+# The operator and the callers.
+
+
+@FAULTS.register("zone-evacuated")
+async def zone_evacuated(world: World, rng: random.Random, for_s: float) -> None:
+    """A zone is evacuated, longer than the bound, and taken back."""
+    zone = rng.choice(worlds.ZONES)
+    hit = [u for u in world.upstreams if world.zone_by_upstream[u] == zone]
+    with world.trouble("zone-evacuated", zone, of="use", excuses=False):
+        with contextlib.ExitStack() as stack:
+            world.fleet.store.put(f"op/evacuate/{zone}", {})
+            for upstream in hit:
+                closed = world.closed(upstream, "is evacuated", "evacuateS")
+                stack.enter_context(closed)
+            await asyncio.sleep(worlds.BOUNDS["evacuateS"] + for_s)
+        world.fleet.store.remove(f"op/evacuate/{zone}")
+
+
+@FAULTS.register("configuration-changed")
+async def configuration_changed(world: World, rng: random.Random, for_s: float) -> None:
+    """The operator writes new configurations, one or several in a row."""
+    subject = "configuration"
+    with world.trouble("configuration-changed", subject, of="text", excuses=False):
+        for _ in range(rng.randint(1, 3)):
+            world.version += 1
+            world.write_configuration()
+            await asyncio.sleep(for_s / 4)
+
+
+@FAULTS.register("burst")
+async def burst(world: World, rng: random.Random, for_s: float) -> None:
+    """Callers send several times as much."""
+    with world.trouble("burst", "callers", of="load", excuses=False):
+        world.load_factor = rng.uniform(2.0, 4.0)
+        await asyncio.sleep(min(for_s, 4.0))
+        world.load_factor = 1.0
