Mutants that the soak of processes must catch

Change: a mutant may bring steps, which are played on processes of the scratch copy; only the check that it names counts. Callers of one zone hold addresses three times as long, as some do.

--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -186,6 +186,8 @@
         After ``close`` this is a start under the id that it had; it knows nothing
         of before. Only the ledgers go on.
         """
+        if self._server is not None:
+            self._server.close()
         self._server = await asyncio.start_server(self._serve, LOOPBACK, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{LOOPBACK}:{port}"
@@ -362,9 +364,10 @@
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection so that its peer sees a reset and not an end."""
-    no_linger = struct.pack("ii", 1, 0)
-    connection = writer.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    if not writer.transport.is_closing():
+        no_linger = struct.pack("ii", 1, 0)
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
     writer.transport.abort()
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -38,6 +38,18 @@
 kernel.PROPERTIES.get({name!r})()
 """
 
+#: Program that plays steps on processes there; only the one check counts.
+SOAK_PROGRAM = """
+import asyncio, pathlib, sys, loguru
+sys.path.append("platform")
+loguru.logger.remove()
+from tools.soak_processes import plan, play
+steps = tuple(plan.read(step) for step in {steps!r})
+one = play.Play(plan.Settings(10.0, 1), steps, pathlib.Path("."))
+found = asyncio.run(one.run()).violations
+assert {name!r} not in [name for name, _ in found], found[0]
+"""
+
 
 @dataclasses.dataclass(frozen=True)
 class Mutant:
@@ -45,6 +57,7 @@
     One broken mechanism: replace ``old`` by ``new`` in ``module``.
 
     ``held_by`` names the property that must go red; the machines where it is empty.
+    With ``steps``, played on processes, it names a check of the soak.
     """
 
     name: str
@@ -52,6 +65,7 @@
     old: str
     new: str
     held_by: str = ""
+    steps: tuple[str, ...] = ()
 
 
 MUTANTS = (
@@ -184,6 +198,115 @@
         "\n    def _schedule",
         held_by="a zone that is taken back is in use again at once",
     ),
+    Mutant(
+        "processes: what may run once is sent again after a lost connection",
+        "decisions/retrying",
+        "return call.repeatable and not overload.is_failing(pool)",
+        "return True",
+        held_by="runs at most once",
+        steps=("0.5 5 upstreams-treat-badly 47",),
+    ),
+    Mutant(
+        "processes: a lost answer is taken for not run",
+        "forwarding/race",
+        "self._may_have_run |= end.may_have_run",
+        "self._may_have_run |= False",
+        held_by="not run is true",
+        steps=("0.5 5 upstreams-treat-badly 47",),
+    ),
+    Mutant(
+        "processes: another request's answer is passed on",
+        "../platform/spindlenotch_platform/http_dialect",
+        "return status not in SUCCESS or STAMP in fields",
+        "return True",
+        held_by="own whole answer",
+        steps=("0.5 5 upstreams-treat-badly 34",),
+    ),
+    Mutant(
+        "processes: an upstream that drains is used on",
+        "gateway/source/listing",
+        "is_ready = lease.listed.state is sources.UpstreamState.READY\n            if",
+        "is_ready = True\n            if",
+        held_by="nothing new to upstreams that are closed",
+        steps=("0.5 3 upstream-drains 1", "0.6 3 upstream-drains 2"),
+    ),
+    Mutant(
+        "processes: an upstream without entry is used on",
+        "gateway/source/listing",
+        "                lease.drop_at = now\n",
+        "                lease.drop_at = ids.later(now, 60.0)\n",
+        held_by="nothing new to upstreams that are closed",
+        steps=("0.5 3 upstream-vanishes 1", "0.6 3 upstream-vanishes 2"),
+    ),
+    Mutant(
+        "processes: an evacuated zone is used on",
+        "gateway/source/listing",
+        "if is_ready and now < lease.leave_at:",
+        "if is_ready:",
+        held_by="nothing new to upstreams that are closed",
+        steps=("0.5 3 zone-evacuated 1",),
+    ),
+    Mutant(
+        "processes: a new configuration is not taken in",
+        "gateway/state",
+        "if self.table is not None and configuration.version <= self.version:",
+        "if self.table is not None:",
+        held_by="configuration in force and never back",
+        steps=("0.5 4 configuration-changed 1", "5 4 configuration-changed 2"),
+    ),
+    Mutant(
+        "processes: a gateway goes back to the configuration before",
+        "gateway/state",
+        "            return False\n        self.table = routing",
+        "            return False\n        old = self.table\n"
+        "        if old is not None:\n            import threading\n"
+        "            back = lambda: setattr(self, 'table', old)\n"
+        "            threading.Timer(1.0, back).start()\n"
+        "        self.table = routing",
+        held_by="configuration in force and never back",
+        steps=("0.5 4 configuration-changed 1",),
+    ),
+    Mutant(
+        "processes: a cold upstream is sent to at any pace",
+        "kernel/cold_start",
+        "return now >= self.until or now >= self._next_at",
+        "return True",
+        held_by="cold upstreams get what they bear",
+        steps=("0.5 0.4 upstreams-crash 1", "0.6 4 burst 3"),
+    ),
+    Mutant(
+        "processes: retries know no bound",
+        "../platform/spindlenotch_platform/settings_file",
+        '"extra_reserve": bounds.get("retrySlack"),',
+        '"extra_reserve": "100000",',
+        held_by="retries within the budget",
+        steps=("0.5 6 upstreams-treat-badly 92", "0.6 6 burst 3"),
+    ),
+    Mutant(
+        "processes: probes know no bound",
+        "../platform/spindlenotch_platform/settings_file",
+        "PROBE_SHARE = 0.34",
+        "PROBE_SHARE = 6.0",
+        held_by="probes within their bound",
+        steps=("3 2 bad-entries 1",),
+    ),
+    Mutant(
+        "processes: a request waits for good",
+        "gateway/serving/job_factory",
+        "        timeout_s = min(timeout_s, route.timeout_s)",
+        "        timeout_s = 60.0",
+        held_by="final answers in time",
+        steps=("0.5 6 upstreams-treat-badly 75",),
+    ),
+    Mutant(
+        "processes: a planned stop cuts what is in flight",
+        "gateway/lifecycle",
+        "        listen_s=min(kept_s, stop_limit_s - CLOSING_S),\n"
+        "        end_s=stop_limit_s - MARGIN_S,",
+        "        listen_s=0.0,\n        end_s=0.0,",
+        held_by="a planned stop cuts nothing",
+        steps=("0.5 1 gateway-stopped 1", "0.6 1 gateway-stopped 2"),
+    ),
 )
 
 
@@ -199,7 +322,7 @@
     """Play the machines, or check a property, on a mutated copy of the tree."""
     with tempfile.TemporaryDirectory() as scratch:
         copy = pathlib.Path(scratch)
-        for tree in ("spindlenotch", "features", "platform"):
+        for tree in ("spindlenotch", "features", "platform", "standins", "tools"):
             shutil.copytree(tree, copy / tree)
         path = copy / "spindlenotch" / f"{mutant.module}.py"
         text = path.read_text()
@@ -207,7 +330,9 @@
             return Trial(True, "the text to replace is not there exactly once")
         path.write_text(text.replace(mutant.old, mutant.new))
         program = PLAY_PROGRAM.format(plays=PLAYS, steps=STEPS)
-        if mutant.held_by:
+        if mutant.steps:
+            program = SOAK_PROGRAM.format(steps=mutant.steps, name=mutant.held_by)
+        elif mutant.held_by:
             program = PROPERTY_PROGRAM.format(name=mutant.held_by)
         return await play(copy, program)
 
--- a/tools/soak_processes/callers.py
+++ b/tools/soak_processes/callers.py
@@ -18,6 +18,8 @@
 
 #: How often a zone's callers ask a directory, in seconds: the time that answers hold.
 ASK_EVERY_S = 1.0
+#: How many times as long the callers of the last zone hold an answer.
+HELD_LONG = 3.0
 #: How many gateways are asked at most, and how long each may take, in seconds.
 MOST_ASKED, ASK_LIMIT_S = 3, 1.0
 #: How long a connection may take to come up, in seconds.
@@ -65,7 +67,8 @@
                 if found:
                     self.nodes_by_zone[zone] = found
                     break
-            await asyncio.sleep(ASK_EVERY_S)
+            holds = HELD_LONG if zone == worlds.ZONES[-1] else 1.0
+            await asyncio.sleep(ASK_EVERY_S * holds)
 
     async def _resolve(self, node: str, zone: str) -> list[str]:
         fleet = self.world.fleet
--- a/tools/soak_processes/checks.py
+++ b/tools/soak_processes/checks.py
@@ -29,6 +29,8 @@
 TELLING_ANSWERS = 50
 RECOVERY_S = 15.0
 MISSING = 404
+#: Ways of upstreams that give whole answers.
+WHOLE_MODES = (platform_worker.Mode.GOOD, platform_worker.Mode.SLOW)
 
 
 def violations(ledger: Ledger) -> list[tuple[str, str]]:
@@ -262,7 +264,7 @@
         if request.node not in stop.subjects or not runs:
             continue
         # Upstreams that break off themselves leave nothing to pass on.
-        if any(run.mode is not platform_worker.Mode.GOOD for _, run in runs):
+        if any(run.mode not in WHOLE_MODES for _, run in runs):
             continue
         if not stop.began_at < until < stop.began_at + worlds.GRACE_S:
             continue
--- a/tools/soak_processes/faults.py
+++ b/tools/soak_processes/faults.py
@@ -299,7 +299,8 @@
 @FAULTS.register("upstreams-treat-badly")
 async def treat_badly(world: World, rng: random.Random, for_s: float) -> None:
     """Upstreams treat requests badly, with a health that looks good."""
-    hit = rng.sample(world.upstreams, rng.randint(1, 1 + len(world.upstreams) // 3))
+    most = len(world.upstreams)
+    hit = rng.sample(world.upstreams, rng.choice((1, 2, most // 3, most)))
     mode = rng.choice(BAD_MODES)
     with world.trouble(f"upstreams {mode.value}", *hit, of="mode", excuses=False):
         for upstream in hit:
--- a/tools/soak_processes/versions.py
+++ b/tools/soak_processes/versions.py
@@ -43,7 +43,7 @@
     if is_bad:
         world.fleet.fault_by_version[version] = rng.choice(BAD_VERSIONS)
     kind = "bad version" if is_bad else "good version"
-    with world.trouble(kind, *old, of="life", excuses=False):
+    with world.trouble(kind, "core", of="version", excuses=False):
         new = [f"{upstream}-{version}" for upstream in old]
         for upstream, beside in zip(new, old, strict=True):
             zone = world.zone_by_upstream[beside]
