--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -272,7 +272,12 @@
         "return now >= self.until or now >= self._next_at",
         "return True",
         held_by="cold upstreams get what they bear",
-        steps=("0.5 0.4 upstreams-crash 1", "0.6 4 burst 3"),
+        steps=(
+            "0.1 6 upstream-paths-of-zone 9",
+            "0.2 6 upstream-paths-of-zone 5",
+            "0.5 0.4 upstreams-crash 32",
+            "0.6 4 burst 0",
+        ),
     ),
     Mutant(
         "processes: retries know no bound",
@@ -300,12 +305,11 @@
     ),
     Mutant(
         "processes: a planned stop cuts what is in flight",
-        "gateway/lifecycle",
-        "        listen_s=min(kept_s, stop_limit_s - CLOSING_S),\n"
-        "        end_s=stop_limit_s - MARGIN_S,",
-        "        listen_s=0.0,\n        end_s=0.0,",
+        "gateway/gateway",
+        "        self.state.leave()\n        self.membership.announce()\n",
+        "        import os\n        os._exit(0)\n",
         held_by="a planned stop cuts nothing",
-        steps=("0.5 1 gateway-stopped 1", "0.6 1 gateway-stopped 2"),
+        steps=("0.1 6 upstreams-treat-badly 132", "1 1 gateway-stopped 2"),
     ),
 )
 
