--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 PY := .venv/bin/python
 
-.PHONY: demo test format docs soak mutants days experiment measure-path measure-capacity clean
+.PHONY: demo test format docs soak soak-processes mutants days experiment measure-path measure-capacity clean
 
 .venv/ready: requirements.txt
 	$(PYTHON) -m venv .venv
@@ -24,6 +24,11 @@
 soak: .venv/ready
 	$(PY) -m tools.soak $(SECONDS)
 
+# Play faults from outside on real gateways: make soak-processes SECONDS=60 SEED=7
+SEED ?=
+soak-processes: .venv/ready
+	$(PY) -m tools.soak_processes --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
+
 # Break each mechanism in a scratch copy; the machines must go red.
 mutants: .venv/ready
 	$(PY) -m tools.mutants
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,14 @@
+Feature: The soak of processes: real gateways under faults from outside
+
+  Scenario: A seed always gives the same plan, and its written form the same steps
+    Then seed 7 gives the same steps again, also from their text
+
+  Scenario: A short play of one seed is clean
+    When the plan of seed 4 is played for 6 seconds
+    Then the play has no violation
+    And it left a page with a plot and the log of each gateway
+    And nothing that it started still runs
+
+  Scenario: A play that is interrupted ends what it started
+    When a play is interrupted while its gateways run
+    Then nothing that it started still runs
--- /dev/null
+++ b/features/steps/soak.py
@@ -0,0 +1,95 @@
+"""Steps of the soak of processes."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import typing
+
+import behave
+
+from tools.soak_processes import faults, plan as plans, play, summary, versions
+
+#: Loaded for the fault that it registers.
+assert versions.version_ordered in faults.FAULTS.factory_by_name.values()
+#: Longest time until a play that is interrupted has ended, in seconds.
+ENDS_WITHIN_S = 15.0
+
+
+def drawn(seed: int, seconds: float) -> tuple[plans.Settings, tuple[plans.Step, ...]]:
+    """Return the settings and the steps of a seed."""
+    settings = plans.Settings(seconds, seed, gateways=4, upstreams=9, rate=40.0)
+    names = [name for name in faults.FAULTS.names() if name != "version-ordered"]
+    return settings, plans.draw(settings, names)
+
+
+@behave.then("seed {seed:d} gives the same steps again, also from their text")
+def same_steps(context: typing.Any, seed: int) -> None:
+    _, steps = drawn(seed, 30.0)
+    assert drawn(seed, 30.0)[1] == steps
+    assert tuple(plans.read(str(step)) for step in steps) == steps
+
+
+@behave.when("the plan of seed {seed:d} is played for {seconds:d} seconds")
+def played(context: typing.Any, seed: int, seconds: int) -> None:
+    context.folder = tempfile.TemporaryDirectory()
+    folder = pathlib.Path(context.folder.name)
+    settings, steps = drawn(seed, seconds)
+    one = play.Play(settings, steps, folder)
+    context.outcome = context.runner.run(one.run())
+    summary.write(folder, settings, context.outcome)
+    context.pids = [p.pid for p in one.world.fleet.process_by_node.values()]
+
+
+@behave.then("the play has no violation")
+def clean(context: typing.Any) -> None:
+    assert not context.outcome.violations, context.outcome.violations
+
+
+@behave.then("it left a page with a plot and the log of each gateway")
+def left_page(context: typing.Any) -> None:
+    folder = pathlib.Path(context.folder.name)
+    assert "timeline.svg" in (folder / "summary.md").read_text()
+    assert (folder / "timeline.svg").read_text().startswith("<svg ")
+    assert len(list(folder.glob("node-*.log"))) == 4
+    context.folder.cleanup()
+
+
+@behave.when("a play is interrupted while its gateways run")
+def interrupted(context: typing.Any) -> None:
+    async def interrupt() -> None:
+        command = [sys.executable, "-m", "tools.soak_processes", "--seed", "4"]
+        with tempfile.TemporaryDirectory() as folder:
+            process = await asyncio.create_subprocess_exec(
+                *command,
+                f"--out={folder}",
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            # It writes its first line when the traffic begins.
+            assert process.stderr is not None
+            await process.stderr.readline()
+            context.pids = _children(process.pid)
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(ENDS_WITHIN_S):
+                await process.communicate()
+
+    context.runner.run(interrupt())
+    assert context.pids
+
+
+def _children(pid: int) -> list[int]:
+    text = pathlib.Path(f"/proc/{pid}/task/{pid}/children").read_text()
+    return [int(child) for child in text.split()]
+
+
+@behave.then("nothing that it started still runs")
+def nothing_runs(context: typing.Any) -> None:
+    for pid in context.pids:
+        try:
+            os.kill(pid, 0)
+        except ProcessLookupError:
+            continue
+        raise AssertionError(f"process {pid} still runs")
--- a/tools/soak_processes/__main__.py
+++ b/tools/soak_processes/__main__.py
@@ -29,6 +29,8 @@
 RATE = cyclopts.Parameter(validator=validators.Number(gt=0, lte=200))
 #: Where plays leave their pages and logs, a folder for each.
 OUT = pathlib.Path("target/soak")
+#: Exit code of a play that was broken off, as shells have it for an interrupt.
+INTERRUPTED = 130
 
 
 @app.default
@@ -92,7 +94,11 @@
         loguru.logger.add(lambda message: _write(sys.stderr, message))
     one = play.Play(settings, steps, folder)
     with _progress(steps), asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        outcome = runner.run(_until_signal(one))
+        try:
+            outcome = runner.run(_until_signal(one))
+        except (asyncio.CancelledError, KeyboardInterrupt):
+            print("interrupted; everything that was started has ended")
+            return INTERRUPTED
     summary.write(folder, settings, outcome)
     for name, line in outcome.violations:
         print(f"VIOLATION {name}: {line}")
--- a/tools/soak_processes/play.py
+++ b/tools/soak_processes/play.py
@@ -77,6 +77,7 @@
         await self.world.start()
         ledger = self.world.ledger
         ledger.began_at = time.monotonic()
+        loguru.logger.info("all gateways are ready; traffic begins")
         callers = all_callers.Callers(self.world)
         async with beside(callers.run()), beside(self._watch_lag()):
             await asyncio.gather(*(self._carry_out(step) for step in self.steps))
