--- a/tools/soak_processes/world.py
+++ b/tools/soak_processes/world.py
@@ -28,7 +28,7 @@
 #: Requests that an upstream takes at once before it turns further ones away.
 MOST_AT_ONCE = 7
 #: Requests a second that a cold upstream bears, and how long it is cold.
-COLD_PER_S, COLD_S = 5.0, 3.0
+COLD_PER_S, COLD_S = 2.0, 3.0
 #: Bounds in the settings of the gateways. The reserve of retries is small, so that
 #: the sum over all gateways can break its bound.
 BOUNDS = {
