--- a/tools/soak_processes/callers.py
+++ b/tools/soak_processes/callers.py
@@ -72,7 +72,8 @@
 
     async def _resolve(self, node: str, zone: str) -> list[str]:
         fleet = self.world.fleet
-        query = f"/resolve?name={platform_fleet.HOST}&region=r&zone={zone}"
+        region = fleet.region_by_zone.get(zone, "r")
+        query = f"/resolve?name={platform_fleet.HOST}&region={region}&zone={zone}"
         limit = aiohttp.ClientTimeout(total=ASK_LIMIT_S)
         node_by_ip = {ip: node for node, ip in fleet.ip_by_node.items()}
         try:
--- a/tools/soak_processes/checks.py
+++ b/tools/soak_processes/checks.py
@@ -91,10 +91,11 @@
 @CHECKS.register("only in allowed regions")
 def allowed_regions(ledger: Ledger) -> abc.Iterator[str]:
     """A route that names regions is served in no other."""
+    region_of = ledger.region_by_name
     for at, upstream, request in ledger.arrivals:
-        region = ledger.region_by_upstream[upstream]
-        if request.route.regions and region not in request.route.regions:
-            yield f"{request}; came to {upstream} in {region} at {at:.3f}"
+        allowed = request.route.regions
+        if allowed and not {region_of[upstream], region_of[request.node]} <= allowed:
+            yield f"{request}; came to {upstream} at {at:.3f}"
 
 
 @CHECKS.register("nothing new to upstreams that are closed")
--- a/tools/soak_processes/ledger.py
+++ b/tools/soak_processes/ledger.py
@@ -129,7 +129,8 @@
         default_factory=list
     )
     service_by_upstream: dict[str, str] = dataclasses.field(default_factory=dict)
-    region_by_upstream: dict[str, str] = dataclasses.field(default_factory=dict)
+    #: Of gateways and upstreams.
+    region_by_name: dict[str, str] = dataclasses.field(default_factory=dict)
     began_at: float = dataclasses.field(default_factory=time.monotonic)
     ended_at: float = 0.0
     #: When most requests were served again after the last fault; None: not in time.
--- a/tools/soak_processes/world.py
+++ b/tools/soak_processes/world.py
@@ -103,6 +103,7 @@
             service = SERVICES[number % SIDE_EVERY == SIDE_EVERY - 1]
             await self.add_upstream(upstream, service, ZONES[number % len(ZONES)])
         for number, node in enumerate(self.nodes):
+            self.ledger.region_by_name[node] = REGIONS[ZONES[number % len(ZONES)]]
             path = link.Link(self.fleet.store.address, f"127.0.1.{number + 1}")
             await path.start()
             self.link_by_node[node] = path
@@ -186,7 +187,7 @@
         self.fleet.worker_by_id[upstream] = worker
         self.ledger.workers.append(worker)
         self.ledger.service_by_upstream[upstream] = service
-        self.ledger.region_by_upstream[upstream] = REGIONS[zone]
+        self.ledger.region_by_name[upstream] = REGIONS[zone]
         self.zone_by_upstream[upstream] = zone
         await worker.start()
         worker.born = _unix_ms()
