--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -103,6 +103,22 @@
     )
 
 
+def regional_message() -> messages.Message:
+    """Return a gossip message as it goes between regions."""
+    gateway = messages.RegionGateway(
+        ids.Address("192.0.2.7:80"), ids.Address("192.0.2.7:8081")
+    )
+    summary = messages.RegionSummary(
+        region=ids.RegionName("north"),
+        gateways=(gateway,),
+        member_count=12,
+        demand=workload.Work(90.0, 7000.0),
+        services=(messages.ServiceUse(ids.ServiceName("svc"), 0.5),),
+        age_s=0.25,
+    )
+    return msgspec.structs.replace(added_message(), regions=(summary,))
+
+
 def added_message() -> messages.Message:
     """Return a message with what the first record does not hold."""
     (load,) = message().loads
@@ -110,6 +126,13 @@
     return msgspec.structs.replace(message(), loads=(added,))
 
 
+def added_later_message() -> messages.Message:
+    """Return a message with what came after that."""
+    (load,) = message().loads
+    added = msgspec.structs.replace(load, born=1_700_000_000_002)
+    return msgspec.structs.replace(message(), loads=(added,))
+
+
 def frame(kind: documents.DocumentKind, body: bytes) -> messages.DocumentFrame:
     """Return a document frame."""
     return messages.DocumentFrame(
--- a/spindlenotch/gateway/cluster/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -97,9 +97,10 @@
         key = self._inputs()
         if key != self._target_key:
             self._target_key = key
-            self._target_by_id = self._targets()
-            for gone in set(self.task_by_id) - set(self._target_by_id):
-                self.task_by_id.pop(gone).cancel()
+            before, self._target_by_id = self._target_by_id, self._targets()
+            for upstream_id in list(self.task_by_id):
+                if _is_other(before[upstream_id], self._target_by_id.get(upstream_id)):
+                    self.task_by_id.pop(upstream_id).cancel()
         for upstream_id, target in self._target_by_id.items():
             task = self.task_by_id.get(upstream_id)
             if task is None or task.done():
@@ -128,6 +129,7 @@
             Target(name, service_balancer.pool, upstream)
             for name, service_balancer in self.state.balancer_by_service.items()
             for upstream in service_balancer.pool.usable_order
+            if not self.state.is_far(upstream.spec.zone)
         ]
         specs = [target.upstream.spec for target in usable]
         probers_by_zone = duties.probers(standby_by_zone, specs)
@@ -168,3 +170,12 @@
                 told = with_coldness(report, target.pool.service)
                 target.pool.reported(target.upstream, told, now)
             await asyncio.sleep(jitter.jittered(period_s, rng))
+
+
+def _is_other(before: Target, now: Target | None) -> bool:
+    """
+    Tell whether an upstream is no longer to be probed as it was before.
+
+    One that has started again is another: what it answers is not of the earlier one.
+    """
+    return now is None or now.upstream is not before.upstream
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -12,6 +12,44 @@
 Rule = decision_rules.Rule
 
 RULES = (
+    Rule(
+        question="When a request leaves its region",
+        functions=(
+            "decisions/overflow.may_leave_region",
+            "decisions/overflow.candidates",
+            "decisions/overflow.leave_region_at",
+        ),
+        inputs="arrival (instant), how long it may wait (instant), bytes of the request"
+        " and mean bytes of the route's answers, whether the own region has an upstream"
+        " that may take it, share of their slots that upstreams of each region have in"
+        " use, regions in which the route may be served.",
+        reason="It waits in its region for as long as the way costs, so that it costs"
+        " at most twice what the better of the two would have; an answer from afar is"
+        " better than a refusal. A region above the limit keeps its last slots for its"
+        " own calls. No try leaves the regions of the route.",
+        constants=(
+            "decisions/overflow.COMPARED",
+            "decisions/overflow.MOST_USED",
+            "decisions/overflow.WAY_S",
+            "decisions/overflow.WAY_S_PER_BYTE",
+            "decisions/overflow.MOST_WAIT_SHARE",
+            "gateway/serving/body_traffic.SIZE_WEIGHT",
+            "gateway/serving/body_traffic.LARGE_ANSWER_BYTES",
+        ),
+        events=("REGION_NOT_ALLOWED",),
+        tests=(
+            Scenario(
+                "regions", "in calm all but a few in a thousand stay in their region"
+            ),
+            Scenario(
+                "regions", "a region that is overrun uses what others have to spare"
+            ),
+            Scenario("regions", "regions that are all overrun keep to themselves"),
+            Scenario(
+                "regions", "no try of a call leaves the regions in which it may run"
+            ),
+        ),
+    ),
     Rule(
         question="Which upstream takes a request (gateway)",
         functions=(
@@ -259,22 +297,34 @@
             "kernel/budgets.SlidingShareBudget.available",
             "kernel/budgets.ShareBudget.available",
             "kernel/extra_budgets.SharedWindow",
+            "gateway/service_defaults.extra_reserve",
+            "gateway/cluster/fleet_size.FleetSize.update",
             "kernel/extra_budgets.SeparateShares",
         ),
-        inputs="own first sends and extra sends in the window, share, reserve; settings"
-        " `extra_share`, `extra_reserve`, `extra_window_s`.",
+        inputs="own first sends and extra sends in the window, share, reserve, largest"
+        " number of gateways seen in the last minute; settings `extra_share`,"
+        " `extra_reserve`, `extra_window_s`.",
         reason="The gateway has one budget for both in a sliding window, whose sum over"
-        " the fleet holds whatever each gateway assumes; the entry daemon has two"
-        " shares of its traffic, named by the bundle.",
+        " the fleet holds whatever each gateway assumes. The reserve is divided by"
+        " twice the size of the fleet seen lately, so that a process that is started"
+        " anew has a part of its own; what was earned is used within a second or mostly"
+        " lost, so that gateways that follow on each other don't use twice what the"
+        " same requests earned. The entry daemon has two shares of its traffic, named"
+        " by the bundle.",
         constants=(
             "gateway/service_defaults.EXTRA_MARGIN",
-            "gateway/service_defaults.RESERVE_PARTS",
+            "gateway/service_defaults.RESERVE_PARTS_EACH",
+            "gateway/service_defaults.LEAST_RESERVE_PARTS",
+            "gateway/service_defaults.UNKNOWN_FLEET",
+            "gateway/cluster/fleet_size.MEMORY_S",
+            "kernel/budgets.SAVED_SHARE_OF_WINDOW",
             "kernel/budgets.MOST_SAVED",
             "kernel/budgets.INITIAL_RESERVE",
         ),
         events=("REQUEST_SENT_AGAIN",),
         tests=(
             Scenario("gateway", "the fleet's extra sends keep to share and reserve"),
+            Scenario("gateway", "a fleet's retries keep to what all may send together"),
             Scenario("kernel", "extra sends stay within their share"),
         ),
     ),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -12,6 +12,7 @@
 import shutil
 import sys
 import tempfile
+from collections import abc
 
 #: Plays of each machine against a mutant, and steps of a play. Chosen, not
 #: measured.
@@ -34,7 +35,9 @@
 import sys, loguru
 sys.path.append("platform")
 loguru.logger.remove()
-from features.steps import gateway_cold, gateway_evacuation, kernel
+from features.steps import gateway_allowed, gateway_bad_entries, gateway_budget
+from features.steps import gateway_cold, gateway_directory, gateway_evacuation
+from features.steps import gateway_overflow, gateway_reborn, gateway_regions, kernel
 kernel.PROPERTIES.get({name!r})()
 """
 
@@ -187,10 +190,73 @@
     Mutant(
         "who learns of an upstream in an evacuated zone uses it",
         "gateway/source/listing",
-        "leave_at = now if listed.zone in self.evacuated_zones else ids.NEVER",
-        "leave_at = ids.NEVER",
+        "found.leave_at == ids.NEVER and listed.zone in self.evacuated_zones",
+        "False",
         held_by="who starts while a zone is evacuated never uses it",
     ),
+    Mutant(
+        "a start again is taken for the earlier start",
+        "gateway/source/listing",
+        "if lease is not None and not lease.is_same_start(upstream):",
+        "if False:",
+        held_by="an upstream that starts again begins with nothing known",
+    ),
+    Mutant(
+        "an earlier start that fails has the later one ejected",
+        "kernel/upstream_set",
+        "        known.end()\n",
+        "",
+        held_by="what ran on an earlier start is judged by that alone",
+    ),
+    Mutant(
+        "one that starts again counts as warm",
+        "kernel/upstream_set",
+        "            upstream.cold.was_away_since(now, now)\n",
+        "",
+        held_by="an upstream that starts again is cold",
+    ),
+    Mutant(
+        "a late load record of an earlier start counts",
+        "gateway/cluster/load_sharing",
+        "        return at >= upstream.known_since\n    return False",
+        "        return at >= upstream.known_since\n    return True",
+        held_by="what peers report of another start is not taken in",
+    ),
+    Mutant(
+        "probes of an earlier start go on",
+        "gateway/cluster/prober",
+        "return now is None or now.upstream is not before.upstream",
+        "return now is None",
+        held_by="probes of an earlier start end with it",
+    ),
+    Mutant(
+        "older changes bring back an earlier start",
+        "gateway/state",
+        "if changes.revision < self.listing.revision:",
+        "if False:",
+        held_by="an earlier start of an upstream never comes back",
+    ),
+    Mutant(
+        "a peer that tells no start makes every upstream another",
+        "gateway/source/leases",
+        "    if lease is None or listed.born is not None:",
+        "    if True:",
+        held_by="a peer that leaves out starts makes no upstream another",
+    ),
+    Mutant(
+        "an entry of another writer leaves the earlier lease in place",
+        "gateway/state",
+        "is_dropped = self.listing.discard(changes.unusable)",
+        "is_dropped = False",
+        held_by="an entry of another writer takes its upstream out of use",
+    ),
+    Mutant(
+        "an entry of another writer has the grace after outages",
+        "gateway/state",
+        "            self.listing.discard(snapshot.unusable)\n",
+        "",
+        held_by="an entry of another writer has no grace after an outage",
+    ),
     Mutant(
         "a zone that is taken back stays empty",
         "gateway/source/listing",
@@ -199,125 +265,116 @@
         held_by="a zone that is taken back is in use again at once",
     ),
     Mutant(
-        "processes: what may run once is sent again after a lost connection",
-        "decisions/retrying",
-        "return call.repeatable and not overload.is_failing(pool)",
-        "return True",
-        held_by="runs at most once",
-        steps=("0.5 5 upstreams-treat-badly 47",),
+        "the reserve of retries is not divided by the size of the fleet",
+        "gateway/service_defaults",
+        "max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * largest)",
+        "LEAST_RESERVE_PARTS",
+        "a fleet's retries keep to what all may send together",
     ),
     Mutant(
-        "processes: a lost answer is taken for not run",
-        "forwarding/race",
-        "self._may_have_run |= end.may_have_run",
-        "self._may_have_run |= False",
-        held_by="not run is true",
-        steps=("0.5 5 upstreams-treat-badly 47",),
+        "a process that starts anew has the reserve of the one before it",
+        "gateway/service_defaults",
+        "RESERVE_PARTS_EACH * largest",
+        "largest",
+        "a fleet's retries keep to what all may send together",
     ),
     Mutant(
-        "processes: another request's answer is passed on",
-        "../platform/spindlenotch_platform/http_dialect",
-        "return status not in SUCCESS or STAMP in fields",
-        "return True",
-        held_by="own whole answer",
-        steps=("0.5 5 upstreams-treat-badly 34",),
+        "a gateway without others in view takes itself for a small fleet",
+        "gateway/service_defaults",
+        "UNKNOWN_FLEET if size.is_alone else size.largest",
+        "size.largest",
+        "a fleet's retries keep to what all may send together",
     ),
     Mutant(
-        "processes: who has taken over an upstream's address runs its requests",
-        "../platform/spindlenotch_platform/http_dialect",
-        'EXPECT_INSTANCE = "X-Spindlenotch-Expect-Instance"',
-        'EXPECT_INSTANCE = "X-Spindlenotch-Nobody"',
-        held_by="unchanged, to its own service",
-        steps=("0.2 6 store-fails 0", "0.5 5 upstream-address-reused 1"),
+        "retries that were earned are kept for later",
+        "kernel/budgets",
+        "rest = math.exp(",
+        "rest = 1.0 + 0.0 * math.exp(",
+        "a fleet's retries keep to what all may send together",
     ),
     Mutant(
-        "processes: an upstream that drains is used on",
-        "gateway/source/listing",
-        "is_ready = lease.listed.state is sources.UpstreamState.READY\n            if",
-        "is_ready = True\n            if",
-        held_by="nothing new to upstreams that are closed",
-        steps=("0.5 3 upstream-drains 1", "0.6 3 upstream-drains 2"),
+        "a low rate of requests earns nothing",
+        "kernel/budgets",
+        "return max(0.0, 1.0 - self.reserve)",
+        "return 0.0",
+        "a low rate of requests still earns a retry",
     ),
     Mutant(
-        "processes: an upstream without entry is used on",
-        "gateway/source/listing",
-        "                lease.drop_at = now\n",
-        "                lease.drop_at = ids.later(now, 60.0)\n",
-        held_by="nothing new to upstreams that are closed",
-        steps=("0.5 3 upstream-vanishes 1", "0.6 3 upstream-vanishes 2"),
+        "the size of the fleet is what is in view",
+        "gateway/cluster/fleet_size",
+        "return self._sightings[0].count if self._sightings else self.seen",
+        "return self.seen",
+        "the size of the fleet is the largest of the last minute",
     ),
     Mutant(
-        "processes: an evacuated zone is used on",
-        "gateway/source/listing",
-        "if is_ready and now < lease.leave_at:",
-        "if is_ready:",
-        held_by="nothing new to upstreams that are closed",
-        steps=("0.5 3 zone-evacuated 1",),
+        "callers are told of gateways that are suspected",
+        "gateway/cluster/fleet",
+        "if not peer.missed and not peer.suspected",
+        "if True",
+        "callers are not told of a gateway that died",
     ),
     Mutant(
-        "processes: a new configuration is not taken in",
-        "gateway/state",
-        "if self.table is not None and configuration.version <= self.version:",
-        "if self.table is not None:",
-        held_by="configuration in force and never back",
-        steps=("0.5 4 configuration-changed 1", "5 4 configuration-changed 2"),
+        "a route is served in any region",
+        "gateway/source/region_rules",
+        "region != regions.UNNAMED and region in route.allowed_regions",
+        "True",
+        "elsewhere its requests are refused at once, and never run",
     ),
     Mutant(
-        "processes: a gateway goes back to the configuration before",
-        "gateway/state",
-        "            return False\n        self.table = routing",
-        "            return False\n        old = self.table\n"
-        "        if old is not None:\n            import threading\n"
-        "            back = lambda: setattr(self, 'table', old)\n"
-        "            threading.Timer(1.0, back).start()\n"
-        "        self.table = routing",
-        held_by="configuration in force and never back",
-        steps=("0.5 4 configuration-changed 1",),
+        "a call leaves the regions of its route",
+        "decisions/overflow",
+        "pool.region_of(u) in open_regions and pool.allows(call, u)",
+        "pool.region_of(u) in open_regions",
+        "no try of a call leaves the regions in which it may run",
     ),
     Mutant(
-        "processes: a cold upstream is sent to at any pace",
-        "kernel/cold_start",
-        "return now >= self.until or now >= self._next_at",
+        "calls wait though their regions have no upstream left",
+        "kernel/upstream_set",
+        "return allowed is None or self.region_of(upstream) in allowed",
         "return True",
-        held_by="cold upstreams get what they bear",
-        steps=(
-            "0.1 0.3 upstream-drains 3",
-            "2.5 5 upstream-paths 36",
-            "2.6 5 upstream-paths 20",
-            "3.6 4 burst 2",
-        ),
-    ),
-    Mutant(
-        "processes: retries know no bound",
-        "../platform/spindlenotch_platform/settings_file",
-        '"extra_reserve": bounds.get("retrySlack"),',
-        '"extra_reserve": "100000",',
-        held_by="retries within the budget",
-        steps=("0.5 6 upstreams-treat-badly 92", "0.6 6 burst 3"),
-    ),
-    Mutant(
-        "processes: probes know no bound",
-        "../platform/spindlenotch_platform/settings_file",
-        "PROBE_SHARE = 0.34",
-        "PROBE_SHARE = 6.0",
-        held_by="probes within their bound",
-        steps=("3 2 bad-entries 1",),
-    ),
-    Mutant(
-        "processes: a request waits for good",
-        "gateway/serving/job_factory",
-        "        timeout_s = min(timeout_s, route.timeout_s)",
-        "        timeout_s = 60.0",
-        held_by="final answers in time",
-        steps=("0.5 6 upstreams-treat-badly 75",),
-    ),
-    Mutant(
-        "processes: a planned stop cuts what is in flight",
-        "gateway/gateway",
-        "        self.state.leave()\n        self.membership.announce()\n",
-        "        import os\n        os._exit(0)\n",
-        held_by="a planned stop cuts nothing",
-        steps=("0.1 6 upstreams-treat-badly 132", "1 1 gateway-stopped 2"),
+        "calls that wait are refused once their regions have none",
+    ),
+    Mutant(
+        "full regions get the calls of others",
+        "decisions/overflow",
+        "if used <= MOST_USED",
+        "if used <= MOST_USED + 9",
+        "regions that are all overrun keep to themselves",
+    ),
+    Mutant(
+        "a summary grows younger on its way",
+        "peers/region_links",
+        "now - max(0.0, summary.age_s)",
+        "now - 0.5 * max(0.0, summary.age_s)",
+        "regions that lose each other go on, and meet again",
+    ),
+    Mutant(
+        "members of other regions become peers",
+        "peers/regional_gossip",
+        "if self.links.is_far(message.sender.zone):",
+        "if False:",
+        "a gateway's peers are those of its region, all of them",
+    ),
+    Mutant(
+        "a lost region's callers are not expected",
+        "gateway/cluster/moved_demand",
+        "needed = _sum([own, _part(_sum(moved), parts)])",
+        "needed = own",
+        "what a lost region was asked is expected by the others",
+    ),
+    Mutant(
+        "gateways send to cold upstreams of other regions",
+        "kernel/upstream_set",
+        "() if self.is_far(upstream) else self.cold_senders",
+        "self.cold_senders",
+        "nobody of another region sends to a cold upstream",
+    ),
+    Mutant(
+        "documents are fetched from other regions all the time",
+        "gateway/source/relay",
+        "if not self.state.is_far(sender.zone) or self._lacks_reader(now):",
+        "if True:",
+        "documents of other regions count while no reader is heard",
     ),
 )
 
@@ -373,10 +430,12 @@
     return Trial(child.returncode == 0, lines[-1] if lines else "")
 
 
-async def main() -> int:
+async def main(
+    mutants: abc.Iterable[Mutant] = MUTANTS, side_by_side: int = SIDE_BY_SIDE
+) -> int:
     """Try all mutants, or those whose name holds a given word."""
-    chosen = [m for m in MUTANTS if not sys.argv[1:] or sys.argv[1] in m.name]
-    limit = asyncio.Semaphore(SIDE_BY_SIDE)
+    chosen = [m for m in mutants if not sys.argv[1:] or sys.argv[1] in m.name]
+    limit = asyncio.Semaphore(side_by_side)
 
     async def report(mutant: Mutant) -> bool:
         async with limit:
