--- a/tools/soak_processes/checks.py
+++ b/tools/soak_processes/checks.py
@@ -182,15 +182,14 @@
     for order in ledger.orders:
         if not order.is_bad:
             continue
-        new = [w for w in ledger.workers if w.version == order.version]
-        ids = {worker.id for worker in new}
+        new = [w for w in ledger.workers if w.id in order.upstreams]
         there = [
             a
             for a in ledger.arrivals
-            if order.ordered_at < a.at < order.ended_at
+            if order.ordered_at < a.at < order.due_at
             and ledger.service_by_upstream[a.upstream] == order.service
         ]
-        at_new = [a for a in there if a.upstream in ids]
+        at_new = [a for a in there if a.upstream in order.upstreams]
         bounds = worlds.BOUNDS
         most = bounds["exposureShare"] * len(there) + bounds["exposureSlack"]
         if len(at_new) > most:
--- a/tools/soak_processes/ledger.py
+++ b/tools/soak_processes/ledger.py
@@ -15,6 +15,8 @@
 #: Subject of what concerns every process of the play.
 ALL = "*"
 STORE = "store"
+#: Kind of the trouble of who gets too little of a busy machine.
+STARVED = "starved"
 #: Statuses that promise that a request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -96,13 +98,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Order:
-    """An order for a version that is bad, and what the operator read of it."""
+    """
+    An order for a version, and what the operator read of it.
+
+    ``upstreams`` are those that were started for it, beside the old ones.
+    """
 
     service: str
     version: str
     is_bad: bool
+    upstreams: frozenset[str]
     ordered_at: float
-    ended_at: float = float("inf")
+    due_at: float
     state: str = ""
 
 
--- a/tools/soak_processes/summary.py
+++ b/tools/soak_processes/summary.py
@@ -44,7 +44,8 @@
             height = count[second, name] * scale
             y -= height
             parts.append(_bar(LEFT + second * SECOND, y, SECOND - 1, height, colour))
-    for row, trouble in enumerate(ledger.troubles):
+    shown = [t for t in ledger.troubles if t.kind != ledgers.STARVED]
+    for row, trouble in enumerate(shown):
         y = HEIGHT + (row + 1) * ROW
         since = trouble.began_at - ledger.began_at
         lasted = min(trouble.ended_at, ledger.ended_at) - trouble.began_at
@@ -54,7 +55,7 @@
         name = html.escape(f"{trouble.kind} {' '.join(sorted(trouble.subjects))}"[:60])
         parts.append(f'<text x="2" y="{y + ROW - 4}" font-size="9">{name}</text>')
     width = LEFT + seconds * SECOND
-    height = HEIGHT + (len(ledger.troubles) + 2) * ROW
+    height = HEIGHT + (len(shown) + 2) * ROW
     return (
         f'<svg xmlns="http://www.w3.org/2000/svg" width="{width}" height="{height}">'
         + "\n".join(parts)
@@ -99,7 +100,7 @@
         "",
         "## What was done (seconds from the start)",
         "",
-        *(f"    {_trouble(ledger, trouble)}" for trouble in ledger.troubles),
+        *(f"    {_trouble(ledger, t)}" for t in ledger.troubles),
     ]
     return "\n".join(lines) + "\n"
 
--- a/tools/soak_processes/versions.py
+++ b/tools/soak_processes/versions.py
@@ -15,7 +15,7 @@
 
 Mode = platform_worker.Mode
 #: Time over which an order spreads its move, and what it may take beyond, in seconds.
-RAMP_S, SLACK_S = 5.0, 7.0
+RAMP_S, SLACK_S = 8.0, 6.0
 #: Time for which new upstreams serve on after the order was given up, in seconds.
 NEW_DRAIN_AFTER_S = 3.0
 #: How often the operator reads what is said of an order, in seconds.
@@ -25,7 +25,7 @@
 BAD_VERSIONS = (
     platform_worker.VersionFault(Mode.ERROR),
     platform_worker.VersionFault(Mode.ERROR, share=0.4),
-    platform_worker.VersionFault(Mode.CUT, share=0.5, after_s=3.0),
+    platform_worker.VersionFault(Mode.CUT, share=0.5, after_s=2.0),
     platform_worker.VersionFault(Mode.ERROR, least_running=2),
     platform_worker.VersionFault(Mode.ERROR, prefix="/book/"),
     platform_worker.VersionFault(Mode.SLOW, share=0.6),
@@ -48,13 +48,13 @@
         for upstream, beside in zip(new, old, strict=True):
             zone = world.zone_by_upstream[beside]
             await world.add_upstream(upstream, "core", zone, version)
-        order = ledger.Order("core", version, is_bad, time.monotonic())
+        now = time.monotonic()
+        order = ledger.Order("core", version, is_bad, frozenset(new), now, now + RAMP_S)
         world.ledger.orders.append(order)
         world.fleet.store.order_version("core", version, RAMP_S)
         await _read_state(world, order)
         if order.state == "completed":
             await _replace(world, old, version)
-        order.ended_at = time.monotonic()
         await _drain(world, new)
 
 
