--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -130,7 +130,8 @@
         """Return the caller's session."""
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True)
+                # No limit: callers don't wait for each other's connections.
+                connector=aiohttp.TCPConnector(limit=0, force_close=True)
             )
         return self._session
 
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -338,7 +338,7 @@
             case Mode.LATE_SURPLUS:
                 writer.write(whole)
                 surplus = self._answer("somebody-else", b"late")
-                asyncio.get_running_loop().call_later(0.05, writer.write, surplus)
+                asyncio.get_running_loop().call_later(0.05, _write, writer, surplus)
             case _:
                 writer.write(whole)
         return True
@@ -372,6 +372,11 @@
     writer.transport.abort()
 
 
+def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.transport.is_closing():
+        writer.write(data)
+
+
 def _parse(data: bytes) -> Head:
     first, *lines = data.decode("latin-1").split("\r\n")
     method, target, _ = first.split(" ")
