--- /dev/null
+++ b/tools/soak_processes/mutants.py
@@ -0,0 +1,142 @@
+"""
+Broken mechanisms that a check of the soak of processes must catch.
+
+Each brings the steps that show it. ``python -m tools.soak_processes.mutants`` plays
+all, or those whose name holds a given word; see ``tools.mutants``.
+"""
+
+import asyncio
+import sys
+
+from tools import mutants
+
+#: Played side by side: each starts five gateways.
+SIDE_BY_SIDE = 2
+
+MUTANTS = (
+    mutants.Mutant(
+        "what may run once is sent again after a lost connection",
+        "decisions/retrying",
+        "return call.repeatable and not overload.is_failing(pool)",
+        "return True",
+        held_by="runs at most once",
+        steps=("0.5 5 upstreams-treat-badly 47",),
+    ),
+    mutants.Mutant(
+        "a lost answer is taken for not run",
+        "forwarding/race",
+        "self._may_have_run |= end.may_have_run",
+        "self._may_have_run |= False",
+        held_by="not run is true",
+        steps=("0.5 5 upstreams-treat-badly 47",),
+    ),
+    mutants.Mutant(
+        "another request's answer is passed on",
+        "../platform/spindlenotch_platform/http_dialect",
+        "return status not in SUCCESS or STAMP in fields",
+        "return True",
+        held_by="own whole answer",
+        steps=("0.5 5 upstreams-treat-badly 34",),
+    ),
+    mutants.Mutant(
+        "who has taken over an upstream's address runs its requests",
+        "../platform/spindlenotch_platform/http_dialect",
+        'EXPECT_INSTANCE = "X-Spindlenotch-Expect-Instance"',
+        'EXPECT_INSTANCE = "X-Spindlenotch-Nobody"',
+        held_by="unchanged, to its own service",
+        steps=("0.2 6 store-fails 0", "0.5 5 upstream-address-reused 1"),
+    ),
+    mutants.Mutant(
+        "an upstream that drains is used on",
+        "gateway/source/listing",
+        "is_ready = lease.listed.state is sources.UpstreamState.READY\n            if",
+        "is_ready = True\n            if",
+        held_by="nothing new to upstreams that are closed",
+        steps=("0.5 3 upstream-drains 1", "0.6 3 upstream-drains 2"),
+    ),
+    mutants.Mutant(
+        "an upstream without entry is used on",
+        "gateway/source/listing",
+        "                lease.drop_at = now\n",
+        "                lease.drop_at = ids.later(now, 60.0)\n",
+        held_by="nothing new to upstreams that are closed",
+        steps=("0.5 3 upstream-vanishes 1", "0.6 3 upstream-vanishes 2"),
+    ),
+    mutants.Mutant(
+        "an evacuated zone is used on",
+        "gateway/source/listing",
+        "if is_ready and now < lease.leave_at:",
+        "if is_ready:",
+        held_by="nothing new to upstreams that are closed",
+        steps=("0.5 3 zone-evacuated 1",),
+    ),
+    mutants.Mutant(
+        "a new configuration is not taken in",
+        "gateway/state",
+        "if self.table is not None and configuration.version <= self.version:",
+        "if self.table is not None:",
+        held_by="configuration in force and never back",
+        steps=("0.5 4 configuration-changed 1", "5 4 configuration-changed 2"),
+    ),
+    mutants.Mutant(
+        "a gateway goes back to the configuration before",
+        "gateway/state",
+        "            return False\n        self.table = routing",
+        "            return False\n        old = self.table\n"
+        "        if old is not None:\n            import threading\n"
+        "            back = lambda: setattr(self, 'table', old)\n"
+        "            threading.Timer(1.0, back).start()\n"
+        "        self.table = routing",
+        held_by="configuration in force and never back",
+        steps=("0.5 4 configuration-changed 1",),
+    ),
+    mutants.Mutant(
+        "a cold upstream is sent to at any pace",
+        "kernel/cold_start",
+        "return now >= self.until or now >= self._next_at",
+        "return True",
+        held_by="cold upstreams get what they bear",
+        steps=(
+            "0.1 0.3 upstream-drains 3",
+            "2.5 5 upstream-paths 36",
+            "2.6 5 upstream-paths 20",
+            "3.6 4 burst 2",
+        ),
+    ),
+    mutants.Mutant(
+        "retries know no bound",
+        "../platform/spindlenotch_platform/settings_file",
+        '"extra_reserve": bounds.get("retrySlack"),',
+        '"extra_reserve": "100000",',
+        held_by="retries within the budget",
+        steps=("0.5 6 upstreams-treat-badly 92", "0.6 6 burst 3"),
+    ),
+    mutants.Mutant(
+        "probes know no bound",
+        "../platform/spindlenotch_platform/settings_file",
+        "PROBE_SHARE = 0.34",
+        "PROBE_SHARE = 6.0",
+        held_by="probes within their bound",
+        steps=("3 2 bad-entries 1",),
+    ),
+    mutants.Mutant(
+        "a request waits for good",
+        "gateway/serving/job_factory",
+        "        timeout_s = min(timeout_s, route.timeout_s)",
+        "        timeout_s = 60.0",
+        held_by="final answers in time",
+        steps=("0.5 6 upstreams-treat-badly 75",),
+    ),
+    mutants.Mutant(
+        "a planned stop cuts what is in flight",
+        "gateway/gateway",
+        "        self.state.leave()\n        self.membership.announce()\n",
+        "        import os\n        os._exit(0)\n",
+        held_by="a planned stop cuts nothing",
+        steps=("0.1 6 upstreams-treat-badly 132", "1 1 gateway-stopped 2"),
+    ),
+)
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(mutants.main(MUTANTS, SIDE_BY_SIDE)))
