--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -160,7 +160,6 @@
         self.id = worker_id
         self.version = version
         self.work_s = work_s
-        self.version = version
         self.fault_by_version = {} if fault_by_version is None else fault_by_version
         self.slots = 4
         self.most_at_once = 1000
