--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -25,6 +25,7 @@
       | a write keeps the condition under which it was decided           |
       | a write that may be done is settled by nothing but its effect    |
       | of two that decide one writes, and neither goes back             |
+      | only who begins a phase announces it to everyone                 |
       | a version that nobody runs is given up when time is over         |
       | a version that all run is completed at once                      |
       | too few upstreams of a version are not promoted                  |
