Properties of regions ask as the joined code is asked

Two of them were red after the merge: the senders to cold upstreams no longer take an instant, and the policy of a service is given the size of the fleet. Both properties say the same as before and hold.

--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -237,11 +237,10 @@
 
 
 def _rate_per_s(gateway: regional_fleet.Gateway, upstream: ids.UpstreamId) -> float:
-    now = gateway.state.clock.now()
     return cold_start.rate_per_s(
         upstream,
         ALLOWED_PER_S,
-        gateway.cold_senders._senders(now),
+        gateway.cold_senders._senders(),
         gateway.state.config.host,
     )
 
@@ -379,7 +378,7 @@
         ids.ServiceName("s"), health_path="/", connections=9, cold_rate_per_s=4.0
     )
     zones = tuple(ids.ZoneName(zone) for zone in regional_fleet.ZONES)
-    policy = service_defaults.policy(service, zones, state.config)
+    policy = service_defaults.policy(service, zones, state.config, state.region_size)
     pool = upstream_pool.Pool(policy, state.local_member, state.rng)
     until = ids.later(made.clock.now(), 3.0)
     specs = [
