Regions: the directory names no gateways that refuse such callers; the reserve by region

Where an allowed region was lost, callers who may be served only in some regions were also sent to gateways of a region that refuses them, for good after 5 s, although another allowed region was heard of. They are sent to that one now.

The part of the reserve of retries was worked out from the size of the whole fleet and divided by the regions once more: with three regions each gateway had a third of its part. It goes by the size of the own region, as the property of the sum plays it.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -31,6 +31,8 @@
       | elsewhere its requests are refused at once, and never run    |
       | the regions of a host are those that all its routes allow    |
       | the directory sends such callers to a region that may serve  |
+      | where an allowed region is lost, such callers are sent to another |
+      | each region has its part of the reserve of retries           |
       | documents of other regions count while no reader is heard    |
       | nobody of another region sends to a cold upstream            |
       | each region has one reader of the source                     |
--- a/features/steps/gateway_allowed.py
+++ b/features/steps/gateway_allowed.py
@@ -5,6 +5,7 @@
 from features.steps import kernel
 from features.support import recorded_gateway, regional_fleet, served_gateway
 from spindlenotch import ids
+from spindlenotch.gateway import service_defaults
 from spindlenotch.gateway.serving import job_factory
 from spindlenotch.gateway.source import region_rules, routing
 from spindlenotch.kernel import outcomes, regions
@@ -111,3 +112,37 @@
         found = asked.fleet.addresses_for(SOUTH, only)
         assert found, allowed
         assert {made.region_at(address) for address in found} == {expected}, allowed
+
+
+@kernel.PROPERTIES.register(
+    "where an allowed region is lost, such callers are sent to another"
+)
+def sent_elsewhere() -> None:
+    made = regional_fleet.World(15)
+    made.run(8.0)
+    made.dead = {gateway.number for gateway in made.of("south")}
+    asked = made.of("north")[0]
+    only = frozenset({SOUTH, MIDDLE})
+    for _ in range(8):
+        made.run(1.0)
+        # This region's gateways would refuse them.
+        found = {made.region_at(a) for a in asked.fleet.addresses_for(SOUTH, only)}
+        assert found <= {"south", "middle"}, found
+    assert found == {"middle"}, found
+
+
+@kernel.PROPERTIES.register("each region has its part of the reserve of retries")
+def reserve_by_region() -> None:
+    made = regional_fleet.World(150)
+    made.run(8.0)
+    asked = made.of("north")[0]
+    asked.fleet.update_size()
+    state = asked.state
+    state.config = msgspec.structs.replace(state.config, extra_reserve=300.0)
+    service = routing.ServiceSpec(ids.ServiceName("s"), health_path="/", connections=9)
+    one = state._new_balancer(service)
+    state.balancer_by_service = {service.name: one}
+    expected = 300.0 / (service_defaults.RESERVE_PARTS_EACH * 3 * 50)
+    assert one.extra.retries.reserve == expected
+    state.tick()
+    assert one.extra.retries.reserve == expected
--- a/spindlenotch/gateway/cluster/region_exchange.py
+++ b/spindlenotch/gateway/cluster/region_exchange.py
@@ -71,12 +71,25 @@
 
         While it is not sure that the other region is there, the own ones stand beside
         its last ones. Where this region has none, all others help out. Callers who may
-        be served only in the ``allowed`` regions are sent to one of these.
+        be served only in the ``allowed`` regions are sent to one of these; to the own
+        one, which refuses them, where none of these is heard of.
         """
         links = self.state.links
         if links is None:
             return sorted(own)
-        region = self._permitted(links, region, allowed)
+        permitted = self._permitted(links, region, allowed)
+        if allowed is None or links.local_region in allowed:
+            return self._named(links, permitted, own, allowed)
+        return self._named(links, permitted, (), allowed) or sorted(own)
+
+    def _named(
+        self,
+        links: region_links.RegionLinks,
+        region: ids.RegionName,
+        own: abc.Collection[ids.Address],
+        allowed: frozenset[ids.RegionName] | None,
+    ) -> list[ids.Address]:
+        """Return the addresses of a region, of ``own`` ones or of all that help out."""
         if region not in links.others and own:
             return sorted(own)
         now = self.state.clock.now()
@@ -87,7 +100,8 @@
         last = _addresses(heard, region)
         if own or last:
             return sorted({*own, *last})
-        return sorted({a for name in heard for a in _addresses(heard, name)})
+        helping = heard.keys() if allowed is None else heard.keys() & allowed
+        return sorted({a for name in helping for a in _addresses(heard, name)})
 
     def _permitted(
         self,
@@ -96,12 +110,14 @@
         allowed: frozenset[ids.RegionName] | None,
     ) -> ids.RegionName:
         """Return the caller's region, this one or one that is heard: an allowed one."""
-        if allowed is None or region in allowed:
+        if allowed is None:
+            return region
+        heard = self.heard() & allowed
+        if region in heard:
             return region
-        heard = sorted(self.heard() & allowed)
         if links.local_region in allowed or not heard:
             return links.local_region
-        return heard[0]
+        return min(heard)
 
 
 def _addresses(
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -59,8 +59,8 @@
     where all were killed meanwhile; in this way, and with what ``SlidingShareBudget``
     lets fade, 75 at most (the property of a fleet's retries).
 
-    A gateway of a fleet in several regions sees those of its own; each region has an
-    equal part, so that the sum holds while they have lost each other.
+    ``size`` is that of the own region. Each region has an equal part, so that the sum
+    holds while they have lost each other.
     """
     largest = UNKNOWN_FLEET if size.is_alone else size.largest
     regions = max(1, len(set(config.region_by_zone.values())))
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -280,7 +280,7 @@
         expired = self.listing.drop_expired(now)
         if self.listing.leave_due(now) or expired:
             self._refresh_upstreams()
-        reserve = service_defaults.extra_reserve(self.config, self.fleet_size)
+        reserve = service_defaults.extra_reserve(self.config, self.region_size)
         for service in self.balancer_by_service.values():
             service.pool.tick(now)
             service.extra.set_reserve(reserve)
@@ -354,7 +354,7 @@
             return
         zones = {spec.zone for spec in specs} | {self.config.zone}
         policy = service_defaults.policy(
-            configured, tuple(sorted(zones)), self.config, self.fleet_size
+            configured, tuple(sorted(zones)), self.config, self.region_size
         )
         if policy != service.service:
             service.update_service(policy)
@@ -379,7 +379,7 @@
 
     def _new_balancer(self, spec: routing.ServiceSpec) -> balancer.Balancer:
         policy = service_defaults.policy(
-            spec, (self.config.zone,), self.config, self.fleet_size
+            spec, (self.config.zone,), self.config, self.region_size
         )
         return balancer.Balancer(policy, self.local_member, self.rng)
 
