The reserve of retries that was used is whole again after a window

What a gateway had used of its reserve was regained by later requests only, so that a service with few requests missed it for longer than the window over which the sum is judged. What was used counts while it is in the window.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -10,6 +10,7 @@
       | the fleet's extra sends keep to share and reserve          |
       | a fleet's retries keep to what all may send together       |
       | a low rate of requests still earns a retry                 |
+      | a reserve that was used is whole again after a window      |
       | the size of the fleet is the largest of the last minute    |
       | an upstream without room or leaving is never chosen        |
       | a slowed upstream is passed over while another has room    |
--- a/features/steps/gateway_budget.py
+++ b/features/steps/gateway_budget.py
@@ -20,6 +20,7 @@
 from spindlenotch.gateway import service_defaults, settings
 from spindlenotch.gateway.cluster import fleet_size
 from spindlenotch.gateway.source import routing
+from spindlenotch.kernel import budgets
 
 #: What the users allow the whole fleet in any ten seconds.
 ALLOWED_SHARE = 0.2
@@ -250,3 +251,17 @@
         found.append(size.largest)
     # What counted at the start of the last minute gives way to what came in it.
     assert found == [1, 117, 117, 117, 60, 20]
+
+
+@kernel.PROPERTIES.register("a reserve that was used is whole again after a window")
+def reserve_returns() -> None:
+    budget = budgets.SlidingShareBudget(ALLOWED_SHARE, 5.0, WINDOW_S)
+    now = kernel.NOW
+    used = 0
+    while budget.spend(now):
+        used += 1
+    assert used == 5
+    # However few requests come meanwhile.
+    now = ids.later(now, WINDOW_S + 0.1)
+    assert budget.available(now)
+    assert budget.balance == 5.0
--- a/spindlenotch/kernel/budgets.py
+++ b/spindlenotch/kernel/budgets.py
@@ -80,7 +80,8 @@
 
     So do the sums where processes end, or others take over their requests: what
     was earned is mostly used at once or lost. ``_saved`` is what was earned and not
-    used; negative while the reserve is in use. What lies over ``_kept`` fades.
+    used; negative while the reserve is in use, which is until the extra requests that
+    used it leave the window. What lies over ``_kept`` fades.
     """
 
     def __init__(self, share: float, reserve: float, window_s: float) -> None:
@@ -104,6 +105,7 @@
         self._fade(now)
         self._forget(self.earned_at, now)
         self._forget(self.spent_at, now)
+        self._saved = max(self._saved, -float(len(self.spent_at)))
         return self.balance >= 1.0
 
     def spend(self, now: ids.Instant) -> bool:
