Regions: one look for all waiting calls that may run in the same regions

Each look at the queue placed every waiting call of a route with allowed regions anew, which compares up to 40 upstreams each time: 54 choices in one look at the queue of an overrun gateway, 2 now. Also calls that may run anywhere are asked about once.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -27,6 +27,7 @@
       | a region without upstreams uses those of others at once      |
       | no try of a call leaves the regions in which it may run      |
       | calls that wait are refused once their regions have none     |
+      | however many calls wait for a region, one look finds none    |
       | a route is served in the regions that it allows only         |
       | elsewhere its requests are refused at once, and never run    |
       | the regions of a host are those that all its routes allow    |
--- a/features/steps/gateway_overflow.py
+++ b/features/steps/gateway_overflow.py
@@ -13,7 +13,7 @@
 
 from features.steps import kernel
 from features.support import regional_fleet
-from spindlenotch import ids
+from spindlenotch import ids, selection
 from spindlenotch.decisions import balancer, overflow, soonest, verdicts
 from spindlenotch.kernel import (
     extra_budgets,
@@ -333,3 +333,28 @@
     assert len(one.queue) == 0
     reasons = {getattr(s.verdict, "reason", None) for s in settled}
     assert reasons == {outcomes.Reason.NO_UPSTREAM}
+
+
+@kernel.PROPERTIES.register("however many calls wait for a region, one look finds none")
+def looks() -> None:
+    play = Play({"north": 1.5, "middle": 1.5, "south": 1.5})
+    play.allowed = frozenset({ids.RegionName("north"), ids.RegionName("south")})
+    play.run()
+    one = max(play.gateways, key=lambda g: len(g.queue))
+    assert len(one.queue) > 10
+    now = ids.later(NOW, END_S)
+    looks: list[float] = []
+    choose = one.policy.choose
+
+    def counted(*given: typing.Any) -> selection.Choice | None:
+        looks.append(given[2])
+        return choose(*given)
+
+    one.policy.choose = counted  # type: ignore[method-assign]
+    one.pool.far_used_by_region = dict.fromkeys(one.pool.far_used_by_region, 1.0)
+    for upstream in one.pool.near_order:
+        full = upstreams.LoadReport(SLOTS, 0)
+        one.pool.reported(upstream, full, now)
+    assert not one.settle(now)
+    # One for the head of the queue, one for those that may leave.
+    assert len(looks) <= 2, len(looks)
--- a/spindlenotch/decisions/admission.py
+++ b/spindlenotch/decisions/admission.py
@@ -49,14 +49,19 @@
 
     def refuse_stranded(
         self,
-        any_usable: abc.Callable[[waiting.Call, ids.Instant], bool],
+        any_usable: abc.Callable[[waiting.Call | None, ids.Instant], bool],
         now: ids.Instant,
     ) -> list[verdicts.Settlement]:
         """Refuse the waiting calls for which no upstream is usable."""
         refusal = outcomes.not_run(
             outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
         )
-        stranded = [call for call in self.queue if not any_usable(call, now)]
+        anywhere = any_usable(None, now)
+        stranded = [
+            call
+            for call in self.queue
+            if not (anywhere if call.allowed_regions is None else any_usable(call, now))
+        ]
         for call in stranded:
             self.queue.remove(call.id)
         return [verdicts.Settlement(call, refusal) for call in stranded]
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -224,17 +224,26 @@
         return verdict
 
     def _send_far(self, now: ids.Instant) -> list[verdicts.Settlement]:
-        """Place the waiting calls that may leave their region by now."""
+        """
+        Place the waiting calls that may leave their region by now.
+
+        Where one finds no room, none that may run in the same regions does.
+        """
         sent: list[verdicts.Settlement] = []
         if not self.pool.far_order:
             return sent
+        full: set[frozenset[ids.RegionName] | None] = set()
         for call in [call for call in self.queue if call.far_from <= now]:
+            if call.allowed_regions in full:
+                continue
             grant = self._grant(call, verdicts.Kind.FIRST, now)
-            if grant is None and call.allowed_regions is None:
-                break
             if grant is not None:
                 self.queue.take(call)
                 sent.append(verdicts.Settlement(call, grant))
+            elif call.allowed_regions is None:
+                break
+            else:
+                full.add(call.allowed_regions)
         return sent
 
     def _far_instead(
