--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -74,9 +74,10 @@
         at its end, and its bytes cross between zones.
         """
         cost_by_id = _costs(pool, call, _options(pool, call, now, exclude), now)
-        near_s = min(cost_by_id.values(), default=None)
-        far = overflow.candidates(pool, call, near_s, now, exclude)
-        cost_by_id |= _costs(pool, call, without_slowed(far, now), now)
+        if pool.far_order:
+            near_s = min(cost_by_id.values(), default=None)
+            far = overflow.candidates(pool, call, near_s, now, exclude)
+            cost_by_id |= _costs(pool, call, without_slowed(far, now), now)
         if not cost_by_id:
             return None
         limit = min(cost_by_id.values()) * (1.0 + NEAR_SHARE)
