Rollouts: where most gateways lie in one region, that is not most of the fleet

Members of other regions are not in view, so that a gateway of a region with more than half of all could complete an order while calls elsewhere still ran on the old version. The property was red.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -17,6 +17,7 @@
       | what a lost region was asked is expected by the others       |
       | a fleet whose seeds lie in one region finds itself           |
       | of a cold upstream one gateway is the owner in any cut       |
+      | no region takes its gateways for most of the fleet           |
       | a summary never replaces a newer one, nor the own region's   |
       | a fleet of one region speaks and answers as before           |
       | the directory reads where its callers are                    |
--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -391,3 +391,16 @@
         is_near = upstream in pool.near_order
         assert upstream.cold.rate_per_s == (4.0 if is_near else 0.0)
     assert {u.spec.zone for u in pool.near_order} == {"north-a", "north-b"}
+
+
+@kernel.PROPERTIES.register("no region takes its gateways for most of the fleet")
+def no_majority() -> None:
+    made = regional_fleet.World(15)
+    north = {g.number for g in made.of("north")}
+    # Most live in the north, and cannot know what those elsewhere do.
+    made.dead = {g.number for g in made.gateways} - north - {2, 11}
+    for _ in range(8):
+        made.run(1.0)
+        for gateway in made.of("north"):
+            assert not gateway.cold_senders.quorum.of_fleet()
+    assert gateway.cold_senders.quorum.of_region()
--- a/spindlenotch/gateway/cluster/quorum.py
+++ b/spindlenotch/gateway/cluster/quorum.py
@@ -31,10 +31,7 @@
         """
         Tell whether more than half of the whole fleet's gateways are in view.
 
-        In a fleet of several regions that is nobody: members of other regions are not
-        in view.
+        In a fleet of several regions that is nobody, also where most lie in one: members
+        of other regions are not in view.
         """
-        self.fleet.update_size()
-        size = self.state.region_size
-        most = self.state.fleet_size.largest
-        return not size.is_alone and size.seen > QUORUM_SHARE * most
+        return self.state.links is None and self.of_region()
