--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -36,11 +36,11 @@
 role = "gateway"
 ip = "{ip}"
 zone = "{zone}"
-region = "r"
+region = "{region}"
 portRange = [{peer},{peer}]
 seeds = ["{seed}:{control}"]
 bounds = ["graceS={grace}","retryBudgetRatio=0.2","budgetWindowS=10","retrySlack=2400",
-  "ttl_max_s=1","probesPerS=60"]
+  "ttl_max_s=1","probesPerS=60"{more_bounds}]
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -48,6 +48,8 @@
 directory = "{ip}:{directory}"
 [provider]
 address = "{store}"
+[zones]
+{zones}
 """
 
 
@@ -108,9 +110,14 @@
     def __init__(self) -> None:
         self.store = platform_store.PlatformStore()
         self.worker_by_id: dict[str, platform_worker.PlatformWorker] = {}
+        self.fault_by_version: platform_worker.FaultByVersion = {}
         self.process_by_node: dict[str, asyncio.subprocess.Process] = {}
         self.ip_by_node: dict[str, str] = {}
         self.logs: dict[str, pathlib.Path] = {}
+        #: Address of the store for gateways that reach it on a path of their own.
+        self.store_by_node: dict[str, str] = {}
+        self.region_by_zone: dict[str, str] = {}
+        self.more_bounds: tuple[str, ...] = ()
         self.folder = tempfile.TemporaryDirectory()
         names = ("front", "ready", "control", "directory", "peer")
         hosts = [f"127.0.1.{number + 1}" for number in range(MOST_GATEWAYS)]
@@ -123,7 +130,8 @@
         """Return the caller's session."""
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True)
+                # No limit: callers don't wait for each other's connections.
+                connector=aiohttp.TCPConnector(limit=0, force_close=True)
             )
         return self._session
 
@@ -135,7 +143,9 @@
         version: str = "v1",
     ) -> platform_worker.PlatformWorker:
         """Start a worker and list it."""
-        worker = platform_worker.PlatformWorker(worker_id, version=version)
+        worker = platform_worker.PlatformWorker(
+            worker_id, version=version, fault_by_version=self.fault_by_version
+        )
         await worker.start()
         self.worker_by_id[worker_id] = worker
         self.list_worker(worker, service, zone)
@@ -161,10 +171,10 @@
         """Return what a worker writes; its start only where it tells one."""
         entry = {
             "service": service,
-            "address": worker.address,
+            "address": worker.listed_address or worker.address,
             "zone": zone,
             "version": worker.version,
-            "slots": 4,
+            "slots": worker.slots,
             "state": state,
             "coldLeftS": worker.coldness.left_ms() / 1000,
             "callSeq": 1,
@@ -174,16 +184,20 @@
     async def start_gateway(
         self, number: int, grace_s: float = 6.0, seed: str = FIRST_IP
     ) -> str:
-        """Start a gateway and return its node name."""
+        """Start a gateway, or start it again, and return its node name."""
         node = f"node-{number}"
         self.ip_by_node[node] = f"127.0.1.{number}"
+        zone = ZONES[(number - 1) % len(ZONES)]
         path = pathlib.Path(self.folder.name) / f"{node}.toml"
         path.write_text(
             SETTINGS.format(
                 node=node,
                 ip=self.ip_by_node[node],
-                zone=ZONES[(number - 1) % len(ZONES)],
-                store=self.store.address,
+                zone=zone,
+                region=self.region_by_zone.get(zone, "r"),
+                zones="\n".join(f'{z} = "{r}"' for z, r in self.region_by_zone.items()),
+                store=self.store_by_node.get(node, self.store.address),
+                more_bounds="".join(f',"{bound}"' for bound in self.more_bounds),
                 grace=grace_s,
                 seed=seed,
                 **self.port_by_name,
--- a/spindlenotch/decisions/admission.py
+++ b/spindlenotch/decisions/admission.py
@@ -49,19 +49,22 @@
 
     def refuse_stranded(
         self,
-        any_usable: abc.Callable[[waiting.Call | None, ids.Instant], bool],
+        any_usable: abc.Callable[[waiting.Call, ids.Instant], bool],
         now: ids.Instant,
     ) -> list[verdicts.Settlement]:
-        """Refuse the waiting calls for which no upstream is usable."""
+        """
+        Refuse the waiting calls for which no upstream is usable.
+
+        That is the same for all that may run in the same regions.
+        """
         refusal = outcomes.not_run(
             outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
         )
-        anywhere = any_usable(None, now)
-        stranded = [
-            call
-            for call in self.queue
-            if not (anywhere if call.allowed_regions is None else any_usable(call, now))
-        ]
+        usable_by_regions: dict[frozenset[ids.RegionName] | None, bool] = {}
+        for call in self.queue:
+            if call.allowed_regions not in usable_by_regions:
+                usable_by_regions[call.allowed_regions] = any_usable(call, now)
+        stranded = [c for c in self.queue if not usable_by_regions[c.allowed_regions]]
         for call in stranded:
             self.queue.remove(call.id)
         return [verdicts.Settlement(call, refusal) for call in stranded]
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -227,23 +227,19 @@
         """
         Place the waiting calls that may leave their region by now.
 
-        Where one finds no room, none that may run in the same regions does.
+        Once one finds no room, none that may run in the same regions is tried.
         """
         sent: list[verdicts.Settlement] = []
-        if not self.pool.far_order:
-            return sent
         full: set[frozenset[ids.RegionName] | None] = set()
-        for call in [call for call in self.queue if call.far_from <= now]:
-            if call.allowed_regions in full:
+        for call in list(self.queue) if self.pool.far_order else ():
+            if call.far_from > now or call.allowed_regions in full:
                 continue
             grant = self._grant(call, verdicts.Kind.FIRST, now)
-            if grant is not None:
-                self.queue.take(call)
-                sent.append(verdicts.Settlement(call, grant))
-            elif call.allowed_regions is None:
-                break
-            else:
+            if grant is None:
                 full.add(call.allowed_regions)
+                continue
+            self.queue.take(call)
+            sent.append(verdicts.Settlement(call, grant))
         return sent
 
     def _far_instead(
--- a/spindlenotch/gateway/cluster/quorum.py
+++ b/spindlenotch/gateway/cluster/quorum.py
@@ -31,7 +31,7 @@
         """
         Tell whether more than half of the whole fleet's gateways are in view.
 
-        In a fleet of several regions that is nobody, also where most lie in one: members
-        of other regions are not in view.
+        In a fleet of several regions that is nobody, also where most lie in one:
+        members of other regions are not in view.
         """
         return self.state.links is None and self.of_region()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -12,6 +12,7 @@
 import shutil
 import sys
 import tempfile
+from collections import abc
 
 #: Plays of each machine against a mutant, and steps of a play. Chosen, not
 #: measured.
@@ -41,6 +42,18 @@
 kernel.PROPERTIES.get({name!r})()
 """
 
+#: Program that plays steps on processes there; only the one check counts.
+SOAK_PROGRAM = """
+import asyncio, pathlib, sys, loguru
+sys.path.append("platform")
+loguru.logger.remove()
+from tools.soak_processes import plan, play
+steps = tuple(plan.read(step) for step in {steps!r})
+one = play.Play(plan.Settings(10.0, 1), steps, pathlib.Path("."))
+found = asyncio.run(one.run()).violations
+assert {name!r} not in [name for name, _ in found], found[0]
+"""
+
 
 @dataclasses.dataclass(frozen=True)
 class Mutant:
@@ -48,6 +61,7 @@
     One broken mechanism: replace ``old`` by ``new`` in ``module``.
 
     ``held_by`` names the property that must go red; the machines where it is empty.
+    With ``steps``, played on processes, it names a check of the soak.
     """
 
     name: str
@@ -55,6 +69,7 @@
     old: str
     new: str
     held_by: str = ""
+    steps: tuple[str, ...] = ()
 
 
 MUTANTS = (
@@ -420,9 +435,9 @@
     ),
     Mutant(
         "the others' failures in the moment count for nothing",
-        "gateway/rollout/analysis",
-        "fleet, at_moment, there)",
-        "0.0)",
+        "gateway/rollout/others_rates",
+        "LEAST_BY_SYMPTOM[symptom], fleet, there)",
+        "LEAST_BY_SYMPTOM[symptom], 0.0)",
         held_by="what strikes all versions alike speaks against none",
     ),
 )
@@ -440,7 +455,7 @@
     """Play the machines, or check a property, on a mutated copy of the tree."""
     with tempfile.TemporaryDirectory() as scratch:
         copy = pathlib.Path(scratch)
-        for tree in ("spindlenotch", "features", "platform"):
+        for tree in ("spindlenotch", "features", "platform", "standins", "tools"):
             shutil.copytree(tree, copy / tree)
         path = copy / "spindlenotch" / f"{mutant.module}.py"
         text = path.read_text()
@@ -448,7 +463,9 @@
             return Trial(True, "the text to replace is not there exactly once")
         path.write_text(text.replace(mutant.old, mutant.new))
         program = PLAY_PROGRAM.format(plays=PLAYS, steps=STEPS)
-        if mutant.held_by:
+        if mutant.steps:
+            program = SOAK_PROGRAM.format(steps=mutant.steps, name=mutant.held_by)
+        elif mutant.held_by:
             program = PROPERTY_PROGRAM.format(name=mutant.held_by)
         return await play(copy, program)
 
@@ -477,10 +494,12 @@
     return Trial(child.returncode == 0, lines[-1] if lines else "")
 
 
-async def main() -> int:
+async def main(
+    mutants: abc.Iterable[Mutant] = MUTANTS, side_by_side: int = SIDE_BY_SIDE
+) -> int:
     """Try all mutants, or those whose name holds a given word."""
-    chosen = [m for m in MUTANTS if not sys.argv[1:] or sys.argv[1] in m.name]
-    limit = asyncio.Semaphore(SIDE_BY_SIDE)
+    chosen = [m for m in mutants if not sys.argv[1:] or sys.argv[1] in m.name]
+    limit = asyncio.Semaphore(side_by_side)
 
     async def report(mutant: Mutant) -> bool:
         async with limit:
