The property of dead gateways in the directory plays a fleet of one region

It was red after the merge: the stand-in for a gateway's state knew no links to other regions. It has none, as one of one region has; the bounds are as before.

--- a/features/steps/gateway_directory.py
+++ b/features/steps/gateway_directory.py
@@ -56,7 +56,7 @@
         self.gossip = gossip.Gossip(record_of(number), rng, state.GOSSIP_TIMING)
         config = types.SimpleNamespace(entries_per_zone=MEMBERS)
         seen = types.SimpleNamespace(
-            gossip=self.gossip, phase=lifecycle.Phase.SERVING, config=config
+            gossip=self.gossip, phase=lifecycle.Phase.SERVING, config=config, links=None
         )
         self.fleet = fleets.Fleet(typing.cast(state.GatewayState, seen))
         self.asks_at = rng.uniform(0.0, PERIOD_S)
