Regions: tests where a version is tried and whose reader counts; mutants

Two changes by hand survived: a version tried outside the regions that a route allows, and a reader whose word counts in its own zone only.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -27,6 +27,7 @@
       | large answers stay in their region for longer                |
       | a region without upstreams uses those of others at once      |
       | no try of a call leaves the regions in which it may run      |
+      | a version is tried only where a call may run                 |
       | calls that wait are refused once their regions have none     |
       | however many calls wait for a region, one look finds none    |
       | a route is served in the regions that it allows only         |
--- a/features/steps/gateway_overflow.py
+++ b/features/steps/gateway_overflow.py
@@ -11,10 +11,12 @@
 import random
 import typing
 
+import msgspec
+
 from features.steps import kernel
 from features.support import regional_fleet
 from spindlenotch import ids, selection
-from spindlenotch.decisions import balancer, overflow, soonest, verdicts
+from spindlenotch.decisions import balancer, overflow, soonest, traffic_split, verdicts
 from spindlenotch.kernel import (
     extra_budgets,
     outcomes,
@@ -358,3 +360,27 @@
     assert not one.settle(now)
     # One for the head of the queue, one for those that may leave.
     assert len(looks) <= 2, len(looks)
+
+
+class _Unheard:
+    """Learns of no call's end."""
+
+    def call_ended(self, *given: object, **named: object) -> None:
+        """Take in nothing."""
+
+
+@kernel.PROPERTIES.register("a version is tried only where a call may run")
+def tried_version() -> None:
+    one = Play(even(0.0)).gateways[0]
+    target = ids.SoftwareVersion("v2")
+    for upstream in one.pool.far_order:
+        upstream.spec = msgspec.structs.replace(upstream.spec, version=target)
+    split = traffic_split.TrafficSplit(target, 1.0, "k", _Unheard())
+    split.answered = 100
+    for names, is_tried in ((("north",), False), (("middle",), True), (None, True)):
+        allowed = names and frozenset(ids.RegionName(name) for name in names)
+        call = msgspec.structs.replace(kernel.call(1), allowed_regions=allowed)
+        choice = split.choose_target(one.pool, call, NOW)
+        assert (choice is not None) == is_tried, names
+        if names and choice is not None:
+            assert one.pool.region_of(choice.upstream) in names
--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -334,6 +334,11 @@
         hosts = {g.state.config.host for g in made.of(region)}
         assert len(firsts) == 1
         assert firsts <= hosts
+        for gateway in made.of(region):
+            # Its word counts in all zones of the region, and in no other region.
+            shared = {z for z in regional_fleet.ZONES if gateway.fleet.shares_reader(z)}
+            assert {regional_fleet.REGION_BY_ZONE[z] for z in shared} == {region}
+            assert len(shared) == 2
         # When it dies, the next in the order of all zones is the same for all.
         seconds = {g.fleet.readers()[1] for g in made.of(region)}
         assert len(seconds) == 1
