--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -343,10 +343,10 @@
         "each region has one reader of the source",
     ),
     Mutant(
-        "callers are sent to an allowed region that is lost",
+        "callers are sent to gateways that refuse them for their region",
         "gateway/cluster/region_exchange",
-        "if region in heard:",
-        "if region in allowed:",
+        "return self._named(links, permitted, (), allowed) or sorted(own)",
+        "return self._named(links, permitted, own, allowed)",
         "where an allowed region is lost, such callers are sent to another",
     ),
     Mutant(
