--- a/features/regions.feature
+++ b/features/regions.feature
@@ -17,6 +17,7 @@
       | what a lost region was asked is expected by the others       |
       | a fleet whose seeds lie in one region finds itself           |
       | of a cold upstream one gateway is the owner in any cut       |
+      | no region takes its gateways for most of the fleet           |
       | a summary never replaces a newer one, nor the own region's   |
       | a fleet of one region speaks and answers as before           |
       | the directory reads where its callers are                    |
@@ -26,11 +27,15 @@
       | large answers stay in their region for longer                |
       | a region without upstreams uses those of others at once      |
       | no try of a call leaves the regions in which it may run      |
+      | a version is tried only where a call may run                 |
       | calls that wait are refused once their regions have none     |
+      | however many calls wait for a region, one look finds none    |
       | a route is served in the regions that it allows only         |
       | elsewhere its requests are refused at once, and never run    |
       | the regions of a host are those that all its routes allow    |
       | the directory sends such callers to a region that may serve  |
+      | where an allowed region is lost, such callers are sent to another |
+      | each region has its part of the reserve of retries           |
       | documents of other regions count while no reader is heard    |
       | nobody of another region sends to a cold upstream            |
       | each region has one reader of the source                     |
--- a/features/steps/gateway_overflow.py
+++ b/features/steps/gateway_overflow.py
@@ -11,10 +11,12 @@
 import random
 import typing
 
+import msgspec
+
 from features.steps import kernel
 from features.support import regional_fleet
-from spindlenotch import ids
-from spindlenotch.decisions import balancer, overflow, soonest, verdicts
+from spindlenotch import ids, selection
+from spindlenotch.decisions import balancer, overflow, soonest, traffic_split, verdicts
 from spindlenotch.kernel import (
     extra_budgets,
     outcomes,
@@ -333,3 +335,52 @@
     assert len(one.queue) == 0
     reasons = {getattr(s.verdict, "reason", None) for s in settled}
     assert reasons == {outcomes.Reason.NO_UPSTREAM}
+
+
+@kernel.PROPERTIES.register("however many calls wait for a region, one look finds none")
+def looks() -> None:
+    play = Play({"north": 1.5, "middle": 1.5, "south": 1.5})
+    play.allowed = frozenset({ids.RegionName("north"), ids.RegionName("south")})
+    play.run()
+    one = max(play.gateways, key=lambda g: len(g.queue))
+    assert len(one.queue) > 10
+    now = ids.later(NOW, END_S)
+    looks: list[float] = []
+    choose = one.policy.choose
+
+    def counted(*given: typing.Any) -> selection.Choice | None:
+        looks.append(given[2])
+        return choose(*given)
+
+    one.policy.choose = counted  # type: ignore[method-assign]
+    one.pool.far_used_by_region = dict.fromkeys(one.pool.far_used_by_region, 1.0)
+    for upstream in one.pool.near_order:
+        full = upstreams.LoadReport(SLOTS, 0)
+        one.pool.reported(upstream, full, now)
+    assert not one.settle(now)
+    # One for the head of the queue, one for those that may leave.
+    assert len(looks) <= 2, len(looks)
+
+
+class _Unheard:
+    """Learns of no call's end."""
+
+    def call_ended(self, *given: object, **named: object) -> None:
+        """Take in nothing."""
+
+
+@kernel.PROPERTIES.register("a version is tried only where a call may run")
+def tried_version() -> None:
+    one = Play(even(0.0)).gateways[0]
+    target = ids.SoftwareVersion("v2")
+    for upstream in one.pool.far_order:
+        upstream.spec = msgspec.structs.replace(upstream.spec, version=target)
+    split = traffic_split.TrafficSplit(target, 1.0, "k", _Unheard())
+    split.answered = 100
+    for names, is_tried in ((("north",), False), (("middle",), True), (None, True)):
+        allowed = names and frozenset(ids.RegionName(name) for name in names)
+        call = msgspec.structs.replace(kernel.call(1), allowed_regions=allowed)
+        choice = split.choose_target(one.pool, call, NOW)
+        assert (choice is not None) == is_tried, names
+        if names and choice is not None:
+            assert one.pool.region_of(choice.upstream) in names
--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -237,11 +237,10 @@
 
 
 def _rate_per_s(gateway: regional_fleet.Gateway, upstream: ids.UpstreamId) -> float:
-    now = gateway.state.clock.now()
     return cold_start.rate_per_s(
         upstream,
         ALLOWED_PER_S,
-        gateway.cold_senders._senders(now),
+        gateway.cold_senders._senders(),
         gateway.state.config.host,
     )
 
@@ -335,6 +334,11 @@
         hosts = {g.state.config.host for g in made.of(region)}
         assert len(firsts) == 1
         assert firsts <= hosts
+        for gateway in made.of(region):
+            # Its word counts in all zones of the region, and in no other region.
+            shared = {z for z in regional_fleet.ZONES if gateway.fleet.shares_reader(z)}
+            assert {regional_fleet.REGION_BY_ZONE[z] for z in shared} == {region}
+            assert len(shared) == 2
         # When it dies, the next in the order of all zones is the same for all.
         seconds = {g.fleet.readers()[1] for g in made.of(region)}
         assert len(seconds) == 1
@@ -382,7 +386,7 @@
         ids.ServiceName("s"), health_path="/", connections=9, cold_rate_per_s=4.0
     )
     zones = tuple(ids.ZoneName(zone) for zone in regional_fleet.ZONES)
-    policy = service_defaults.policy(service, zones, state.config)
+    policy = service_defaults.policy(service, zones, state.config, state.region_size)
     pool = upstream_pool.Pool(policy, state.local_member, state.rng)
     until = ids.later(made.clock.now(), 3.0)
     specs = [
@@ -395,3 +399,16 @@
         is_near = upstream in pool.near_order
         assert upstream.cold.rate_per_s == (4.0 if is_near else 0.0)
     assert {u.spec.zone for u in pool.near_order} == {"north-a", "north-b"}
+
+
+@kernel.PROPERTIES.register("no region takes its gateways for most of the fleet")
+def no_majority() -> None:
+    made = regional_fleet.World(15)
+    north = {g.number for g in made.of("north")}
+    # Most live in the north, and cannot know what those elsewhere do.
+    made.dead = {g.number for g in made.gateways} - north - {2, 11}
+    for _ in range(8):
+        made.run(1.0)
+        for gateway in made.of("north"):
+            assert not gateway.cold_senders.quorum.of_fleet()
+    assert gateway.cold_senders.quorum.of_region()
