--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -32,6 +32,7 @@
     "ServiceSpec.cold_start_s": "configuration-added.json",
     "LoadRecord.cold_s": "gossip-added.msgpack.hex",
     "LoadRecord.cold_age_s": "gossip-added.msgpack.hex",
+    "LoadRecord.born": "gossip-added-2.msgpack.hex",
     "GatewaySettings.evacuate_s": "environment-gateway-added.json",
     "GatewaySettings.region_by_zone": "environment-gateway-added-2.json",
     "GatewaySettings.exposure_share": "environment-gateway-added-2.json",
@@ -40,12 +41,13 @@
     "ListedUpstream.version": "upstreams-added-2.json",
     "ListedUpstream.born": "upstreams-added-2.json",
     "ListedUpstream.rollout": "upstreams-added-2.json",
-    "Message.rollout_phases": "gossip-added-2.msgpack.hex",
-    "Message.evidence": "gossip-added-2.msgpack.hex",
+    "Message.rollout_phases": "gossip-added-4.msgpack.hex",
+    "Message.evidence": "gossip-added-4.msgpack.hex",
     "Route.allowed_regions": "configuration-added-2.json",
     "Route.has_large_answers": "configuration-added-2.json",
     "Configuration.refused_routes": "configuration-added-2.json",
     "Configuration.remarks": "configuration-added-2.json",
+    "Message.regions": "gossip-added-3.msgpack.hex",
 }
 
 
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -19,7 +19,7 @@
 from features.support import rollout_store
 from spindlenotch import clock, ids, metrics
 from spindlenotch.decisions import balancer, soonest, verdicts
-from spindlenotch.gateway.cluster import fleet as fleets
+from spindlenotch.gateway.cluster import fleet as fleets, fleet_size
 from spindlenotch.gateway.rollout import loop as loops, registry, runs
 from spindlenotch.gateway.source import routing, sources
 from spindlenotch.kernel import (
@@ -151,6 +151,8 @@
             rng=rng,
             config=types.SimpleNamespace(peers=("a", "b"), peer_listen="a"),
             rollout_status_written=self._status_written,
+            region_size=fleet_size.FleetSize(),
+            fleet_size=fleet_size.FleetSize(),
         )
         self.loop = loops.RolloutLoop(self.state, self, self, world.store)  # type: ignore[arg-type]
         self.loop.tasks = world.store  # type: ignore[assignment]
@@ -174,6 +176,12 @@
         active = [types.SimpleNamespace(host=r.host, zone=ZONE) for r in ready]
         return fleets.View(ready, [], active)  # type: ignore[arg-type]
 
+    def update_size(self) -> None:
+        """Look at how many gateways there are; see ``fleet.Fleet``."""
+        seen = 1 + len(self.state.gossip.known_by_host)
+        for size in (self.state.region_size, self.state.fleet_size):
+            size.update(seen, self.world.now, has_others=True)
+
     def active_zones(self) -> dict[ids.HostId, ids.ZoneName]:
         """Return the gateways that get callers: all of them here."""
         return self.view().active_zones
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -10,6 +10,8 @@
 import collections
 import random
 
+import msgspec
+
 from spindlenotch import ids, selection
 from spindlenotch.decisions import (
     admission,
@@ -77,7 +79,7 @@
         self.extra.earn(now)
         if call.deadline <= now:
             return outcomes.not_run(outcomes.Reason.DEADLINE_PASSED)
-        if not self._any_usable(now):
+        if not self._any_usable(call, now):
             return outcomes.not_run(
                 outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
             )
@@ -141,8 +143,9 @@
                 break
             self.queue.take(call)
             settled.append(verdicts.Settlement(call, grant))
-        if len(self.queue) and not self._any_usable(now):
-            settled.extend(self.admission.refuse_all(now))
+        settled.extend(self._send_far(now))
+        if len(self.queue) and (self.pool.far_order or not self._any_usable(None, now)):
+            settled.extend(self.admission.refuse_stranded(self._any_usable, now))
         return settled
 
     def give_up(self, now: ids.Instant) -> list[verdicts.Settlement]:
@@ -150,9 +153,13 @@
         Refuse the waiting calls that are not worth waiting for any longer.
 
         Called while calls wait. They get their final answer now rather than
-        at the deadline, with the instant from which to try again.
+        at the deadline, with the instant from which to try again. One that finds
+        room in another region goes there instead.
         """
-        return self.admission.give_up(now)
+        return [
+            self._far_instead(settlement, now)
+            for settlement in self.admission.give_up(now)
+        ]
 
     def withdraw(self, call_id: ids.CallId) -> None:
         """Take a call out of the queue; its caller is gone."""
@@ -211,7 +218,44 @@
             grant = self._grant(call, verdicts.Kind.FIRST, now)
             if grant is not None:
                 return grant
-        return self.admission.admit(call, ahead, now)
+        verdict = self.admission.admit(call, ahead, now)
+        if isinstance(verdict, outcomes.Refusal):
+            return self._grant_far(call, now) or verdict
+        return verdict
+
+    def _send_far(self, now: ids.Instant) -> list[verdicts.Settlement]:
+        """
+        Place the waiting calls that may leave their region by now.
+
+        Once one finds no room, none that may run in the same regions is tried.
+        """
+        sent: list[verdicts.Settlement] = []
+        full: set[frozenset[ids.RegionName] | None] = set()
+        for call in list(self.queue) if self.pool.far_order else ():
+            if call.far_from > now or call.allowed_regions in full:
+                continue
+            grant = self._grant(call, verdicts.Kind.FIRST, now)
+            if grant is None:
+                full.add(call.allowed_regions)
+                continue
+            self.queue.take(call)
+            sent.append(verdicts.Settlement(call, grant))
+        return sent
+
+    def _far_instead(
+        self, settlement: verdicts.Settlement, now: ids.Instant
+    ) -> verdicts.Settlement:
+        grant = self._grant_far(settlement.call, now)
+        if grant is None:
+            return settlement
+        return verdicts.Settlement(settlement.call, grant)
+
+    def _grant_far(self, call: waiting.Call, now: ids.Instant) -> verdicts.Grant | None:
+        """Place a call that its region would refuse: now it may leave it."""
+        if not self.pool.far_order:
+            return None
+        may_leave = msgspec.structs.replace(call, far_from=now)
+        return self._grant(may_leave, verdicts.Kind.FIRST, now)
 
     def _eject_if_frozen(self, grant: verdicts.Grant, now: ids.Instant) -> None:
         upstream = grant.upstream
@@ -220,14 +264,16 @@
         if self.pool.frozen(upstream, grant.call.latency_key, now):
             self.pool.eject(upstream, "silent", now)
 
-    def _any_usable(self, now: ids.Instant) -> bool:
+    def _any_usable(self, call: waiting.Call | None, now: ids.Instant) -> bool:
+        """Tell whether an upstream may yet take a call where it may run, or any."""
         barred = () if self.split is None else self.split.barred(self.pool)
         for upstream in self.pool.usable_order:
             if upstream.spec.id in barred:
                 continue
             upstream.tick(now)
             is_ejected = upstream.state is upstreams.State.EJECTED
-            if not is_ejected and upstream.cold.may_ever_send(now):
+            may_send = not is_ejected and upstream.cold.may_ever_send(now)
+            if may_send and (call is None or self.pool.allows(call, upstream)):
                 return True
         return False
 
--- a/spindlenotch/decisions/traffic_split.py
+++ b/spindlenotch/decisions/traffic_split.py
@@ -131,13 +131,16 @@
         if self.access is not Access.SHARED or not self._is_due(call.latency_key):
             return None
         self._look_at(pool)
-        able = [u for u in self._tried() if _can_take(pool, u, now)]
+        able = [
+            u for u in self._tried() if pool.allows(call, u) and _can_take(pool, u, now)
+        ]
         if not able:
             return None
+        near = [u for u in able if not pool.is_far(u)]
         self.sent += 1
         key = call.latency_key
         self._sent_by_route[key] = self._sent_by_route.get(key, 0) + 1
-        return selection.Choice(pool.rng.choice(able), selection.Rule.CANARY)
+        return selection.Choice(pool.rng.choice(near or able), selection.Rule.CANARY)
 
     def ended(
         self,
--- a/spindlenotch/gateway/cluster/cold_senders.py
+++ b/spindlenotch/gateway/cluster/cold_senders.py
@@ -27,11 +27,11 @@
     def update(self) -> None:
         """Tell the pools who sends to cold upstreams now."""
         now = self.state.clock.now()
-        senders = self._senders(now)
+        senders = self._senders()
         for service in self.state.balancer_by_service.values():
             service.pool.set_cold_senders(senders, now)
 
-    def _senders(self, now: ids.Instant) -> tuple[ids.HostId, ...]:
-        if not self.quorum.is_met(now):
+    def _senders(self) -> tuple[ids.HostId, ...]:
+        if not self.quorum.of_region():
             return ()
         return tuple(sorted(self.fleet.view().active_zones))
--- a/spindlenotch/gateway/cluster/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -13,7 +13,7 @@
 
 from spindlenotch import ids
 from spindlenotch.gateway import lifecycle, state
-from spindlenotch.gateway.cluster import active_set, duties
+from spindlenotch.gateway.cluster import active_set, duties, region_exchange
 from spindlenotch.kernel import ownership
 from spindlenotch.peers import messages, workload
 
@@ -36,6 +36,11 @@
         self.starting = starting
         self.active_zones = {one.host: one.zone for one in active}
 
+    @property
+    def count(self) -> int:
+        """Return how many gateways are in view, those that start included."""
+        return len(self.ready) + len(self.starting)
+
     @functools.cached_property
     def standby_by_zone(self) -> duties.HostsByZone:
         """Return the gateways of each zone that carry its duties."""
@@ -54,13 +59,25 @@
             hosts = [record.host for record in self.starting if record.zone == zone]
         return duties.readers(zone, hosts)
 
+    def region_readers(self, region: ids.RegionName) -> list[ids.HostId]:
+        """Return those that may read for all zones in view, which are of a region."""
+        hosts = [host for some in self.standby_by_zone.values() for host in some]
+        if not hosts:
+            hosts = [record.host for record in self.starting]
+        return duties.readers(ids.ZoneName(region), hosts)
+
 
 class _Inputs(msgspec.Struct, frozen=True):
-    """What decides who is ready; the demand decides with it who is active."""
+    """
+    What decides who is ready; the demand decides with it who is active.
+
+    ``regions_heard`` are the other regions that are not lost.
+    """
 
     members_revision: int
     phase: lifecycle.Phase
     least_per_zone: int
+    regions_heard: frozenset[ids.RegionName]
 
 
 class Fleet:
@@ -73,6 +90,7 @@
         self._ranking = active_set.Ranking([], 0)
         self._view = View([], [], [])
         self._readers: list[ids.HostId] | None = None
+        self._regions = region_exchange.RegionExchange(gateway_state)
 
     def view(self) -> View:
         """Return who plays which part now; the same one until that changes."""
@@ -81,6 +99,7 @@
             gateway_state.gossip.members_revision,
             gateway_state.phase,
             gateway_state.config.entries_per_zone,
+            self._regions.heard(),
         )
         if inputs != self._inputs:
             self._inputs = inputs
@@ -89,6 +108,17 @@
             self._look_at_demand()
         return self._view
 
+    def update_size(self) -> None:
+        """Tell the state how many gateways are in view; called a few times a second."""
+        config = self.state.config
+        now = self.state.clock.now()
+        links = self.state.links
+        elsewhere = 0 if links is None else links.members_elsewhere()
+        has_others = any(peer != config.peer_listen for peer in config.peers)
+        count = self.view().count
+        self.state.region_size.update(count, now, has_others=has_others)
+        self.state.fleet_size.update(count + elsewhere, now, has_others=has_others)
+
     def active_addresses(self) -> dict[ids.HostId, ids.Address]:
         """Return the addresses of the active gateways, for callers."""
         view = self.view()
@@ -98,17 +128,40 @@
             if record.host in view.active_zones
         }
 
+    def addresses_for(
+        self,
+        region: ids.RegionName,
+        allowed: frozenset[ids.RegionName] | None = None,
+    ) -> list[ids.Address]:
+        """Return the addresses for callers of a region, in ``allowed`` ones if any."""
+        own = self.active_addresses().values()
+        return self._regions.addresses(region, own, allowed)
+
     def active_zones(self) -> dict[ids.HostId, ids.ZoneName]:
         """Return the zones of the active gateways."""
         return self.view().active_zones
 
     def readers(self) -> list[ids.HostId]:
-        """Return who may read the source for this zone, in the order of duty."""
+        """
+        Return who may read the source for this zone, in the order of duty.
+
+        For all zones of the region where there are several: a reading crosses regions
+        then, and what it brings costs less between two zones.
+        """
         view = self.view()
         if self._readers is None:
-            self._readers = view.readers(self.state.config.zone)
+            if self.state.links is None:
+                self._readers = view.readers(self.state.config.zone)
+            else:
+                self._readers = view.region_readers(self.state.region)
         return self._readers
 
+    def shares_reader(self, zone: ids.ZoneName) -> bool:
+        """Tell whether who reads for this gateway's zone reads for that one too."""
+        if self.state.links is None:
+            return zone == self.state.config.zone
+        return not self.state.is_far(zone)
+
     def _look_at_members(self, least_per_zone: int) -> None:
         records = self._believed_records()
         ready = [r for r in records if r.status is messages.Status.READY]
@@ -141,7 +194,11 @@
             sum(one.requests_per_s for one in demands),
             sum(one.bytes_per_s for one in demands),
         )
-        return self._ranking.active(demand)
+        active = self._ranking.active(self._regions.needed(demand))
+        hosts = {one.host for one in active}
+        records = [record for record in ready if record.host in hosts]
+        self._regions.describe(records, len(ready), demand)
+        return active
 
     def _believed_records(self) -> list[messages.MemberRecord]:
         """Return the records of the gateways believed to live, the own one last."""
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -18,6 +18,7 @@
     load_sharing,
     membership,
     prober,
+    region_loads,
 )
 from spindlenotch.gateway.rollout import loop as rollout_loop
 from spindlenotch.gateway.serving import answering, ingress, job_factory
@@ -53,6 +54,7 @@
         self.state = gateway_state
         self.source = source
         self.port = port
+        gateway_state.add_end_listener(lambda ended: port.close_idle(ended.address))
         path = data_path.DataPath(
             gateway_state, port, job_factory.labels(gateway_dialect)
         )
@@ -60,6 +62,7 @@
         self.ingress = ingress.Ingress(gateway_state, answerer)
         self.fleet = fleet.Fleet(gateway_state)
         self.cold_senders = cold_senders.ColdSenders(gateway_state, self.fleet)
+        self.region_loads = region_loads.RegionLoads(gateway_state)
         self.side_ports = side_ports.SidePorts(
             gateway_state, self.fleet, gateway_dialect
         )
@@ -141,9 +144,11 @@
 
     async def _tick(self) -> None:
         while True:
+            self.fleet.update_size()
             if self.state.tick() and self.state.reads_source:
                 self.relay.publish_expiry()
             self.cold_senders.update()
+            self.region_loads.update()
             await self.state.wakeups.sleep(TICK_S)
 
 
--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -90,7 +90,7 @@
             self._attendance(),
             end_at,
             now,
-            is_met=self.quorum.is_met(now),
+            is_met=self.quorum.of_fleet(),
             doubt=self.run.analysis.doubt(),
         )
         if found is promotion.Hindrance.NONE:
--- a/spindlenotch/gateway/rollout/loop.py
+++ b/spindlenotch/gateway/rollout/loop.py
@@ -63,8 +63,6 @@
     def update(self) -> None:
         """Judge, decide and tell, once."""
         now = self.state.clock.now()
-        # Looked at also without orders: it remembers how many gateways there were.
-        self.quorum.is_met(now)
         every = self._runs()
         for one in every:
             one.measure()
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -9,8 +9,9 @@
 from spindlenotch import ids
 from spindlenotch.decisions import soonest
 from spindlenotch.gateway import settings
+from spindlenotch.gateway.cluster import fleet_size
 from spindlenotch.gateway.source import routing
-from spindlenotch.kernel import extra_budgets, service_policy
+from spindlenotch.kernel import extra_budgets, regions, service_policy
 
 #: Typical latency of a route's requests before any was measured, as a share of
 #: the route's target. Chosen, not measured.
@@ -26,9 +27,15 @@
 #: Share of the allowed retries and hedges that the fleet uses at most. Chosen,
 #: not measured.
 EXTRA_MARGIN = 0.9
-#: Gateways that share the reserve of retries and hedges in equal parts. Chosen,
-#: not measured.
-RESERVE_PARTS = 24
+#: Parts of the reserve of retries and hedges for each gateway of the fleet: its own,
+#: and that of the process or host that follows on it, which knows nothing of what
+#: was used before it.
+RESERVE_PARTS_EACH = 2
+#: Parts where the fleet is small: a gateway that sees few others may be one of more.
+LEAST_RESERVE_PARTS = 24
+#: Gateways that the fleet may have as far as one knows that starts, or is cut off from
+#: all others: the largest that is planned for, so that many such use little.
+UNKNOWN_FLEET = 300
 #: Slots of an upstream that is listed without a number. The source always gives
 #: one today.
 DEFAULT_SLOTS = 1
@@ -41,10 +48,31 @@
     return TYPICAL_SHARE_OF_TARGET * route.target_s
 
 
+def extra_reserve(
+    config: settings.GatewaySettings, size: fleet_size.FleetSize
+) -> float:
+    """
+    Return this gateway's part of the fleet's reserve of retries and hedges.
+
+    Divided among 24 whatever their number, the retries of 117 gateways that use up
+    their budgets were 791 a window beyond the share of which 188 are allowed, and 2155
+    where all were killed meanwhile; in this way, and with what ``SlidingShareBudget``
+    lets fade, 75 at most (the property of a fleet's retries).
+
+    A gateway of a fleet in several regions sees those of its own; each region has an
+    equal part, so that the sum holds while they have lost each other.
+    """
+    largest = UNKNOWN_FLEET if size.is_alone else size.largest
+    regions = max(1, len(set(config.region_by_zone.values())))
+    parts = max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * regions * largest)
+    return config.extra_reserve / parts
+
+
 def policy(
     spec: routing.ServiceSpec,
     zones: tuple[ids.ZoneName, ...],
     config: settings.GatewaySettings,
+    size: fleet_size.FleetSize,
 ) -> service_policy.ServicePolicy:
     """Return how a service with upstreams in ``zones`` is balanced."""
     return service_policy.ServicePolicy(
@@ -55,11 +83,12 @@
         selection=soonest.NAME,
         extra=extra_budgets.SharedWindow(
             share=EXTRA_MARGIN * config.extra_share,
-            reserve=int(config.extra_reserve / RESERVE_PARTS),
+            reserve=extra_reserve(config, size),
             window_s=config.extra_window_s,
         ),
         queue_limit=QUEUE_LIMIT,
         eject_share=EJECT_SHARE,
         cold_rate_per_s=spec.cold_rate_per_s,
         cold_start_s=spec.cold_start_s,
+        region_map=regions.create(config.region_by_zone),
     )
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -135,9 +135,10 @@
     """
     Everything the source holds; changes after ``revision`` are not in it.
 
-    ``configuration`` is None where there is none yet. No new work goes to the
-    upstreams of ``evacuated_zones``. ``unreadable_orders``: the services whose order
-    can't be read, which leaves the one before in force.
+    ``configuration`` is None where there is none yet. ``unusable`` are upstreams of
+    which the source holds what can't be used. No new work goes to the upstreams of
+    ``evacuated_zones``. ``unreadable_orders``: the services whose order can't be read,
+    which leaves the one before in force.
     """
 
     revision: int
@@ -146,6 +147,7 @@
     bad: tuple[BadItem, ...] = ()
     discovery_records: tuple[DiscoveryRecord, ...] = ()
     evacuated_zones: frozenset[ids.ZoneName] = frozenset()
+    unusable: frozenset[ids.UpstreamId] = frozenset()
     order_by_service: dict[ids.ServiceName, RolloutOrder] = {}
     status_by_service: dict[ids.ServiceName, RolloutStatus] = {}
     unreadable_orders: frozenset[ids.ServiceName] = frozenset()
@@ -155,6 +157,7 @@
     """
     What has changed up to ``revision``; only the newest state of each item.
 
+    ``unusable`` are upstreams whose entry now can't be used, whatever it was before.
     ``evacuated_zones`` are those newly evacuated, ``restored_zones`` those whose
     evacuation was taken back. Orders and statuses are None where they are gone.
     """
@@ -167,6 +170,7 @@
     discovery_records: tuple[DiscoveryRecord, ...] = ()
     evacuated_zones: frozenset[ids.ZoneName] = frozenset()
     restored_zones: frozenset[ids.ZoneName] = frozenset()
+    unusable: frozenset[ids.UpstreamId] = frozenset()
     order_by_service: dict[ids.ServiceName, RolloutOrder | None] = {}
     status_by_service: dict[ids.ServiceName, RolloutStatus | None] = {}
 
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -42,6 +42,36 @@
             Scenario("gateway", "what callers ask rises at once and falls late"),
         ),
     ),
+    Rule(
+        question="Which region's gateways callers are sent to",
+        functions=(
+            "gateway/cluster/region_exchange.RegionExchange.addresses",
+            "gateway/cluster/moved_demand.MovedDemand.expected",
+            "peers/region_links.RegionLinks.targets",
+        ),
+        inputs="the caller's region or zone, setting `region_by_zone`, regions that all"
+        " restricted routes of the caller's host allow, age of each region's summary"
+        " (s), demand of each region (requests and bytes a second).",
+        reason="Those of the caller's region. Where it may be gone the own ones stand"
+        " beside them, and where it is lost only these. What its callers asked is"
+        " expected by the others before it is measured, as is an even part of all by"
+        " a region that nobody has asked anything yet. One active gateway a region and"
+        " period tells one of another region.",
+        constants=(
+            "peers/region_links.DOUBTFUL_S",
+            "peers/region_links.LOST_S",
+            "peers/region_links.MOST_INTRODUCED",
+            "gateway/cluster/moved_demand.EXPECTED_S",
+        ),
+        events=("REGION_LOST", "REGION_BACK"),
+        tests=(
+            Scenario("regions", "callers are sent to gateways of their own region"),
+            Scenario("regions", "regions that lose each other go on, and meet again"),
+            Scenario(
+                "regions", "callers of a region that is lost are served by the others"
+            ),
+        ),
+    ),
     Rule(
         question="When the upstreams of an evacuated zone get their last request",
         functions=(
@@ -213,7 +243,7 @@
         " cold. Who sees no more than half of the gateways seen lately sends none, so"
         " that of a partition one side does at most.",
         constants=(
-            "gateway/cluster/quorum.MEMORY_S",
+            "gateway/cluster/fleet_size.MEMORY_S",
             "gateway/cluster/quorum.QUORUM_SHARE",
             "gateway/cluster/load_sharing.COLDNESS_TOLD_S",
             "decisions/soonest.COLD_FACTOR",
@@ -277,15 +307,18 @@
     ),
     Rule(
         question="How long a vanished upstream still gets work",
-        functions=("gateway/source/listing.Listing.remove",),
+        functions=(
+            "gateway/source/listing.Listing.remove",
+            "gateway/source/lease_expiry.is_in_outage",
+        ),
         inputs="when the store last failed (instant), the share that vanished"
         " at once, state in the list.",
         reason="Leases that expire together right after the store was out of reach more"
         " likely expired in its outage than by a stop of the upstreams.",
         constants=(
-            "gateway/source/listing.AFTER_OUTAGE_S",
-            "gateway/source/listing.GRACE_S",
-            "gateway/source/listing.EXPIRY_SHARE",
+            "gateway/source/lease_expiry.AFTER_OUTAGE_S",
+            "gateway/source/lease_expiry.GRACE_S",
+            "gateway/source/lease_expiry.EXPIRY_SHARE",
         ),
         events=("UPSTREAM_LEAVING",),
         tests=(
@@ -295,6 +328,81 @@
             Scenario("gateway", "entries that leave a sound store are dropped at once"),
         ),
     ),
+    Rule(
+        question="When an id of the list is another upstream than before",
+        functions=(
+            "gateway/source/leases.Lease.is_same_start",
+            "gateway/source/leases.renewed",
+            "kernel/upstream_set.UpstreamSet.set_listed",
+            "gateway/cluster/load_sharing.LoadSharing.message_received",
+        ),
+        inputs="the start that its entry tells (Unix ms, or none), state, service, zone"
+        " and address; of what peers report: its start, and how old it is (s).",
+        reason="Who starts again holds and knows nothing of before, so nothing that was"
+        " measured on the earlier start may count. Starts are compared for being equal"
+        " only, as clocks jump; that an earlier one does not come back follows from"
+        " the source's revisions. It is cold until it says otherwise.",
+        constants=(),
+        events=("UPSTREAM_RESTARTED",),
+        tests=(
+            Scenario(
+                "upstream_entries",
+                "an upstream that starts again begins with nothing known",
+            ),
+            Scenario(
+                "upstream_entries",
+                "what ran on an earlier start is judged by that alone",
+            ),
+            Scenario(
+                "upstream_entries", "an earlier start of an upstream never comes back"
+            ),
+            Scenario(
+                "upstream_entries",
+                "a peer that leaves out starts makes no upstream another",
+            ),
+            Scenario(
+                "platform_restarts",
+                "What ran on a worker that starts again runs nowhere else, and is not"
+                " denied",
+            ),
+        ),
+    ),
+    Rule(
+        question="What becomes of an upstream whose entry can't be used",
+        functions=(
+            "gateway/source/listing.Listing.discard",
+            "gateway/source/bad_items.BadItems.worth_a_line",
+        ),
+        inputs="whether the entry can be read and is within bounds; which lines were"
+        " written of it in the last minute.",
+        reason="Its entry was written, so its lease did not merely expire: it gets no"
+        " new work at once, like one that has left, until a good entry follows.",
+        constants=(
+            "gateway/source/bad_items.MOST_KEYS",
+            "gateway/source/bad_items.WINDOW_S",
+            "gateway/source/bad_items.MOST_LINES_OF_ONE",
+            "gateway/source/bad_items.MOST_LINES",
+        ),
+        events=("SOURCE_ITEM_REFUSED",),
+        tests=(
+            Scenario(
+                "upstream_entries",
+                "an entry of another writer takes its upstream out of use",
+            ),
+            Scenario(
+                "upstream_entries",
+                "an entry of another writer has no grace after an outage",
+            ),
+            Scenario(
+                "upstream_entries",
+                "entries of another writer are told once, and of few lines",
+            ),
+            Scenario(
+                "platform_restarts",
+                "An entry of another writer takes its worker out of use",
+            ),
+        ),
+    ),
     Rule(
         question="When a gateway is ready, leaves, takes nothing more",
         functions=(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -34,7 +34,10 @@
 import sys, loguru
 sys.path.append("platform")
 loguru.logger.remove()
-from features.steps import gateway_cold, gateway_evacuation, gateway_rollout, kernel
+from features.steps import gateway_allowed, gateway_bad_entries, gateway_budget
+from features.steps import gateway_cold, gateway_directory, gateway_evacuation
+from features.steps import gateway_overflow, gateway_reborn, gateway_regions
+from features.steps import gateway_rollout, kernel
 kernel.PROPERTIES.get({name!r})()
 """
 
@@ -173,10 +176,73 @@
     Mutant(
         "who learns of an upstream in an evacuated zone uses it",
         "gateway/source/listing",
-        "leave_at = now if listed.zone in self.evacuated_zones else ids.NEVER",
-        "leave_at = ids.NEVER",
+        "found.leave_at == ids.NEVER and listed.zone in self.evacuated_zones",
+        "False",
         held_by="who starts while a zone is evacuated never uses it",
     ),
+    Mutant(
+        "a start again is taken for the earlier start",
+        "gateway/source/listing",
+        "if lease is not None and not lease.is_same_start(upstream):",
+        "if False:",
+        held_by="an upstream that starts again begins with nothing known",
+    ),
+    Mutant(
+        "an earlier start that fails has the later one ejected",
+        "kernel/upstream_set",
+        "        known.end()\n",
+        "",
+        held_by="what ran on an earlier start is judged by that alone",
+    ),
+    Mutant(
+        "one that starts again counts as warm",
+        "kernel/upstream_set",
+        "            upstream.cold.was_away_since(now, now)\n",
+        "",
+        held_by="an upstream that starts again is cold",
+    ),
+    Mutant(
+        "a late load record of an earlier start counts",
+        "gateway/cluster/load_sharing",
+        "        return at >= upstream.known_since\n    return False",
+        "        return at >= upstream.known_since\n    return True",
+        held_by="what peers report of another start is not taken in",
+    ),
+    Mutant(
+        "probes of an earlier start go on",
+        "gateway/cluster/prober",
+        "return now is None or now.upstream is not before.upstream",
+        "return now is None",
+        held_by="probes of an earlier start end with it",
+    ),
+    Mutant(
+        "older changes bring back an earlier start",
+        "gateway/state",
+        "if changes.revision < self.listing.revision:",
+        "if False:",
+        held_by="an earlier start of an upstream never comes back",
+    ),
+    Mutant(
+        "a peer that tells no start makes every upstream another",
+        "gateway/source/leases",
+        "    if lease is None or listed.born is not None:",
+        "    if True:",
+        held_by="a peer that leaves out starts makes no upstream another",
+    ),
+    Mutant(
+        "an entry of another writer leaves the earlier lease in place",
+        "gateway/state",
+        "is_dropped = self.listing.discard(changes.unusable)",
+        "is_dropped = False",
+        held_by="an entry of another writer takes its upstream out of use",
+    ),
+    Mutant(
+        "an entry of another writer has the grace after outages",
+        "gateway/state",
+        "            self.listing.discard(snapshot.unusable)\n",
+        "",
+        held_by="an entry of another writer has no grace after an outage",
+    ),
     Mutant(
         "a zone that is taken back stays empty",
         "gateway/source/listing",
@@ -184,6 +250,125 @@
         "\n    def _schedule",
         held_by="a zone that is taken back is in use again at once",
     ),
+    Mutant(
+        "the reserve of retries is not divided by the size of the fleet",
+        "gateway/service_defaults",
+        "max(LEAST_RESERVE_PARTS, RESERVE_PARTS_EACH * regions * largest)",
+        "LEAST_RESERVE_PARTS",
+        "a fleet's retries keep to what all may send together",
+    ),
+    Mutant(
+        "a process that starts anew has the reserve of the one before it",
+        "gateway/service_defaults",
+        "RESERVE_PARTS_EACH * regions * largest",
+        "regions * largest",
+        "a fleet's retries keep to what all may send together",
+    ),
+    Mutant(
+        "each region has the whole reserve of retries",
+        "gateway/service_defaults",
+        "RESERVE_PARTS_EACH * regions * largest",
+        "RESERVE_PARTS_EACH * largest",
+        "a fleet's retries keep to what all may send together",
+    ),
+    Mutant(
+        "a gateway without others in view takes itself for a small fleet",
+        "gateway/service_defaults",
+        "UNKNOWN_FLEET if size.is_alone else size.largest",
+        "size.largest",
+        "a fleet's retries keep to what all may send together",
+    ),
+    Mutant(
+        "retries that were earned are kept for later",
+        "kernel/budgets",
+        "rest = math.exp(",
+        "rest = 1.0 + 0.0 * math.exp(",
+        "a fleet's retries keep to what all may send together",
+    ),
+    Mutant(
+        "a low rate of requests earns nothing",
+        "kernel/budgets",
+        "return max(0.0, 1.0 - self.reserve)",
+        "return 0.0",
+        "a low rate of requests still earns a retry",
+    ),
+    Mutant(
+        "the size of the fleet is what is in view",
+        "gateway/cluster/fleet_size",
+        "return self._sightings[0].count if self._sightings else self.seen",
+        "return self.seen",
+        "the size of the fleet is the largest of the last minute",
+    ),
+    Mutant(
+        "callers are told of gateways that are suspected",
+        "gateway/cluster/fleet",
+        "if not peer.missed and not peer.suspected",
+        "if True",
+        "callers are not told of a gateway that died",
+    ),
+    Mutant(
+        "a route is served in any region",
+        "gateway/source/region_rules",
+        "region != regions.UNNAMED and region in route.allowed_regions",
+        "True",
+        "elsewhere its requests are refused at once, and never run",
+    ),
+    Mutant(
+        "a call leaves the regions of its route",
+        "decisions/overflow",
+        "pool.region_of(u) in open_regions and pool.allows(call, u)",
+        "pool.region_of(u) in open_regions",
+        "no try of a call leaves the regions in which it may run",
+    ),
+    Mutant(
+        "calls wait though their regions have no upstream left",
+        "kernel/upstream_set",
+        "return allowed is None or self.region_of(upstream) in allowed",
+        "return True",
+        "calls that wait are refused once their regions have none",
+    ),
+    Mutant(
+        "full regions get the calls of others",
+        "decisions/overflow",
+        "if used <= MOST_USED",
+        "if used <= MOST_USED + 9",
+        "regions that are all overrun keep to themselves",
+    ),
+    Mutant(
+        "a summary grows younger on its way",
+        "peers/region_links",
+        "now - max(0.0, summary.age_s)",
+        "now - 0.5 * max(0.0, summary.age_s)",
+        "regions that lose each other go on, and meet again",
+    ),
+    Mutant(
+        "members of other regions become peers",
+        "peers/regional_gossip",
+        "if self.links.is_far(message.sender.zone):",
+        "if False:",
+        "a gateway's peers are those of its region, all of them",
+    ),
+    Mutant(
+        "a lost region's callers are not expected",
+        "gateway/cluster/moved_demand",
+        "needed = _sum([own, _part(_sum(moved), parts)])",
+        "needed = own",
+        "what a lost region was asked is expected by the others",
+    ),
+    Mutant(
+        "gateways send to cold upstreams of other regions",
+        "kernel/upstream_set",
+        "() if self.is_far(upstream) else self.cold_senders",
+        "self.cold_senders",
+        "nobody of another region sends to a cold upstream",
+    ),
+    Mutant(
+        "documents are fetched from other regions all the time",
+        "gateway/source/relay",
+        "if not self.state.is_far(sender.zone) or (",
+        "if True or (",
+        "documents of other regions count while no reader is heard",
+    ),
     Mutant(
         "a version that is tried gets what it can take",
         "gateway/rollout/runs",
