--- a/features/steps/rollout.py
+++ b/features/steps/rollout.py
@@ -192,4 +192,16 @@
 @behave.then("all requests were answered")
 def answered(context: typing.Any) -> None:
     story: Story = context.story
-    assert story.answers == [200] * story.sent, sorted(set(story.answers))
+    others = [status for status in story.answers if status != 200]
+    assert len(story.answers) == story.sent
+    assert not others, (others, failures_in(context))
+
+
+def failures_in(context: typing.Any) -> list[str]:
+    """Return what gateways logged of requests that failed."""
+    lines = [
+        line
+        for path in fleet_of(context).logs.values()
+        for line in path.read_text().splitlines()
+    ]
+    return [line for line in lines if '"event":601' in line or '"event":602' in line]
