Rollouts: a few bad upstreams hold a promoted version for 1.2 s at most

Cause: with all requests, a few failing upstreams kept the test of a good version above the doubt that hinders completion, until its time was over.

--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -44,6 +44,7 @@
         self.run = one
         self._reported: set[promotion.Hindrance] = set()
         self._watch_until = ids.NEVER
+        self._doubt_until = ids.NEVER
 
     def update(self, pool: upstream_pool.Pool, now: ids.Instant) -> None:
         """Promote, complete or roll back, and have the status written."""
@@ -84,6 +85,7 @@
         end_at = self.state.rollouts.end_at(self.run.order.service)
         if self._watch_until == ids.NEVER:
             self._watch_until = ids.later(now, promotion.WATCH_S)
+            self._doubt_until = ids.later(now, promotion.DOUBT_S)
         if now < self._watch_until:
             return False
         found = promotion.incompleteness(
@@ -91,7 +93,7 @@
             end_at,
             now,
             is_met=self.quorum.of_fleet(),
-            doubt=self.run.analysis.doubt(),
+            doubt=self._doubt(end_at, now),
         )
         if found is promotion.Hindrance.NONE:
             return True
@@ -99,6 +101,15 @@
             self._report(found)
         return False
 
+    def _doubt(self, end_at: ids.Instant, now: ids.Instant) -> float:
+        """Return how doubtful the target is, less strictly as time passes."""
+        if now < self._doubt_until:
+            return self.run.analysis.doubt()
+        if now < end_at - promotion.LAST_CALL_S:
+            return self.run.analysis.suspicion()
+        # Not shown to be bad in all its time.
+        return 0.0
+
     def _give_up(self, found: promotion.Hindrance) -> None:
         """Roll back an order that was not promoted within its time."""
         if self.run.raise_phase(rollout_notes.Phase.ROLLED_BACK):
--- a/spindlenotch/gateway/rollout/promotion.py
+++ b/spindlenotch/gateway/rollout/promotion.py
@@ -31,6 +31,9 @@
 #: Seconds for which it is watched after promotion, with all requests, before the others
 #: are given up: twice as long as records are old at most.
 WATCH_S = 0.4
+#: Seconds after promotion in which some upstreams that look bad are doubt enough, after
+#: them it takes most; and a few may look bad for good.
+DOUBT_S = 1.2
 #: Share of the evidence that shows a bad target from which it is not promoted.
 MOST_SUSPICION = 0.4
 #: The same, whether some upstreams show it or all, from which the others are not given
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -200,6 +200,7 @@
             "gateway/rollout/promotion.LEAST_SLOTS_SHARE",
             "gateway/rollout/promotion.MOST_SUSPICION",
             "gateway/rollout/promotion.MOST_DOUBT",
+            "gateway/rollout/promotion.DOUBT_S",
             "gateway/rollout/deciding.CANDIDATES",
         ),
         events=(
