--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -153,6 +153,8 @@
             rng=rng,
             config=types.SimpleNamespace(peers=("a", "b"), peer_listen="a"),
             rollout_status_written=self._status_written,
+            region_size=fleet_size.FleetSize(),
+            fleet_size=fleet_size.FleetSize(),
         )
         self.loop = loops.RolloutLoop(self.state, self, self, world.store)  # type: ignore[arg-type]
         self.loop.tasks = world.store  # type: ignore[assignment]
@@ -180,6 +182,12 @@
         ]
         return fleets.View(ready, [], active)  # type: ignore[arg-type]
 
+    def update_size(self) -> None:
+        """Look at how many gateways there are; see ``fleet.Fleet``."""
+        seen = 1 + len(self.state.gossip.known_by_host)
+        for size in (self.state.region_size, self.state.fleet_size):
+            size.update(seen, self.world.now, has_others=True)
+
     def active_zones(self) -> dict[ids.HostId, ids.ZoneName]:
         """Return the gateways that get callers."""
         return self.view().active_zones
