--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -158,8 +158,8 @@
         fault_by_version: FaultByVersion | None = None,
     ) -> None:
         self.id = worker_id
-        self.work_s = work_s
         self.version = version
+        self.work_s = work_s
         self.fault_by_version = {} if fault_by_version is None else fault_by_version
         self.slots = 4
         self.most_at_once = 1000
--- a/spindlenotch/gateway/cluster/cold_senders.py
+++ b/spindlenotch/gateway/cluster/cold_senders.py
@@ -6,15 +6,12 @@
 partition at most one side does. Being on the safe side costs little, since upstreams
 are cold for some seconds only.
 
-Pure but for the fleet that it looks at; owns no state.
+Pure but for the fleet that it looks at. Relies on ``quorum``.
 """
 
 from spindlenotch import ids
 from spindlenotch.gateway import state
-from spindlenotch.gateway.cluster import fleet
-
-#: Share of the gateways seen lately that must be in view, and more.
-QUORUM_SHARE = 0.5
+from spindlenotch.gateway.cluster import fleet, quorum
 
 
 class ColdSenders:
@@ -25,6 +22,7 @@
     ) -> None:
         self.state = gateway_state
         self.fleet = gateway_fleet
+        self.quorum = quorum.Quorum(gateway_state, gateway_fleet)
 
     def update(self) -> None:
         """Tell the pools who sends to cold upstreams now."""
@@ -34,7 +32,6 @@
             service.pool.set_cold_senders(senders, now)
 
     def _senders(self) -> tuple[ids.HostId, ...]:
-        size = self.state.region_size
-        if size.is_alone or size.seen <= QUORUM_SHARE * size.largest:
+        if not self.quorum.of_region():
             return ()
         return tuple(sorted(self.fleet.view().active_zones))
--- /dev/null
+++ b/spindlenotch/gateway/rollout/analysis.py
@@ -0,0 +1,145 @@
+"""
+Whether the target of an order is bad: a sequential test against the other versions.
+
+For each route, and for all of them, two tests run, on failures and on slow answers
+(``sequential_test``), against what the others did in the same moments
+(``others_rates``). So faults that strike all versions, and a gateway with a bad link,
+speak for nothing.
+
+Pure. Relies on ``merging`` for what is new.
+"""
+
+import msgspec
+
+from spindlenotch import ids
+from spindlenotch.gateway.rollout import (
+    evidence,
+    merging,
+    others_rates,
+    sequential_test,
+)
+from spindlenotch.peers import rollout_notes
+
+#: Name of the test over all routes.
+ALL_ROUTES = "*"
+
+
+#: How far above the others' rate a bad target's is: of the smallest harm that is to be
+#: found for certain. A version "several times slower" is slow far oftener than that.
+EFFECT_BY_SYMPTOM = {
+    others_rates.Symptom.FAILURES: 0.1,
+    others_rates.Symptom.SLOWNESS: 0.3,
+}
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """
+    Why a target is bad.
+
+    ``likelihood`` is the logarithm of the test, ``without_worst`` that without the
+    worst upstreams; ``calls`` and ``bad`` are those since the test began anew.
+    """
+
+    symptom: others_rates.Symptom
+    route: str
+    likelihood: float
+    without_worst: float
+    calls: int
+    bad: int
+    upstreams: int
+
+
+class Analysis:
+    """
+    The tests of one target, and the rates of the other versions.
+
+    ``add`` takes in what one process has newly counted; ``available`` is how many
+    upstreams the target has.
+    """
+
+    def __init__(self) -> None:
+        self.available = 1
+        self.test_by_key: dict[
+            tuple[others_rates.Symptom, str], sequential_test.Test
+        ] = {}
+        self._others = others_rates.OthersRates()
+
+    def add(self, delta: merging.Delta, now: ids.Instant) -> None:
+        """Take in what a process has counted: first the others, then the target."""
+        for (route, upstream_id), counts in delta.counts_by_cell.items():
+            if upstream_id == evidence.OTHER_VERSIONS:
+                self._add_others(delta.source, route, counts, now)
+        for (route, upstream_id), counts in delta.counts_by_cell.items():
+            if upstream_id != evidence.OTHER_VERSIONS:
+                self._add_target(delta.source, route, upstream_id, counts, now)
+
+    def finding(self) -> Finding | None:
+        """Return why the target is bad, None where nothing shows that."""
+        for (symptom, route), test in self.test_by_key.items():
+            if test.likelihood >= sequential_test.BOUND and test.suspicion() >= 1.0:
+                return Finding(
+                    symptom=symptom,
+                    route=route,
+                    likelihood=round(test.likelihood, 2),
+                    without_worst=round(test.without_worst(), 2),
+                    calls=test.calls,
+                    bad=test.bad,
+                    upstreams=test.upstreams,
+                )
+        return None
+
+    def suspicion(self) -> float:
+        """Return how near the nearest test is to a finding, 1 where it is one."""
+        return max((test.suspicion() for test in self.test_by_key.values()), default=0)
+
+    def doubt(self) -> float:
+        """Return the highest likelihood, some upstreams or all, by the bound on it."""
+        found = (test.likelihood for test in self.test_by_key.values())
+        return max(found, default=0.0) / sequential_test.BOUND
+
+    def bad_upstreams(self) -> set[ids.UpstreamId]:
+        """Return the upstreams of the target that look bad by themselves."""
+        return {
+            upstream_id
+            for test in self.test_by_key.values()
+            for upstream_id in test.bad_upstreams()
+        }
+
+    def _add_others(
+        self,
+        source: merging.Source,
+        route: str,
+        counts: rollout_notes.Counts,
+        now: ids.Instant,
+    ) -> None:
+        for symptom, tally in _tallies(counts).items():
+            self._others.add(symptom, route, source, tally, now)
+
+    def _add_target(
+        self,
+        source: merging.Source,
+        route: str,
+        upstream_id: ids.UpstreamId,
+        counts: rollout_notes.Counts,
+        now: ids.Instant,
+    ) -> None:
+        for symptom, tally in _tallies(counts).items():
+            rate = self._others.rate(symptom, route, source, now)
+            effect = EFFECT_BY_SYMPTOM[symptom]
+            for name in (route, ALL_ROUTES):
+                test = self.test_by_key.setdefault(
+                    (symptom, name), sequential_test.Test()
+                )
+                test.available = self.available
+                test.add(upstream_id, tally, rate, effect)
+
+
+def _tallies(
+    counts: rollout_notes.Counts,
+) -> dict[others_rates.Symptom, sequential_test.Tally]:
+    return {
+        others_rates.Symptom.FAILURES: sequential_test.Tally(
+            counts.judged, counts.failed
+        ),
+        others_rates.Symptom.SLOWNESS: sequential_test.Tally(counts.timed, counts.slow),
+    }
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -150,7 +150,7 @@
                 documents.DocumentKind.BUNDLE, configuration.version, configuration
             )
         if gateway_state.listed_once:
-            listed = gateway_state.listing.listed(gateway_state.clock.now())
+            listed = gateway_state.listed_for_peers()
             self._offer_own(documents.DocumentKind.HOSTS, listing_version, listed)
 
     def _offer_own(
@@ -210,13 +210,11 @@
         self.duty.peer_heard(now)
         if self.fleet.shares_reader(sender.zone):
             self.duty.zone_peer_heard(sender.host, now, reads=message.reads_source)
-        if not self.state.is_far(sender.zone) or self._lacks_reader(now):
+        if not self.state.is_far(sender.zone) or (
+            self.duty.lacks_reader(now) and not self.state.reads_source
+        ):
             self.exchange.fetch(sender.peer_address, handled.newer)
 
-    def _lacks_reader(self, now: ids.Instant) -> bool:
-        """Tell whether this zone has no news but what other regions know."""
-        return not self.state.reads_source and not self.duty.hears_reader(now)
-
     def _receive(self, document: documents.Document) -> None:
         """Put a peer's document in force where it is newer."""
         if document.version <= self.state.fence.version(document.kind):
--- a/spindlenotch/peers/messages.py
+++ b/spindlenotch/peers/messages.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.peers import documents, workload
+from spindlenotch.peers import documents, rollout_notes, workload
 
 #: Changed member records in a message. Chosen, not measured; with it gossip
 #: took 2.6 to 4.7 KB/s at 1% loss (docs/CAPACITY.md, "Slopes").
@@ -157,6 +157,7 @@
 class Message(
     msgspec.Struct,
     frozen=True,
+    omit_defaults=True,
     rename={"drain_notices": "marks", "wants_members": "hungry"},
 ):
     """
@@ -164,8 +165,9 @@
 
     ``wants_reply`` asks for one back; ``wants_members`` says that the sender
     knows fewer members than the host list names; ``reads_source`` that it reads
-    the source itself. ``regions`` is left out where there is nothing to tell of any.
-    On the wire ``drain_notices`` is called ``marks`` and ``wants_members`` ``hungry``.
+    the source itself. ``regions`` is left out where there is nothing to tell of any,
+    ``rollout_phases`` and ``evidence`` while no service changes its version. On the
+    wire ``drain_notices`` is called ``marks`` and ``wants_members`` ``hungry``.
     """
 
     sender: MemberRecord
@@ -178,11 +180,9 @@
     suspicions: tuple[Suspicion, ...] = ()
     reads_source: bool = False
     loads: tuple[workload.LoadRecord, ...] = ()
-    regions: tuple[RegionSummary, ...] | msgspec.UnsetType = msgspec.UNSET
-
-    def summaries(self) -> tuple[RegionSummary, ...]:
-        """Return the summaries of regions, none where there are none."""
-        return () if self.regions is msgspec.UNSET else self.regions
+    regions: tuple[RegionSummary, ...] = ()
+    rollout_phases: tuple[rollout_notes.PhaseNote, ...] = ()
+    evidence: rollout_notes.EvidenceRecord | None = None
 
 
 class DocumentFrame(msgspec.Struct, frozen=True):
