--- a/tools/soak_processes/mutants.py
+++ b/tools/soak_processes/mutants.py
@@ -119,6 +119,14 @@
         held_by="probes within their bound",
         steps=("3 2 bad-entries 1",),
     ),
+    mutants.Mutant(
+        "a new version gets all that it can take",
+        "../platform/spindlenotch_platform/settings_file",
+        '"exposure_share": bounds.get("exposureShare"),',
+        '"exposure_share": "1.0",',
+        held_by="exposure to bad versions",
+        steps=("0.5 1 version-ordered 5",),
+    ),
     mutants.Mutant(
         "a request waits for good",
         "gateway/serving/job_factory",
