--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -153,8 +153,6 @@
             rng=rng,
             config=types.SimpleNamespace(peers=("a", "b"), peer_listen="a"),
             rollout_status_written=self._status_written,
-            region_size=fleet_size.FleetSize(),
-            fleet_size=fleet_size.FleetSize(),
         )
         self.loop = loops.RolloutLoop(self.state, self, self, world.store)  # type: ignore[arg-type]
         self.loop.tasks = world.store  # type: ignore[assignment]
@@ -192,11 +190,6 @@
         """Return the gateways that get callers."""
         return self.view().active_zones
 
-    def update_size(self) -> None:
-        """Tell the state how many gateways are in view; see ``fleet.Fleet``."""
-        for size in (self.state.region_size, self.state.fleet_size):
-            size.update(self.view().count, self.world.now, has_others=True)
-
     def send(self, message: messages.Message, targets: list[ids.Address]) -> None:
         """Send a datagram; see ``peer_link.PeerLink``."""
         self.announced += message.evidence is None
