--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -145,6 +145,7 @@
                 local=self.local, known_by_host={}, rollout_phases=()
             ),
             local_member=member,
+            links=None,
             region_size=fleet_size.FleetSize(),
             fleet_size=fleet_size.FleetSize(),
             reads_source=True,
