--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -226,7 +226,8 @@
         try:
             while await self._serve_one(reader, writer):
                 pass
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, ValueError, RuntimeError):
+            # RuntimeError: uvloop's, for a write on a connection that has ended.
             pass
         finally:
             self._writers.discard(writer)
@@ -300,6 +301,8 @@
         closed = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait({closed}, timeout=limit_s)
         if done:
+            # A reset ends it with an error, which is nothing more to know.
+            await asyncio.gather(closed, return_exceptions=True)
             self.cancelled += 1
             return False
         closed.cancel()
