Rollouts: a few bad upstreams of a good version do not keep it from completion

Cause: what is doubtful under all requests is not completed, and the doubt was the whole likelihood: a few upstreams that fail part of their requests kept a good version, promoted in time, 'running' for good. Change: the doubt is the likelihood without the worst upstreams, as in a finding.

--- a/spindlenotch/gateway/rollout/analysis.py
+++ b/spindlenotch/gateway/rollout/analysis.py
@@ -93,8 +93,8 @@
         return max((test.suspicion() for test in self.test_by_key.values()), default=0)
 
     def doubt(self) -> float:
-        """Return the highest likelihood, some upstreams or all, by the bound on it."""
-        found = (test.likelihood for test in self.test_by_key.values())
+        """Return the highest likelihood without the worst upstreams, by the bound."""
+        found = (test.without_worst() for test in self.test_by_key.values())
         return max(found, default=0.0) / sequential_test.BOUND
 
     def bad_upstreams(self) -> set[ids.UpstreamId]:
--- a/spindlenotch/gateway/rollout/loop.py
+++ b/spindlenotch/gateway/rollout/loop.py
@@ -190,12 +190,9 @@
     # Telling peers
 
     def _announce(self) -> None:
-        """
-        Tell everyone at once of a phase that this gateway has begun.
-
-        Those that are told pass it on with their gossip only: were each of them to
-        announce it, one phase would cost messages by the square of the fleet.
-        """
+        """Tell everyone at once of a phase that this gateway has begun."""
+        # Those that are told pass it on with their gossip only: were each of them to
+        # announce it, one phase would cost messages by the square of the fleet.
         self._announce_rounds = ANNOUNCE_ROUNDS
         self._publish(self._runs())
 
--- a/spindlenotch/gateway/rollout/promotion.py
+++ b/spindlenotch/gateway/rollout/promotion.py
@@ -33,8 +33,8 @@
 WATCH_S = 0.4
 #: Share of the evidence that shows a bad target from which it is not promoted.
 MOST_SUSPICION = 0.4
-#: The same, whether some upstreams show it or all, from which the others are not given
-#: up: with all requests it is soon known.
+#: The same of the evidence without the worst upstreams, from which the others are not
+#: given up: with all requests it is soon known, and a few bad upstreams hinder nothing.
 MOST_DOUBT = 0.3
 
 
