--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -71,6 +71,9 @@
         end_at = self.state.rollouts.end_at(self.run.order.service)
         ready = self._readiness(pool, now)
         found = promotion.hindrance(ready, self._promote_at(end_at), now)
+        if found is promotion.Hindrance.NONE and not self.quorum.of_fleet():
+            # It could not be completed, so all requests would move for nothing.
+            found = promotion.Hindrance.NO_QUORUM
         if found is promotion.Hindrance.NONE:
             self.run.raise_phase(rollout_notes.Phase.PROMOTING)
             self._report_promotion(ready)
--- /dev/null
+++ b/spindlenotch/gateway/services.py
@@ -0,0 +1,109 @@
+"""
+The balancers of the services, in step with the configuration and the upstreams.
+
+Owns one balancer for each service that any configuration has named. What is decided
+about calls lies in ``decisions``, the policy of a service in ``service_defaults``.
+"""
+
+import random
+from collections import abc
+
+from spindlenotch import ids
+from spindlenotch.decisions import balancer
+from spindlenotch.forwarding import upstream_events
+from spindlenotch.gateway import service_defaults, settings
+from spindlenotch.gateway.cluster import fleet_size
+from spindlenotch.gateway.source import routing
+from spindlenotch.kernel import ownership, upstreams
+
+#: The upstreams that may get work, by service.
+SpecsByService = abc.Mapping[ids.ServiceName, abc.Sequence[upstreams.UpstreamSpec]]
+
+
+class Services:
+    """
+    The services of one gateway.
+
+    ``region_size`` tells how many gateways share what the fleet may send again.
+    """
+
+    def __init__(
+        self,
+        local_member: ownership.Member,
+        region_size: fleet_size.FleetSize,
+        rng: random.Random,
+    ) -> None:
+        self.local_member = local_member
+        self.region_size = region_size
+        self.rng = rng
+        self.balancer_by_service: dict[ids.ServiceName, balancer.Balancer] = {}
+
+    def configure(
+        self, configuration: routing.Configuration, config: settings.GatewaySettings
+    ) -> None:
+        """Begin the services that are new, and learn what routes promise."""
+        for name, spec in configuration.service_by_name.items():
+            if name not in self.balancer_by_service:
+                self.balancer_by_service[name] = self._new_balancer(spec, config)
+        for route in configuration.routes:
+            typical_s = service_defaults.typical_latency_s(route)
+            for part in route.parts:
+                pool = self.balancer_by_service[part.service].pool
+                pool.latencies.learn(route.name, typical_s)
+
+    def set_listed(
+        self,
+        specs_by_service: SpecsByService,
+        configuration: routing.Configuration | None,
+        config: settings.GatewaySettings,
+        now: ids.Instant,
+    ) -> None:
+        """Take in the upstreams of all services."""
+        for name, service in self.balancer_by_service.items():
+            specs = specs_by_service.get(name, ())
+            spec = None
+            if configuration is not None:
+                spec = configuration.service_by_name.get(name)
+            if spec is not None:
+                self._update_policy(service, spec, specs, config)
+            service.pool.set_listed(specs, now)
+
+    def tick(self, config: settings.GatewaySettings, now: ids.Instant) -> None:
+        """Let ejections end, and budgets follow the size of the fleet."""
+        reserve = service_defaults.extra_reserve(config, self.region_size)
+        for service in self.balancer_by_service.values():
+            service.pool.tick(now)
+            service.extra.set_reserve(reserve)
+
+    def leave(
+        self, service: ids.ServiceName, spec: upstreams.UpstreamSpec, reason: str
+    ) -> bool:
+        """Give an upstream no new work; tell whether that is a change."""
+        pool = self.balancer_by_service[service].pool
+        return pool.leave(spec.id, spec.generation, reason)
+
+    def report_changes(self) -> None:
+        """Log which upstreams have changed their state."""
+        for name, service in self.balancer_by_service.items():
+            upstream_events.report_changes(name, service.pool)
+
+    def _update_policy(
+        self,
+        service: balancer.Balancer,
+        spec: routing.ServiceSpec,
+        listed: abc.Iterable[upstreams.UpstreamSpec],
+        config: settings.GatewaySettings,
+    ) -> None:
+        """Put the policy of a service into force where it has changed."""
+        zones = {one.zone for one in listed} | {config.zone}
+        policy = service_defaults.policy(
+            spec, tuple(sorted(zones)), config, self.region_size
+        )
+        if policy != service.service:
+            service.update_service(policy)
+
+    def _new_balancer(
+        self, spec: routing.ServiceSpec, config: settings.GatewaySettings
+    ) -> balancer.Balancer:
+        policy = service_defaults.policy(spec, (config.zone,), config, self.region_size)
+        return balancer.Balancer(policy, self.local_member, self.rng)
--- a/spindlenotch/gateway/source/source_events.py
+++ b/spindlenotch/gateway/source/source_events.py
@@ -7,7 +7,7 @@
 from collections import abc
 
 from spindlenotch import events, ids, metrics
-from spindlenotch.gateway.source import bad_items, sources
+from spindlenotch.gateway.source import bad_items, routing, sources
 
 
 class SourceEvents:
@@ -44,3 +44,22 @@
         events.emit(events.Event.ZONE_EVACUATED, zone=zone)
     for zone in sorted(before - now):
         events.emit(events.Event.ZONE_RESTORED, zone=zone)
+
+
+def report_remarks(configuration: routing.Configuration) -> None:
+    """Log what of a configuration is not served as it is written."""
+    for route in configuration.refused_routes:
+        events.emit(
+            events.Event.ROUTE_REFUSED,
+            version=configuration.version,
+            route=route.name,
+            host=route.host,
+            prefix=route.prefix,
+            reason=route.reason,
+        )
+    for remark in configuration.remarks:
+        events.emit(
+            events.Event.CONFIGURATION_REMARK,
+            version=configuration.version,
+            reason=remark,
+        )
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -15,12 +15,10 @@
 import msgspec
 
 from spindlenotch import clock, events, ids, metrics
-from spindlenotch.decisions import balancer
-from spindlenotch.forwarding import upstream_events
 from spindlenotch.gateway import (
     lifecycle,
     reloading,
-    service_defaults,
+    services,
     settings,
     wakeups,
 )
@@ -67,7 +65,6 @@
         self.round_robin = routing.WeightedRoundRobin()
         self.listing = listing.Listing(config.evacuate_s)
         self.rollouts = registry.Registry(config.exposure_share, self.metrics)
-        self.balancer_by_service: dict[ids.ServiceName, balancer.Balancer] = {}
         self.local_member = ownership.Member(config.zone, config.host)
         record = own_record.first(config, self.rng, gateway_clock)
         self.regions = regions.create(config.region_by_zone)
@@ -78,6 +75,8 @@
         self.fleet_size = fleet_size.FleetSize()
         #: The same of the own region alone.
         self.region_size = fleet_size.FleetSize()
+        self.services = services.Services(self.local_member, self.region_size, self.rng)
+        self.balancer_by_service = self.services.balancer_by_service
         self.listed_once = False
         self.fence = documents.Fence()
         self.discovery_record_by_zone: dict[ids.ZoneName, sources.DiscoveryRecord] = {}
@@ -148,14 +147,7 @@
             return False
         self.table = routing.RouteTable(configuration)
         self.round_robin.forget_missing(configuration.routes)
-        for name, spec in configuration.service_by_name.items():
-            if name not in self.balancer_by_service:
-                self.balancer_by_service[name] = self._new_balancer(spec)
-        for route in configuration.routes:
-            typical_s = service_defaults.typical_latency_s(route)
-            for part in route.parts:
-                pool = self.balancer_by_service[part.service].pool
-                pool.latencies.learn(route.name, typical_s)
+        self.services.configure(configuration, self.config)
         self.metrics.bundle_version.set(configuration.version)
         self.metrics.refused_routes.set(len(configuration.refused_routes))
         events.emit(
@@ -163,7 +155,7 @@
             version=configuration.version,
             routes=len(configuration.routes),
         )
-        _report_remarks(configuration)
+        source_events.report_remarks(configuration)
         self._refresh_upstreams()
         self._settle_phase()
         return True
@@ -264,9 +256,8 @@
         self, service: ids.ServiceName, spec: upstreams.UpstreamSpec, reason: str
     ) -> bool:
         """Give an upstream no new work; tell whether that is a change."""
-        pool = self.balancer_by_service[service].pool
-        changed = pool.leave(spec.id, spec.generation, reason)
-        self._report_changes()
+        changed = self.services.leave(service, spec, reason)
+        self.services.report_changes()
         return changed
 
     def tick(self) -> bool:
@@ -280,13 +271,10 @@
         expired = self.listing.drop_expired(now)
         if self.listing.leave_due(now) or expired:
             self._refresh_upstreams()
-        reserve = service_defaults.extra_reserve(self.config, self.region_size)
-        for service in self.balancer_by_service.values():
-            service.pool.tick(now)
-            service.extra.set_reserve(reserve)
+        self.services.tick(self.config, now)
         if self.demand.update(now):
             self.gossip.set_demand(self.demand.reported)
-        self._report_changes()
+        self.services.report_changes()
         return expired
 
     def take_settings(self, config: settings.GatewaySettings) -> None:
@@ -329,46 +317,17 @@
 
     def _refresh_upstreams(self) -> None:
         now = self.clock.now()
+        configuration = None if self.table is None else self.table.configuration
         specs_by_service = self.listing.specs(now)
-        for name, service in self.balancer_by_service.items():
-            specs = specs_by_service.get(name, [])
-            self._update_policy(name, service, specs)
-            service.pool.set_listed(specs, now)
+        self.services.set_listed(specs_by_service, configuration, self.config, now)
         self._follow_rollouts()
 
     def _follow_rollouts(self) -> None:
         """Bring the splits of calls between versions in step with the orders."""
         self.rollouts.follow(self.balancer_by_service)
-        self._report_changes()
+        self.services.report_changes()
         self._end_upstreams()
 
-    def _update_policy(
-        self,
-        name: ids.ServiceName,
-        service: balancer.Balancer,
-        specs: abc.Iterable[upstreams.UpstreamSpec],
-    ) -> None:
-        """Put the policy of a service into force where it has changed."""
-        configured = self._service_spec(name)
-        if configured is None:
-            return
-        zones = {spec.zone for spec in specs} | {self.config.zone}
-        policy = service_defaults.policy(
-            configured, tuple(sorted(zones)), self.config, self.region_size
-        )
-        if policy != service.service:
-            service.update_service(policy)
-
-    def _service_spec(self, name: ids.ServiceName) -> routing.ServiceSpec | None:
-        """Return a service as configured; None where it is no longer."""
-        if self.table is None:
-            return None
-        return self.table.configuration.service_by_name.get(name)
-
-    def _report_changes(self) -> None:
-        for name, service in self.balancer_by_service.items():
-            upstream_events.report_changes(name, service.pool)
-
     def _end_upstreams(self) -> None:
         """Tell which upstreams are gone for good, and log those that started again."""
         for ended in self.listing.take_ended():
@@ -376,28 +335,3 @@
                 listener(ended.listed)
             if ended.is_replaced and ended.listed.service in self.balancer_by_service:
                 self._source_events.report_restart(ended.listed)
-
-    def _new_balancer(self, spec: routing.ServiceSpec) -> balancer.Balancer:
-        policy = service_defaults.policy(
-            spec, (self.config.zone,), self.config, self.region_size
-        )
-        return balancer.Balancer(policy, self.local_member, self.rng)
-
-
-def _report_remarks(configuration: routing.Configuration) -> None:
-    """Log what of a configuration is not served as it is written."""
-    for route in configuration.refused_routes:
-        events.emit(
-            events.Event.ROUTE_REFUSED,
-            version=configuration.version,
-            route=route.name,
-            host=route.host,
-            prefix=route.prefix,
-            reason=route.reason,
-        )
-    for remark in configuration.remarks:
-        events.emit(
-            events.Event.CONFIGURATION_REMARK,
-            version=configuration.version,
-            reason=remark,
-        )
