--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -50,7 +50,8 @@
             links = gateway.state.links
             assert links is not None
             elsewhere = count - len(made.of(gateway.region))
-            assert links.members_elsewhere() == elsewhere
+            heard = links.heard_by_region.values()
+            assert sum(one.summary.member_count for one in heard) == elsewhere
 
 
 @kernel.PROPERTIES.register("callers are sent to gateways of their own region")
@@ -259,9 +260,9 @@
     stranger = messages.RegionSummary(ids.RegionName("elsewhere"), member_count=7)
     links.take((fresh, messages.RegionSummary(north, member_count=3)), kernel.NOW)
     links.take((old, stranger), ids.later(kernel.NOW, 0.5))
-    assert links.members_elsewhere() == 5
-    # The third region has not been heard of.
-    assert links.members_elsewhere(unheard=4) == 9
+    # The third region has not been heard of; the own one tells itself.
+    assert set(links.heard_by_region) == {south}
+    assert links.heard_by_region[south].summary.member_count == 5
     links.take((msgspec.structs.replace(old, age_s=-5.0),), kernel.NOW)
     assert links.heard_by_region[south].made_at <= kernel.NOW
 
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -147,7 +147,6 @@
             local_member=member,
             links=None,
             region_size=fleet_size.FleetSize(),
-            fleet_size=fleet_size.FleetSize(),
             reads_source=True,
             metrics=measured,
             table=types.SimpleNamespace(configuration=CONFIGURATION),
@@ -184,8 +183,7 @@
     def update_size(self) -> None:
         """Look at how many gateways there are; see ``fleet.Fleet``."""
         seen = 1 + len(self.state.gossip.known_by_host)
-        for size in (self.state.region_size, self.state.fleet_size):
-            size.update(seen, self.world.now, has_others=True)
+        self.state.region_size.update(seen, self.world.now, has_others=True)
 
     def active_zones(self) -> dict[ids.HostId, ids.ZoneName]:
         """Return the gateways that get callers."""
--- a/spindlenotch/gateway/cluster/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -112,12 +112,9 @@
         """Tell the state how many gateways are in view; called a few times a second."""
         config = self.state.config
         now = self.state.clock.now()
-        links = self.state.links
-        elsewhere = 0 if links is None else links.members_elsewhere()
         has_others = any(peer != config.peer_listen for peer in config.peers)
         count = self.view().count
         self.state.region_size.update(count, now, has_others=has_others)
-        self.state.fleet_size.update(count + elsewhere, now, has_others=has_others)
 
     def active_addresses(self) -> dict[ids.HostId, ids.Address]:
         """Return the addresses of the active gateways, for callers."""
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -72,8 +72,6 @@
             record, self.rng, GOSSIP_TIMING, self.regions
         )
         self.demand = demand_meter.DemandMeter()
-        self.fleet_size = fleet_size.FleetSize()
-        #: The same of the own region alone.
         self.region_size = fleet_size.FleetSize()
         self.services = services.Services(self.local_member, self.region_size, self.rng)
         self.balancer_by_service = self.services.balancer_by_service
--- a/spindlenotch/peers/region_links.py
+++ b/spindlenotch/peers/region_links.py
@@ -94,19 +94,6 @@
             for one in heard.summary.gateways
         )
 
-    def members_elsewhere(self, unheard: int = 0) -> int:
-        """
-        Return how many members the other regions had when they were last heard.
-
-        A region that never was counts as ``unheard``: what all share without asking
-        each other is divided by the sum.
-        """
-        counts = {
-            region: heard.summary.member_count
-            for region, heard in self.heard_by_region.items()
-        }
-        return sum(counts.get(region, unheard) for region in self.others)
-
     # What is said to others
 
     def describe(
