--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -148,6 +148,7 @@
             region_size=fleet_size.FleetSize(),
             fleet_size=fleet_size.FleetSize(),
             reads_source=True,
+            links=None,
             metrics=measured,
             table=types.SimpleNamespace(configuration=CONFIGURATION),
             rng=rng,
