--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -148,7 +148,6 @@
             links=None,
             region_size=fleet_size.FleetSize(),
             reads_source=True,
-            links=None,
             metrics=measured,
             table=types.SimpleNamespace(configuration=CONFIGURATION),
             rng=rng,
