--- a/spindlenotch/gateway/serving/refusals.py
+++ b/spindlenotch/gateway/serving/refusals.py
@@ -19,8 +19,9 @@
 #: The deadline has passed; whether the request ran is unknown.
 LATE_STATUS = 504
 NO_ROUTE_STATUS = 404
-#: Seconds after which a request of a refused route may come back: only an operator
-#: can mend the route, so sooner is in vain. Chosen, not measured.
+#: Seconds after which a request of a refused route may come back. Only an operator can
+#: mend the route, so it is as long as callers keep an answer of the directory: sooner
+#: is in vain, later keeps them waiting once it is mended.
 ROUTE_REFUSED_RETRY_S = 5.0
 #: Seconds after which a request may come back that was refused for its region: by
 #: then its caller has asked the directory again and may reach another one.
