--- a/features/steps/gateway_allowed.py
+++ b/features/steps/gateway_allowed.py
@@ -140,8 +140,8 @@
     state = asked.state
     state.config = msgspec.structs.replace(state.config, extra_reserve=300.0)
     service = routing.ServiceSpec(ids.ServiceName("s"), health_path="/", connections=9)
-    one = state._new_balancer(service)
-    state.balancer_by_service = {service.name: one}
+    one = state.services._new_balancer(service, state.config)
+    state.balancer_by_service[service.name] = one
     expected = 300.0 / (service_defaults.RESERVE_PARTS_EACH * 3 * 50)
     assert one.extra.retries.reserve == expected
     state.tick()
