--- a/features/support/rollout_trials.py
+++ b/features/support/rollout_trials.py
@@ -14,7 +14,7 @@
 
 import loguru
 
-from features.support import rollout_world as worlds
+from features.support import rollout_service, rollout_world as worlds
 from spindlenotch import registry
 from spindlenotch.gateway.source import sources
 
@@ -50,7 +50,7 @@
 
 @HARMS.register("failing late")
 def late(rng: random.Random) -> worlds.Harm:
-    return worlds.Harm(fails=rng.uniform(0.25, 0.7), from_s=0.6 * worlds.BY_S)
+    return worlds.Harm(fails=rng.uniform(0.25, 0.7), from_s=0.6 * rollout_service.BY_S)
 
 
 @HARMS.register("failing under load")
@@ -60,7 +60,7 @@
 
 @HARMS.register("failing on one route")
 def one_route(rng: random.Random) -> worlds.Harm:
-    route = rng.choice(list(worlds.WORK_S_BY_ROUTE))
+    route = rng.choice(list(rollout_service.WORK_S_BY_ROUTE))
     return worlds.Harm(fails=rng.uniform(0.3, 0.7), route=route)
 
 
@@ -193,11 +193,11 @@
         return found
     if final is not sources.RolloutState.ROLLED_BACK:
         found.append(f"bad, but {final}")
-    allowed = worlds.SHARE * seen.reached + worlds.RESERVE
+    allowed = rollout_service.SHARE * seen.reached + rollout_service.RESERVE
     if seen.to_new > allowed:
         found.append(f"exposure {seen.to_new} of {allowed:.0f}")
     if len(seen.bad_at) >= BAD_ANSWERS:
-        bound = sorted(seen.bad_at)[BAD_ANSWERS - 1] + worlds.ROLLBACK_S
+        bound = sorted(seen.bad_at)[BAD_ANSWERS - 1] + rollout_service.ROLLBACK_S
         after = sum(at > bound for at in seen.new_sent_at)
         if after:
             found.append(f"{after} requests after the bound")
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -14,39 +14,20 @@
 import typing
 from collections import abc
 
-import msgspec
-
-from features.support import rollout_store
+from features.support import rollout_service, rollout_store
 from spindlenotch import clock, ids, metrics
-from spindlenotch.decisions import balancer, soonest, verdicts
+from spindlenotch.decisions import balancer, verdicts
 from spindlenotch.gateway.cluster import fleet as fleets, fleet_size
 from spindlenotch.gateway.rollout import loop as loops, registry, runs
-from spindlenotch.gateway.source import routing, sources
+from spindlenotch.gateway.source import sources
 from spindlenotch.kernel import (
-    extra_budgets,
     outcomes,
     ownership,
-    service_policy,
     upstreams,
     waiting,
 )
 from spindlenotch.peers import messages, rollout_notes
 
-SERVICE = ids.ServiceName("s")
-ZONE = ids.ZoneName("z")
-OLD, NEW = ids.SoftwareVersion("v1"), ids.SoftwareVersion("v2")
-SHARE, RESERVE, ROLLBACK_S, BY_S = 0.1, 50.0, 5.0, 12.0
-#: Usual work of each route, in seconds, and its part of the requests.
-WORK_S_BY_ROUTE = {"read": 0.08, "book": 0.11, "export": 0.07}
-PART_BY_ROUTE = {"read": 0.6, "book": 0.3, "export": 0.1}
-#: Between two health answers of an upstream, and between two rounds of a gateway.
-REPORT_S, ROUND_S = 0.2, 0.2
-#: From a request to the deadline of its caller.
-DEADLINE_S = 1.5
-#: A datagram's way.
-WAY_S = 0.002
-SLOTS = 2
-
 
 @dataclasses.dataclass(slots=True)
 class Machine:
@@ -80,7 +61,7 @@
         """Tell whether a request may meet it."""
         if at_s < self.from_s or (self.route and self.route != route):
             return False
-        return not self.only_full or machine.running + 1 >= SLOTS
+        return not self.only_full or machine.running + 1 >= rollout_service.SLOTS
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,7 +73,7 @@
     olds: int = 18
     news: int = 18
     per_s: float = 200.0
-    by_s: float = BY_S
+    by_s: float = rollout_service.BY_S
     harm: Harm = dataclasses.field(default_factory=Harm)
     #: Called with the world before it is played.
     disturb: abc.Callable[["World"], None] | None = None
@@ -129,18 +110,18 @@
         #: Share of the calls that its link breaks.
         self.link_fails = 0.0
         rng = random.Random(world.rng.random())
-        member = ownership.Member(ZONE, host)
-        self.balancer = balancer.Balancer(policy(), member, rng)
-        for route, work_s in WORK_S_BY_ROUTE.items():
+        member = ownership.Member(rollout_service.ZONE, host)
+        self.balancer = balancer.Balancer(rollout_service.policy(), member, rng)
+        for route, work_s in rollout_service.WORK_S_BY_ROUTE.items():
             self.balancer.pool.latencies.learn(route, work_s)
         measured = world.metrics
-        self.rollouts = registry.Registry(SHARE, measured)
-        self.local = record(host, next(world.numbers))
+        self.rollouts = registry.Registry(rollout_service.SHARE, measured)
+        self.local = rollout_service.record(host, next(world.numbers))
         self.state = typing.cast(typing.Any, types.SimpleNamespace())
         self.state.__dict__.update(
             clock=world.clock,
             rollouts=self.rollouts,
-            balancer_by_service={SERVICE: self.balancer},
+            balancer_by_service={rollout_service.SERVICE: self.balancer},
             gossip=types.SimpleNamespace(
                 local=self.local, known_by_host={}, rollout_phases=()
             ),
@@ -149,7 +130,7 @@
             region_size=fleet_size.FleetSize(),
             reads_source=True,
             metrics=measured,
-            table=types.SimpleNamespace(configuration=CONFIGURATION),
+            table=types.SimpleNamespace(configuration=rollout_service.CONFIGURATION),
             rng=rng,
             config=types.SimpleNamespace(peers=("a", "b"), peer_listen="a"),
             rollout_status_written=self._status_written,
@@ -174,7 +155,7 @@
         peers = self.state.gossip.known_by_host.values()
         ready = [self.local, *(peer.record for peer in peers)]
         active = [
-            types.SimpleNamespace(host=r.host, zone=ZONE)
+            types.SimpleNamespace(host=r.host, zone=rollout_service.ZONE)
             for r in ready
             if r.host not in self.world.standby
         ]
@@ -201,16 +182,16 @@
         self.rollouts.orders.replace(snapshot, self.world.now)
         specs = [machine.spec for machine in self.world.machines]
         self.balancer.pool.set_listed(specs, self.world.now)
-        self.rollouts.follow({SERVICE: self.balancer})
+        self.rollouts.follow({rollout_service.SERVICE: self.balancer})
 
     def _status_written(self, status: sources.RolloutStatus) -> None:
         self.rollouts.orders.written(status)
-        self.rollouts.follow({SERVICE: self.balancer})
+        self.rollouts.follow({rollout_service.SERVICE: self.balancer})
 
     @property
     def run(self) -> runs.Run:
         """Return the run of the order."""
-        return self.rollouts.run_by_service[SERVICE]
+        return self.rollouts.run_by_service[rollout_service.SERVICE]
 
 
 class World:
@@ -231,15 +212,15 @@
         self.per_s = plan.per_s
         self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
         self.began_at = self.now
-        versions = [OLD] * plan.olds + [NEW] * plan.news
+        versions = [rollout_service.OLD] * plan.olds + [rollout_service.NEW] * plan.news
         self.machines = [
             Machine(
                 upstreams.UpstreamSpec(
                     id=ids.UpstreamId(f"u{n}"),
-                    zone=ZONE,
+                    zone=rollout_service.ZONE,
                     address=ids.Address(f"u{n}"),
                     generation=1,
-                    slots=SLOTS,
+                    slots=rollout_service.SLOTS,
                     version=version,
                 )
             )
@@ -280,8 +261,8 @@
         self.store.order(self.plan.by_s)
         self.see_peers()
         for gateway in self.gateways:
-            self.every(ROUND_S, lambda one=gateway: self._round(one))  # type: ignore[misc]
-        self.every(REPORT_S, self._report)
+            self.every(rollout_service.ROUND_S, lambda one=gateway: self._round(one))  # type: ignore[misc]
+        self.every(rollout_service.REPORT_S, self._report)
         if self.plan.disturb is not None:
             self.plan.disturb(self)
         self._arrive()
@@ -303,7 +284,7 @@
         begun = Gateway(self, self.gateways[number].host)
         self.gateways[number] = begun
         begun.take_list(self.store.snapshot())
-        self.every(ROUND_S, lambda: self._round(begun))
+        self.every(rollout_service.ROUND_S, lambda: self._round(begun))
         self.see_peers()
 
     def datagram(self, message: messages.Message, target: ids.Address) -> None:
@@ -313,13 +294,14 @@
         for gateway in self.gateways:
             if gateway.local.peer_address == target and not gateway.is_cut:
                 self.after(
-                    WAY_S, lambda one=gateway: one.loop.message_received(message, None)
+                    rollout_service.WAY_S,
+                    lambda one=gateway: one.loop.message_received(message, None),
                 )  # type: ignore[misc]
 
     def status_changed(self, state: sources.RolloutState) -> None:
         """Note a status that was written, and what runs on the old upstreams then."""
         self.seen.statuses.append((self.at_s, state))
-        old = [m for m in self.machines if m.spec.version == OLD]
+        old = [m for m in self.machines if m.spec.version == rollout_service.OLD]
         self.seen.old_running = sum(m.running for m in old)
 
     # Requests
@@ -328,12 +310,15 @@
         gateway = self.rng.choice(
             [one for one in self.gateways if one.host not in self.standby]
         )
-        (route,) = self.rng.choices(list(PART_BY_ROUTE), list(PART_BY_ROUTE.values()))
+        (route,) = self.rng.choices(
+            list(rollout_service.PART_BY_ROUTE),
+            list(rollout_service.PART_BY_ROUTE.values()),
+        )
         call = waiting.Call(
             id=ids.CallId(f"c{next(self.numbers)}"),
             priority=1,
             repeatable=route != "book",
-            deadline=ids.later(self.now, DEADLINE_S),
+            deadline=ids.later(self.now, rollout_service.DEADLINE_S),
             latency_key=route,
             arrived_at=self.now,
             most_tries=2,
@@ -347,12 +332,16 @@
     def _send(self, gateway: Gateway, grant: verdicts.Grant) -> None:
         machine = self.machine_by_id[grant.upstream.spec.id]
         route = grant.call.latency_key
-        work_s = WORK_S_BY_ROUTE[route] * (0.6 + self.rng.expovariate(2.5))
-        work_s *= machine.slowdown * max(1.0, (machine.running + 1) / SLOTS)
+        work_s = rollout_service.WORK_S_BY_ROUTE[route] * (
+            0.6 + self.rng.expovariate(2.5)
+        )
+        work_s *= machine.slowdown * max(
+            1.0, (machine.running + 1) / rollout_service.SLOTS
+        )
         failed = self.rng.random() < max(machine.fails, gateway.link_fails)
         if grant.kind is verdicts.Kind.FIRST:
             self.seen.reached += 1
-        if machine.spec.version == NEW:
+        if machine.spec.version == rollout_service.NEW:
             harm = self.plan.harm
             self._count_new(harm.is_bad)
             if harm.strikes(machine, route, self.at_s):
@@ -371,10 +360,13 @@
         seen = self.seen
         seen.to_new += 1
         seen.new_sent_at.append(self.at_s)
-        runs_now = [g.rollouts.run_by_service.get(SERVICE) for g in self.gateways]
+        runs_now = [
+            g.rollouts.run_by_service.get(rollout_service.SERVICE)
+            for g in self.gateways
+        ]
         phases = {one.phase for one in runs_now if one is not None}
         if phases == {rollout_notes.Phase.RUNNING}:
-            ahead = seen.to_new - SHARE * seen.reached
+            ahead = seen.to_new - rollout_service.SHARE * seen.reached
             seen.most_ahead = max(seen.most_ahead, ahead)
 
     def _end(
@@ -409,7 +401,7 @@
 
     def _load(self, machine: Machine) -> upstreams.LoadReport:
         slowdown = machine.slowdown
-        if self.plan.harm.is_told and machine.spec.version == NEW:
+        if self.plan.harm.is_told and machine.spec.version == rollout_service.NEW:
             slowdown *= self.plan.harm.slower
         return upstreams.LoadReport(machine.running, 0, slowdown)
 
@@ -430,59 +422,14 @@
                 pool.reported(upstream, load, self.now)
 
 
-def _route(name: str, work_s: float) -> routing.Route:
-    return routing.Route(
-        name=routing.RouteName(name),
-        host="h",
-        prefix=f"/{name}",
-        kind=routing.RequestKind.SAFE,
-        timeout_s=DEADLINE_S,
-        target_s=4.0 * work_s,
-        rank=1,
-        most_tries=2,
-        parts=(routing.Part(SERVICE, 1.0),),
-    )
-
-
-CONFIGURATION = routing.Configuration(
-    version=1,
-    routes=tuple(_route(*pair) for pair in WORK_S_BY_ROUTE.items()),
-    service_by_name={},
-    limits=routing.Limits(),
-)
+def played(plan: Plan) -> World:
+    """Return a world after it was played."""
+    world = World(plan)
+    world.play()
+    return world
 
 
-def with_version(
-    spec: upstreams.UpstreamSpec, version: ids.SoftwareVersion
-) -> upstreams.UpstreamSpec:
-    """Return an upstream that runs another version."""
-    return msgspec.structs.replace(spec, version=version)
-
-
-def policy() -> service_policy.ServicePolicy:
-    """Return how the service is balanced."""
-    return service_policy.ServicePolicy(
-        name=SERVICE,
-        zones=(ZONE,),
-        slots=SLOTS,
-        typical_s=0.1,
-        selection=soonest.NAME,
-        extra=extra_budgets.SharedWindow(share=0.18, reserve=8, window_s=10.0),
-        queue_limit=100,
-        eject_share=0.5,
-    )
-
-
-def record(host: ids.HostId, number: int) -> messages.MemberRecord:
-    """Return what a gateway says of itself."""
-    return messages.MemberRecord(
-        host=host,
-        zone=ZONE,
-        incarnation=ids.Incarnation(f"{number}"),
-        address=ids.Address(f"{host}-{number}:1"),
-        peer_address=ids.Address(f"{host}-{number}:2"),
-        epoch=number,
-        heartbeat=1,
-        status=messages.Status.READY,
-        configuration_version=1,
-    )
+def final_state(world: World) -> sources.RolloutState | None:
+    """Return the newest status in the store."""
+    status = world.store.status_by_service.get(rollout_service.SERVICE)
+    return None if status is None else status.state
--- a/tools/decisions.py
+++ b/tools/decisions.py
@@ -1,7 +1,7 @@
 """
 Make docs/DECISIONS.md: each rule that decides about requests, and its constants.
 
-``tools/decision_table.py`` and ``tools/fleet_decision_table.py`` list the rules.
+``tools/decision_table.py`` and the tables named like it list the rules.
 Values and origins of constants are read from the code, so that the page can't
 differ from it; a name, an event or a scenario that does not exist raises
 ``UnknownReferenceError``.
@@ -16,9 +16,10 @@
     decision_table,
     docs_check,
     fleet_decision_table,
+    rollout_decision_table,
 )
 
-RULES = decision_table.RULES + fleet_decision_table.RULES
+RULES = decision_table.RULES + fleet_decision_table.RULES + rollout_decision_table.RULES
 
 HEAD = """# Decisions
 
--- a/tools/soak_processes/mutants.py
+++ b/tools/soak_processes/mutants.py
@@ -8,13 +8,13 @@
 import asyncio
 import sys
 
-from tools import mutants
+from tools import mutant_table, mutants
 
 #: Played side by side: each starts five gateways.
 SIDE_BY_SIDE = 2
 
 MUTANTS = (
-    mutants.Mutant(
+    mutant_table.Mutant(
         "what may run once is sent again after a lost connection",
         "decisions/retrying",
         "return call.repeatable and not overload.is_failing(pool)",
@@ -22,7 +22,7 @@
         held_by="runs at most once",
         steps=("0.5 5 upstreams-treat-badly 47",),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "a lost answer is taken for not run",
         "forwarding/race",
         "self._may_have_run |= end.may_have_run",
@@ -30,7 +30,7 @@
         held_by="not run is true",
         steps=("0.5 5 upstreams-treat-badly 47",),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "another request's answer is passed on",
         "../platform/spindlenotch_platform/http_dialect",
         "return status not in SUCCESS or STAMP in fields",
@@ -38,7 +38,7 @@
         held_by="own whole answer",
         steps=("0.5 5 upstreams-treat-badly 34",),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "who has taken over an upstream's address runs its requests",
         "../platform/spindlenotch_platform/http_dialect",
         'EXPECT_INSTANCE = "X-Spindlenotch-Expect-Instance"',
@@ -46,7 +46,7 @@
         held_by="unchanged, to its own service",
         steps=("0.2 6 store-fails 0", "0.5 5 upstream-address-reused 1"),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "an upstream that drains is used on",
         "gateway/source/listing",
         "is_ready = lease.listed.state is sources.UpstreamState.READY\n            if",
@@ -54,7 +54,7 @@
         held_by="nothing new to upstreams that are closed",
         steps=("0.5 3 upstream-drains 1", "0.6 3 upstream-drains 2"),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "an upstream without entry is used on",
         "gateway/source/listing",
         "                lease.drop_at = now\n",
@@ -62,7 +62,7 @@
         held_by="nothing new to upstreams that are closed",
         steps=("0.5 3 upstream-vanishes 1", "0.6 3 upstream-vanishes 2"),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "an evacuated zone is used on",
         "gateway/source/listing",
         "if is_ready and now < lease.leave_at:",
@@ -70,7 +70,7 @@
         held_by="nothing new to upstreams that are closed",
         steps=("0.5 3 zone-evacuated 1",),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "a new configuration is not taken in",
         "gateway/state",
         "if self.table is not None and configuration.version <= self.version:",
@@ -78,7 +78,7 @@
         held_by="configuration in force and never back",
         steps=("0.5 4 configuration-changed 1", "5 4 configuration-changed 2"),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "a gateway goes back to the configuration before",
         "gateway/state",
         "            return False\n        self.table = routing",
@@ -90,7 +90,7 @@
         held_by="configuration in force and never back",
         steps=("0.5 4 configuration-changed 1",),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "a cold upstream is sent to at any pace",
         "kernel/cold_start",
         "return now >= self.until or now >= self._next_at",
@@ -103,7 +103,7 @@
             "3.6 4 burst 2",
         ),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "retries know no bound",
         "../platform/spindlenotch_platform/settings_file",
         '"extra_reserve": bounds.get("retrySlack"),',
@@ -111,7 +111,7 @@
         held_by="retries within the budget",
         steps=("0.5 6 upstreams-treat-badly 92", "0.6 6 burst 3"),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "probes know no bound",
         "../platform/spindlenotch_platform/settings_file",
         "PROBE_SHARE = 0.34",
@@ -119,7 +119,7 @@
         held_by="probes within their bound",
         steps=("3 2 bad-entries 1",),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "a new version gets all that it can take",
         "../platform/spindlenotch_platform/settings_file",
         '"exposure_share": bounds.get("exposureShare"),',
@@ -127,7 +127,7 @@
         held_by="exposure to bad versions",
         steps=("0.5 1 version-ordered 5",),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "a request waits for good",
         "gateway/serving/job_factory",
         "        timeout_s = min(timeout_s, route.timeout_s)",
@@ -135,7 +135,7 @@
         held_by="final answers in time",
         steps=("0.5 6 upstreams-treat-badly 75",),
     ),
-    mutants.Mutant(
+    mutant_table.Mutant(
         "a planned stop cuts what is in flight",
         "gateway/gateway",
         "        self.state.leave()\n        self.membership.announce()\n",
