--- a/spindlenotch/gateway/serving/request_log.py
+++ b/spindlenotch/gateway/serving/request_log.py
@@ -91,30 +91,26 @@
 
     def route_refused(self, request_id: str, route: str) -> None:
         """Count and log a request whose route can't be served as configured."""
-        refused = outcomes.Reason.ROUTE_REFUSED.value
-        self.state.metrics.requests.labels(
-            NO_SERVICE, outcomes.Outcome.NOT_RUN.value, refused
-        ).inc()
+        reason = outcomes.Reason.ROUTE_REFUSED
+        self._count_unplaced(reason)
         events.emit(
             events.Event.REQUEST_REFUSED,
             request=request_id,
             route=route,
-            reason=refused,
+            reason=reason.value,
             version=self.state.version,
         )
 
     def region_refused(self, request_id: str, route: str) -> None:
         """Count and log a request whose route may not be served in this region."""
-        refused = outcomes.Reason.REGION_NOT_ALLOWED.value
-        self.state.metrics.requests.labels(
-            NO_SERVICE, outcomes.Outcome.NOT_RUN.value, refused
-        ).inc()
+        reason = outcomes.Reason.REGION_NOT_ALLOWED
+        self._count_unplaced(reason)
         events.emit(
             events.Event.REGION_NOT_ALLOWED,
             request=request_id,
             route=route,
             region=self.state.region,
-            reason=refused,
+            reason=reason.value,
             version=self.state.version,
         )
 
@@ -145,6 +141,11 @@
         self.state.metrics.requests.labels(service, outcome.value, reason.value).inc()
         self.state.metrics.request_time.labels(service).observe(self._took_s(job))
 
+    def _count_unplaced(self, reason: outcomes.Reason) -> None:
+        """Count a request that was refused before a service was chosen."""
+        not_run = outcomes.Outcome.NOT_RUN.value
+        self.state.metrics.requests.labels(NO_SERVICE, not_run, reason.value).inc()
+
     def _took_s(self, job: jobs.Job) -> float:
         return self.state.clock.now() - job.call.arrived_at
 
--- a/tools/soak_processes/versions.py
+++ b/tools/soak_processes/versions.py
@@ -26,7 +26,7 @@
     platform_worker.VersionFault(Mode.ERROR),
     platform_worker.VersionFault(Mode.ERROR, share=0.4),
     platform_worker.VersionFault(Mode.CUT, share=0.5, after_s=2.0),
-    platform_worker.VersionFault(Mode.ERROR, least_running=1),
+    platform_worker.VersionFault(Mode.ERROR, least_running=2),
     platform_worker.VersionFault(Mode.ERROR, prefix="/book/"),
     platform_worker.VersionFault(Mode.SLOW, share=0.6),
 )
