--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -36,3 +36,6 @@
       | an older reading takes no newer order back                       |
       | an order found at the start goes on by its status                |
       | peers learn of an order with the upstreams it is about           |
+
+  Scenario: A slow version that reports itself slow is taken back while gateways start again
+    Then the property "a version that reports itself slow is found out as well" holds
--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -329,3 +329,11 @@
 
 
 # Who writes what
+
+
+@kernel.PROPERTIES.register("a version that reports itself slow is found out as well")
+def slow_by_its_reports() -> None:
+    found = rollout_trials.trial(
+        "slow at once, and says so", "gateways start again", 29
+    )
+    assert not found, found
