--- a/spindlenotch/gateway/serving/body_traffic.py
+++ b/spindlenotch/gateway/serving/body_traffic.py
@@ -9,7 +9,7 @@
 from spindlenotch.forwarding import exchanges
 from spindlenotch.gateway import state
 from spindlenotch.gateway.source import routing
-from spindlenotch.kernel import latency
+from spindlenotch.kernel import latency, regions
 
 #: Weight of the newest answer in the mean size of a route's answers: sizes differ
 #: severalfold from one to the next, and change with the configuration only.
@@ -29,6 +29,14 @@
     def __init__(self, gateway_state: state.GatewayState) -> None:
         self.state = gateway_state
         self._size_by_route: dict[str, latency.Mean] = {}
+        # Looked up once: the labels of a metric are found anew with each call.
+        counted = gateway_state.metrics.traffic_bytes
+        self._requests_by_distance = {
+            one: counted.labels("requests", one.value) for one in regions.Distance
+        }
+        self._answers_by_distance = {
+            one: counted.labels("answers", one.value) for one in regions.Distance
+        }
 
     def expected_bytes(self, route: routing.Route) -> float:
         """Return the expected size of a route's next answer."""
@@ -48,9 +56,8 @@
         distance = self.state.regions.distance(
             self.state.config.zone, exchange.grant.upstream.spec.zone
         )
-        counted = self.state.metrics.traffic_bytes
-        counted.labels("requests", distance.value).inc(request_bytes)
-        counted.labels("answers", distance.value).inc(answer_bytes)
+        self._requests_by_distance[distance].inc(request_bytes)
+        self._answers_by_distance[distance].inc(answer_bytes)
 
     def forget_missing(self, routes: tuple[routing.Route, ...]) -> None:
         """Drop the sizes of routes that are gone."""
