The log tells which request an upstream ended under (E606)

Cause: a line of a failed request names neither the upstream nor what request it was but by the id of one try, and none tells an upstream that ended from a connection that broke. So a request that ends what runs it could not be told from upstreams that end by themselves.

Change: a request has fingerprints (method, host, target, body; and its caller). When a connection breaks under one, the upstream is asked over a new connection, once for all of them; where nobody is there, E606 names upstream and fingerprints, and a metric counts it.

--- a/features/support/fake_upstreams.py
+++ b/features/support/fake_upstreams.py
@@ -176,6 +176,14 @@
             return ports.UpstreamFault.DRAINING
         return upstreams.LoadReport(upstream.running, 0)
 
+    async def liveness(self, address: ids.Address, timeout_s: float) -> ports.Liveness:
+        """Tell what a new connection would."""
+        mode = self.all_upstreams.upstream_by_address[address].mode
+        await asyncio.sleep(fake_network.DELIVERY_S)
+        if mode == "refuse":
+            return ports.Liveness.GONE
+        return ports.Liveness.SILENT if mode == "freeze" else ports.Liveness.ALIVE
+
     def close_idle(self, address: ids.Address) -> None:
         """Keep none."""
 
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -111,6 +111,7 @@
         self.store = platform_store.PlatformStore()
         self.worker_by_id: dict[str, platform_worker.PlatformWorker] = {}
         self.fault_by_version: platform_worker.FaultByVersion = {}
+        self.poisons: set[platform_worker.Poison] = set()
         self.process_by_node: dict[str, asyncio.subprocess.Process] = {}
         self.ip_by_node: dict[str, str] = {}
         self.logs: dict[str, pathlib.Path] = {}
@@ -144,7 +145,10 @@
     ) -> platform_worker.PlatformWorker:
         """Start a worker and list it."""
         worker = platform_worker.PlatformWorker(
-            worker_id, version=version, fault_by_version=self.fault_by_version
+            worker_id,
+            version=version,
+            fault_by_version=self.fault_by_version,
+            poisons=self.poisons,
         )
         await worker.start()
         self.worker_by_id[worker_id] = worker
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -77,6 +77,14 @@
     after_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Poison:
+    """A request that ends each worker that runs it, whatever its id is."""
+
+    target: str
+    body: bytes = b""
+
+
 #: The faults of versions that have any.
 FaultByVersion = dict[str, VersionFault]
 
@@ -146,8 +154,8 @@
     off as its caller's connection closed, ``accepted`` the connections so far.
     ``born`` is the Unix time of its start in ms, None where it tells none;
     ``probed_at`` has the times of health checks. At ``most_at_once`` requests it
-    turns further ones away. ``fault_by_version`` is shared by the workers of a
-    fleet.
+    turns further ones away. ``fault_by_version`` and ``poisons`` are shared by the
+    workers of a fleet.
     """
 
     def __init__(
@@ -156,11 +164,16 @@
         work_s: float = 0.002,
         version: str = "v1",
         fault_by_version: FaultByVersion | None = None,
+        poisons: set[Poison] | None = None,
     ) -> None:
         self.id = worker_id
         self.version = version
         self.work_s = work_s
         self.fault_by_version = {} if fault_by_version is None else fault_by_version
+        self.poisons = set() if poisons is None else poisons
+        #: Called when the worker has crashed under a request.
+        self.on_crash: typing.Callable[[], None] = lambda: None
+        self.has_crashed = False
         self.slots = 4
         self.most_at_once = 1000
         self.accepted = 0
@@ -211,6 +224,15 @@
         self.running = 0
         self.born = born
 
+    def crash(self) -> None:
+        """End as a process does that crashes: nothing listens, all is reset."""
+        self.has_crashed = True
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            reset(writer)
+        self.on_crash()
+
     async def close(self) -> None:
         """Stop listening and drop all connections."""
         if self._server is not None:
@@ -291,6 +313,9 @@
                 return False
         finally:
             self.running -= 1
+        if Poison(run.target, run.body) in self.poisons:
+            self.crash()
+            return False
         return self._reply(writer, run)
 
     async def _work(self, reader: asyncio.StreamReader, mode: Mode) -> bool:
--- a/features/support/served_gateway.py
+++ b/features/support/served_gateway.py
@@ -123,6 +123,10 @@
         """Be never asked."""
         raise NotImplementedError
 
+    async def liveness(self, address: ids.Address, timeout_s: float) -> ports.Liveness:
+        """Answer: the script breaks connections, and ends no upstream."""
+        return ports.Liveness.ALIVE
+
     def close_idle(self, address: ids.Address) -> None:
         """Keep none."""
 
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -198,6 +198,24 @@
         cold_s = self.dialect.read_cold_s(response.headers)
         return msgspec.structs.replace(report, cold_s=cold_s)
 
+    async def liveness(self, address: ids.Address, timeout_s: float) -> ports.Liveness:
+        """Ask whether an upstream is there; see ``ports.UpstreamPort.liveness``."""
+        session = self._session(new_connection=True)
+        try:
+            async with session.get(
+                f"http://{address}{self.dialect.probe_path}",
+                skip_auto_headers=SKIPPED_HEADERS,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                allow_redirects=False,
+                trace_request_ctx=types.SimpleNamespace(may_send=lambda: True),
+            ):
+                return ports.Liveness.ALIVE
+        except TimeoutError:
+            return ports.Liveness.SILENT
+        except (_StaleConnectionError, aiohttp.ClientError, OSError):
+            # Refused, reset or closed: nobody is there to answer.
+            return ports.Liveness.GONE
+
     def close_idle(self, address: ids.Address) -> None:
         """Close the connections that are kept to ``address`` and not in use."""
         self._reusing.close_idle(address)
--- a/spindlenotch/entry/front.py
+++ b/spindlenotch/entry/front.py
@@ -144,6 +144,7 @@
             body=body,
             needs_new_connection=not can_resend,
             hop_count=admitted.hops + 1,
+            caller=admitted.client_account or "",
         )
 
 
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -240,6 +240,13 @@
     REQUEST_SENT_AGAIN = CatalogueRow(
         605, "INFO", "a request was sent to another upstream", "see its reason"
     )
+    UPSTREAM_ENDED_UNDER_REQUEST = CatalogueRow(
+        606,
+        "WARNING",
+        "an upstream ended while it ran a request",
+        "compare the fingerprints: the same one again and again is a request that"
+        " ends what runs it",
+    )
     REGION_NOT_ALLOWED = CatalogueRow(
         610,
         "WARNING",
--- a/spindlenotch/forwarding/data_path.py
+++ b/spindlenotch/forwarding/data_path.py
@@ -12,7 +12,14 @@
 
 from spindlenotch import ports
 from spindlenotch.decisions import verdicts
-from spindlenotch.forwarding import exchanges, granting, jobs, race, sending
+from spindlenotch.forwarding import (
+    crash_watch,
+    exchanges,
+    granting,
+    jobs,
+    race,
+    sending,
+)
 from spindlenotch.kernel import outcomes
 
 
@@ -44,6 +51,7 @@
         self._on_drain_notice = on_drain_notice
         self._grants = granting.Grants(state)
         self._sender = sending.Sender(state, port, label)
+        self._watch = crash_watch.CrashWatch(state, port)
 
     async def dispatch(self, job: jobs.Job) -> exchanges.Exchange | outcomes.Refusal:
         """Get a request its answer's head, or a final refusal."""
@@ -85,5 +93,6 @@
             state=self.state,
             grants=self._grants,
             sender=self._sender,
+            watch=self._watch,
             on_drain_notice=self._on_drain_notice,
         )
--- a/spindlenotch/forwarding/exchanges.py
+++ b/spindlenotch/forwarding/exchanges.py
@@ -11,7 +11,7 @@
 
 from spindlenotch import ports
 from spindlenotch.decisions import verdicts
-from spindlenotch.forwarding import granting, jobs, judgement
+from spindlenotch.forwarding import crash_watch, granting, jobs, judgement
 from spindlenotch.kernel import upstreams
 
 
@@ -23,6 +23,7 @@
     """
 
     grants: granting.Grants
+    watch: crash_watch.CrashWatch
     job: jobs.Job
     grant: verdicts.Grant
     answer: ports.UpstreamAnswer
@@ -35,6 +36,8 @@
         except asyncio.CancelledError:
             self.end(upstreams.Result.CANCELLED)
             raise
+        if isinstance(piece, ports.UpstreamFault):
+            self.watch.lost(self.job, self.grant)
         if not piece or isinstance(piece, ports.UpstreamFault):
             self.end(judgement.end_of_body(self.answer, piece))
         return piece
--- a/spindlenotch/forwarding/jobs.py
+++ b/spindlenotch/forwarding/jobs.py
@@ -12,7 +12,7 @@
 
 from spindlenotch import headers
 from spindlenotch.decisions import balancer, verdicts
-from spindlenotch.kernel import waiting
+from spindlenotch.kernel import fingerprints, waiting
 
 
 class Labels(msgspec.Struct, frozen=True):
@@ -34,7 +34,9 @@
     streams in and can be read only once. With ``needs_new_connection`` it goes
     over one on which nothing was sent before. ``hop_count`` counts the hops of
     the chain of calls, the one to the upstream included; it stays 0 where the
-    upstreams' protocol does not count them.
+    upstreams' protocol does not count them. ``caller`` is who sends the request, as
+    far as this process can tell, empty where it can't; ``streamed_bytes`` is the
+    declared length of a body that streams.
     """
 
     balancer: balancer.Balancer
@@ -45,6 +47,20 @@
     body: bytes | abc.AsyncIterable[bytes] | None
     needs_new_connection: bool
     hop_count: int = 0
+    caller: str = ""
+    streamed_bytes: int = 0
+
+    def fingerprints(self) -> fingerprints.Fingerprints:
+        """Return what tells whether this request was here before."""
+        body = self.body if isinstance(self.body, bytes) else None
+        content = fingerprints.Content(
+            method=self.method,
+            host=_host(self.headers),
+            target=self.target,
+            body=body,
+            streamed_bytes=self.streamed_bytes,
+        )
+        return fingerprints.of(content, self.caller)
 
     @property
     def body_is_whole(self) -> bool:
@@ -52,6 +68,10 @@
         return self.body is None or isinstance(self.body, bytes)
 
 
+def _host(pairs: abc.Iterable[tuple[str, str]]) -> str:
+    return next((value for name, value in pairs if name.lower() == "host"), "")
+
+
 #: Names one try of a job, given the seconds that are left for its answer.
 Labeller = abc.Callable[[Job, verdicts.Grant, float], Labels]
 
--- a/spindlenotch/forwarding/race.py
+++ b/spindlenotch/forwarding/race.py
@@ -12,7 +12,14 @@
 
 from spindlenotch import clock, events, ids, metrics, ports
 from spindlenotch.decisions import verdicts
-from spindlenotch.forwarding import exchanges, granting, jobs, judgement, sending
+from spindlenotch.forwarding import (
+    crash_watch,
+    exchanges,
+    granting,
+    jobs,
+    judgement,
+    sending,
+)
 from spindlenotch.kernel import outcomes, upstreams
 
 
@@ -43,12 +50,14 @@
         state: UpstreamState,
         grants: granting.Grants,
         sender: sending.Sender,
+        watch: crash_watch.CrashWatch,
         on_drain_notice: abc.Callable[[], None] | None,
     ) -> None:
         self.job = job
         self.state = state
         self.grants = grants
         self.sender = sender
+        self.watch = watch
         self.on_drain_notice = on_drain_notice
         self._grant_by_task: dict[sending.TryTask, verdicts.Grant] = {}
         self._may_have_run = False
@@ -113,7 +122,7 @@
         if end is judgement.SHED:
             self._end_shed(grant, answer)
             return None
-        exchange = exchanges.Exchange(self.grants, self.job, grant, answer)
+        exchange = exchanges.Exchange(self.grants, self.watch, self.job, grant, answer)
         if end is judgement.FAILED_ANSWER and self._replace(exchange):
             return None
         return exchange
@@ -123,6 +132,8 @@
     ) -> None:
         if fault is ports.UpstreamFault.FOREIGN_ANSWER:
             self._record_foreign(grant)
+        if fault is ports.UpstreamFault.CONNECTION_LOST:
+            self.watch.lost(self.job, grant)
         end = judgement.end_of_fault(fault)
         self._keep(end)
         self.grants.finish(self.job, grant, end.result, None)
--- a/spindlenotch/gateway/serving/job_factory.py
+++ b/spindlenotch/gateway/serving/job_factory.py
@@ -88,6 +88,8 @@
             headers=self._passed_headers(request),
             body=body.content,
             needs_new_connection=needs_new_connection(route, body),
+            caller=request.remote or "",
+            streamed_bytes=_streamed_bytes(body),
         )
 
     def _call(
@@ -145,6 +147,10 @@
         return passed
 
 
+def _streamed_bytes(body: request_body.Body) -> int:
+    return body.known_bytes if isinstance(body, request_body.StreamedBody) else 0
+
+
 def read_timeout_s(text: str | None) -> float:
     """
     Read the seconds that a caller gives its request, from milliseconds as text.
--- a/spindlenotch/ids.py
+++ b/spindlenotch/ids.py
@@ -33,6 +33,10 @@
 #: Id of one request, the same in every process that handles it.
 CallId = typing.NewType("CallId", str)
 
+#: What tells whether two requests are the same one, sent again; see
+#: ``kernel.fingerprints``.
+Fingerprint = typing.NewType("Fingerprint", str)
+
 #: Random id of one run of a process; each restart gets a new one.
 Incarnation = typing.NewType("Incarnation", str)
 
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -117,6 +117,12 @@
             ("service",),
             registry=self.registry,
         )
+        self.upstreams_ended = prometheus_client.Counter(
+            "spindlenotch_upstreams_ended_total",
+            "Upstreams that ended while they ran requests of this process, by service",
+            ("service",),
+            registry=self.registry,
+        )
         self.rollout_requests = prometheus_client.Counter(
             "spindlenotch_rollout_requests_total",
             "Requests that ended while a service changes its version, by result",
--- a/spindlenotch/ports.py
+++ b/spindlenotch/ports.py
@@ -115,6 +115,17 @@
     DRAINING = "draining"
 
 
+class Liveness(enum.Enum):
+    """What a new connection to an upstream tells of its process."""
+
+    #: It answered, whatever it said.
+    ALIVE = "alive"
+    #: No connection came about, or it was closed without an answer.
+    GONE = "gone"
+    #: Nothing came in time.
+    SILENT = "silent"
+
+
 class UpstreamRequest(msgspec.Struct):
     """
     What goes to an upstream.
@@ -180,6 +191,9 @@
         ``path`` is the service's own where it has one; None: the dialect's.
         """
 
+    async def liveness(self, address: ids.Address, timeout_s: float) -> Liveness:
+        """Ask an upstream over a new connection if it is there."""
+
     def close_idle(self, address: ids.Address) -> None:
         """Close the connections that are kept to ``address`` and not in use."""
 
