--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -75,6 +75,14 @@
       | a probe limit of the platform that is no number is named   |
       | all mistakes in the gateway's settings are told at once    |
       | a port range of the platform that is no list is named      |
+      | a request under which three upstreams end is quarantined |
+      | upstreams that end together quarantine no request |
+      | an answer clears a request, and older notes are no news |
+      | a quarantined request is sent once more, by one gateway |
+      | another body, path or caller makes another request |
+      | what is kept of requests that end upstreams is bounded |
+      | notes on a request tell the same in whatever order |
+      | a fleet sends what ends upstreams at most three times more |
       | a load header is read whatever it holds                    |
       | a story has a bounded length whatever the logs hold        |
       | a full pipe drops lines and says how many                  |
--- a/features/poison_requests.feature
+++ b/features/poison_requests.feature
@@ -33,3 +33,45 @@
     Given a request that ends each worker that runs it
     When it is sent to all gateways again and again
     Then few workers get it once it has ended three and gateways had time to know
+    And each of the last 20 times it is refused at once, as not run, with a time to come back
+
+  Scenario: The same path with another body, and a popular request, are served meanwhile
+    Given a request that ends each worker that runs it
+    When it, the same path with another body and a popular request are sent side by side
+    Then all but the first are served in full once it has ended three workers
+    And only the first was quarantined
+
+  Scenario: Of a request that may not be repeated and ends workers few more get it, too
+    Given a request that may not be repeated and ends each worker that runs it
+    When it is sent to all gateways again and again
+    Then few workers get it once it has ended three and gateways had time to know
+
+  Scenario: Two requests that end workers at the same time
+    Given a request that ends each worker that runs it
+    And another one that does
+    When both are sent to all gateways again and again
+    Then few workers get either once it has ended three and gateways had time to know
+
+  Scenario: Gateways that start again all at once still know it
+    Given a request that ends each worker that runs it
+    When it is sent to all gateways again and again
+    And all gateways are killed and started again
+    And it is sent to all gateways again and again
+    Then few workers get it once it has ended three and gateways had time to know
+
+  Scenario: An operator lets a request through again
+    Given a request that ends each worker that runs it
+    When it is sent to all gateways again and again
+    And it ends no worker any more and its record is deleted
+    And it is sent to all gateways again and again
+    Then the last 20 of it are served
+
+  Scenario Outline: A popular request on workers that end by themselves is served and never quarantined
+    When workers crash by themselves, <at once> at the same moment, while a popular request runs there
+    Then the popular request is served but for 1 in <one in>
+    And nothing was quarantined
+
+    Examples:
+      | at once | one in |
+      | 1       | 100    |
+      | 3       | 20     |
--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -43,6 +43,7 @@
     "ListedUpstream.rollout": "upstreams-added-2.json",
     "Message.rollout_phases": "gossip-added-4.msgpack.hex",
     "Message.evidence": "gossip-added-4.msgpack.hex",
+    "Message.crashes": "gossip-added-5.msgpack.hex",
     "Route.allowed_regions": "configuration-added-2.json",
     "Route.has_large_answers": "configuration-added-2.json",
     "Configuration.refused_routes": "configuration-added-2.json",
--- a/features/support/recorded_gateway.py
+++ b/features/support/recorded_gateway.py
@@ -16,6 +16,7 @@
 from spindlenotch.gateway import settings, state as states
 from spindlenotch.gateway.cluster import fleet as fleets, membership
 from spindlenotch.gateway.source import relay, routing, sources
+from spindlenotch.kernel import crash_notes
 from spindlenotch.peers import messages
 
 Result = typing.TypeVar("Result")
@@ -195,3 +196,13 @@
     news = recorded_messages.member(2, messages.Status.READY)
     state.gossip.handle(messages.Message(news, 1), state.clock.now())
     return state, passing
+
+
+def stored_quarantine() -> sources.StoredQuarantine:
+    """Return a request that ends upstreams, as the source holds it."""
+    ended = tuple(ids.UpstreamId(f"up-{number}") for number in (4, 5, 6))
+    note = crash_notes.CrashNote(
+        ids.Fingerprint("00c0ffee0123456789abcdef"), 1, 3, ended, is_retried=True
+    )
+    # Later than any clock of the tests.
+    return sources.StoredQuarantine(note, until_unix_s=9_999_999_999.5, revision=7)
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from spindlenotch import ids
+from spindlenotch.kernel import crash_notes
 from spindlenotch.peers import documents, messages, rollout_notes, workload
 
 
@@ -158,6 +159,18 @@
     )
 
 
+def crash_message() -> messages.Message:
+    """Return a message of a gateway while upstreams end under requests."""
+    ended = tuple(ids.UpstreamId(f"up-{number}") for number in (4, 5, 6))
+    notes = (
+        crash_notes.CrashNote(
+            ids.Fingerprint("00c0ffee0123456789abcdef"), 1, 3, ended, True
+        ),
+        crash_notes.CrashNote(ids.Fingerprint("00c0ffee0123456789abcd00"), 2),
+    )
+    return msgspec.structs.replace(added_message(), crashes=notes)
+
+
 def frame(kind: documents.DocumentKind, body: bytes) -> messages.DocumentFrame:
     """Return a document frame."""
     return messages.DocumentFrame(
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -125,6 +125,7 @@
         _added_gossip("gossip-added-2", recorded_messages.added_later_message()),
         _added_gossip("gossip-added-3", recorded_messages.regional_message()),
         _added_gossip("gossip-added-4", recorded_messages.latest_message()),
+        _added_gossip("gossip-added-5", recorded_messages.crash_message()),
         Sample(
             "frame.msgpack.hex",
             "msgpack",
--- a/features/support/recorded_state.py
+++ b/features/support/recorded_state.py
@@ -51,7 +51,11 @@
         mark = recorded_gateway.rollout_mark()
         assert mark.order is not None
         order_by_service = {mark.order.service: mark.order}
-        state.apply_changes(sources.Changes(9, order_by_service=order_by_service))
+        quarantines = (recorded_gateway.stored_quarantine(),)
+        changes = sources.Changes(
+            9, order_by_service=order_by_service, quarantines=quarantines
+        )
+        state.apply_changes(changes)
         found = side_ports.SidePorts(
             state, passing.fleet, dialect.DIALECTS.get("native")()
         )
--- a/features/support/recorded_store.py
+++ b/features/support/recorded_store.py
@@ -18,7 +18,13 @@
 from spindlenotch.entry import claims, entry_state, once, plugins, settings
 from spindlenotch.gateway.source import discovery, routing, sources
 from spindlenotch.peers import documents
-from spindlenotch_platform import configuration_records, records, rollout_records, store
+from spindlenotch_platform import (
+    configuration_records,
+    quarantine_records,
+    records,
+    rollout_records,
+    store,
+)
 
 Sample = recorded.Sample
 OTHER = ids.Address("127.0.0.2:9001")
@@ -199,11 +205,26 @@
     )
 
 
+def quarantine_sample() -> Sample:
+    """Return the sample of a request that ends upstreams."""
+    value = recorded_gateway.stored_quarantine()
+    key = quarantine_records.PREFIX + value.note.fingerprint
+    return Sample(
+        "platform-quarantine-added-3.json",
+        "json",
+        value,
+        lambda: quarantine_records.write(value)[1],
+        lambda data: quarantine_records.read(key, value.revision, data),
+        strangers="passed over",
+    )
+
+
 def store_samples() -> list[Sample]:
     """Return the samples of what lies in the store."""
     home = claims.Home(host="host-1", incarnation="0123456789abcdef")
     return [
         *rollout_samples(),
+        quarantine_sample(),
         Sample("claim.json", "json", home, write_claim, read_claim),
         Sample(
             "published.json",
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -247,6 +247,19 @@
         "compare the fingerprints: the same one again and again is a request that"
         " ends what runs it",
     )
+    REQUEST_QUARANTINED = CatalogueRow(
+        607,
+        "ERROR",
+        "a request ends the upstreams that run it; it is not sent any more",
+        "find it by its fingerprint in the lines E606; mend what it ends, then delete"
+        " its record in the source",
+    )
+    QUARANTINE_ENDED = CatalogueRow(
+        608, "INFO", "a request that was quarantined may be sent again", "none"
+    )
+    QUARANTINE_WRITTEN = CatalogueRow(
+        609, "INFO", "a quarantined request was written into the source", "none"
+    )
     REGION_NOT_ALLOWED = CatalogueRow(
         610,
         "WARNING",
--- a/spindlenotch/forwarding/crash_watch.py
+++ b/spindlenotch/forwarding/crash_watch.py
@@ -1,75 +1,246 @@
 """
-Finds out whether an upstream ended while it ran a request.
+Finds out whether an upstream ended while it ran a request, and what that tells of it.
 
 A connection that breaks tells nothing of the process behind it. So the upstream is
-asked at once over a new connection, once for all requests that broke off there.
+asked at once over a new connection, once for all requests that broke off there; until
+that is settled they are in doubt. What follows is decided in ``decisions.quarantine``.
 """
 
 import asyncio
+import collections
 import typing
+from collections import abc
 
 import msgspec
 
-from spindlenotch import events, ids, metrics, ports
-from spindlenotch.decisions import verdicts
-from spindlenotch.forwarding import jobs
-from spindlenotch.kernel import upstreams
+from spindlenotch import clock, events, ids, metrics, ports
+from spindlenotch.decisions import balancer, quarantine, verdicts
+from spindlenotch.forwarding import jobs, recent_answers
+from spindlenotch.kernel import crash_notes, fingerprints, upstreams
 
 #: Longest wait for the answer, in seconds: several round trips between regions, 16 ms
 #: each, and a probe's work, 6 ms.
 ANSWER_LIMIT_S = 0.1
+#: Seconds for which an upstream that seems to have ended may prove the contrary: its
+#: load reports come several times a second.
+PROOF_S = 2.0
+#: Seconds by which a later report's age may be off: what messages between gateways
+#: take.
+REPORT_ERROR_S = 0.05
+
+#: Why an upstream that has ended is out of use.
+GONE = "gone"
+
+#: Called with each note that peers need to know.
+NoteListener = abc.Callable[[crash_notes.CrashNote], None]
+#: Both marks of a try, in the order of ``Fingerprints.each``.
+Marks = tuple[quarantine.Mark, quarantine.Mark]
+TryKey = tuple[ids.CallId, ids.UpstreamId]
+
+NO_MARKS: Marks = (quarantine.UNMARKED, quarantine.UNMARKED)
 
 
 class WatchState(typing.Protocol):
     """What the watch needs of the process that it runs in."""
 
+    clock: clock.Clock
     metrics: metrics.Metrics
 
 
 class Loss(msgspec.Struct, frozen=True):
-    """A request whose connection to an upstream broke while it ran there."""
+    """
+    A request whose connection to an upstream broke while it ran there.
 
-    job: jobs.Job
-    grant: verdicts.Grant
+    Where it was answered lately it is not what ended the upstream.
+    """
 
+    prints: fingerprints.Fingerprints
+    marks: Marks
+    balancer: balancer.Balancer
+    upstream: upstreams.Upstream
+    kind: verdicts.Kind
+    at: ids.Instant
+    answered_lately: bool
 
-class CrashWatch:
-    """The upstreams that were lost under requests of one process."""
+    @property
+    def service(self) -> ids.ServiceName:
+        """Return the name of the upstream's service."""
+        return self.balancer.service.name
+
+    def suspects(self) -> tuple[ids.Fingerprint, ...]:
+        """Return the fingerprints that may be those of the cause."""
+        return () if self.answered_lately else self.prints.each()
 
-    def __init__(self, state: WatchState, port: ports.UpstreamPort) -> None:
+
+class CrashWatch:
+    """
+    The upstreams that were lost under requests of one process.
+
+    Invariant: each request that broke off is in doubt until its upstream was asked.
+    """
+
+    def __init__(
+        self,
+        state: WatchState,
+        port: ports.UpstreamPort,
+        known: quarantine.Quarantine,
+    ) -> None:
         self.state = state
         self.port = port
+        self.quarantine = known
+        self._marks_by_try: dict[TryKey, Marks] = {}
+        #: Calls that were lost with an upstream while they were suspect already.
+        self._spent_calls: set[ids.CallId] = set()
         self._losses_by_upstream: dict[ids.UpstreamId, list[Loss]] = {}
+        #: Losses whose upstream seems to have ended, the oldest first.
+        self._ended: collections.deque[Loss] = collections.deque()
+        self._answers = recent_answers.RecentAnswers()
         self._asking: set[asyncio.Task[None]] = set()
+        self._listeners: list[NoteListener] = []
+
+    def add_listener(self, listener: NoteListener) -> None:
+        """Call ``listener`` with each note that is news from here."""
+        self._listeners.append(listener)
+
+    def tell(self, prints: fingerprints.Fingerprints) -> None:
+        """Pass on what is known of a request."""
+        for fingerprint in prints.each():
+            self._tell(fingerprint)
+
+    # The life of a try
+
+    def sent(self, job: jobs.Job, grant: verdicts.Grant) -> None:
+        """Keep what is known of a request as a try of it is sent."""
+        if self.quarantine.knows_target(job.target):
+            content, from_caller = job.fingerprints().each()
+            marks = (self.quarantine.mark(content), self.quarantine.mark(from_caller))
+            self._marks_by_try[_key(grant)] = marks
 
     def lost(self, job: jobs.Job, grant: verdicts.Grant) -> None:
         """Take in that a try broke off after it was sent."""
-        spec = grant.upstream.spec
-        losses = self._losses_by_upstream.setdefault(spec.id, [])
-        losses.append(Loss(job, grant))
+        marks = self._marks_by_try.get(_key(grant), NO_MARKS)
+        if any(mark.depth for mark in marks):
+            self._spent_calls.add(job.call.id)
+        loss = Loss(
+            job.fingerprints(),
+            marks,
+            job.balancer,
+            grant.upstream,
+            grant.kind,
+            self.state.clock.now(),
+            self._answers.holds(job, self.state.clock.now()),
+        )
+        for fingerprint in loss.suspects():
+            self.quarantine.doubt(fingerprint)
+        losses = self._losses_by_upstream.setdefault(grant.upstream.spec.id, [])
+        losses.append(loss)
         if len(losses) == 1:
-            task = asyncio.ensure_future(self._ask(spec))
-            # Kept, or asyncio might collect it before it has ended.
-            self._asking.add(task)
-            task.add_done_callback(self._asking.discard)
+            self._begin_asking(grant.upstream.spec)
+
+    def answered(self, job: jobs.Job) -> None:
+        """Take in that an upstream has answered a request: it did not end."""
+        self._answers.add(job, self.state.clock.now())
+        if self.quarantine.knows_target(job.target):
+            self._clear(job.fingerprints())
+
+    def finished(self, grant: verdicts.Grant) -> None:
+        """Drop what was kept of a try."""
+        self._marks_by_try.pop(_key(grant), None)
+
+    def may_retry(self, call_id: ids.CallId) -> bool:
+        """
+        Tell whether a call may be sent again after it was lost with an upstream.
+
+        Not where upstreams had ended under its request before it was sent: each retry
+        of a request that ends what runs it costs one more.
+        """
+        return call_id not in self._spent_calls
+
+    def forget(self, call_id: ids.CallId) -> None:
+        """Drop what was kept of a call."""
+        self._spent_calls.discard(call_id)
+
+    # What became of its upstream
+
+    def check_ended(self) -> None:
+        """
+        Clear requests whose upstream has turned out to live; called now and then.
+
+        One that is overloaded may refuse connections for a moment, and still report.
+        """
+        now = self.state.clock.now()
+        while self._ended and self._ended[0].at <= now - PROOF_S:
+            self._ended.popleft()
+        for loss in [one for one in self._ended if _has_reported_since(one)]:
+            self._ended.remove(loss)
+            self._clear(loss.prints)
+
+    def _begin_asking(self, spec: upstreams.UpstreamSpec) -> None:
+        task = asyncio.ensure_future(self._ask(spec))
+        # Kept, or asyncio might collect it before it has ended.
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
 
     async def _ask(self, spec: upstreams.UpstreamSpec) -> None:
-        liveness = await self.port.liveness(spec.address, ANSWER_LIMIT_S)
-        losses = self._losses_by_upstream.pop(spec.id)
+        liveness = ports.Liveness.SILENT
+        try:
+            liveness = await self.port.liveness(spec.address, ANSWER_LIMIT_S)
+        finally:
+            losses = self._losses_by_upstream.pop(spec.id)
+            for loss in losses:
+                for fingerprint in loss.suspects():
+                    self.quarantine.settle(fingerprint)
         if liveness is ports.Liveness.GONE:
-            self._report(losses)
+            self._take_end(losses)
 
-    def _report(self, losses: list[Loss]) -> None:
-        self.state.metrics.upstreams_ended.labels(
-            losses[0].job.balancer.service.name
-        ).inc()
+    def _take_end(self, losses: list[Loss]) -> None:
+        self.state.metrics.upstreams_ended.labels(losses[0].service).inc()
+        self._eject(losses[0])
         for loss in losses:
-            known = loss.job.fingerprints()
+            self._ended.append(loss)
+            self._strike(loss)
             events.emit(
                 events.Event.UPSTREAM_ENDED_UNDER_REQUEST,
-                service=loss.job.balancer.service.name,
-                upstream=loss.grant.upstream.spec.id,
-                fingerprint=known.content,
-                from_caller=known.from_caller,
-                kind=loss.grant.kind.value,
+                service=loss.service,
+                upstream=loss.upstream.spec.id,
+                fingerprint=loss.prints.content,
+                from_caller=loss.prints.from_caller,
+                kind=loss.kind.value,
+                answered_lately=int(loss.answered_lately),
+                depth=self.quarantine.note(loss.prints.from_caller).depth,
             )
+
+    def _eject(self, loss: Loss) -> None:
+        """Take an upstream that has ended out of use, as its entry may stay."""
+        now = self.state.clock.now()
+        if loss.upstream.state not in (
+            upstreams.State.EJECTED,
+            upstreams.State.LEAVING,
+        ):
+            loss.balancer.pool.eject(loss.upstream, GONE, now)
+
+    def _strike(self, loss: Loss) -> None:
+        now = self.state.clock.now()
+        for fingerprint, mark in zip(loss.suspects(), loss.marks, strict=False):
+            upstream_id = loss.upstream.spec.id
+            if self.quarantine.strike(fingerprint, mark, upstream_id, now):
+                self._tell(fingerprint)
+
+    def _clear(self, prints: fingerprints.Fingerprints) -> None:
+        now = self.state.clock.now()
+        for fingerprint in prints.each():
+            if self.quarantine.clear(fingerprint, now):
+                self._tell(fingerprint)
+
+    def _tell(self, fingerprint: ids.Fingerprint) -> None:
+        note = self.quarantine.note(fingerprint)
+        for listener in self._listeners:
+            listener(note)
+
+
+def _key(grant: verdicts.Grant) -> TryKey:
+    return grant.call.id, grant.upstream.spec.id
+
+
+def _has_reported_since(loss: Loss) -> bool:
+    return loss.upstream.report_at > loss.at + REPORT_ERROR_S
--- a/spindlenotch/forwarding/data_path.py
+++ b/spindlenotch/forwarding/data_path.py
@@ -11,7 +11,7 @@
 from collections import abc
 
 from spindlenotch import ports
-from spindlenotch.decisions import verdicts
+from spindlenotch.decisions import quarantine, verdicts
 from spindlenotch.forwarding import (
     crash_watch,
     exchanges,
@@ -19,11 +19,14 @@
     jobs,
     race,
     sending,
+    trials,
 )
-from spindlenotch.kernel import outcomes
+from spindlenotch.kernel import outcomes, upstreams
 
 
-class PathState(granting.GrantState, race.UpstreamState, typing.Protocol):
+class PathState(
+    granting.GrantState, race.UpstreamState, crash_watch.WatchState, typing.Protocol
+):
     """What the data path needs of the process that it runs in."""
 
 
@@ -33,7 +36,8 @@
 
     ``label`` names each try in the upstreams' protocol. ``on_drain_notice`` is
     called when an answer shows that an upstream is draining and this process
-    did not know; None where the process announces that by itself.
+    did not know; None where the process announces that by itself. ``known`` are the
+    requests that end upstreams; those that this path meets where none are passed in.
 
     Invariant: every grant that is taken from a balancer is finished exactly
     once, whatever ends the request.
@@ -45,32 +49,53 @@
         port: ports.UpstreamPort,
         label: jobs.Labeller = jobs.own_labels,
         on_drain_notice: abc.Callable[[], None] | None = None,
+        known: quarantine.Quarantine | None = None,
     ) -> None:
         self.state = state
         self.port = port
         self._on_drain_notice = on_drain_notice
-        self._grants = granting.Grants(state)
+        known = quarantine.Quarantine() if known is None else known
+        self.watch = crash_watch.CrashWatch(state, port, known)
+        self._trials = trials.Trials(state, self.watch)
+        self._grants = granting.Grants(state, self.watch)
         self._sender = sending.Sender(state, port, label)
-        self._watch = crash_watch.CrashWatch(state, port)
 
     async def dispatch(self, job: jobs.Job) -> exchanges.Exchange | outcomes.Refusal:
         """Get a request its answer's head, or a final refusal."""
         try:
             return await self.begin(job)
         finally:
-            job.balancer.forget(job.call.id)
+            self.forget(job)
+
+    def forget(self, job: jobs.Job) -> None:
+        """Drop what was kept to place further tries of a request."""
+        job.balancer.forget(job.call.id)
+        self.watch.forget(job.call.id)
 
     async def begin(self, job: jobs.Job) -> exchanges.Exchange | outcomes.Refusal:
         """
         Do the same for a request that may go on with ``again``.
 
-        The caller ends it with ``forget`` of the job's balancer: until then
-        the tries of the call count together.
+        The caller ends it with ``forget``: until then the tries of the call count
+        together.
         """
-        verdict = await self._grants.take(job)
-        if isinstance(verdict, outcomes.Refusal):
-            return verdict
-        return await self._race(job).run(verdict)
+        try:
+            # First tries too: what ends an upstream each time comes again under a new
+            # id, and no budget of retries bounds it.
+            refusal = await self._trials.admit(job)
+            if refusal is not None:
+                return refusal
+            verdict = await self._grants.take(job)
+            if isinstance(verdict, outcomes.Refusal):
+                return verdict
+            # It may have become known while the request waited for its grant.
+            refusal = self._trials.refusal(job)
+            if refusal is not None:
+                self._grants.finish(job, verdict, upstreams.Result.CANCELLED, None)
+                return refusal
+            return await self._race(job).run(verdict)
+        finally:
+            self._trials.leave(job)
 
     async def again(
         self, job: jobs.Job, failed: verdicts.Grant
@@ -80,12 +105,13 @@
 
         A request whose own body was streamed is not retried: its body is spent.
         """
-        grant = None
-        if job.body_is_whole:
-            grant = job.balancer.retry(failed, self.state.clock.now())
-        if grant is None:
-            return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
-        return await self._race(job).run(grant)
+        try:
+            grant = await self._race(job).next_grant(failed, known_not_run=False)
+            if grant is None:
+                return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
+            return await self._race(job).run(grant)
+        finally:
+            self._trials.leave(job)
 
     def _race(self, job: jobs.Job) -> race.Race:
         return race.Race(
@@ -93,6 +119,7 @@
             state=self.state,
             grants=self._grants,
             sender=self._sender,
-            watch=self._watch,
+            watch=self.watch,
+            trials=self._trials,
             on_drain_notice=self._on_drain_notice,
         )
--- a/spindlenotch/forwarding/exchanges.py
+++ b/spindlenotch/forwarding/exchanges.py
@@ -38,6 +38,8 @@
             raise
         if isinstance(piece, ports.UpstreamFault):
             self.watch.lost(self.job, self.grant)
+        elif not piece:
+            self.watch.answered(self.job)
         if not piece or isinstance(piece, ports.UpstreamFault):
             self.end(judgement.end_of_body(self.answer, piece))
         return piece
--- a/spindlenotch/forwarding/granting.py
+++ b/spindlenotch/forwarding/granting.py
@@ -10,7 +10,7 @@
 
 from spindlenotch import clock, ids
 from spindlenotch.decisions import balancer, verdicts
-from spindlenotch.forwarding import jobs
+from spindlenotch.forwarding import crash_watch, jobs
 from spindlenotch.kernel import outcomes, upstreams
 
 #: How often the queues are checked while calls wait, in seconds. Chosen, not
@@ -35,8 +35,9 @@
     arrives together with the cancellation of its request is finished here.
     """
 
-    def __init__(self, state: GrantState) -> None:
+    def __init__(self, state: GrantState, watch: crash_watch.CrashWatch) -> None:
         self.state = state
+        self.watch = watch
         self._future_by_call: dict[ids.CallId, asyncio.Future[Verdict]] = {}
         self._queue_check: asyncio.TimerHandle | None = None
 
@@ -56,6 +57,7 @@
     ) -> None:
         """Give a grant back, with how its try ended; the slot may go to a call here."""
         now = self.state.clock.now()
+        self.watch.finished(grant)
         self._settle(job.balancer.finish(grant, result, report, now))
 
     def _settle(self, settlements: list[verdicts.Settlement]) -> None:
--- a/spindlenotch/forwarding/race.py
+++ b/spindlenotch/forwarding/race.py
@@ -11,7 +11,7 @@
 from collections import abc
 
 from spindlenotch import clock, events, ids, metrics, ports
-from spindlenotch.decisions import verdicts
+from spindlenotch.decisions import quarantine, verdicts
 from spindlenotch.forwarding import (
     crash_watch,
     exchanges,
@@ -19,6 +19,7 @@
     jobs,
     judgement,
     sending,
+    trials,
 )
 from spindlenotch.kernel import outcomes, upstreams
 
@@ -51,6 +52,7 @@
         grants: granting.Grants,
         sender: sending.Sender,
         watch: crash_watch.CrashWatch,
+        trials: trials.Trials,
         on_drain_notice: abc.Callable[[], None] | None,
     ) -> None:
         self.job = job
@@ -58,6 +60,7 @@
         self.grants = grants
         self.sender = sender
         self.watch = watch
+        self.trials = trials
         self.on_drain_notice = on_drain_notice
         self._grant_by_task: dict[sending.TryTask, verdicts.Grant] = {}
         self._may_have_run = False
@@ -81,7 +84,7 @@
                 if not done:
                     newest = self._hedge(newest)
                 for task in done:
-                    exchange = self._end_try(task)
+                    exchange = await self._end_try(task)
                     if exchange is not None:
                         return exchange
             return self._refusal(self._reason)
@@ -89,6 +92,7 @@
             self._cancel_rest()
 
     def _start(self, grant: verdicts.Grant) -> None:
+        self.watch.sent(self.job, grant)
         task = self.sender.start(self.job, grant, self._reason)
         self._grant_by_task[task] = grant
 
@@ -103,31 +107,34 @@
 
     def _hedge(self, newest: verdicts.Grant) -> verdicts.Grant:
         """Send a second copy if the newest try is overdue; return the newest."""
+        if self.trials.standing(self.job) is not quarantine.Standing.CLEAR:
+            # Of a request that ends what runs it each copy costs an upstream.
+            return newest
         hedge = self.job.balancer.hedge(newest, self.state.clock.now())
         if hedge is None:
             return newest
         self._start(hedge)
         return hedge
 
-    def _end_try(self, task: sending.TryTask) -> exchanges.Exchange | None:
+    async def _end_try(self, task: sending.TryTask) -> exchanges.Exchange | None:
         """Judge a try that ended; return its answer if that is the request's."""
         grant = self._grant_by_task.pop(task)
         answer = task.result()
         if isinstance(answer, ports.UpstreamFault):
-            self._end_with_fault(grant, answer)
+            await self._end_with_fault(grant, answer)
             return None
         if answer.draining:
             self._note_drain(grant)
         end = judgement.end_of_answer(answer)
         if end is judgement.SHED:
-            self._end_shed(grant, answer)
+            await self._end_shed(grant, answer)
             return None
         exchange = exchanges.Exchange(self.grants, self.watch, self.job, grant, answer)
-        if end is judgement.FAILED_ANSWER and self._replace(exchange):
+        if end is judgement.FAILED_ANSWER and await self._replace(exchange):
             return None
         return exchange
 
-    def _end_with_fault(
+    async def _end_with_fault(
         self, grant: verdicts.Grant, fault: ports.UpstreamFault
     ) -> None:
         if fault is ports.UpstreamFault.FOREIGN_ANSWER:
@@ -137,14 +144,16 @@
         end = judgement.end_of_fault(fault)
         self._keep(end)
         self.grants.finish(self.job, grant, end.result, None)
-        self._retry(grant, known_not_run=not end.may_have_run)
+        await self._retry(grant, known_not_run=not end.may_have_run)
 
-    def _end_shed(self, grant: verdicts.Grant, answer: ports.UpstreamAnswer) -> None:
+    async def _end_shed(
+        self, grant: verdicts.Grant, answer: ports.UpstreamAnswer
+    ) -> None:
         answer.abandon()
         self._keep(judgement.SHED)
         self._retry_after_s = answer.retry_after_s
         self.grants.finish(self.job, grant, judgement.SHED.result, answer.report)
-        self._retry(grant, known_not_run=True)
+        await self._retry(grant, known_not_run=True)
 
     def _keep(self, end: judgement.TryEnd) -> None:
         """Keep what an ended try adds to the refusal that may follow."""
@@ -152,30 +161,45 @@
         if end.reason is not None:
             self._reason = end.reason
 
-    def _retry(self, grant: verdicts.Grant, *, known_not_run: bool) -> bool:
-        """
-        Send a failed try again if its body and the balancer allow it.
-
-        Tell whether it was.
-        """
-        if not self.job.body_is_whole:
-            return False
-        now = self.state.clock.now()
-        retry = self.job.balancer.retry(grant, now, known_not_run=known_not_run)
+    async def _retry(self, grant: verdicts.Grant, *, known_not_run: bool) -> bool:
+        """Send a failed try again if that is allowed; tell whether it was."""
+        retry = await self.next_grant(grant, known_not_run=known_not_run)
         if retry is None:
             return False
         self._start(retry)
         return True
 
-    def _replace(self, exchange: exchanges.Exchange) -> bool:
+    async def next_grant(
+        self, failed: verdicts.Grant, *, known_not_run: bool
+    ) -> verdicts.Grant | None:
+        """Return the grant of a retry if the body, the balancer and trials allow it."""
+        if not self.job.body_is_whole:
+            return None
+        if not known_not_run and not await self._may_risk_another():
+            return None
+        if self.trials.refusal(self.job) is not None:
+            return None
+        now = self.state.clock.now()
+        return self.job.balancer.retry(failed, now, known_not_run=known_not_run)
+
+    async def _may_risk_another(self) -> bool:
+        """Tell whether a request that may end what runs it gets another upstream."""
+        if self.trials.standing(self.job) is quarantine.Standing.CLEAR:
+            return True
+        if self._grant_by_task or not self.watch.may_retry(self.job.call.id):
+            return False
+        return await self.trials.admit(self.job) is None
+
+    async def _replace(self, exchange: exchanges.Exchange) -> bool:
         """
         Drop a server error if another try may still do better.
 
         That is a try under way or, without one, a retry. Returns False where the
         error is the request's answer.
         """
+        self.watch.answered(self.job)
         alone = not self._grant_by_task
-        if alone and not self._retry(exchange.grant, known_not_run=False):
+        if alone and not await self._retry(exchange.grant, known_not_run=False):
             return False
         self._keep(judgement.FAILED_ANSWER)
         exchange.end(judgement.FAILED_ANSWER.result)
--- /dev/null
+++ b/spindlenotch/forwarding/trials.py
@@ -0,0 +1,128 @@
+"""
+Lets a request that may end its upstream be tried by one call at a time.
+
+While a request is suspect, one call of it in this process is on trial and the others
+wait for how that ends: mostly with an answer, which clears them all, as after an
+upstream that ended by itself. One that is quarantined is refused at once. What is held
+of a request is decided in ``decisions.quarantine``.
+"""
+
+import asyncio
+import typing
+
+import msgspec
+
+from spindlenotch import clock, ids
+from spindlenotch.decisions import quarantine
+from spindlenotch.forwarding import crash_watch, jobs
+from spindlenotch.kernel import outcomes
+
+#: Seconds after which the next call may be tried beside one that takes long: a request
+#: that ended upstreams did so within 0.15 s, and a slow one must not hold up others.
+TRIAL_S = 0.5
+#: Most seconds after which callers of a quarantined request are told to come back: it
+#: may be released at any time, and a refusal costs little.
+MOST_RETRY_AFTER_S = 60.0
+#: Seconds between two looks of a call that waits: an upstream that was asked whether it
+#: is there answers within some milliseconds, and ends the wait.
+CHECK_S = 0.02
+
+
+class TrialState(typing.Protocol):
+    """What trials need of the process that they run in."""
+
+    clock: clock.Clock
+
+
+class Trial(msgspec.Struct):
+    """The call that tries a request; ``over`` is set when it has ended."""
+
+    call: ids.CallId
+    until: ids.Instant
+    over: asyncio.Event
+    #: The one more try that a quarantined request gets.
+    is_retrial: bool = False
+
+
+class Trials:
+    """
+    The trials of one process, by the content of the request.
+
+    Invariant: of a suspect request one call in ``TRIAL_S`` is admitted, or one when the
+    one before has left.
+    """
+
+    def __init__(self, state: TrialState, watch: crash_watch.CrashWatch) -> None:
+        self.state = state
+        self.watch = watch
+        self.quarantine = watch.quarantine
+        self._trial_by_content: dict[ids.Fingerprint, Trial] = {}
+
+    def standing(self, job: jobs.Job) -> quarantine.Standing:
+        """Return what is held of a request."""
+        if not self.quarantine.knows_target(job.target):
+            return quarantine.Standing.CLEAR
+        return self.quarantine.standing(job.fingerprints())
+
+    async def admit(self, job: jobs.Job) -> outcomes.Refusal | None:
+        """Wait until a call may be sent, or return why it may not."""
+        while (standing := self.standing(job)) is not quarantine.Standing.CLEAR:
+            now = self.state.clock.now()
+            if standing is quarantine.Standing.QUARANTINED:
+                return self._retry_or_refuse(job, now)
+            trial = self._trial_by_content.get(job.fingerprints().content)
+            if trial is None or trial.until <= now or trial.call == job.call.id:
+                self._begin(job, now)
+                return None
+            wait_until = min(job.call.wait_until, job.call.deadline)
+            if wait_until <= now:
+                return outcomes.not_run(outcomes.Reason.ON_TRIAL, trial.until)
+            await _wait(trial, min(CHECK_S, wait_until - now))
+        return None
+
+    def refusal(self, job: jobs.Job) -> outcomes.Refusal | None:
+        """Return the refusal of a request that is quarantined; None where it is not."""
+        if self.standing(job) is not quarantine.Standing.QUARANTINED:
+            return None
+        prints = job.fingerprints()
+        trial = self._trial_by_content.get(prints.content)
+        if trial is not None and trial.is_retrial and trial.call == job.call.id:
+            return None
+        latest = ids.later(self.state.clock.now(), MOST_RETRY_AFTER_S)
+        until = min(latest, self.quarantine.until(prints))
+        return outcomes.not_run(outcomes.Reason.QUARANTINED, until)
+
+    def _retry_or_refuse(
+        self, job: jobs.Job, now: ids.Instant
+    ) -> outcomes.Refusal | None:
+        prints = job.fingerprints()
+        if self.quarantine.take_retrial(prints, now):
+            self.watch.tell(prints)
+            self._begin(job, now, is_retrial=True)
+        return self.refusal(job)
+
+    def _begin(
+        self, job: jobs.Job, now: ids.Instant, *, is_retrial: bool = False
+    ) -> None:
+        until = ids.later(now, TRIAL_S)
+        trial = Trial(job.call.id, until, asyncio.Event(), is_retrial)
+        self._trial_by_content[job.fingerprints().content] = trial
+
+    def leave(self, job: jobs.Job) -> None:
+        """End a call's trial, if it is on one: others may follow."""
+        if not self._trial_by_content:
+            return
+        content = job.fingerprints().content
+        trial = self._trial_by_content.get(content)
+        if trial is not None and trial.call == job.call.id:
+            del self._trial_by_content[content]
+            trial.over.set()
+
+
+async def _wait(trial: Trial, limit_s: float) -> None:
+    try:
+        async with asyncio.timeout(limit_s):
+            await trial.over.wait()
+    except TimeoutError:
+        # The caller looks at how things stand then.
+        return
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -20,6 +20,7 @@
     prober,
     region_loads,
 )
+from spindlenotch.gateway.quarantine import sharing, writer
 from spindlenotch.gateway.rollout import loop as rollout_loop
 from spindlenotch.gateway.serving import answering, ingress, job_factory
 from spindlenotch.gateway.source import discovery, relay, source_reader, sources
@@ -56,7 +57,10 @@
         self.port = port
         gateway_state.add_end_listener(lambda ended: port.close_idle(ended.address))
         path = data_path.DataPath(
-            gateway_state, port, job_factory.labels(gateway_dialect)
+            gateway_state,
+            port,
+            job_factory.labels(gateway_dialect),
+            known=gateway_state.quarantines.known,
         )
         answerer = answering.Answerer(gateway_state, path, gateway_dialect)
         self.ingress = ingress.Ingress(gateway_state, answerer)
@@ -80,6 +84,13 @@
             gateway_state, self.fleet, link, self.prober.task_by_id.keys()
         )
         self.rollout = rollout_loop.RolloutLoop(gateway_state, self.fleet, link, source)
+        self.quarantine_sharing = sharing.QuarantineSharing(
+            gateway_state, self.fleet, link, path.watch
+        )
+        self.quarantine_writer = writer.QuarantineWriter(
+            gateway_state, source, self.relay.is_reader
+        )
+        self.membership.add_listener(self.quarantine_sharing)
         self.membership.add_listener(self.relay)
         self.membership.add_listener(self.rollout)
         self.membership.add_listener(self.load_sharing)
@@ -98,6 +109,8 @@
             self.prober.run,
             self.load_sharing.run,
             self.rollout.run,
+            self.quarantine_sharing.run,
+            self.quarantine_writer.run,
             self._tick,
         )
         for loop in loops:
--- /dev/null
+++ b/spindlenotch/gateway/quarantine/sharing.py
@@ -0,0 +1,176 @@
+"""
+Tells other gateways under which requests upstreams ended, and takes in what they tell.
+
+Each news goes at once to the gateways that get callers, of other regions too, and for
+some seconds with all gossip; that a request is quarantined goes to everyone, from those
+that found it out. After that one note goes with each message in turn, so that who was
+cut off or has started learns all of them. Relies on ``forwarding.crash_watch`` for what
+this gateway sees itself.
+"""
+
+import asyncio
+
+from spindlenotch import events, ids
+from spindlenotch.decisions import quarantine
+from spindlenotch.forwarding import crash_watch
+from spindlenotch.gateway import state
+from spindlenotch.gateway.cluster import fleet
+from spindlenotch.kernel import crash_notes
+from spindlenotch.peers import gossip, messages, peer_link
+
+#: Seconds between two rounds; that of the shortest loops that wake together.
+PERIOD_S = 0.2
+#: Seconds for which all messages carry a note that has changed: some periods of gossip,
+#: in which every member of a large fleet is asked by several others.
+RECENT_S = 5.0
+#: Rounds in which everyone is told of a quarantine, as datagrams get lost.
+ANNOUNCE_ROUNDS = 2
+
+
+class QuarantineSharing:
+    """Sends and receives notes; logs which requests are quarantined."""
+
+    def __init__(
+        self,
+        gateway_state: state.GatewayState,
+        gateway_fleet: fleet.Fleet,
+        link: peer_link.PeerLink,
+        watch: crash_watch.CrashWatch,
+    ) -> None:
+        self.state = gateway_state
+        self.fleet = gateway_fleet
+        self.link = link
+        self.watch = watch
+        self._news: dict[ids.Fingerprint, crash_notes.CrashNote] = {}
+        self._recent_until: dict[ids.Fingerprint, ids.Instant] = {}
+        self._told_by_host: dict[ids.Fingerprint, ids.HostId] = {}
+        self._announce_rounds = 0
+        self._turn = 0
+        watch.add_listener(self._add_news)
+
+    @property
+    def known(self) -> quarantine.Quarantine:
+        """Return what is known of such requests."""
+        return self.state.quarantines.known
+
+    async def run(self) -> None:
+        """Look after the notes until cancelled."""
+        while True:
+            self.update()
+            await self.state.wakeups.sleep(PERIOD_S)
+
+    def update(self) -> None:
+        """Let go of old notes, log changes, and choose what gossip carries now."""
+        now = self.state.clock.now()
+        self.known.expire(now)
+        self.watch.check_ended()
+        self._take_changes(now)
+        for fingerprint in [f for f, at in self._recent_until.items() if at <= now]:
+            del self._recent_until[fingerprint]
+        self.state.gossip.crashes = self._in_turn()
+        if self._announce_rounds:
+            self._announce_rounds -= 1
+            self._send(self.state.gossip.crashes, list(self._everyone()))
+
+    def message_received(
+        self, message: messages.Message, handled: gossip.Handled
+    ) -> None:
+        """Take in a peer's notes."""
+        now = self.state.clock.now()
+        for note in message.crashes:
+            if self.known.merge(note, now):
+                self._told_by_host[note.fingerprint] = message.sender.host
+                self._recent_until[note.fingerprint] = ids.later(now, RECENT_S)
+
+    def _take_changes(self, now: ids.Instant) -> None:
+        for change in self.known.changes:
+            fingerprint = change.note.fingerprint
+            told_by = self._told_by_host.pop(fingerprint, None)
+            self._report(change, "" if told_by is None else told_by)
+            self._recent_until[fingerprint] = ids.later(now, RECENT_S)
+            if told_by is None:
+                # Were those that are told to tell everyone, one request would cost
+                # messages by the square of the fleet.
+                self._announce_rounds = ANNOUNCE_ROUNDS
+        self.known.changes.clear()
+        self._told_by_host.clear()
+        count = sum(1 for _ in self.known.quarantined())
+        self.state.metrics.quarantined_requests.set(count)
+
+    def _report(self, change: quarantine.Change, told_by: str) -> None:
+        is_held = change.standing is quarantine.Standing.QUARANTINED
+        events.emit(
+            events.Event.REQUEST_QUARANTINED
+            if is_held
+            else events.Event.QUARANTINE_ENDED,
+            fingerprint=change.note.fingerprint,
+            depth=change.note.depth,
+            ended=",".join(change.note.ended),
+            told_by=told_by,
+        )
+
+    # Telling
+
+    def _add_news(self, note: crash_notes.CrashNote) -> None:
+        """Send a note that this gateway has made, with those of the same moment."""
+        if not self._news:
+            asyncio.get_running_loop().call_soon(self._send_news)
+        self._news[note.fingerprint] = note
+        until = ids.later(self.state.clock.now(), RECENT_S)
+        self._recent_until[note.fingerprint] = until
+
+    def _send_news(self) -> None:
+        notes = tuple(self._news.values())
+        self._news.clear()
+        self._send(notes, self._active())
+
+    def _in_turn(self) -> tuple[crash_notes.CrashNote, ...]:
+        """Return the notes that changed lately, and one quarantined request in turn."""
+        most = messages.CRASH_NOTES_PER_MESSAGE - 1
+        newest = list(self._recent_until)[-most:]
+        notes = {one: self.known.note(one) for one in newest}
+        held = list(self.known.quarantined())
+        if held:
+            self._turn = (self._turn + 1) % len(held)
+            notes[held[self._turn].fingerprint] = held[self._turn]
+        return tuple(notes.values())
+
+    def _active(self) -> list[ids.Address]:
+        """Return the gateways that get callers, as far as they are known."""
+        known = self.state.gossip.known_by_host
+        near = [
+            known[host].record.peer_address
+            for host in self.fleet.active_zones()
+            if host in known
+        ]
+        return near + self._far()
+
+    def _everyone(self) -> list[ids.Address]:
+        known = self.state.gossip.known_by_host.values()
+        return [peer.record.peer_address for peer in known] + self._far()
+
+    def _far(self) -> list[ids.Address]:
+        """Return the active gateways of other regions that their summaries name."""
+        links = self.state.links
+        if links is None:
+            return []
+        return [
+            gateway.peer_address
+            for heard in links.heard_by_region.values()
+            for gateway in heard.summary.gateways
+        ]
+
+    def _send(
+        self, notes: tuple[crash_notes.CrashNote, ...], targets: list[ids.Address]
+    ) -> None:
+        if not targets:
+            return
+        most = messages.CRASH_NOTES_PER_MESSAGE
+        for start in range(0, len(notes), most):
+            message = messages.Message(
+                self.state.gossip.local,
+                0,
+                reads_source=self.state.reads_source,
+                crashes=notes[start : start + most],
+            )
+            self.link.send(message, targets)
--- /dev/null
+++ b/spindlenotch/gateway/quarantine/writer.py
@@ -0,0 +1,71 @@
+"""
+Writes quarantined requests into the source, for gateways that start anew together.
+
+Only who reads the source writes, after a time that differs, so that mostly one reader
+does: calls grow with such requests and not with hosts. A write that meets another's
+changes nothing; its record comes with the next reading.
+"""
+
+from collections import abc
+
+from spindlenotch import events, ids
+from spindlenotch.gateway import state
+from spindlenotch.gateway.source import sources
+
+#: Seconds between two looks at what is to be written.
+LOOK_PERIOD_S = 0.4
+#: Most seconds that a reader waits, so that another's record may come: a change is read
+#: about 0.1 s after it was written.
+MOST_WAIT_S = 1.2
+#: Seconds between two writes that fail.
+RETRY_S = 2.0
+
+
+class QuarantineWriter:
+    """
+    Writes what the source does not hold yet.
+
+    Invariant: one write at a time, and none sooner than ``_write_at``.
+    """
+
+    def __init__(
+        self,
+        gateway_state: state.GatewayState,
+        source: sources.Source,
+        is_reader: abc.Callable[[], bool],
+    ) -> None:
+        self.state = gateway_state
+        self.source = source
+        self.is_reader = is_reader
+        self._write_at = ids.NEVER
+
+    async def run(self) -> None:
+        """Write what is missing until cancelled."""
+        while True:
+            await self.state.wakeups.sleep(LOOK_PERIOD_S)
+            await self.look()
+
+    async def look(self) -> None:
+        """Write the records that are missing, if it is time."""
+        now = self.state.clock.now()
+        missing = self.state.quarantines.unstored()
+        if not (missing and self.state.reads_source and self.is_reader()):
+            self._write_at = ids.NEVER
+            return
+        if self._write_at == ids.NEVER:
+            wait_s = self.state.rng.uniform(0.0, MOST_WAIT_S)
+            self._write_at = ids.later(now, wait_s)
+        if now >= self._write_at:
+            for quarantine in missing:
+                await self._write(quarantine)
+
+    async def _write(self, quarantine: sources.StoredQuarantine) -> None:
+        self._write_at = ids.later(self.state.clock.now(), RETRY_S)
+        self.state.metrics.store_calls.labels("quarantine").inc()
+        fault = await self.source.write_quarantine(quarantine)
+        events.emit(
+            events.Event.QUARANTINE_WRITTEN,
+            fingerprint=quarantine.note.fingerprint,
+            revision=quarantine.revision,
+            outcome="written" if fault is None else fault.value,
+        )
--- a/spindlenotch/gateway/serving/answering.py
+++ b/spindlenotch/gateway/serving/answering.py
@@ -108,7 +108,7 @@
         except TimeoutError:
             return self._failed(request, job, outcomes.Reason.DEADLINE_PASSED)
         finally:
-            job.balancer.forget(job.call.id)
+            self.path.forget(job)
         if isinstance(answer, outcomes.Refusal):
             return self._refuse(request, job, answer)
         return answer
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -14,6 +14,7 @@
 
 from spindlenotch import ids, registry
 from spindlenotch.gateway.source import routing
+from spindlenotch.kernel import crash_notes
 
 
 class SourceFault(enum.Enum):
@@ -131,6 +132,19 @@
     revision: int = 0
 
 
+class StoredQuarantine(msgspec.Struct, frozen=True):
+    """
+    A request that ends the upstreams that run it, as the source holds it.
+
+    ``until_unix_s`` is the wall-clock time until which it is not sent. ``revision`` is
+    that of the source at which it was written; zero where the source holds none yet.
+    """
+
+    note: crash_notes.CrashNote
+    until_unix_s: float
+    revision: int = 0
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """
     Everything the source holds; changes after ``revision`` are not in it.
@@ -151,6 +165,7 @@
     order_by_service: dict[ids.ServiceName, RolloutOrder] = {}
     status_by_service: dict[ids.ServiceName, RolloutStatus] = {}
     unreadable_orders: frozenset[ids.ServiceName] = frozenset()
+    quarantines: tuple[StoredQuarantine, ...] = ()
 
 
 class Changes(msgspec.Struct, frozen=True):
@@ -160,6 +175,7 @@
     ``unusable`` are upstreams whose entry now can't be used, whatever it was before.
     ``evacuated_zones`` are those newly evacuated, ``restored_zones`` those whose
     evacuation was taken back. Orders and statuses are None where they are gone.
+    ``released`` are requests whose quarantine an operator has taken away.
     """
 
     revision: int
@@ -173,6 +189,8 @@
     unusable: frozenset[ids.UpstreamId] = frozenset()
     order_by_service: dict[ids.ServiceName, RolloutOrder | None] = {}
     status_by_service: dict[ids.ServiceName, RolloutStatus | None] = {}
+    quarantines: tuple[StoredQuarantine, ...] = ()
+    released: frozenset[ids.Fingerprint] = frozenset()
 
 
 class Source(typing.Protocol):
@@ -198,6 +216,11 @@
         Return the revision at which it was written.
         """
 
+    async def write_quarantine(
+        self, quarantine: StoredQuarantine
+    ) -> SourceFault | None:
+        """Replace the record of the same request if it is still of that revision."""
+
     async def close(self) -> None:
         """Drop all connections."""
 
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -23,6 +23,7 @@
     wakeups,
 )
 from spindlenotch.gateway.cluster import demand_meter, fleet_size, own_record
+from spindlenotch.gateway.quarantine import registry as quarantine_registry
 from spindlenotch.gateway.rollout import registry
 from spindlenotch.gateway.source import listing, routing, source_events, sources
 from spindlenotch.kernel import ownership, regions, upstreams
@@ -65,6 +66,7 @@
         self.round_robin = routing.WeightedRoundRobin()
         self.listing = listing.Listing(config.evacuate_s)
         self.rollouts = registry.Registry(config.exposure_share, self.metrics)
+        self.quarantines = quarantine_registry.Registry(config.host, gateway_clock)
         self.local_member = ownership.Member(config.zone, config.host)
         record = own_record.first(config, self.rng, gateway_clock)
         self.regions = regions.create(config.region_by_zone)
@@ -177,6 +179,7 @@
             self.apply_configuration(snapshot.configuration)
         now = self.clock.now()
         self.rollouts.orders.replace(snapshot, now, is_overtaken=is_overtaken)
+        self.quarantines.replace(snapshot)
         before = self.listing.evacuated_zones
         if is_overtaken:
             # What of it was taken back since then comes as a change.
@@ -207,6 +210,7 @@
         self._store_discovery_records(changes.discovery_records)
         if changes.configuration is not None:
             self.apply_configuration(changes.configuration)
+        self.quarantines.change(changes)
         ordered = self.rollouts.orders.change(changes, self.clock.now())
         is_relisted = self._apply_listing_changes(changes)
         if ordered and not is_relisted:
--- a/spindlenotch/gateway/state_dump.py
+++ b/spindlenotch/gateway/state_dump.py
@@ -75,6 +75,13 @@
     upstreams: list[UpstreamDump]
 
 
+class QuarantineDump(msgspec.Struct):
+    """A request that is not sent any more; ``ended`` are upstreams that it ended."""
+
+    ended: list[ids.UpstreamId]
+    left_s: float
+
+
 class GatewayDump(msgspec.Struct):
     """
     A gateway; ``version`` is that of the configuration in force.
@@ -82,7 +89,8 @@
     ``refused_routes`` says why routes are not served, by host and prefix;
     ``not_ready`` why callers may not be sent here, empty where they may; ``regions``
     holds what is known of the others. ``rollouts`` are the services that change their
-    version.
+    version, ``quarantined`` the requests that end the upstreams that run them, by
+    fingerprint.
     """
 
     host: ids.HostId
@@ -96,6 +104,7 @@
     not_ready: str
     rollouts: dict[ids.ServiceName, dump.RolloutDump]
     regions: dict[ids.RegionName, RegionDump] = {}
+    quarantined: dict[ids.Fingerprint, QuarantineDump] = {}
 
 
 def create(
@@ -121,6 +130,7 @@
         not_ready=gateway_state.unready_reason,
         rollouts=dump.create(gateway_state, gateway_fleet),
         regions=_regions(gateway_state, now),
+        quarantined=_quarantined(gateway_state, now),
     )
 
 
@@ -141,6 +151,21 @@
     }
 
 
+def _quarantined(
+    gateway_state: state.GatewayState, now: ids.Instant
+) -> dict[ids.Fingerprint, QuarantineDump]:
+    known = gateway_state.quarantines.known
+    return {
+        note.fingerprint: QuarantineDump(
+            ended=list(note.ended),
+            left_s=round(
+                known.kept_by_fingerprint[note.fingerprint].until - now, AGE_DIGITS
+            ),
+        )
+        for note in known.quarantined()
+    }
+
+
 def _refused_routes(gateway_state: state.GatewayState) -> dict[str, str]:
     if gateway_state.table is None:
         return {}
--- a/spindlenotch/kernel/outcomes.py
+++ b/spindlenotch/kernel/outcomes.py
@@ -59,6 +59,10 @@
     CALLER_GONE = "caller-gone"
     ROUTE_REFUSED = "route-refused"
     REGION_NOT_ALLOWED = "region-not-allowed"
+    #: The request ends the upstreams that run it.
+    QUARANTINED = "quarantined"
+    #: An upstream ended under the request, and another call still tries it.
+    ON_TRIAL = "on-trial"
 
 
 class RefusalRule(enum.Enum):
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -123,6 +123,11 @@
             ("service",),
             registry=self.registry,
         )
+        self.quarantined_requests = prometheus_client.Gauge(
+            "spindlenotch_quarantined_requests",
+            "Requests that end the upstreams that run them and are not sent any more",
+            registry=self.registry,
+        )
         self.rollout_requests = prometheus_client.Counter(
             "spindlenotch_rollout_requests_total",
             "Requests that ended while a service changes its version, by result",
--- a/spindlenotch/peers/gossip.py
+++ b/spindlenotch/peers/gossip.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.kernel import ownership
+from spindlenotch.kernel import crash_notes, ownership
 from spindlenotch.peers import (
     documents,
     drain_notices,
@@ -76,6 +76,8 @@
         self.reads_source = False
         #: How far orders to change a service's version have come.
         self.rollout_phases: tuple[rollout_notes.PhaseNote, ...] = ()
+        #: Requests under which upstreams ended, as all messages tell of them now.
+        self.crashes: tuple[crash_notes.CrashNote, ...] = ()
         self.sequence = 0
         self.swept_at = ids.NEVER
 
@@ -191,6 +193,7 @@
             suspicions=self.membership.next_suspicions(),
             reads_source=self.reads_source,
             rollout_phases=self.rollout_phases,
+            crashes=self.crashes,
         )
 
     def handle(self, message: messages.Message, now: ids.Instant) -> Handled:
--- a/spindlenotch/peers/messages.py
+++ b/spindlenotch/peers/messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from spindlenotch import ids
+from spindlenotch.kernel import crash_notes
 from spindlenotch.peers import documents, rollout_notes, workload
 
 #: Changed member records in a message. Chosen, not measured; with it gossip
@@ -36,6 +37,9 @@
 GATEWAYS_PER_SUMMARY = 8
 #: Services in a summary; calls of further ones stay in their region while it can.
 SERVICES_PER_SUMMARY = 16
+#: Notes on requests under which upstreams ended, in a message; each takes some 100
+#: bytes. Further ones go with the next messages.
+CRASH_NOTES_PER_MESSAGE = 8
 #: Hexadecimal digits of a document's digest that a message carries. Chosen,
 #: not measured: enough to tell two documents of one version apart.
 DIGEST_DIGITS = 16
@@ -166,8 +170,9 @@
     ``wants_reply`` asks for one back; ``wants_members`` says that the sender
     knows fewer members than the host list names; ``reads_source`` that it reads
     the source itself. ``regions`` is left out where there is nothing to tell of any,
-    ``rollout_phases`` and ``evidence`` while no service changes its version. On the
-    wire ``drain_notices`` is called ``marks`` and ``wants_members`` ``hungry``.
+    ``rollout_phases`` and ``evidence`` while no service changes its version,
+    ``crashes`` while no upstream ends under a request. On the wire ``drain_notices`` is
+    called ``marks`` and ``wants_members`` ``hungry``.
     """
 
     sender: MemberRecord
@@ -183,6 +188,7 @@
     regions: tuple[RegionSummary, ...] = ()
     rollout_phases: tuple[rollout_notes.PhaseNote, ...] = ()
     evidence: rollout_notes.EvidenceRecord | None = None
+    crashes: tuple[crash_notes.CrashNote, ...] = ()
 
 
 class DocumentFrame(msgspec.Struct, frozen=True):
--- a/spindlenotch/peers/msgpack_codec.py
+++ b/spindlenotch/peers/msgpack_codec.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from spindlenotch.kernel import crash_notes
 from spindlenotch.peers import messages, rollout_notes, wire_format
 
 #: zlib's fastest: messages are small and sent several times a second. Chosen,
@@ -76,6 +77,7 @@
         or len(message.loads) > messages.LOADS_PER_MESSAGE
         or len(message.rollout_phases) > rollout_notes.NOTES_PER_MESSAGE
         or _is_long(message.evidence)
+        or _exceeds_crash_limits(message.crashes)
         or _exceeds_region_limits(message.regions)
     )
 
@@ -105,3 +107,9 @@
 
 
 MSGPACK: wire_format.Codec = MsgpackCodec()
+
+
+def _exceeds_crash_limits(notes: tuple[crash_notes.CrashNote, ...]) -> bool:
+    return len(notes) > messages.CRASH_NOTES_PER_MESSAGE or any(
+        len(note.ended) > crash_notes.MOST_ENDED for note in notes
+    )
--- a/spindlenotch/peers/regional_gossip.py
+++ b/spindlenotch/peers/regional_gossip.py
@@ -62,6 +62,7 @@
             wants_reply=wants_reply,
             reads_source=self.reads_source,
             regions=self.links.to_far(now),
+            crashes=self.crashes,
         )
 
     def handle(self, message: messages.Message, now: ids.Instant) -> gossip.Handled:
