Requests whose time ran out while their host was suspended are ended at once

Cause: deadlines are instants of a clock that counts suspensions, the event loop's timers run on one that does not. A timer that was begun before a suspension ended late by as much.

Change: a gateway keeps the timers of requests that it reads or passes on answers of, and moves them when the two clocks have parted (E109). A planned stop reckons its end by the clock that goes on. The soak of processes learns suspended hosts (on a loop whose clock can be stopped) and requests that end what runs them, with a check and a mutant.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -9,6 +9,12 @@
     And it left a page with a plot and the log of each gateway
     And nothing that it started still runs
 
+  Scenario: A play with requests that end upstreams and suspended hosts is clean
+    When requests that end upstreams are sent beside other faults
+    Then the play has no violation
+    And at least 3 upstreams ended under such a request
+    And nothing that it started still runs
+
   Scenario: A play that is interrupted ends what it started
     When a play is interrupted while its gateways run
     Then nothing that it started still runs
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -14,6 +14,15 @@
 
 #: Loaded for the fault that it registers.
 assert versions.version_ordered in faults.FAULTS.factory_by_name.values()
+#: Faults that came after the seed of the short play was chosen, or take longer than it.
+LATER_FAULTS = ("version-ordered", "poison-request", "gateway-suspended")
+#: A request that ends upstreams, while hosts are suspended and gateways start again.
+POISON_STEPS = (
+    "0.5 3 poison-request 11",
+    "1 2.5 gateway-suspended 5",
+    "2.5 1.5 gateways-killed 3",
+    "3 2 poison-request 12",
+)
 #: Longest time until a play that is interrupted has ended, in seconds.
 ENDS_WITHIN_S = 15.0
 
@@ -21,7 +30,7 @@
 def drawn(seed: int, seconds: float) -> tuple[plans.Settings, tuple[plans.Step, ...]]:
     """Return the settings and the steps of a seed."""
     settings = plans.Settings(seconds, seed, gateways=4, upstreams=9, rate=40.0)
-    names = [name for name in faults.FAULTS.names() if name != "version-ordered"]
+    names = [name for name in faults.FAULTS.names() if name not in LATER_FAULTS]
     return settings, plans.draw(settings, names)
 
 
@@ -34,9 +43,21 @@
 
 @behave.when("the plan of seed {seed:d} is played for {seconds:d} seconds")
 def played(context: typing.Any, seed: int, seconds: int) -> None:
+    settings, steps = drawn(seed, seconds)
+    _play(context, settings, steps)
+
+
+@behave.when("requests that end upstreams are sent beside other faults")
+def poison_played(context: typing.Any) -> None:
+    settings, _ = drawn(1, 6.0)
+    _play(context, settings, tuple(plans.read(step) for step in POISON_STEPS))
+
+
+def _play(
+    context: typing.Any, settings: plans.Settings, steps: tuple[plans.Step, ...]
+) -> None:
     context.folder = tempfile.TemporaryDirectory()
     folder = pathlib.Path(context.folder.name)
-    settings, steps = drawn(seed, seconds)
     one = play.Play(settings, steps, folder)
     context.outcome = context.runner.run(one.run())
     summary.write(folder, settings, context.outcome)
@@ -48,6 +69,12 @@
     assert not context.outcome.violations, context.outcome.violations
 
 
+@behave.then("at least {count:d} upstreams ended under such a request")
+def ended_under(context: typing.Any, count: int) -> None:
+    ends = [end for worker in context.outcome.ledger.workers for end in worker.crashes]
+    assert len(ends) >= count, ends
+
+
 @behave.then("it left a page with a plot and the log of each gateway")
 def left_page(context: typing.Any) -> None:
     folder = pathlib.Path(context.folder.name)
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -26,6 +26,7 @@
 ZONES = ("z1", "z2", "z3")
 HOST = "shop.example"
 FIRST_IP = "127.0.1.1"
+PROGRAM = "platform/start.py"
 #: Nothing listens here.
 DEAD_IP = "127.0.1.99"
 
@@ -118,6 +119,8 @@
         #: Address of the store for gateways that reach it on a path of their own.
         self.store_by_node: dict[str, str] = {}
         self.region_by_zone: dict[str, str] = {}
+        #: What is started for gateways that are not started as on the platform.
+        self.program_by_node: dict[str, str] = {}
         self.more_bounds: tuple[str, ...] = ()
         self.folder = tempfile.TemporaryDirectory()
         names = ("front", "ready", "control", "directory", "peer")
@@ -211,7 +214,7 @@
         with self.logs[node].open("ab") as log:
             self.process_by_node[node] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "platform/start.py",
+                self.program_by_node.get(node, PROGRAM),
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -174,6 +174,8 @@
         #: Called when the worker has crashed under a request.
         self.on_crash: typing.Callable[[], None] = lambda: None
         self.has_crashed = False
+        #: When it crashed under a request, and that request's target.
+        self.crashes: list[tuple[float, str]] = []
         self.slots = 4
         self.most_at_once = 1000
         self.accepted = 0
@@ -314,6 +316,7 @@
         finally:
             self.running -= 1
         if Poison(run.target, run.body) in self.poisons:
+            self.crashes.append((time.monotonic(), run.target))
             self.crash()
             return False
         return self._reply(writer, run)
--- a/features/support/served_gateway.py
+++ b/features/support/served_gateway.py
@@ -14,9 +14,9 @@
 import msgspec
 
 from features.support import free_ports, recorded_gateway
-from spindlenotch import ids, ports
+from spindlenotch import clock, ids, ports
 from spindlenotch.forwarding import data_path
-from spindlenotch.gateway import dialect
+from spindlenotch.gateway import dialect, gateway
 from spindlenotch.gateway.serving import answering, ingress, job_factory
 from spindlenotch.gateway.source import routing, sources
 from spindlenotch.kernel import upstreams
@@ -159,6 +159,17 @@
         answerer = answering.Answerer(state, path, native)
         self.ingress = ingress.Ingress(state, answerer)
 
+    def use_clock(self, host_clock: clock.Clock) -> None:
+        """Let the gateway reckon by another clock of the host."""
+        self.state.clock = host_clock
+        self.state.deadlines.clock = host_clock
+
+    async def tick(self) -> None:
+        """Do what a running gateway does a few times a second."""
+        while True:
+            self.state.deadlines.check()
+            await asyncio.sleep(gateway.TICK_S)
+
     def learn(self) -> None:
         """Let the gateway know its route and upstreams."""
         self.state.apply_snapshot(_snapshot(self.state.config.zone))
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -55,6 +55,12 @@
     LOOP_FAILED = CatalogueRow(
         108, "ERROR", "a control loop failed and is restarted", "report the error"
     )
+    HOST_SUSPENDED = CatalogueRow(
+        109,
+        "WARNING",
+        "the host was suspended; requests whose time ran out meanwhile are ended",
+        "find who suspends the host",
+    )
     BUNDLE_APPLIED = CatalogueRow(201, "INFO", "a new bundle is in force", "none")
     BUNDLE_REFUSED = CatalogueRow(
         202,
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from spindlenotch import clock, events, ports
+from spindlenotch import clock, events, ids, ports
 from spindlenotch.drivers import upstream_http
 from spindlenotch.forwarding import data_path
 from spindlenotch.gateway import dialect, lifecycle, settings, side_ports, state
@@ -132,16 +132,16 @@
         events.emit(events.Event.LEAVING, host=config.host)
         self.state.leave()
         self.membership.announce()
-        loop = asyncio.get_running_loop()
+        now = self.state.clock.now
         schedule = lifecycle.stop_schedule(config.hand_out_s, config.stop_limit_s)
-        end = loop.time() + schedule.end_s
+        end = ids.later(now(), schedule.end_s)
         await asyncio.sleep(schedule.listen_s)
         self.ingress.stop_listening()
-        while self.ingress.in_flight and loop.time() < end:
+        while self.ingress.in_flight and now() < end:
             await asyncio.sleep(DRAIN_CHECK_S)
         if self.ingress.in_flight:
             events.emit(events.Event.STOP_FORCED, in_flight=self.ingress.in_flight)
-        await self.ingress.stop(max(LEAST_CLOSE_S, end - loop.time()))
+        await self.ingress.stop(max(LEAST_CLOSE_S, end - now()))
         await self.close()
 
     async def close(self) -> None:
@@ -157,6 +157,7 @@
 
     async def _tick(self) -> None:
         while True:
+            self._note_suspension()
             self.fleet.update_size()
             if self.state.tick() and self.state.reads_source:
                 self.relay.publish_expiry()
@@ -164,6 +165,11 @@
             self.region_loads.update()
             await self.state.wakeups.sleep(TICK_S)
 
+    def _note_suspension(self) -> None:
+        suspended_s = self.state.deadlines.check()
+        if suspended_s:
+            events.emit(events.Event.HOST_SUSPENDED, seconds=round(suspended_s, 3))
+
 
 def create(config: settings.GatewaySettings, start_took_s: float = 0.0) -> Gateway:
     """
--- a/spindlenotch/gateway/serving/answer_stream.py
+++ b/spindlenotch/gateway/serving/answer_stream.py
@@ -10,7 +10,7 @@
 import multidict
 from aiohttp import web_request, web_response
 
-from spindlenotch import ports
+from spindlenotch import ids, ports
 from spindlenotch.forwarding import exchanges
 from spindlenotch.gateway.serving import answers
 from spindlenotch.kernel import upstreams
@@ -24,13 +24,15 @@
     """
     A long answer that is to be passed on; nothing of it has gone out yet.
 
-    ``start`` was read already; ``exchange`` is open and holds the rest.
-    ``loop_deadline`` is an instant of the event loop.
-    """
+    ``start`` was read already; ``exchange`` is open and holds the rest."""
 
     exchange: exchanges.Exchange
     start: bytes
-    loop_deadline: float
+
+    @property
+    def deadline(self) -> ids.Instant:
+        """Return when it must have gone out."""
+        return self.exchange.job.call.deadline
 
     def discard(self) -> None:
         """End the exchange without passing anything on."""
--- a/spindlenotch/gateway/serving/answering.py
+++ b/spindlenotch/gateway/serving/answering.py
@@ -8,12 +8,9 @@
 for upstreams.
 """
 
-import asyncio
-
 import multidict
 from aiohttp import web_request, web_response
 
-from spindlenotch import ids
 from spindlenotch.decisions import start_limit
 from spindlenotch.forwarding import data_path, exchanges, jobs
 from spindlenotch.gateway import dialect, state
@@ -101,10 +98,9 @@
         held_s: float,
     ) -> pipelining.Answer:
         job = self._jobs.create(request, route, body, held_s)
-        loop_deadline = self._loop_time(job.call.deadline)
         try:
-            async with asyncio.timeout_at(loop_deadline):
-                answer = await self._try_upstreams(request, job, loop_deadline)
+            async with self.state.deadlines.until(job.call.deadline):
+                answer = await self._try_upstreams(request, job)
         except TimeoutError:
             return self._failed(request, job, outcomes.Reason.DEADLINE_PASSED)
         finally:
@@ -114,7 +110,7 @@
         return answer
 
     async def _try_upstreams(
-        self, request: web_request.BaseRequest, job: jobs.Job, loop_deadline: float
+        self, request: web_request.BaseRequest, job: jobs.Job
     ) -> pipelining.Answer | outcomes.Refusal:
         """
         Try upstreams until one answer can be passed on or the job is refused.
@@ -126,7 +122,7 @@
         while not isinstance(exchange, outcomes.Refusal):
             answer = await answers.read(exchange)
             if not isinstance(answer, answers.CutAnswer):
-                return self._pass_on(request, exchange, answer, loop_deadline)
+                return self._pass_on(request, exchange, answer)
             if not job.call.repeatable:
                 return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
             exchange = await self.path.again(job, exchange.grant)
@@ -137,7 +133,6 @@
         request: web_request.BaseRequest,
         exchange: exchanges.Exchange,
         answer: answers.WholeAnswer | answers.LongAnswer,
-        loop_deadline: float,
     ) -> pipelining.Answer | outcomes.Refusal:
         """Return the answer in the form in which it goes to the caller."""
         if answers.falsely_says_not_run(exchange):
@@ -145,7 +140,7 @@
             exchange.end(upstreams.Result.FAILED)
             return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
         if isinstance(answer, answers.LongAnswer):
-            return answer_stream.StreamedAnswer(exchange, answer.start, loop_deadline)
+            return answer_stream.StreamedAnswer(exchange, answer.start)
         job = exchange.job
         self._traffic.passed_on(exchange, len(answer.body))
         self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
@@ -191,8 +186,3 @@
         status = refusals.failure_status(reason)
         self.log.failed(self._id(request), job, status, reason)
         return refusals.failed(reason)
-
-    def _loop_time(self, instant: ids.Instant) -> float:
-        """Turn an instant of the gateway's clock into one of the event loop's."""
-        loop = asyncio.get_running_loop()
-        return loop.time() + (instant - self.state.clock.now())
--- a/spindlenotch/gateway/serving/ingress.py
+++ b/spindlenotch/gateway/serving/ingress.py
@@ -149,7 +149,7 @@
         A second response in its place would be taken for the rest of its body.
         """
         try:
-            async with asyncio.timeout_at(answer.loop_deadline):
+            async with self.state.deadlines.until(answer.deadline):
                 response = await answer_stream.pass_on(
                     request, answer, close_connection=close_connection
                 )
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -16,6 +16,7 @@
 
 from spindlenotch import clock, events, ids, metrics
 from spindlenotch.gateway import (
+    deadlines,
     lifecycle,
     reloading,
     services,
@@ -56,6 +57,7 @@
     ) -> None:
         self.config = config
         self.clock = gateway_clock
+        self.deadlines = deadlines.Deadlines(gateway_clock)
         self.rng = random.Random(config.seed or None)
         self.wakeups = wakeups.Wakeups(self.rng)
         self.metrics = metrics.Metrics()
--- a/tools/soak_processes/callers.py
+++ b/tools/soak_processes/callers.py
@@ -41,6 +41,7 @@
         self.nodes_by_zone: dict[str, list[str]] = {zone: [] for zone in worlds.ZONES}
         self._sending: set[asyncio.Task[None]] = set()
         self._count = 0
+        world.send_again = self._send_again
 
     async def run(self) -> None:
         """Send until cancelled."""
@@ -109,14 +110,23 @@
             self._start(node, ledger.Route(name, "safe", services, 2.0))
             await asyncio.sleep(SOUND_EVERY_S)
 
-    def _start(self, node: str, route: ledger.Route, zone: str = "") -> None:
+    def _send_again(self, route: ledger.Route, target: str) -> None:
+        """Send a request that was sent before, under a new id, from any zone."""
+        zone = self.rng.choice(worlds.ZONES)
+        if self.nodes_by_zone[zone]:
+            node = self.rng.choice(self.nodes_by_zone[zone])
+            self._start(node, route, zone, target)
+
+    def _start(
+        self, node: str, route: ledger.Route, zone: str = "", target: str = ""
+    ) -> None:
         self._count += 1
         request_id = f"{route.name}-{self._count}"
         now = time.monotonic()
         request = ledger.Request(
             request_id,
             route,
-            f"/{route.name}/{request_id}?a=%2F",
+            target or f"/{route.name}/{request_id}?a=%2F",
             node,
             self.world.life_by_node[node],
             now,
--- a/tools/soak_processes/faults.py
+++ b/tools/soak_processes/faults.py
@@ -82,6 +82,18 @@
             world.signal_gateway(node, signal.SIGCONT)
 
 
+@FAULTS.register("gateway-suspended")
+async def gateway_suspended(world: World, rng: random.Random, for_s: float) -> None:
+    """One gateway's host is suspended: its loop's clock stands still as well."""
+    node = rng.choice(world.suspendable)
+    with world.trouble("gateway-suspended", node, of="process"):
+        world.signal_gateway(node, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(for_s)
+        finally:
+            world.signal_gateway(node, signal.SIGCONT)
+
+
 @FAULTS.register("settings-changed")
 async def settings_changed(world: World, rng: random.Random, for_s: float) -> None:
     """A gateway's settings change, now and then to what is no file; SIGHUP says so."""
--- a/tools/soak_processes/ledger.py
+++ b/tools/soak_processes/ledger.py
@@ -130,6 +130,8 @@
     closed: list[Closed] = dataclasses.field(default_factory=list)
     cold: list[Closed] = dataclasses.field(default_factory=list)
     orders: list[Order] = dataclasses.field(default_factory=list)
+    #: Targets of requests that end the upstreams that run them.
+    poisons: list[str] = dataclasses.field(default_factory=list)
     #: When the store took each version of the configuration.
     acknowledged_at: dict[int, float] = dataclasses.field(default_factory=dict)
     workers: list[platform_worker.PlatformWorker] = dataclasses.field(
--- a/tools/soak_processes/mutants.py
+++ b/tools/soak_processes/mutants.py
@@ -135,6 +135,14 @@
         held_by="final answers in time",
         steps=("0.5 6 upstreams-treat-badly 75",),
     ),
+    mutant_table.Mutant(
+        "a request that ends upstreams is sent on",
+        "decisions/quarantine",
+        "LEAST_ENDED = 3\n",
+        "LEAST_ENDED = 3_000\n",
+        held_by="few sends of a request that ends upstreams",
+        steps=("0.5 4 poison-request 11",),
+    ),
     mutant_table.Mutant(
         "a planned stop cuts what is in flight",
         "gateway/gateway",
--- a/tools/soak_processes/play.py
+++ b/tools/soak_processes/play.py
@@ -21,6 +21,7 @@
     faults,
     ledger as ledgers,
     plan as plans,
+    poison,  # noqa: F401  (registers its fault and its check)
     versions,  # noqa: F401  (registers its fault)
     world as worlds,
 )
--- a/tools/soak_processes/world.py
+++ b/tools/soak_processes/world.py
@@ -29,6 +29,10 @@
 MOST_AT_ONCE = 7
 #: Requests a second that a cold upstream bears, and how long it is cold.
 COLD_PER_S, COLD_S = 2.0, 3.0
+#: Time after which an upstream that crashed under a request starts again, in seconds.
+BACK_AFTER_S = 2.0
+#: Starts a gateway whose host can be suspended.
+SUSPENDABLE = "tools/soak_processes/suspendable.py"
 #: Bounds in the settings of the gateways. The reserve of retries is small, so that
 #: the sum over all gateways can break its bound.
 BOUNDS = {
@@ -77,6 +81,9 @@
         self.life_by_node: dict[str, int] = {}
         self.route_by_name = routes_of(settings)
         self.version = FIRST_VERSION
+        #: Lets a caller send a request with this target once more; set by the callers.
+        self.send_again: abc.Callable[[ledgers.Route, str], None] = _send_nothing
+        self._tasks: set[asyncio.Task[None]] = set()
         #: By how much more callers send just now.
         self.load_factor = 1.0
         self._taken: set[str] = set()
@@ -90,6 +97,11 @@
         """Return the names of all gateways."""
         return [f"node-{n + 1}" for n in range(self.settings.gateways)]
 
+    @property
+    def suspendable(self) -> list[str]:
+        """Return the gateways whose hosts can be suspended: the last two."""
+        return self.nodes[-2:]
+
     @property
     def upstreams(self) -> list[str]:
         """Return the ids of the upstreams that are there from the start."""
@@ -108,10 +120,15 @@
             await path.start()
             self.link_by_node[node] = path
             self.fleet.store_by_node[node] = path.address
+        for node in self.suspendable:
+            self.fleet.program_by_node[node] = SUSPENDABLE
         await asyncio.gather(*(self.start_gateway(node) for node in self.nodes))
 
     async def close(self) -> None:
         """End everything that was started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.fleet.close()
         for path in [*self.link_by_node.values(), *self.link_by_upstream.values()]:
             await path.close()
@@ -181,8 +198,9 @@
     ) -> platform_worker.PlatformWorker:
         """Start an upstream on a path of its own, and list it."""
         worker = platform_worker.PlatformWorker(
-            upstream, WORK_S, version, self.fleet.fault_by_version
+            upstream, WORK_S, version, self.fleet.fault_by_version, self.fleet.poisons
         )
+        worker.on_crash = lambda: self._come_back(upstream)
         worker.most_at_once = MOST_AT_ONCE
         self.fleet.worker_by_id[upstream] = worker
         self.ledger.workers.append(worker)
@@ -221,6 +239,23 @@
             self.turn_cold(worker)
         self.list_upstream(upstream)
 
+    def _come_back(self, upstream: str) -> None:
+        """Let an upstream that has crashed under a request start again, later."""
+        task = asyncio.ensure_future(self._start_crashed(upstream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _start_crashed(self, upstream: str) -> None:
+        while True:
+            try:
+                with self.trouble("upstream-crashed", upstream, of="life"):
+                    await asyncio.sleep(BACK_AFTER_S)
+                    await self.restart_upstream(upstream, is_cold=True)
+                return
+            except TakenError:
+                # Another step has it in hand; it may leave it as it is.
+                await asyncio.sleep(BACK_AFTER_S)
+
     def turn_cold(self, worker: platform_worker.PlatformWorker) -> None:
         """Let an upstream be cold from now on, and note it."""
         until = time.monotonic() + COLD_S
@@ -268,5 +303,9 @@
         )
 
 
+def _send_nothing(route: ledgers.Route, target: str) -> None:
+    """Stand in for callers before there are any."""
+
+
 def _unix_ms() -> int:
     return int(time.time() * 1000)
