--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -83,6 +83,7 @@
       | what is kept of requests that end upstreams is bounded |
       | notes on a request tell the same in whatever order |
       | a fleet sends what ends upstreams at most three times more |
+      | a deadline holds on a host that was suspended |
       | a load header is read whatever it holds                    |
       | a story has a bounded length whatever the logs hold        |
       | a full pipe drops lines and says how many                  |
--- a/features/steps/suspended_hosts.py
+++ b/features/steps/suspended_hosts.py
@@ -11,8 +11,10 @@
 
 import behave
 
+from features.steps import kernel
 from features.support import served_gateway
 from spindlenotch import clock, ids
+from spindlenotch.gateway import deadlines
 
 SUSPENDED_S = 30.0
 #: Time of the requests, in ms: long beside the scenario, short beside the suspension.
@@ -39,6 +41,27 @@
     after_s: float
 
 
+@kernel.PROPERTIES.register("a deadline holds on a host that was suspended")
+def deadline_holds() -> None:
+    async def check() -> None:
+        host_clock = SuspendedClock()
+        kept = deadlines.Deadlines(host_clock)
+        kept.check()
+        began_at = time.monotonic()
+        try:
+            async with kept.until(ids.later(host_clock.now(), SUSPENDED_S)):
+                host_clock.suspended_s = SUSPENDED_S
+                assert kept.check() >= SUSPENDED_S - deadlines.LEAST_S
+                assert kept.check() == 0.0
+                await asyncio.sleep(SOON_S)
+        except TimeoutError:
+            assert time.monotonic() - began_at < SOON_S
+            return
+        raise AssertionError("the deadline passed unnoticed")
+
+    asyncio.run(check())
+
+
 async def suspend_under(answer: served_gateway.ScriptedAnswer) -> Waked:
     """Suspend the host while an upstream is at ``answer``; return what came of it."""
     async with served_gateway.ServedGateway(lambda: answer) as served:
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -10,6 +10,77 @@
 Rule = decision_rules.Rule
 
 RULES = (
+    Rule(
+        question="When a request is not sent any more because it ends upstreams",
+        functions=(
+            "decisions/quarantine.standing_of",
+            "decisions/quarantine.Quarantine.strike",
+            "decisions/quarantine.Quarantine.take_retrial",
+            "kernel/fingerprints.of",
+            "kernel/crash_notes.CrashNote.merged",
+            "forwarding/crash_watch.CrashWatch.lost",
+            "forwarding/recent_answers.RecentAnswers.holds",
+            "forwarding/trials.Trials.admit",
+            "gateway/quarantine/writer.QuarantineWriter.look",
+        ),
+        inputs="upstreams that ended under a request (method, host, target, body, and"
+        " its caller), what was known of it when each try was sent, whether it was"
+        " answered since or in the last seconds, whether a new connection finds the"
+        " upstream, what peers and the source tell.",
+        reason="A request that ends what runs it comes again, under new ids and to any"
+        " gateway, and is never answered. Others are lost beside it, and upstreams end"
+        " by themselves.",
+        constants=(
+            "decisions/quarantine.LEAST_ENDED",
+            "decisions/quarantine.LEAST_DEPTH",
+            "decisions/quarantine.QUARANTINE_S",
+            "decisions/quarantine.RETRIAL_S",
+            "decisions/quarantine.SUSPECT_S",
+            "decisions/quarantine.ANSWERED_S",
+            "decisions/quarantine.MOST_KEPT",
+            "forwarding/recent_answers.GENERATION_S",
+            "forwarding/crash_watch.ANSWER_LIMIT_S",
+            "forwarding/crash_watch.PROOF_S",
+            "forwarding/trials.TRIAL_S",
+            "forwarding/trials.MOST_RETRY_AFTER_S",
+            "gateway/quarantine/sharing.RECENT_S",
+            "gateway/quarantine/writer.MOST_WAIT_S",
+        ),
+        events=(
+            "UPSTREAM_ENDED_UNDER_REQUEST",
+            "REQUEST_QUARANTINED",
+            "QUARANTINE_ENDED",
+            "QUARANTINE_WRITTEN",
+        ),
+        tests=(
+            Scenario(
+                "gateway", "a request under which three upstreams end is quarantined"
+            ),
+            Scenario("gateway", "upstreams that end together quarantine no request"),
+            Scenario(
+                "gateway", "a fleet sends what ends upstreams at most three times more"
+            ),
+            Scenario(
+                "poison_requests",
+                "A request that ends what runs it is not sent on and on",
+            ),
+        ),
+    ),
+    Rule(
+        question="When a request's time is over on a host that was suspended",
+        functions=("gateway/deadlines.Deadlines.check",),
+        inputs="the host's clock, which counts suspensions, and the event loop's.",
+        reason="Timers run on the loop's clock and would end late by the suspension.",
+        constants=("gateway/deadlines.LEAST_S",),
+        events=("HOST_SUSPENDED",),
+        tests=(
+            Scenario(
+                "suspended_hosts",
+                "A request whose time ran out while its host was suspended is ended at"
+                " once",
+            ),
+        ),
+    ),
     Rule(
         question="Which gateways callers are sent to",
         functions=(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -41,7 +41,7 @@
 from features.steps import gateway_cold, gateway_directory, gateway_evacuation
 from features.steps import gateway_overflow, gateway_reborn, gateway_regions
 from features.steps import gateway_reborn_peers, gateway_rollout, gateway_rollout_orders
-from features.steps import kernel
+from features.steps import kernel, poison_properties, suspended_hosts
 kernel.PROPERTIES.get({name!r})()
 """
 
