What a version that is tried fails no longer ends the service's retries

Cause: a gateway sends no retry while 3 in 10 of a service's late results are failures, as repeats only add load then. Calls to a version that is tried count in that, and come together where the share saved up before its upstreams were there: from the seventh failure in a row on, callers got the bad version's failures. Ruled out: the budget and the room of the other upstreams (both plenty in the test).

Change: results of a version that is tried count for it alone, not for the service.

Measured: "no retry after 7 failures in a row" before; all 9 are retried now.

--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -12,6 +12,7 @@
       | what an ended process said does not count for the next           |
       | what all processes send to a version stays in its share          |
       | only first tries go to a version that is tried                   |
+      | what a version that is tried fails is always retried             |
       | calls that no version may get are refused, and wait for none     |
       | a version that was replaced gets no new work                     |
       | a gateway that has gone delays an order, and not too long        |
--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -183,6 +183,30 @@
         assert again.upstream.spec.version == OLD
 
 
+@kernel.PROPERTIES.register("what a version that is tried fails is always retried")
+def always_retried() -> None:
+    gateway = began(worlds.Plan(seed=1, gateways=1))
+    now = gateway.world.now
+    gateway.run.split.answered = 100_000
+    gateway.balancer.extra.set_reserve(1_000.0)
+    failed = 0
+    for number in range(40):
+        call = msgspec.structs.replace(
+            kernel.call(number), deadline=ids.later(now, 60.0), most_tries=2
+        )
+        grant = gateway.balancer.offer(call, now)
+        assert isinstance(grant, verdicts.Grant), grant
+        if grant.upstream.spec.version != NEW:
+            gateway.balancer.finish(grant, upstreams.Result.ANSWERED, None, now)
+            continue
+        failed += 1
+        gateway.balancer.finish(grant, upstreams.Result.FAILED, None, now)
+        again = gateway.balancer.retry(grant, now)
+        assert again is not None, f"no retry after {failed} failures in a row"
+        gateway.balancer.finish(again, upstreams.Result.CANCELLED, None, now)
+    assert failed >= 7, failed
+
+
 @kernel.PROPERTIES.register(
     "calls that no version may get are refused, and wait for none"
 )
--- a/spindlenotch/decisions/traffic_split.py
+++ b/spindlenotch/decisions/traffic_split.py
@@ -159,6 +159,11 @@
             grant, result, is_target=is_target, expected_s=expected_s, now=now
         )
 
+    def is_on_trial(self, upstream: upstreams.Upstream) -> bool:
+        """Tell whether an upstream's failures are those of a version that is tried."""
+        is_promoted = self.access is Access.TARGET_ONLY
+        return upstream.spec.version == self.target and not is_promoted
+
     def allowed(self) -> float:
         """Return how many calls may have been placed on the target until now."""
         return self.share * self.answered
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -102,6 +102,11 @@
             total = report.running + report.queued
             self.mean_foreign_load.add(max(0, total - upstream.outstanding))
 
+    def record_share(self, result: upstreams.Result) -> None:
+        """Record how a request ended, for the state of the service as a whole."""
+        if result is not upstreams.Result.CANCELLED:
+            self.failed_share.add(1.0 if _is_failure(result) else 0.0)
+
     def record_result(
         self,
         upstream: upstreams.Upstream,
@@ -113,8 +118,7 @@
         """Record how a request ended, and eject the upstream where needed."""
         if result is upstreams.Result.CANCELLED:
             return
-        failed = result not in (upstreams.Result.ANSWERED, upstreams.Result.SHED)
-        self.failed_share.add(1.0 if failed else 0.0)
+        failed = _is_failure(result)
         if result is upstreams.Result.ANSWERED:
             self.latencies.add(latency_key, took_s)
         reason = ejection.reason_to_eject(
@@ -169,3 +173,7 @@
             if u.state is upstreams.State.EJECTED or u.cold.is_cold(now)
         ]
         return min(ends, default=ids.later(now, ejection.RETRY_AFTER_S))
+
+
+def _is_failure(result: upstreams.Result) -> bool:
+    return result not in (upstreams.Result.ANSWERED, upstreams.Result.SHED)
