How slow a version is itself is told from what was reported, not from where the mean begins

Cause: the mean slowdown of an upstream begins at 1 and takes in each report with a weight of 0.03. A gateway that has started takes a version that reports itself slow for usual, and its answers for in time. Change: where versions are compared, the part of the mean that is still its beginning is taken off, and upstreams that have reported nothing are left out.

Soak: gateways on the loop that can be suspended never started (their program did not find the adapter, and the play went on without them); now they do, a play whose gateways do not all become ready at first fails, and the scenario asks for the line of a suspension.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,7 @@
     When requests that end upstreams are sent beside other faults
     Then the play has no violation
     And at least 3 upstreams ended under such a request
+    And a gateway noticed that its host was suspended
     And nothing that it started still runs
 
   Scenario: A play that is interrupted ends what it started
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -19,10 +19,12 @@
 #: A request that ends upstreams, while hosts are suspended and gateways start again.
 POISON_STEPS = (
     "0.5 3 poison-request 11",
-    "1 2.5 gateway-suspended 5",
+    "0.6 1.8 gateway-suspended 5",
     "2.5 1.5 gateways-killed 3",
     "3 2 poison-request 12",
 )
+#: How a log line of the event begins that tells of a suspension.
+HOST_SUSPENDED = '"event":109,'
 #: Longest time until a play that is interrupted has ended, in seconds.
 ENDS_WITHIN_S = 15.0
 
@@ -75,6 +77,12 @@
     assert len(ends) >= count, ends
 
 
+@behave.then("a gateway noticed that its host was suspended")
+def noticed(context: typing.Any) -> None:
+    logs = pathlib.Path(context.folder.name).glob("node-*.log")
+    assert any(HOST_SUSPENDED in log.read_text() for log in logs)
+
+
 @behave.then("it left a page with a plot and the log of each gateway")
 def left_page(context: typing.Any) -> None:
     folder = pathlib.Path(context.folder.name)
--- a/spindlenotch/gateway/rollout/evidence.py
+++ b/spindlenotch/gateway/rollout/evidence.py
@@ -103,11 +103,17 @@
     Slow neighbours strike some upstreams; what most of the target's report is its own
     doing, and excuses no slow answer. 1 where too few tell to know.
     """
-    if min(len(target), len(others)) < LEAST_TELLING:
+    here = _reported(target)
+    there = _reported(others)
+    if min(len(here), len(there)) < LEAST_TELLING:
         return 1.0
-    here = statistics.median(u.mean_slowdown.value for u in target)
-    there = statistics.median(u.mean_slowdown.value for u in others)
-    return max(1.0, here / there)
+    return max(1.0, statistics.median(here) / statistics.median(there))
+
+
+def _reported(those: abc.Iterable[upstreams.Upstream]) -> list[float]:
+    """Return the mean slowdown of each upstream that has reported any."""
+    told = (upstream.reported_slowdown() for upstream in those)
+    return [slowdown for slowdown in told if slowdown is not None]
 
 
 def judge(
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -148,6 +148,7 @@
         self.foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
         self.mean_slowdown = latency.Mean(1.0, MEAN_SLOWDOWN_WEIGHT)
         self.reports_slowdown = False
+        self.report_count = 0
 
     @property
     def outstanding(self) -> int:
@@ -189,6 +190,7 @@
         foreign = max(0, report.running + report.queued - self.outstanding_at_report)
         self.foreign_load.add(foreign)
         self.mean_slowdown.add(report.slowdown)
+        self.report_count += 1
         self.reports_slowdown |= report.slowdown != 1.0
         if report.cold_s is not None:
             self.cold.told(ids.later(now, report.cold_s), now)
@@ -205,6 +207,18 @@
         mean = self.mean_slowdown.value
         return mean + (self.report.slowdown - mean) * weight
 
+    def reported_slowdown(self) -> float | None:
+        """
+        Return the mean of the slowdowns that were reported, None where none was.
+
+        ``mean_slowdown`` begins at 1, and holds that to be true until many reports say
+        otherwise: a process that has just started would take a slow one for usual.
+        """
+        if not self.report_count:
+            return None
+        start = (1.0 - MEAN_SLOWDOWN_WEIGHT) ** self.report_count
+        return (self.mean_slowdown.value - start) / (1.0 - start)
+
     def foreign_load_now(
         self, now: ids.Instant, time_constant_s: float, typical: float
     ) -> float:
--- a/tools/soak_processes/suspendable.py
+++ b/tools/soak_processes/suspendable.py
@@ -50,4 +50,6 @@
 if __name__ == "__main__":
     uvloop.run = run
     sys.argv = [str(ROOT / "platform" / "start.py")]
+    # As for a program that is started from there.
+    sys.path.insert(0, str(ROOT / "platform"))
     runpy.run_path(sys.argv[0], run_name="__main__")
--- a/tools/soak_processes/world.py
+++ b/tools/soak_processes/world.py
@@ -123,6 +123,9 @@
         for node in self.suspendable:
             self.fleet.program_by_node[node] = SUSPENDABLE
         await asyncio.gather(*(self.start_gateway(node) for node in self.nodes))
+        # Later a fault may keep one from being ready; one that never was plays nothing.
+        for node in self.nodes:
+            await self.fleet.until_ready(node)
 
     async def close(self) -> None:
         """End everything that was started."""
