--- a/spindlenotch/forwarding/crash_watch.py
+++ b/spindlenotch/forwarding/crash_watch.py
@@ -15,7 +15,7 @@
 
 from spindlenotch import clock, events, ids, metrics, ports
 from spindlenotch.decisions import balancer, quarantine, verdicts
-from spindlenotch.forwarding import jobs, recent_answers
+from spindlenotch.forwarding import jobs, recent_answers, try_marks
 from spindlenotch.kernel import crash_notes, fingerprints, upstreams
 
 #: Longest wait for the answer, in seconds: several round trips between regions, 16 ms
@@ -33,11 +33,6 @@
 
 #: Called with each note that peers need to know.
 NoteListener = abc.Callable[[crash_notes.CrashNote], None]
-#: Both marks of a try, in the order of ``Fingerprints.each``.
-Marks = tuple[quarantine.Mark, quarantine.Mark]
-TryKey = tuple[ids.CallId, ids.UpstreamId]
-
-NO_MARKS: Marks = (quarantine.UNMARKED, quarantine.UNMARKED)
 
 
 class WatchState(typing.Protocol):
@@ -55,7 +50,7 @@
     """
 
     prints: fingerprints.Fingerprints
-    marks: Marks
+    marks: try_marks.Marks
     balancer: balancer.Balancer
     upstream: upstreams.Upstream
     kind: verdicts.Kind
@@ -88,9 +83,7 @@
         self.state = state
         self.port = port
         self.quarantine = known
-        self._marks_by_try: dict[TryKey, Marks] = {}
-        #: Calls that were lost with an upstream while they were suspect already.
-        self._spent_calls: set[ids.CallId] = set()
+        self.marks = try_marks.TryMarks(known)
         self._losses_by_upstream: dict[ids.UpstreamId, list[Loss]] = {}
         #: Losses whose upstream seems to have ended, the oldest first.
         self._ended: collections.deque[Loss] = collections.deque()
@@ -107,23 +100,13 @@
         for fingerprint in prints.each():
             self._tell(fingerprint)
 
-    # The life of a try
-
-    def sent(self, job: jobs.Job, grant: verdicts.Grant) -> None:
-        """Keep what is known of a request as a try of it is sent."""
-        if self.quarantine.knows_target(job.target):
-            content, from_caller = job.fingerprints().each()
-            marks = (self.quarantine.mark(content), self.quarantine.mark(from_caller))
-            self._marks_by_try[_key(grant)] = marks
+    # How a try ends
 
     def lost(self, job: jobs.Job, grant: verdicts.Grant) -> None:
         """Take in that a try broke off after it was sent."""
-        marks = self._marks_by_try.get(_key(grant), NO_MARKS)
-        if any(mark.depth for mark in marks):
-            self._spent_calls.add(job.call.id)
         loss = Loss(
             job.fingerprints(),
-            marks,
+            self.marks.lost(grant),
             job.balancer,
             grant.upstream,
             grant.kind,
@@ -143,23 +126,6 @@
         if self.quarantine.knows_target(job.target):
             self._clear(job.fingerprints())
 
-    def finished(self, grant: verdicts.Grant) -> None:
-        """Drop what was kept of a try."""
-        self._marks_by_try.pop(_key(grant), None)
-
-    def may_retry(self, call_id: ids.CallId) -> bool:
-        """
-        Tell whether a call may be sent again after it was lost with an upstream.
-
-        Not where upstreams had ended under its request before it was sent: each retry
-        of a request that ends what runs it costs one more.
-        """
-        return call_id not in self._spent_calls
-
-    def forget(self, call_id: ids.CallId) -> None:
-        """Drop what was kept of a call."""
-        self._spent_calls.discard(call_id)
-
     # What became of its upstream
 
     def check_ended(self) -> None:
@@ -238,9 +204,5 @@
             listener(note)
 
 
-def _key(grant: verdicts.Grant) -> TryKey:
-    return grant.call.id, grant.upstream.spec.id
-
-
 def _has_reported_since(loss: Loss) -> bool:
     return loss.upstream.report_at > loss.at + REPORT_ERROR_S
--- a/spindlenotch/forwarding/data_path.py
+++ b/spindlenotch/forwarding/data_path.py
@@ -70,7 +70,7 @@
     def forget(self, job: jobs.Job) -> None:
         """Drop what was kept to place further tries of a request."""
         job.balancer.forget(job.call.id)
-        self.watch.forget(job.call.id)
+        self.watch.marks.forget(job.call.id)
 
     async def begin(self, job: jobs.Job) -> exchanges.Exchange | outcomes.Refusal:
         """
--- a/spindlenotch/forwarding/granting.py
+++ b/spindlenotch/forwarding/granting.py
@@ -57,7 +57,7 @@
     ) -> None:
         """Give a grant back, with how its try ended; the slot may go to a call here."""
         now = self.state.clock.now()
-        self.watch.finished(grant)
+        self.watch.marks.finished(grant)
         self._settle(job.balancer.finish(grant, result, report, now))
 
     def _settle(self, settlements: list[verdicts.Settlement]) -> None:
--- a/spindlenotch/forwarding/race.py
+++ b/spindlenotch/forwarding/race.py
@@ -92,7 +92,7 @@
             self._cancel_rest()
 
     def _start(self, grant: verdicts.Grant) -> None:
-        self.watch.sent(self.job, grant)
+        self.watch.marks.sent(self.job, grant)
         task = self.sender.start(self.job, grant, self._reason)
         self._grant_by_task[task] = grant
 
@@ -186,7 +186,7 @@
         """Tell whether a request that may end what runs it gets another upstream."""
         if self.trials.standing(self.job) is quarantine.Standing.CLEAR:
             return True
-        if self._grant_by_task or not self.watch.may_retry(self.job.call.id):
+        if self._grant_by_task or not self.watch.marks.may_retry(self.job.call.id):
             return False
         return await self.trials.admit(self.job) is None
 
--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -427,32 +427,4 @@
         "LEAST_BY_SYMPTOM[symptom], 0.0)",
         held_by="what strikes all versions alike speaks against none",
     ),
-    Mutant(
-        "upstreams that end together quarantine a request",
-        "decisions/quarantine",
-        "note.depth >= LEAST_DEPTH",
-        "note.depth >= 1",
-        held_by="upstreams that end together quarantine no request",
-    ),
-    Mutant(
-        "a request that ends upstreams is tried by every gateway again",
-        "decisions/quarantine",
-        "self.merge(msgspec.structs.replace(note, is_retried=True), now)",
-        "self._retrial_at[fingerprint] = ids.later(now, RETRIAL_S)",
-        held_by="a fleet sends what ends upstreams at most three times more",
-    ),
-    Mutant(
-        "an answer leaves a request suspect",
-        "decisions/quarantine",
-        "crash_notes.CrashNote(fingerprint, note.round + 1)",
-        "crash_notes.CrashNote(fingerprint, note.round)",
-        held_by="an answer clears a request, and older notes are no news",
-    ),
-    Mutant(
-        "timers stay where they are after a suspension",
-        "gateway/deadlines",
-        "            timeout.reschedule(self._loop_time(deadline))\n",
-        "            pass\n",
-        held_by="a deadline holds on a host that was suspended",
-    ),
 )
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -14,7 +14,7 @@
 import tempfile
 from collections import abc
 
-from tools import mutant_table
+from tools import mutant_table, quarantine_mutants
 
 #: Plays of each machine against a mutant, and steps of a play. Chosen, not
 #: measured.
@@ -24,6 +24,7 @@
 SIDE_BY_SIDE = 6
 #: Longest time for one mutant, in seconds. Chosen, not measured.
 LIMIT_S = 500
+ALL_MUTANTS = (*mutant_table.MUTANTS, *quarantine_mutants.MUTANTS)
 #: Program that plays the machines in the scratch copy.
 PLAY_PROGRAM = """
 import sys, loguru
@@ -110,7 +111,7 @@
 
 
 async def main(
-    mutants: abc.Iterable[mutant_table.Mutant] = mutant_table.MUTANTS,
+    mutants: abc.Iterable[mutant_table.Mutant] = ALL_MUTANTS,
     side_by_side: int = SIDE_BY_SIDE,
 ) -> int:
     """Try all mutants, or those whose name holds a given word."""
--- /dev/null
+++ b/tools/quarantine_mutants.py
@@ -0,0 +1,38 @@
+"""
+Broken mechanisms of requests that end upstreams, and of suspended hosts.
+
+See ``mutant_table``, which has the others.
+"""
+
+from tools import mutant_table
+
+MUTANTS = (
+    mutant_table.Mutant(
+        "upstreams that end together quarantine a request",
+        "decisions/quarantine",
+        "note.depth >= LEAST_DEPTH",
+        "note.depth >= 1",
+        held_by="upstreams that end together quarantine no request",
+    ),
+    mutant_table.Mutant(
+        "a request that ends upstreams is tried by every gateway again",
+        "decisions/quarantine",
+        "self.merge(msgspec.structs.replace(note, is_retried=True), now)",
+        "self._retrial_at[fingerprint] = ids.later(now, RETRIAL_S)",
+        held_by="a fleet sends what ends upstreams at most three times more",
+    ),
+    mutant_table.Mutant(
+        "an answer leaves a request suspect",
+        "decisions/quarantine",
+        "crash_notes.CrashNote(fingerprint, note.round + 1)",
+        "crash_notes.CrashNote(fingerprint, note.round)",
+        held_by="an answer clears a request, and older notes are no news",
+    ),
+    mutant_table.Mutant(
+        "timers stay where they are after a suspension",
+        "gateway/deadlines",
+        "            timeout.reschedule(self._loop_time(deadline))\n",
+        "            pass\n",
+        held_by="a deadline holds on a host that was suspended",
+    ),
+)
--- a/tools/soak_processes/versions.py
+++ b/tools/soak_processes/versions.py
@@ -69,14 +69,19 @@
 
 
 async def _replace(world: worlds.World, old: list[str], version: str) -> None:
-    """Stop the old upstreams at once; they start again with the new version."""
+    """
+    Stop the old upstreams at once; they start again with the new version.
+
+    Those that another step has in hand, and lets drain, are started by that step.
+    """
+    free = [upstream for upstream in old if not world.is_in_hand(upstream)]
     for upstream in old:
-        worker = world.fleet.worker_by_id[upstream]
-        await worker.close()
+        world.fleet.worker_by_id[upstream].version = version
+    for upstream in free:
+        await world.fleet.worker_by_id[upstream].close()
         world.fleet.store.remove(f"servers/{upstream}")
-        worker.version = version
     await asyncio.sleep(NEW_DRAIN_AFTER_S)
-    for upstream in old:
+    for upstream in free:
         await world.restart_upstream(upstream, is_cold=False)
 
 
--- a/tools/soak_processes/world.py
+++ b/tools/soak_processes/world.py
@@ -165,6 +165,10 @@
             trouble.ended_at = time.monotonic()
             log.info("ended")
 
+    def is_in_hand(self, upstream: str) -> bool:
+        """Tell whether a step has the life of an upstream in hand."""
+        return f"life of {upstream}" in self._taken
+
     # Gateways.
 
     async def start_gateway(self, node: str) -> None:
