--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -87,7 +87,8 @@
             report.append(f"{step['keyword']} {step['name']}")
             message = result.get("error_message", "")
             report.append(message if isinstance(message, str) else "\n".join(message))
-    name = f"{feature_name}: {scenario['name']}"
+    # behave ends the name of an example without a name in a space.
+    name = f"{feature_name}: {scenario['name']}".strip()
     return Result(name, scenario["status"] == "passed", "\n".join(report))
 
 
