--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -194,6 +194,16 @@
         self._started_at = 0.0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._reads = asyncio.Event()
+        self._reads.set()
+
+    def stall(self) -> None:
+        """Stand still, as a process does that is stopped: what comes waits unread."""
+        self._reads.clear()
+
+    def go_on(self) -> None:
+        """Read what came meanwhile, also on connections that are closed by now."""
+        self._reads.set()
 
     async def start(self, port: int = 0) -> None:
         """
@@ -260,7 +270,9 @@
     async def _serve_one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        head = _parse(await reader.readuntil(b"\r\n\r\n"))
+        data = await reader.readuntil(b"\r\n\r\n")
+        await self._reads.wait()
+        head = _parse(data)
         if head.target.startswith("/health"):
             self.probed_at.append(head.at)
             writer.write(self._head("200 OK", "", 0, extra=self._cold_header()))
@@ -335,6 +347,7 @@
             return False
         closed.cancel()
         await asyncio.gather(closed, return_exceptions=True)
+        await self._reads.wait()
         return True
 
     def _reply(self, writer: asyncio.StreamWriter, run: Run) -> bool:
