The logs tell what a fleet's repeats come to, and which arrived late (E611, E612)

Nothing told of a repeat whether it has arrived, nor what it was taken from. Copies of a request are followed until their upstream is known to have read them (kernel/repeats): answered, or heard of by a report of a later probe. E611 sums up each window of each gateway, E612 names upstreams that read late; metrics by part of the budget and cause, of the requests that earned, of what is unread. E605 keeps its fields. Budgets decide as before.

--- a/features/steps/kernel.py
+++ b/features/steps/kernel.py
@@ -213,7 +213,7 @@
                 budget.earn(NOW)
                 earned += 1
             else:
-                spent += budget.spend(NOW)
+                spent += budget.spend(NOW) is not None
             assert spent <= share * earned + 1 + 1e-6
 
     check()
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -23,6 +23,7 @@
 from spindlenotch.kernel import (
     outcomes,
     ownership,
+    repeats,
     service_policy,
     upstream_pool,
     upstreams,
@@ -58,6 +59,7 @@
         self.split: traffic_split.TrafficSplit | None = None
         self.retries = self.extra.retries
         self.hedges = self.extra.hedges
+        self.repeats = repeats.Repeats(self.extra)
         self.tried_by_call: dict[ids.CallId, set[ids.UpstreamId]] = {}
         self.decisions: collections.deque[verdicts.Decision] = collections.deque(
             maxlen=DECISIONS_KEPT
@@ -109,6 +111,8 @@
         slowdown = (grant.slowdown + upstream.slowdown(now)) / 2
         expected_s = typical_s * slowdown
         upstream.ended(grant.call.id, result, expected_s, now)
+        if result is not upstreams.Result.CANCELLED:
+            self.repeats.ended(grant.call.id, upstream, now)
         if self.split is not None:
             self.split.ended(grant, result, expected_s, now)
         if answered:
@@ -136,6 +140,7 @@
     def forget(self, call_id: ids.CallId) -> None:
         """Drop what was kept to place further tries of a call."""
         self.tried_by_call.pop(call_id, None)
+        self.repeats.forget(call_id)
 
     def settle(self, now: ids.Instant) -> list[verdicts.Settlement]:
         """Refuse what is too late, then place waiting calls while one finds room."""
@@ -182,12 +187,7 @@
         allowed = retrying.is_allowed(
             self.pool, call, tries, now, known_not_run=known_not_run
         )
-        if not allowed or not self.retries.available(now):
-            return None
-        retry = self._grant(call, verdicts.Kind.RETRY, now)
-        if retry is not None:
-            self.retries.spend(now)
-        return retry
+        return self._repeat(grant, verdicts.Kind.RETRY, now) if allowed else None
 
     def next_check(self, grant: verdicts.Grant, now: ids.Instant) -> ids.Instant:
         """Return when to look again whether the answer is overdue."""
@@ -206,12 +206,25 @@
         overdue = hedging.is_overdue(
             self.pool, grant.upstream, call.latency_key, grant.sent_at, now
         )
-        if not overdue or not self.hedges.available(now):
+        return self._repeat(grant, verdicts.Kind.HEDGE, now) if overdue else None
+
+    def _repeat(
+        self, before: verdicts.Grant, kind: verdicts.Kind, now: ids.Instant
+    ) -> verdicts.Grant | None:
+        """Place one more copy of a call, if its budget allows it."""
+        self.repeats.look(now)
+        budget = self.hedges if kind is verdicts.Kind.HEDGE else self.retries
+        if not budget.available(now):
+            return None
+        again = self._grant(before.call, kind, now)
+        if again is None:
             return None
-        hedge = self._grant(call, verdicts.Kind.HEDGE, now)
-        if hedge is not None:
-            self.hedges.spend(now)
-        return hedge
+        call_id = before.call.id
+        # A retry follows on a try that has ended; beside a hedge the try goes on.
+        is_read = kind is verdicts.Kind.RETRY
+        self.repeats.begin(call_id, before.upstream, before.sent_at, is_read=is_read)
+        self.repeats.sent(call_id, again.upstream, now)
+        return msgspec.structs.replace(again, taken_from=budget.spend(now))
 
     def _place(
         self, call: waiting.Call, now: ids.Instant
--- a/spindlenotch/decisions/verdicts.py
+++ b/spindlenotch/decisions/verdicts.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from spindlenotch import ids, selection
-from spindlenotch.kernel import outcomes, upstreams, waiting
+from spindlenotch.kernel import budgets, outcomes, upstreams, waiting
 
 
 class Kind(enum.Enum):
@@ -29,7 +29,8 @@
 
     Both estimates are those of the moment it was granted: ``slowdown`` is how
     many times its typical time work takes there, ``load`` the number of
-    requests in the upstream, this one included.
+    requests in the upstream, this one included. ``taken_from`` is the part of the
+    budget that a retry or a hedge was taken from; None for a first try.
     """
 
     call: waiting.Call
@@ -38,6 +39,7 @@
     sent_at: ids.Instant
     slowdown: float = 1.0
     load: float = 1.0
+    taken_from: budgets.Part | None = None
 
 
 class Waiting(msgspec.Struct, frozen=True):
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -272,6 +272,18 @@
         "a request was refused: its route may not be served in this region",
         "send such callers to the allowed regions, or allow this one",
     )
+    EXTRA_SENDS_IN_WINDOW = CatalogueRow(
+        611,
+        "INFO",
+        "retries and hedges of a service that this process sent in the last window",
+        "add the lines of all processes to compare them with what the fleet may send",
+    )
+    READ_LATE = CatalogueRow(
+        612,
+        "INFO",
+        "an upstream reads on: copies of requests that were sent long ago arrived now",
+        "find out why it stood still",
+    )
 
 
 def emit(event: Event, **fields: object) -> None:
--- a/spindlenotch/forwarding/sending.py
+++ b/spindlenotch/forwarding/sending.py
@@ -83,14 +83,18 @@
     ) -> None:
         name = job.balancer.service.name
         kind = grant.kind.value
+        cause = _cause(grant.kind, last_reason)
         self.state.metrics.extra_sends.labels(name, kind).inc()
+        if grant.taken_from is not None:
+            part = grant.taken_from.value
+            self.state.metrics.extra_taken.labels(name, part, cause).inc()
         events.emit(
             events.Event.REQUEST_SENT_AGAIN,
             request=request_id,
             service=name,
             upstream=grant.upstream.spec.id,
             kind=kind,
-            reason=_cause(grant.kind, last_reason),
+            reason=cause,
             pace=round(grant.slowdown, 2),
             told_s_ago=round(grant.sent_at - grant.upstream.report_at, 3),
             extra_left=round(job.balancer.retries.balance, 1),
--- a/spindlenotch/gateway/cluster/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -18,8 +18,8 @@
 from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import service_policy, upstream_pool, upstreams
 
-#: Longest wait for the answer to a probe. Chosen, not measured.
-PROBE_TIMEOUT_S = 0.3
+#: Longest wait for the answer to a probe, in seconds.
+PROBE_TIMEOUT_S = upstreams.REPORT_LAG_S
 #: Time between two looks at which upstreams fall to this gateway. Chosen, not
 #: measured.
 MATCH_PERIOD_S = 0.2
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -11,7 +11,14 @@
 from spindlenotch import clock, events, ids, ports
 from spindlenotch.drivers import upstream_http
 from spindlenotch.forwarding import data_path
-from spindlenotch.gateway import dialect, lifecycle, settings, side_ports, state
+from spindlenotch.gateway import (
+    dialect,
+    lifecycle,
+    repeat_report,
+    settings,
+    side_ports,
+    state,
+)
 from spindlenotch.gateway.cluster import (
     cold_senders,
     fleet,
@@ -67,6 +74,7 @@
         self.fleet = fleet.Fleet(gateway_state)
         self.cold_senders = cold_senders.ColdSenders(gateway_state, self.fleet)
         self.region_loads = region_loads.RegionLoads(gateway_state)
+        self.repeat_report = repeat_report.RepeatReport(gateway_state.metrics)
         self.side_ports = side_ports.SidePorts(
             gateway_state, self.fleet, gateway_dialect
         )
@@ -163,6 +171,9 @@
                 self.relay.publish_expiry()
             self.cold_senders.update()
             self.region_loads.update()
+            self.repeat_report.update(
+                self.state.balancer_by_service.values(), self.state.clock.now()
+            )
             await self.state.wakeups.sleep(TICK_S)
 
     def _note_suspension(self) -> None:
--- a/spindlenotch/kernel/budgets.py
+++ b/spindlenotch/kernel/budgets.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import enum
 import math
 import typing
 
@@ -23,6 +24,15 @@
 SAVED_SHARE_OF_WINDOW = 0.1
 
 
+class Part(enum.Enum):
+    """What part of a budget an extra request was taken from."""
+
+    #: What ordinary requests have earned.
+    SHARE = "share"
+    #: What is allowed beyond that.
+    RESERVE = "reserve"
+
+
 class ExtraBudget(typing.Protocol):
     """Bounds what is sent beyond the first try of each request."""
 
@@ -36,8 +46,11 @@
     def available(self, now: ids.Instant) -> bool:
         """Tell whether one more extra request is allowed."""
 
-    def spend(self, now: ids.Instant) -> bool:
-        """Take one extra request from the budget, or say that none is left."""
+    def spend(self, now: ids.Instant) -> Part | None:
+        """Take one extra request from the budget; None where none is left."""
+
+    def settle(self, now: ids.Instant) -> None:
+        """Take in that one extra request has arrived by now, or never will."""
 
 
 class ShareBudget(msgspec.Struct):
@@ -60,12 +73,15 @@
         """Tell whether one more extra request is allowed."""
         return self.balance >= 1.0
 
-    def spend(self, now: ids.Instant) -> bool:
-        """Take one extra request from the budget, or say that none is left."""
+    def spend(self, now: ids.Instant) -> Part | None:
+        """Take one extra request from the budget; None where none is left."""
         if self.balance < 1.0:
-            return False
+            return None
         self.balance -= 1.0
-        return True
+        return Part.SHARE
+
+    def settle(self, now: ids.Instant) -> None:
+        """Do nothing: the bound is no matter of when extra requests arrive."""
 
 
 class SlidingShareBudget:
@@ -90,6 +106,11 @@
         self.window_s = window_s
         self.earned_at: collections.deque[ids.Instant] = collections.deque()
         self.spent_at: collections.deque[ids.Instant] = collections.deque()
+        self.unsettled = 0
+        #: Ordinary requests so far.
+        self.earned_count = 0
+        #: Extra requests so far.
+        self.taken_by_part: collections.Counter[Part] = collections.Counter()
         self._saved = 0.0
         self._saved_at: ids.Instant | None = None
 
@@ -97,6 +118,7 @@
         """Count one ordinary request."""
         self._fade(now)
         self._saved += self.share
+        self.earned_count += 1
         self.earned_at.append(now)
         self._forget(self.earned_at, now)
 
@@ -108,19 +130,31 @@
         self._saved = max(self._saved, -float(len(self.spent_at)))
         return self.balance >= 1.0
 
-    def spend(self, now: ids.Instant) -> bool:
-        """Take one extra request from the budget, or say that none is left."""
+    def spend(self, now: ids.Instant) -> Part | None:
+        """Take one extra request from the budget; None where none is left."""
         if not self.available(now):
-            return False
+            return None
+        part = Part.SHARE if self._earned >= 1.0 else Part.RESERVE
         self._saved -= 1.0
         self.spent_at.append(now)
-        return True
+        self.unsettled += 1
+        self.taken_by_part[part] += 1
+        return part
+
+    def settle(self, now: ids.Instant) -> None:
+        """Take in that one extra request has arrived by now, or never will."""
+        self.unsettled -= 1
 
     @property
     def balance(self) -> float:
         """Return how many extra requests were allowed when last asked."""
-        earned = self.share * len(self.earned_at) - len(self.spent_at)
-        return self.reserve + min(earned, self._saved)
+        return self.reserve + self._earned
+
+    @property
+    def _earned(self) -> float:
+        """Return what is left of what ordinary requests have earned."""
+        left = self.share * len(self.earned_at) - len(self.spent_at)
+        return min(left, self._saved)
 
     @property
     def _kept(self) -> float:
--- a/spindlenotch/kernel/extra_budgets.py
+++ b/spindlenotch/kernel/extra_budgets.py
@@ -7,6 +7,7 @@
 """
 
 import typing
+from collections import abc
 
 import msgspec
 
@@ -34,11 +35,21 @@
         for budget in self._distinct:
             budget.earn(now)
 
-    def set_reserve(self, reserve: float) -> None:
-        """Change what sliding budgets allow beyond their share; others have none."""
+    def settle(self, now: ids.Instant) -> None:
+        """Take in that one extra request has arrived by now, or never will."""
+        for budget in self._distinct:
+            budget.settle(now)
+
+    def sliding(self) -> abc.Iterator[budgets.SlidingShareBudget]:
+        """Return the budgets that are sliding ones."""
         for budget in self._distinct:
             if isinstance(budget, budgets.SlidingShareBudget):
-                budget.reserve = reserve
+                yield budget
+
+    def set_reserve(self, reserve: float) -> None:
+        """Change what sliding budgets allow beyond their share; others have none."""
+        for budget in self.sliding():
+            budget.reserve = reserve
 
 
 class ExtraPolicy(typing.Protocol):
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -37,6 +37,10 @@
 #: measured.
 WARM_AFTER_ANSWERS = 20
 
+#: Longest time between the sending of a probe and the report that it brings, in
+#: seconds: a probe is given up after that.
+REPORT_LAG_S = 0.3
+
 #: Called with each upstream whose state has changed.
 ChangeListener = abc.Callable[["Upstream"], None]
 
@@ -144,6 +148,8 @@
         self.answers = 0
         self.answered_at = now
         self.busy_since = now
+        #: What was sent to it before this has been read.
+        self.read_until = ids.Instant(float("-inf"))
         self.owned_slots = 0.0
         self.foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
         self.mean_slowdown = latency.Mean(1.0, MEAN_SLOWDOWN_WEIGHT)
@@ -170,6 +176,8 @@
         if sent_at is None or result is Result.CANCELLED:
             return
         self.answered_at = now
+        if result in (Result.ANSWERED, Result.SHED):
+            self.read_until = max(self.read_until, sent_at)
         self.failure_share.add(FAILURES_BY_RESULT[result], now)
         if result is Result.ANSWERED:
             self.answers += 1
@@ -186,6 +194,7 @@
         """Take in a load report that came with an answer or a probe."""
         self.report = report
         self.report_at = now
+        self.read_until = max(self.read_until, ids.Instant(now - REPORT_LAG_S))
         self.outstanding_at_report = self.outstanding
         foreign = max(0, report.running + report.queued - self.outstanding_at_report)
         self.foreign_load.add(foreign)
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -52,6 +52,30 @@
             ("service", "kind"),
             registry=self.registry,
         )
+        self.extra_taken = prometheus_client.Counter(
+            "spindlenotch_extra_taken_total",
+            "Retries and hedges sent, by the part of the budget and the cause",
+            ("service", "part", "cause"),
+            registry=self.registry,
+        )
+        self.extra_earning = prometheus_client.Counter(
+            "spindlenotch_extra_earning_requests_total",
+            "Requests that earned retries and hedges",
+            ("service",),
+            registry=self.registry,
+        )
+        self.extra_unread = prometheus_client.Gauge(
+            "spindlenotch_extra_unread",
+            "Retries and hedges of which it is not known that they have arrived",
+            ("service",),
+            registry=self.registry,
+        )
+        self.read_late = prometheus_client.Counter(
+            "spindlenotch_copies_read_late_total",
+            "Copies of requests that upstreams read long after they were sent",
+            ("service",),
+            registry=self.registry,
+        )
         self.probes = prometheus_client.Counter(
             "spindlenotch_probes_total",
             "Probes sent",
