A repeat counts until it is known to have arrived; silence adds up over tries that break off

Cause: the budget of retries and hedges forgot each a window after it was sent. What was sent to an upstream that stands still is read when it goes on, whatever became of the connection, so that the repeats of several windows arrived in one.

Change: a repeat counts until one window after all copies but one of its request are known to be read, and at most 0.15 of what is allowed may be unknown (what a killed process has sent arrives beside what its successor sends). The time that broken-off tries waited is kept as silence and fades; an upstream that was ejected as silent gets no request until a probe tells of it, while probes tell of others.

Where arrivals are known after 0.6 s, 2 in 100 repeats fewer are sent at full rate.

The check that each worker that stood still was ejected is replaced by a count of what was sent to them, 1 in 50 requests at most: they may be passed over for their cost before.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -10,6 +10,11 @@
       | the fleet's extra sends keep to share and reserve          |
       | a fleet's retries keep to what all may send together       |
       | a fleet's retries keep to it where they arrive late        |
+      | retries that are known to arrive are not held back         |
+      | what stands still is found out by tries that break off     |
+      | what went on again is used again                           |
+      | what was ejected as silent waits until a probe tells of it |
+      | a repeat has arrived when all copies but one were read     |
       | a low rate of requests still earns a retry                 |
       | a reserve that was used is whole again after a window      |
       | the size of the fleet is the largest of the last minute    |
--- a/features/steps/gateway_budget.py
+++ b/features/steps/gateway_budget.py
@@ -35,6 +35,11 @@
 STILL_FROM_S, KILLED_AT_S, STILL_UNTIL_S = 18.0, 28.0, 42.0
 #: For how long upstreams stand still that do so again and again.
 STILL_FOR_S = 7.0
+#: Seconds until it is known what an upstream has read that works: a probe's period,
+#: and what its report takes.
+KNOWN_AFTER_S = 0.6
+#: The part of the retries that is sent even so.
+LEAST_OF_AT_ONCE = 0.95
 #: Gateways of the large and of the middle fleet.
 FLEETS = (60, 117)
 SPEC = routing.ServiceSpec(name=ids.ServiceName("s"), health_path="/", connections=1)
@@ -221,7 +226,15 @@
         return at - at % STILL_FOR_S + STILL_FOR_S
 
 
-LATE_STORIES = (StandStill, StandStillWhileKilled, StandStillInTurn)
+class KnownSoon(Story):
+    """Upstreams work, and it is known half a second later what they have read."""
+
+    def arrives_at(self, at: float) -> float:
+        """Return when an extra that is sent at ``at`` arrives."""
+        return at + KNOWN_AFTER_S
+
+
+LATE_STORIES = (KnownSoon, StandStill, StandStillWhileKilled, StandStillInTurn)
 STORIES = (
     Story,
     AllKilled,
@@ -270,6 +283,12 @@
     _check(LATE_STORIES)
 
 
+@kernel.PROPERTIES.register("retries that are known to arrive are not held back")
+def not_held_back() -> None:
+    at_once, soon = (len(play(made(60)).extras_at) for made in (Story, KnownSoon))
+    assert soon >= LEAST_OF_AT_ONCE * at_once, (soon, at_once)
+
+
 def _check(stories: abc.Iterable[type[Story]]) -> None:
     for count in FLEETS:
         for made in stories:
--- a/features/steps/late_arrivals.py
+++ b/features/steps/late_arrivals.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import json
 import random
 import time
 import typing
@@ -34,8 +33,6 @@
 KILL_PART = 0.5
 ASK_EVERY_S = 1.0
 SEED = 5
-#: The number of the log event that an upstream was ejected.
-EJECTED = 401
 OK = 200
 
 run = platform_context.run
@@ -282,16 +279,26 @@
     assert worst.beyond <= play.reserve, worst
 
 
-@behave.then("all workers that stood still were found out")
-def found_out(context: typing.Any) -> None:
-    ejected = set()
-    for path in fleet_of(context).logs.values():
-        for line in path.read_text().splitlines():
-            fields = json.loads(line)
-            if fields["event"] == EJECTED:
-                ejected.add(fields["upstream"])
-    missing = play_of(context).stood_still - ejected
-    assert not missing, missing
+@behave.then(
+    "of the requests of the last {seconds:g} s before they went on 1 in {count:d} at "
+    "most was sent to them"
+)
+def found_out(context: typing.Any, seconds: float, count: int) -> None:
+    play = play_of(context)
+    request_by_id = {
+        request_id: request
+        for request_id, request in play.request_by_id.items()
+        if play.went_on_at - seconds < request.sent_at < play.went_on_at
+    }
+    sent = {
+        head.fields.get("x-spindlenotch-request-id", "")
+        for worker in play.fleet.worker_by_id.values()
+        if worker.id in play.stood_still
+        for head in worker.heads
+    }
+    found = sent & request_by_id.keys()
+    assert request_by_id, "nothing was sent"
+    assert len(found) * count <= len(request_by_id), (len(found), len(request_by_id))
 
 
 @behave.then(
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -21,6 +21,7 @@
     verdicts,
 )
 from spindlenotch.kernel import (
+    ejection,
     outcomes,
     ownership,
     repeats,
@@ -278,7 +279,7 @@
         if upstream.state in (upstreams.State.EJECTED, upstreams.State.LEAVING):
             return
         if self.pool.frozen(upstream, grant.call.latency_key, now):
-            self.pool.eject(upstream, "silent", now)
+            self.pool.eject(upstream, ejection.SILENT, now)
 
     def _any_usable(self, call: waiting.Call | None, now: ids.Instant) -> bool:
         """Tell whether an upstream may yet take a call where it may run, or any."""
--- a/spindlenotch/decisions/silence.py
+++ b/spindlenotch/decisions/silence.py
@@ -24,14 +24,12 @@
 
     ``typical_s`` is the service's typical latency in seconds.
     """
-    return upstream.silent_s(now) * upstream.outstanding / typical_s
+    return upstream.silent_s(now) * max(1, upstream.outstanding) / typical_s
 
 
 def overdue_cost(
     upstream: upstreams.Upstream, typical_s: float, now: ids.Instant
 ) -> float:
     """Return what its silence costs, as a share of the typical latency."""
-    if not upstream.sent_at_by_call:
-        return 0.0
     missed = missed_answers(upstream, typical_s, now)
     return COST_PER_MISSED_ANSWER * max(0.0, missed - FREE_MISSED_ANSWERS)
--- a/spindlenotch/entry/prober.py
+++ b/spindlenotch/entry/prober.py
@@ -66,7 +66,10 @@
             return
         now = self.state.clock.now()
         for upstream in found.pool.usable_order:
-            if now - max(upstream.answered_at, upstream.report_at) < KNOWN_FOR_S:
+            if (
+                now - max(upstream.hearing.answered_at, upstream.report_at)
+                < KNOWN_FOR_S
+            ):
                 continue
             if self._may_probe(lease, service, upstream.spec.id):
                 self._tasks.spawn(self._probe(service, upstream))
--- a/spindlenotch/gateway/cluster/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -16,10 +16,10 @@
 from spindlenotch.gateway import jitter, service_defaults, state
 from spindlenotch.gateway.cluster import duties, fleet
 from spindlenotch.gateway.source import routing
-from spindlenotch.kernel import service_policy, upstream_pool, upstreams
+from spindlenotch.kernel import hearing, service_policy, upstream_pool, upstreams
 
 #: Longest wait for the answer to a probe, in seconds.
-PROBE_TIMEOUT_S = upstreams.REPORT_LAG_S
+PROBE_TIMEOUT_S = hearing.REPORT_LAG_S
 #: Time between two looks at which upstreams fall to this gateway. Chosen, not
 #: measured.
 MATCH_PERIOD_S = 0.2
@@ -168,7 +168,7 @@
             if isinstance(report, upstreams.LoadReport):
                 now = self.state.clock.now()
                 told = with_coldness(report, target.pool.service)
-                target.pool.reported(target.upstream, told, now)
+                target.pool.told(target.upstream, told, now)
             await asyncio.sleep(jitter.jittered(period_s, rng))
 
 
--- a/spindlenotch/kernel/budgets.py
+++ b/spindlenotch/kernel/budgets.py
@@ -22,6 +22,13 @@
 #: window. Whoever takes over another's requests earns anew what that one has just
 #: used: with this tenth, and nine tenths of what is allowed, the sum still holds.
 SAVED_SHARE_OF_WINDOW = 0.1
+#: Share of what a sliding budget allows that may be unsettled. What a process has sent
+#: before it is killed may arrive together with what its successor sends: of 0.1, 0.15,
+#: 0.2 and 0.25 tried, the largest with which the sum holds where all of 60 gateways are
+#: killed while all upstreams stand still (120 beyond the share, 188 allowed; 221 with
+#: 0.2). At full rate, where arrivals are known after 0.6 s, 2 in 100 extra requests
+#: fewer are sent (both in virtual time: properties of a fleet's retries).
+UNSETTLED_SHARE = 0.15
 
 
 class Part(enum.Enum):
@@ -88,11 +95,14 @@
     """
     Allows extra work as a share of ordinary work in every sliding window.
 
-    Invariant: in any span of ``window_s`` seconds, the extra requests are at
-    most ``share`` of the ordinary ones in a span of that length that ends
-    with them, plus ``reserve``. The sums of several processes that serve all the
-    time therefore keep to the same share plus the sum of their reserves, without
-    any message.
+    Invariant: in any span of ``window_s`` seconds, the extra requests that arrive are
+    at most ``share`` of the ordinary ones in a span of that length before, plus
+    ``reserve``. The sums of several processes that serve all the time therefore keep to
+    the same share plus the sum of their reserves, without any message.
+
+    An extra request may arrive long after it was sent, together with those of several
+    windows. So it counts until one window after ``settle`` told that it has arrived;
+    ``unsettled`` are those of which that is not known.
 
     So do the sums where processes end, or others take over their requests: what
     was earned is mostly used at once or lost. ``_saved`` is what was earned and not
@@ -105,7 +115,8 @@
         self.reserve = reserve
         self.window_s = window_s
         self.earned_at: collections.deque[ids.Instant] = collections.deque()
-        self.spent_at: collections.deque[ids.Instant] = collections.deque()
+        #: When those extra requests arrived, at the latest, that have arrived.
+        self.settled_at: collections.deque[ids.Instant] = collections.deque()
         self.unsettled = 0
         #: Ordinary requests so far.
         self.earned_count = 0
@@ -126,9 +137,9 @@
         """Tell whether one more extra request is allowed."""
         self._fade(now)
         self._forget(self.earned_at, now)
-        self._forget(self.spent_at, now)
-        self._saved = max(self._saved, -float(len(self.spent_at)))
-        return self.balance >= 1.0
+        self._forget(self.settled_at, now)
+        self._saved = max(self._saved, -float(self._in_use))
+        return self.balance >= 1.0 and self.unsettled + 1 <= self._most_unsettled
 
     def spend(self, now: ids.Instant) -> Part | None:
         """Take one extra request from the budget; None where none is left."""
@@ -136,7 +147,6 @@
             return None
         part = Part.SHARE if self._earned >= 1.0 else Part.RESERVE
         self._saved -= 1.0
-        self.spent_at.append(now)
         self.unsettled += 1
         self.taken_by_part[part] += 1
         return part
@@ -144,6 +154,7 @@
     def settle(self, now: ids.Instant) -> None:
         """Take in that one extra request has arrived by now, or never will."""
         self.unsettled -= 1
+        self.settled_at.append(now)
 
     @property
     def balance(self) -> float:
@@ -153,8 +164,18 @@
     @property
     def _earned(self) -> float:
         """Return what is left of what ordinary requests have earned."""
-        left = self.share * len(self.earned_at) - len(self.spent_at)
-        return min(left, self._saved)
+        return min(self.share * len(self.earned_at) - self._in_use, self._saved)
+
+    @property
+    def _in_use(self) -> int:
+        """Return how many extra requests may arrive in one window with the next."""
+        return len(self.settled_at) + self.unsettled
+
+    @property
+    def _most_unsettled(self) -> float:
+        """Return how many extra requests may be unsettled: one at least."""
+        allowed = self.reserve + self.share * len(self.earned_at)
+        return max(1.0, UNSETTLED_SHARE * allowed)
 
     @property
     def _kept(self) -> float:
--- a/spindlenotch/kernel/ejection.py
+++ b/spindlenotch/kernel/ejection.py
@@ -21,6 +21,10 @@
 FROZEN_P95_FACTOR = 3.0
 #: And at least this long, in seconds. Chosen, not measured.
 FROZEN_LEAST_S = 0.25
+#: Why an upstream is ejected that owes answers for too long.
+SILENT = "silent"
+#: And one whose request on probation failed, or was broken off late.
+FAILED_ON_PROBATION = "failed on probation"
 #: A pool with fewer upstreams than this ejects none of them: a bad upstream is
 #: better than no upstream. Chosen, not measured.
 LEAST_POOL = 2
@@ -41,7 +45,7 @@
     if failures_in_row >= FAILURES_IN_ROW:
         return "failures in a row"
     if failed and on_probation:
-        return "failed on probation"
+        return FAILED_ON_PROBATION
     return None
 
 
--- /dev/null
+++ b/spindlenotch/kernel/hearing.py
@@ -0,0 +1,119 @@
+"""
+When one process heard of an upstream last, and for how long that has owed an answer.
+
+A try that is broken off at its deadline leaves the time for which it waited: where
+requests have little time, an upstream that stands still would else never be silent
+(of 5,060 requests that had 0.4 s 974 failed, 63 with this and the wait for a report;
+90 gateways, half of 53 upstreams standing still for 22 s, one run each).
+Pure; every method takes the instant.
+"""
+
+from spindlenotch import ids
+from spindlenotch.kernel import latency
+
+#: Longest time between the sending of a probe and the report that it brings, in
+#: seconds: a probe is given up after that.
+REPORT_LAG_S = 0.3
+#: Most seconds between two reports of an upstream that is probed: a probe every 0.25 s,
+#: passed on every 0.2 s by two gateways, and one of these messages lost.
+REPORTED_WITHIN_S = 1.0
+
+#: Seconds in which what is owed fades to a third, so that an upstream of which nobody
+#: hears is tried again: some seconds, as requests come far more often where it matters.
+OWED_FADE_S = 5.0
+
+NEVER = ids.Instant(float("-inf"))
+
+
+class Probing:
+    """When a probe had a report of any upstream of a service last."""
+
+    def __init__(self) -> None:
+        self.told_at = NEVER
+
+    def goes_on(self, now: ids.Instant) -> bool:
+        """Tell whether upstreams are probed, as far as is heard."""
+        return now - self.told_at <= REPORTED_WITHIN_S
+
+
+class Hearing:
+    """
+    What was heard of one upstream; ``probing`` is shared by those of its service.
+
+    ``answered_at`` is when a request ended there last, ``read_until`` an instant before
+    which all that was sent to it has been read, ``told_at`` when a probe had a report
+    of it last, own or of a peer.
+    """
+
+    def __init__(self, now: ids.Instant, probing: Probing) -> None:
+        self.probing = probing
+        self.answered_at = now
+        self.read_until = NEVER
+        self.told_at = NEVER
+        self._busy_since = now
+        self._owing_since = now
+        #: How long tries waited that were broken off since anything was heard, as it
+        #: counted at the instant beside it.
+        self._owed_s = 0.0
+        self._owed_at = now
+
+    def sent(self, now: ids.Instant, *, is_first: bool) -> None:
+        """Record that a try goes out; ``is_first``: no other is under way."""
+        if is_first:
+            self._busy_since = now
+            if not self._owed_s:
+                self._owing_since = now
+
+    def answered(self, now: ids.Instant, sent_at: ids.Instant | None) -> None:
+        """
+        Record that a try ended there.
+
+        ``sent_at`` is when it was sent, where its answer shows that it was read.
+        """
+        self.answered_at = now
+        self._owing_since = now
+        self._owed_s = 0.0
+        if sent_at is not None:
+            self.read_until = max(self.read_until, sent_at)
+
+    def broken_off(self, now: ids.Instant, *, is_last: bool) -> None:
+        """Record that a try was broken off; ``is_last``: no other is under way."""
+        if is_last:
+            self._owed_s = self._owed(now) + self._waited_s(now)
+            self._owed_at = now
+
+    def reported(self, at: ids.Instant) -> None:
+        """Record that it reported its load at ``at``, and so did not stand still."""
+        self.read_until = max(self.read_until, ids.Instant(at - REPORT_LAG_S))
+        if at > self._owing_since:
+            self._owed_s = 0.0
+
+    def told(self, at: ids.Instant) -> None:
+        """Record that a probe had a report of it, made at ``at``."""
+        self.told_at = max(self.told_at, at)
+        self.probing.told_at = max(self.probing.told_at, at)
+
+    def forgive(self) -> None:
+        """Begin anew with an upstream that gets another chance."""
+        self._owed_s = 0.0
+
+    def silent_s(self, now: ids.Instant, *, is_busy: bool) -> float:
+        """Return for how many seconds it has owed an answer without giving any."""
+        return self._owed(now) + (self._waited_s(now) if is_busy else 0.0)
+
+    def was_probed(self) -> bool:
+        """Tell whether reports of it came regularly until it owed an answer."""
+        return self.told_at >= self._owing_since - REPORTED_WITHIN_S
+
+    def is_missed(self, since: ids.Instant, now: ids.Instant) -> bool:
+        """Tell whether probes tell of other upstreams, and of it not since then."""
+        return self.told_at <= since and self.probing.goes_on(now)
+
+    def _owed(self, now: ids.Instant) -> float:
+        """Return what is owed of tries that were broken off, in seconds."""
+        if not self._owed_s:
+            return 0.0
+        return self._owed_s * latency.decay(now - self._owed_at, OWED_FADE_S)
+
+    def _waited_s(self, now: ids.Instant) -> float:
+        return max(0.0, now - max(self.answered_at, self._busy_since))
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -102,6 +102,16 @@
             total = report.running + report.queued
             self.mean_foreign_load.add(max(0, total - upstream.outstanding))
 
+    def told(
+        self,
+        upstream: upstreams.Upstream,
+        report: upstreams.LoadReport,
+        at: ids.Instant,
+    ) -> None:
+        """Take in a load report of ``at`` that a probe brought, own or of a peer."""
+        upstream.hearing.told(at)
+        self.reported(upstream, report, at)
+
     def record_share(self, result: upstreams.Result) -> None:
         """Record how a request ended, for the state of the service as a whole."""
         if result is not upstreams.Result.CANCELLED:
@@ -117,6 +127,8 @@
     ) -> None:
         """Record how a request ended, and eject the upstream where needed."""
         if result is upstreams.Result.CANCELLED:
+            if self._was_overdue_on_probation(upstream, latency_key, took_s):
+                self.eject(upstream, ejection.SILENT, now)
             return
         failed = _is_failure(result)
         if result is upstreams.Result.ANSWERED:
@@ -129,6 +141,13 @@
         if reason is not None:
             self.eject(upstream, reason, now)
 
+    def _was_overdue_on_probation(
+        self, upstream: upstreams.Upstream, latency_key: str, took_s: float
+    ) -> bool:
+        """Tell whether the one request that decides waited in vain for long enough."""
+        on_probation = upstream.state is upstreams.State.PROBATION
+        return on_probation and took_s > self.latencies.p95_s(latency_key)
+
     def eject(
         self, upstream: upstreams.Upstream, reason: str, now: ids.Instant
     ) -> bool:
--- a/spindlenotch/kernel/upstream_set.py
+++ b/spindlenotch/kernel/upstream_set.py
@@ -13,6 +13,7 @@
 from spindlenotch import ids
 from spindlenotch.kernel import (
     cold_start,
+    hearing,
     ownership,
     regions,
     schedule,
@@ -55,6 +56,7 @@
             service.zones, service.day, 0.0
         )
         self.changes = state_changes.ChangeLog()
+        self.probing = hearing.Probing()
         self.owned_total = 0.0
         self.revision = 0
         self._changed = False
@@ -162,7 +164,9 @@
     ) -> upstreams.Upstream:
         """Return a new upstream in place of the one that is ``known`` by its id."""
         slots = spec.slots or self.service.slots
-        upstream = upstreams.Upstream(spec, slots, now, self._state_changed)
+        upstream = upstreams.Upstream(
+            spec, slots, now, self._state_changed, self.probing
+        )
         if known is None:
             return upstream
         known.end()
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.kernel import cold_start, ejection, failure_share, latency
+from spindlenotch.kernel import cold_start, ejection, failure_share, hearing, latency
 
 #: Weight of the newest sample in an upstream's latency ratio. Chosen, not
 #: measured.
@@ -37,10 +37,6 @@
 #: measured.
 WARM_AFTER_ANSWERS = 20
 
-#: Longest time between the sending of a probe and the report that it brings, in
-#: seconds: a probe is given up after that.
-REPORT_LAG_S = 0.3
-
 #: Called with each upstream whose state has changed.
 ChangeListener = abc.Callable[["Upstream"], None]
 
@@ -126,6 +122,7 @@
         slots: int,
         now: ids.Instant,
         on_change: ChangeListener,
+        probing: hearing.Probing | None = None,
     ) -> None:
         self.spec = spec
         self.known_since = now
@@ -137,6 +134,7 @@
         self.state_reason = "listed"
         self.state_until = ids.NEVER
         self.ejected_at = ids.Instant(float("-inf"))
+        self._awaits_report = False
         self.sent_at_by_call: dict[ids.CallId, ids.Instant] = {}
         self.report = LoadReport(0, 0)
         self.report_at = now
@@ -146,10 +144,7 @@
         self.failure_share = failure_share.FailureShare()
         self.ejections_in_row = 0
         self.answers = 0
-        self.answered_at = now
-        self.busy_since = now
-        #: What was sent to it before this has been read.
-        self.read_until = ids.Instant(float("-inf"))
+        self.hearing = hearing.Hearing(now, probing or hearing.Probing())
         self.owned_slots = 0.0
         self.foreign_load = latency.Mean(0.0, FOREIGN_LOAD_WEIGHT)
         self.mean_slowdown = latency.Mean(1.0, MEAN_SLOWDOWN_WEIGHT)
@@ -163,8 +158,7 @@
 
     def sent(self, call: ids.CallId, now: ids.Instant) -> None:
         """Record that a call goes out."""
-        if not self.sent_at_by_call:
-            self.busy_since = now
+        self.hearing.sent(now, is_first=not self.sent_at_by_call)
         self.sent_at_by_call[call] = now
         self.cold.sent(now)
 
@@ -173,11 +167,13 @@
     ) -> None:
         """Record the end of a call; ``typical_s`` is the typical time of its kind."""
         sent_at = self.sent_at_by_call.pop(call, None)
-        if sent_at is None or result is Result.CANCELLED:
+        if sent_at is None:
+            return
+        if result is Result.CANCELLED:
+            self.hearing.broken_off(now, is_last=not self.sent_at_by_call)
             return
-        self.answered_at = now
-        if result in (Result.ANSWERED, Result.SHED):
-            self.read_until = max(self.read_until, sent_at)
+        was_read = result in (Result.ANSWERED, Result.SHED)
+        self.hearing.answered(now, sent_at if was_read else None)
         self.failure_share.add(FAILURES_BY_RESULT[result], now)
         if result is Result.ANSWERED:
             self.answers += 1
@@ -194,7 +190,7 @@
         """Take in a load report that came with an answer or a probe."""
         self.report = report
         self.report_at = now
-        self.read_until = max(self.read_until, ids.Instant(now - REPORT_LAG_S))
+        self.hearing.reported(now)
         self.outstanding_at_report = self.outstanding
         foreign = max(0, report.running + report.queued - self.outstanding_at_report)
         self.foreign_load.add(foreign)
@@ -242,9 +238,7 @@
 
     def silent_s(self, now: ids.Instant) -> float:
         """Return for how many seconds it has owed an answer without giving any."""
-        if not self.sent_at_by_call:
-            return 0.0
-        return now - max(self.answered_at, self.busy_since)
+        return self.hearing.silent_s(now, is_busy=bool(self.sent_at_by_call))
 
     def eject(self, reason: str, now: ids.Instant) -> None:
         """Take it out of use for a while that doubles each time in a row."""
@@ -254,6 +248,7 @@
         self.ejections_in_row = min(ejection.MOST_COUNTED, self.ejections_in_row + 1)
         self.failures_in_row = 0
         self.ejected_at = now
+        self._awaits_report = reason == ejection.SILENT and self.hearing.was_probed()
         self._become(State.EJECTED, reason, ids.later(now, pause_s))
 
     def leave(self, reason: str) -> None:
@@ -271,8 +266,25 @@
 
     def tick(self, now: ids.Instant) -> None:
         """Let an ejection end in probation."""
-        if self.state is State.EJECTED and now >= self.state_until:
-            self._become(State.PROBATION, "ejection over", ids.NEVER)
+        if self.state is not State.EJECTED or now < self.state_until:
+            return
+        if self._awaits_report and self._is_still_silent(now):
+            return
+        self.hearing.forgive()
+        self._become(State.PROBATION, "ejection over", ids.NEVER)
+
+    def _is_still_silent(self, now: ids.Instant) -> bool:
+        """
+        Tell whether probes show that an upstream ejected as silent stands still yet.
+
+        A try there would cost its request the time, and a hedge: where half of 53
+        upstreams stood still for 22 s, 90 gateways failed 63 of 5,060 requests that had
+        0.4 s, all in the first two seconds; with a wait of 10 s at most 106 (one run
+        each of real gateways).
+        """
+        if now >= ids.later(self.ejected_at, ejection.LONGEST_PAUSE_S):
+            return False
+        return self.hearing.is_missed(self.ejected_at, now)
 
     def may_take(self, now: ids.Instant) -> bool:
         """Tell whether it may get one more request."""
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -295,22 +295,25 @@
         question="The budget of retries and hedges",
         functions=(
             "kernel/budgets.SlidingShareBudget.available",
+            "kernel/repeats.Repeats.look",
             "kernel/budgets.ShareBudget.available",
             "kernel/extra_budgets.SharedWindow",
             "gateway/service_defaults.extra_reserve",
             "gateway/cluster/fleet_size.FleetSize.update",
             "kernel/extra_budgets.SeparateShares",
         ),
-        inputs="own first sends and extra sends in the window, share, reserve, largest"
-        " number of gateways seen in the last minute; settings `extra_share`,"
-        " `extra_reserve`, `extra_window_s`.",
+        inputs="own first sends in the window, extra sends that arrived in it or may"
+        " yet arrive, share, reserve, largest number of gateways seen in the last"
+        " minute; settings `extra_share`, `extra_reserve`, `extra_window_s`.",
         reason="The gateway has one budget for both in a sliding window, whose sum over"
         " the fleet holds whatever each gateway assumes. The reserve is divided by"
         " twice the size of the fleet seen lately, so that a process that is started"
         " anew has a part of its own; what was earned is used within a second or mostly"
         " lost, so that gateways that follow on each other don't use twice what the"
-        " same requests earned. The entry daemon has two shares of its traffic, named"
-        " by the bundle.",
+        " same requests earned. What was sent to an upstream that stands still is read"
+        " when it goes on, and nothing takes it back: an extra send counts until a"
+        " window after it is known to have arrived. The entry daemon has two shares of"
+        " its traffic, named by the bundle.",
         constants=(
             "gateway/service_defaults.EXTRA_MARGIN",
             "gateway/service_defaults.RESERVE_PARTS_EACH",
@@ -318,13 +321,18 @@
             "gateway/service_defaults.UNKNOWN_FLEET",
             "gateway/cluster/fleet_size.MEMORY_S",
             "kernel/budgets.SAVED_SHARE_OF_WINDOW",
+            "kernel/budgets.UNSETTLED_SHARE",
+            "kernel/repeats.MOST_UNREAD_S",
+            "kernel/repeats.LATE_S",
             "kernel/budgets.MOST_SAVED",
             "kernel/budgets.INITIAL_RESERVE",
         ),
-        events=("REQUEST_SENT_AGAIN",),
+        events=("REQUEST_SENT_AGAIN", "EXTRA_SENDS_IN_WINDOW", "READ_LATE"),
         tests=(
             Scenario("gateway", "the fleet's extra sends keep to share and reserve"),
             Scenario("gateway", "a fleet's retries keep to what all may send together"),
+            Scenario("gateway", "a fleet's retries keep to it where they arrive late"),
+            Scenario("late_arrivals", "Half of the workers stand still for longer"),
             Scenario("kernel", "extra sends stay within their share"),
         ),
     ),
@@ -365,12 +373,14 @@
             "kernel/ejection.is_frozen",
             "kernel/ejection.pause_s",
             "kernel/ejection.may_eject",
+            "kernel/hearing.Hearing.silent_s",
             "kernel/upstreams.Upstream.may_take",
         ),
         inputs="failures in a row, silence (s), 95th percentile of the latency (s),"
-        " ejections in a row, share of the pool that is out.",
-        reason="Failures in a row or a silence that only a stop explains take it out."
-        " After the pause one request on probation decides.",
+        " ejections in a row, share of the pool that is out, reports of probes.",
+        reason="Failures in a row or a silence that only a stop explains take it out;"
+        " silence adds up over tries that were broken off. After the pause one request"
+        " on probation decides, where it was silent only once a probe tells of it.",
         constants=(
             "kernel/ejection.FAILURES_IN_ROW",
             "kernel/ejection.FIRST_PAUSE_S",
@@ -378,6 +388,9 @@
             "kernel/ejection.FROZEN_P95_FACTOR",
             "kernel/ejection.FROZEN_LEAST_S",
             "kernel/ejection.LEAST_POOL",
+            "kernel/hearing.REPORT_LAG_S",
+            "kernel/hearing.REPORTED_WITHIN_S",
+            "kernel/hearing.OWED_FADE_S",
         ),
         events=("UPSTREAM_EJECTED", "UPSTREAM_PROBATION", "UPSTREAM_BACK"),
         tests=(
@@ -386,6 +399,9 @@
                 "A zone that has lost most of its upstreams does not shrink the others",
             ),
             Scenario("invariants", "Any fault at any moment, together or twice"),
+            Scenario(
+                "gateway", "what stands still is found out by tries that break off"
+            ),
         ),
     ),
     Rule(
--- /dev/null
+++ b/tools/late_mutants.py
@@ -0,0 +1,59 @@
+"""
+The mutants of what arrives late: unread copies, silence, probes that tell again.
+
+Part of the table of ``mutant_table``; ``tools/mutants.py`` tries them.
+"""
+
+from tools import mutant_table
+
+MUTANTS = (
+    mutant_table.Mutant(
+        "a repeat that may yet arrive does not count",
+        "kernel/budgets",
+        "return len(self.settled_at) + self.unsettled",
+        "return len(self.settled_at)",
+        "a fleet's retries keep to it where they arrive late",
+    ),
+    mutant_table.Mutant(
+        "any part of the budget may be unsettled",
+        "kernel/budgets",
+        "self.unsettled + 1 <= self._most_unsettled",
+        "True",
+        "a fleet's retries keep to it where they arrive late",
+    ),
+    mutant_table.Mutant(
+        "a repeat has arrived when one copy was read",
+        "kernel/repeats",
+        "return min(self.sent - 1, self.unread)",
+        "return min(self.sent - 1, self.unread) * (self.unread == self.sent)",
+        "a repeat has arrived when all copies but one were read",
+    ),
+    mutant_table.Mutant(
+        "a try that is broken off leaves no silence",
+        "kernel/hearing",
+        "self._owed_s = self._owed(now) + self._waited_s(now)",
+        "self._owed_s = 0.0",
+        "what stands still is found out by tries that break off",
+    ),
+    mutant_table.Mutant(
+        "an upstream that owed an answer is never tried again",
+        "kernel/hearing",
+        "latency.decay(now - self._owed_at, OWED_FADE_S)",
+        "1.0",
+        "what went on again is used again",
+    ),
+    mutant_table.Mutant(
+        "what was ejected as silent is tried though probes miss it",
+        "kernel/upstreams",
+        "if self._awaits_report and self._is_still_silent(now):",
+        "if False:",
+        "what was ejected as silent waits until a probe tells of it",
+    ),
+    mutant_table.Mutant(
+        "a cold upstream gets more while what it got lies unread",
+        "kernel/cold_start",
+        "self._unread(read_until) < self._most_unread",
+        "True",
+        "a cold upstream that stands still reads what it bears",
+    ),
+)
--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -304,7 +304,7 @@
     Mutant(
         "the reserve of retries that was used comes back by requests only",
         "kernel/budgets",
-        "max(self._saved, -float(len(self.spent_at)))",
+        "max(self._saved, -float(self._in_use))",
         "self._saved",
         "a reserve that was used is whole again after a window",
     ),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -14,7 +14,7 @@
 import tempfile
 from collections import abc
 
-from tools import mutant_table, quarantine_mutants
+from tools import late_mutants, mutant_table, quarantine_mutants
 
 #: Plays of each machine against a mutant, and steps of a play. Chosen, not
 #: measured.
@@ -24,7 +24,11 @@
 SIDE_BY_SIDE = 6
 #: Longest time for one mutant, in seconds. Chosen, not measured.
 LIMIT_S = 500
-ALL_MUTANTS = (*mutant_table.MUTANTS, *quarantine_mutants.MUTANTS)
+ALL_MUTANTS = (
+    *mutant_table.MUTANTS,
+    *quarantine_mutants.MUTANTS,
+    *late_mutants.MUTANTS,
+)
 #: Program that plays the machines in the scratch copy.
 PLAY_PROGRAM = """
 import sys, loguru
@@ -42,7 +46,8 @@
 from features.steps import gateway_cold, gateway_directory, gateway_evacuation
 from features.steps import gateway_overflow, gateway_reborn, gateway_regions
 from features.steps import gateway_reborn_peers, gateway_rollout, gateway_rollout_orders
-from features.steps import kernel, poison_properties, suspended_hosts
+from features.steps import kernel, late_properties, poison_properties
+from features.steps import suspended_hosts
 kernel.PROPERTIES.get({name!r})()
 """
 
