A cold upstream that stands still: the test, red

The same cause in the rate of cold upstreams: requests go out at an even pace whether or not the ones before were read. The older play of cold upstreams says now that they read what they get; its bounds are as before.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -72,6 +72,7 @@
       | an upstream that was away is cold until it says otherwise  |
       | calls that only others may place are refused at once |
       | each cold upstream has one owner among equal views         |
+      | a cold upstream that stands still reads what it bears      |
       | a probed upstream has one prober with equal views          |
       | hostile bytes of gateways are refused and bounded          |
       | peer messages come out as they went in                     |
--- a/features/steps/gateway_cold.py
+++ b/features/steps/gateway_cold.py
@@ -43,9 +43,14 @@
 VIEWS_DIFFER_S = 3.0
 #: Between two tries of one gateway at one upstream.
 POLL_S = 0.02
+#: Seconds since a probe told of an upstream last.
+TOLD_AGO_S = 0.25
 #: One gateway stands still from here to there, and keeps its view until then.
 FROZEN_FROM_S = 0.5
 FROZEN_UNTIL_S = 2.0
+#: For how long an upstream is cold that stands still from here to there, and when a
+#: request is given up that got no answer.
+STILL_COLD_S, STILL_FROM_S, STILL_UNTIL_S, GIVEN_UP_AFTER_S = 12.0, 2.0, 7.0, 0.4
 
 Limits = abc.Callable[[upstream_pool.Pool, int, float], None]
 
@@ -158,6 +163,8 @@
     now = ids.later(NOW, at)
     for name, one in played.items():
         upstream = made.upstream_by_id[name]
+        # These upstreams work: a probe told of them a moment ago.
+        upstream.hearing.reported(ids.later(now, -TOLD_AGO_S))
         if upstream.may_take(now):
             upstream.sent(ids.CallId(f"{name}-{at}"), now)
             one.sent_at.append(at)
@@ -296,3 +303,29 @@
     assert rates == {0.0, ALLOWED_PER_S}
     unbounded = cold_start.rate_per_s(ids.UpstreamId("u"), None, (), hosts[0])
     assert unbounded == math.inf
+
+
+@kernel.PROPERTIES.register("a cold upstream that stands still reads what it bears")
+def stands_still() -> None:
+    member = ownership.Member(ZONE, host(0))
+    made = upstream_pool.Pool(policy(), member, random.Random(1))
+    made.set_listed(specs(3, STILL_COLD_S), NOW)
+    made.set_cold_senders((host(0),), NOW)
+    upstream = made.upstream_by_id[ids.UpstreamId("u0")]
+    arrived_at: list[float] = []
+    # What is under way, with the instant at which it is given up or answered.
+    ends: collections.deque[tuple[float, ids.CallId]] = collections.deque()
+    for step in range(int(STILL_COLD_S / POLL_S)):
+        at = step * POLL_S
+        now = ids.later(NOW, at)
+        works = not STILL_FROM_S <= at < STILL_UNTIL_S
+        while ends and ends[0][0] <= at:
+            result = upstreams.Result.ANSWERED if works else upstreams.Result.CANCELLED
+            upstream.ended(ends.popleft()[1], result, 0.11, now)
+        if upstream.may_take(now):
+            upstream.sent(ids.CallId(f"{step}"), now)
+            ends.append((at + GIVEN_UP_AFTER_S, ids.CallId(f"{step}")))
+            arrived_at.append(at if works else STILL_UNTIL_S)
+    assert arrived_at[-1] > STILL_UNTIL_S, "it gets nothing any more"
+    most = Played(sorted(arrived_at)).most_in_a_second()
+    assert most <= MOST_IN_A_SECOND, most
