What a cold upstream has not read counts against its rate

Change: a cold upstream gets no more while as many lie unread as it bears in a second (two at least), but for one in two seconds, whose answer shows that it reads on.

--- a/features/steps/gateway_cold.py
+++ b/features/steps/gateway_cold.py
@@ -205,7 +205,7 @@
         now, sent_at = NOW, [NOW]
         for pause_s in pauses:
             now = ids.later(now, pause_s)
-            if cold.may_send(now):
+            if cold.may_send(now, now):
                 cold.sent(now)
                 sent_at.append(now)
         gaps = [b - a for a, b in zip(sent_at, sent_at[1:], strict=False)]
--- a/spindlenotch/kernel/cold_start.py
+++ b/spindlenotch/kernel/cold_start.py
@@ -6,11 +6,13 @@
 among those that callers are sent to, and sends it requests at an even pace; the
 others send none. Two views of who serves give two owners for a while: even so the
 sum stays below twice the rate and a request each. No bursts: what was not used is
-lost, so that an owner that stood still does not wake with a full bucket.
+lost, so that an owner that stood still does not wake with a full bucket; and what an
+upstream has not read counts, which may stand still and then read it all at once.
 
 Owns what is known of one upstream's coldness. Relies on ``rendezvous``.
 """
 
+import collections
 import math
 from collections import abc
 
@@ -19,6 +21,12 @@
 
 #: Requests a second where nothing bounds them.
 UNLIMITED = math.inf
+#: Requests that may lie unread at a cold upstream whatever its rate: one that waits for
+#: its slot, and the next.
+LEAST_UNREAD = 2
+#: Seconds after which one that has not read as many gets another request, whose answer
+#: shows that it reads on: where it is not probed, nothing else does.
+ASKED_AGAIN_S = 2.0
 #: The owner is chosen among all processes, whatever their zone.
 ANY_ZONE = ids.ZoneName("")
 #: When a health answer told last, where none has yet.
@@ -42,6 +50,7 @@
         #: How long an upstream that was away is taken to be cold, in seconds.
         self.lasts_s = 0.0
         self._next_at = ids.Instant(-math.inf)
+        self._sent_at: collections.deque[ids.Instant] = collections.deque()
 
     def is_cold(self, now: ids.Instant) -> bool:
         """Tell whether it is cold."""
@@ -51,13 +60,25 @@
         """Tell whether this process may send it requests while it is as it is now."""
         return now >= self.until or self.rate_per_s > 0.0
 
-    def may_send(self, now: ids.Instant) -> bool:
-        """Tell whether this process may send it one more request."""
-        return now >= self.until or now >= self._next_at
+    def may_send(self, now: ids.Instant, read_until: ids.Instant) -> bool:
+        """
+        Tell whether this process may send it one more request.
+
+        ``read_until``: what was sent to it before that instant has been read.
+        """
+        if now >= self.until:
+            return True
+        if now < self._next_at:
+            return False
+        if self._unread(read_until) < self._most_unread:
+            return True
+        return now >= ids.later(self._sent_at[-1], ASKED_AGAIN_S)
 
     def sent(self, now: ids.Instant) -> None:
         """Record that a request goes out."""
         self._pause(now)
+        if self.is_cold(now):
+            self._sent_at.append(now)
 
     def limit(self, rate_per_s: float, now: ids.Instant) -> None:
         """Set what this process may send; a higher rate begins with a pause."""
@@ -84,6 +105,17 @@
         if self.told_at < since:
             self._extend(ids.later(now, self.lasts_s), now)
 
+    @property
+    def _most_unread(self) -> float:
+        """Return how many may lie unread: what it bears in a second, at least two."""
+        return max(LEAST_UNREAD, self.rate_per_s)
+
+    def _unread(self, read_until: ids.Instant) -> int:
+        """Count the requests sent while it is cold that it may not have read."""
+        while self._sent_at and self._sent_at[0] <= read_until:
+            self._sent_at.popleft()
+        return len(self._sent_at)
+
     def _extend(self, until: ids.Instant, now: ids.Instant) -> None:
         if until > self.until:
             self._become_cold(until, now)
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -288,7 +288,7 @@
 
     def may_take(self, now: ids.Instant) -> bool:
         """Tell whether it may get one more request."""
-        if not self.cold.may_send(now):
+        if not self.cold.may_send(now, self.hearing.read_until):
             return False
         if self.state is State.ACTIVE:
             return True
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -180,8 +180,11 @@
         " sends at an even pace without bursts; the others send none. A rate divided"
         " among 15 gateways is a request in 3.3 s for each, longer than upstreams are"
         " cold. Who sees no more than half of the gateways seen lately sends none, so"
-        " that of a partition one side does at most.",
+        " that of a partition one side does at most. What lies unread there counts: an"
+        " upstream that stands still reads it all at once when it goes on.",
         constants=(
+            "kernel/cold_start.LEAST_UNREAD",
+            "kernel/cold_start.ASKED_AGAIN_S",
             "gateway/cluster/fleet_size.MEMORY_S",
             "gateway/cluster/quorum.QUORUM_SHARE",
             "gateway/cluster/load_sharing.COLDNESS_TOLD_S",
@@ -193,6 +196,9 @@
             ),
             Scenario("gateway", "a rate divided among many is hardly used"),
             Scenario("gateway", "what was not used of a cold upstream's rate is lost"),
+            Scenario(
+                "gateway", "a cold upstream that stands still reads what it bears"
+            ),
             Scenario("gateway", "the latest health answer says whether one is cold"),
             Scenario(
                 "platform", "A cold worker gets no more from all gateways than it bears"
--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -115,8 +115,8 @@
     Mutant(
         "a cold upstream is sent to at any pace",
         "kernel/cold_start",
-        "return now >= self.until or now >= self._next_at",
-        "return True",
+        "if now < self._next_at:",
+        "if False:",
         held_by="cold upstreams get no more than they bear, by one owner",
     ),
     Mutant(
