--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,11 @@
     And a gateway noticed that its host was suspended
     And nothing that it started still runs
 
+  Scenario: A play with upstreams that stand still is clean
+    When upstreams stand still beside other faults
+    Then the play has no violation
+    And nothing that it started still runs
+
   Scenario: A play that is interrupted ends what it started
     When a play is interrupted while its gateways run
     Then nothing that it started still runs
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -16,6 +16,7 @@
 assert versions.version_ordered in faults.FAULTS.factory_by_name.values()
 #: Faults that came after the seed of the short play was chosen, or take longer than it.
 LATER_FAULTS = ("version-ordered", "poison-request", "gateway-suspended")
+LATER_FAULTS += ("upstreams-stand-still",)
 #: A request that ends upstreams, while hosts are suspended and gateways start again.
 POISON_STEPS = (
     "0.5 3 poison-request 11",
@@ -23,6 +24,13 @@
     "2.5 1.5 gateways-killed 3",
     "3 2 poison-request 12",
 )
+#: Upstreams that stand still while others shed, load jumps and gateways start again.
+STANDSTILL_STEPS = (
+    "0.5 5 upstreams-stand-still 3",
+    "2 3 burst 1",
+    "3 2 upstreams-treat-badly 8",
+    "4 2 gateways-killed 3",
+)
 #: How a log line of the event begins that tells of a suspension.
 HOST_SUSPENDED = '"event":109,'
 #: Longest time until a play that is interrupted has ended, in seconds.
@@ -55,6 +63,12 @@
     _play(context, settings, tuple(plans.read(step) for step in POISON_STEPS))
 
 
+@behave.when("upstreams stand still beside other faults")
+def standstill_played(context: typing.Any) -> None:
+    settings, _ = drawn(1, 6.0)
+    _play(context, settings, tuple(plans.read(step) for step in STANDSTILL_STEPS))
+
+
 def _play(
     context: typing.Any, settings: plans.Settings, steps: tuple[plans.Step, ...]
 ) -> None:
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -198,7 +198,11 @@
         self._reads.set()
 
     def stall(self) -> None:
-        """Stand still, as a process does that is stopped: what comes waits unread."""
+        """
+        Stand still, as a process does that is stopped: what comes waits unread.
+
+        One that ends meanwhile never reads it.
+        """
         self._reads.clear()
 
     def go_on(self) -> None:
@@ -214,6 +218,8 @@
         """
         if self._server is not None:
             self._server.close()
+        self._reads = asyncio.Event()
+        self._reads.set()
         self._server = await asyncio.start_server(self._serve, LOOPBACK, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{LOOPBACK}:{port}"
@@ -239,6 +245,7 @@
     def crash(self) -> None:
         """End as a process does that crashes: nothing listens, all is reset."""
         self.has_crashed = True
+        self._reads = asyncio.Event()
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -247,6 +254,7 @@
 
     async def close(self) -> None:
         """Stop listening and drop all connections."""
+        self._reads = asyncio.Event()
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
--- a/tools/soak_processes/play.py
+++ b/tools/soak_processes/play.py
@@ -22,6 +22,7 @@
     ledger as ledgers,
     plan as plans,
     poison,  # noqa: F401  (registers its fault and its check)
+    standstill,  # noqa: F401  (registers its fault)
     versions,  # noqa: F401  (registers its fault)
     world as worlds,
 )
