--- a/features/kernel.feature
+++ b/features/kernel.feature
@@ -11,6 +11,7 @@
       | extra sends stay within their share               |
       | a rate holds in every span, early uses wait       |
       | a higher class never waits behind a lower one     |
+      | what a draining upstream turned away moves beside the budget |
       | nobody unfit is chosen                            |
       | a decision follows from state, time and seed      |
       | an older document never replaces a newer one      |
--- a/features/steps/kernel.py
+++ b/features/steps/kernel.py
@@ -219,6 +219,27 @@
     check()
 
 
+@PROPERTIES.register("what a draining upstream turned away moves beside the budget")
+def moves_on() -> None:
+    # Two requests are under way to it when the first answer says that it drains; the
+    # budget begins with one retry. It stays as it was for upstreams that are full.
+    for drains, placed in ((True, 3), (False, 1)):
+        made = loaded(1, 1)
+        grants = [made.offer(call(number), NOW) for number in range(3)]
+        others = loaded(1, 4).pool.upstream_by_id.values()
+        made.pool.set_listed([upstream.spec for upstream in others], NOW)
+        if drains:
+            made.pool.leave(ids.UpstreamId("u0"), 1, "said it is draining")
+        moved = 0
+        for grant in grants:
+            assert isinstance(grant, verdicts.Grant), grant
+            made.finish(grant, upstreams.Result.SHED, None, NOW)
+            moved += made.retry(grant, NOW, known_not_run=True) is not None
+        assert moved == placed, (drains, moved)
+        # The budget is whole for others where nothing was taken from it.
+        assert (made.retries.balance >= 1.0) is drains
+
+
 @PROPERTIES.register("a higher class never waits behind a lower one")
 def ranks() -> None:
     @SETTINGS
