The reserve may be unsettled in full; what a draining upstream turned away moves beside an entry's budget

Now 0.1 of what requests earned, besides the reserve: with all of 60 gateways killed while upstreams stand still 133 beyond the share, 188 allowed (0.08: 100, 0.12: 175, 0.15: 227). In the property of a used reserve its retries are settled before they leave the window.

Cause 2: retries of what an upstream turned away because it drains took from an entry's budget, which begins with one. They come once, as many as were under way there, and have not run: an entry places them beside the budget now. A gateway still counts them, as the sum over the fleet counts every arrival.

The asking caller of the late-arrivals scenarios no longer ends where a gateway that starts has no addresses to tell.

--- a/features/steps/gateway_budget.py
+++ b/features/steps/gateway_budget.py
@@ -331,6 +331,8 @@
     while budget.spend(now):
         used += 1
     assert used == 5
+    for _ in range(used):
+        budget.settle(now)
     # However few requests come meanwhile.
     now = ids.later(now, WINDOW_S + 0.1)
     assert budget.available(now)
--- a/features/steps/late_arrivals.py
+++ b/features/steps/late_arrivals.py
@@ -34,6 +34,8 @@
 ASK_EVERY_S = 1.0
 SEED = 5
 OK = 200
+#: How a gateway fails that is killed or starts.
+UNANSWERED = (aiohttp.ClientError, OSError, TimeoutError)
 
 run = platform_context.run
 fleet_of = platform_context.fleet_of
@@ -135,7 +137,8 @@
         while True:
             for zone in platform_fleet.ZONES:
                 node = self._rng.choice(list(self.fleet.ip_by_node))
-                with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                # One that starts has no addresses to tell.
+                with contextlib.suppress(*UNANSWERED, ValueError, KeyError):
                     self._nodes = await self._resolve(node, zone)
             await asyncio.sleep(ASK_EVERY_S)
 
@@ -162,7 +165,7 @@
         node = self._rng.choice(self._nodes)
         deadline_ms = int(1000 * CALLER_WAITS_S)
         # A gateway that is killed answers nothing.
-        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+        with contextlib.suppress(*UNANSWERED):
             answer = await self.fleet.send(
                 node, f"/read/{request_id}", request_id, deadline_ms=deadline_ms
             )
--- a/features/steps/late_properties.py
+++ b/features/steps/late_properties.py
@@ -153,7 +153,9 @@
     one = decider()
     first, second = one.pool.upstream_by_id.values()
     budget = budgets.SlidingShareBudget(0.2, 4.0, 10.0)
-    followed = repeats.Repeats(extra_budgets.ExtraBudgets(budget, budget))
+    followed = repeats.Repeats(
+        extra_budgets.ExtraBudgets(budget, budget, counts_drains=True)
+    )
     call = ids.CallId("1")
     followed.begin(call, first, NOW, is_read=False)
     followed.sent(call, second, NOW)
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -42,7 +42,8 @@
     Invariants: a grant names an upstream that is listed, not leaving and not
     ejected; a call is never granted twice to the same upstream; a call that may
     have run is granted again only where it is repeatable; every further grant is
-    taken from a budget. ``split`` is None unless the service changes its version.
+    taken from a budget, but for those that ``ExtraBudgets.counts_drains`` leaves out.
+    ``split`` is None unless the service changes its version.
     """
 
     def __init__(
@@ -188,7 +189,12 @@
         allowed = retrying.is_allowed(
             self.pool, call, tries, now, known_not_run=known_not_run
         )
-        return self._repeat(grant, verdicts.Kind.RETRY, now) if allowed else None
+        if not allowed:
+            return None
+        drains = grant.upstream.state is upstreams.State.LEAVING
+        if known_not_run and drains and not self.extra.counts_drains:
+            return self._grant(call, verdicts.Kind.RETRY, now)
+        return self._repeat(grant, verdicts.Kind.RETRY, now)
 
     def next_check(self, grant: verdicts.Grant, now: ids.Instant) -> ids.Instant:
         """Return when to look again whether the answer is overdue."""
--- a/spindlenotch/kernel/budgets.py
+++ b/spindlenotch/kernel/budgets.py
@@ -22,13 +22,13 @@
 #: window. Whoever takes over another's requests earns anew what that one has just
 #: used: with this tenth, and nine tenths of what is allowed, the sum still holds.
 SAVED_SHARE_OF_WINDOW = 0.1
-#: Share of what a sliding budget allows that may be unsettled. What a process has sent
-#: before it is killed may arrive together with what its successor sends: of 0.1, 0.15,
-#: 0.2 and 0.25 tried, the largest with which the sum holds where all of 60 gateways are
-#: killed while all upstreams stand still (120 beyond the share, 188 allowed; 221 with
-#: 0.2). At full rate, where arrivals are known after 0.6 s, 2 in 100 extra requests
-#: fewer are sent (both in virtual time: properties of a fleet's retries).
-UNSETTLED_SHARE = 0.15
+#: Share of what requests have earned that may be unsettled, besides the reserve. What a
+#: process has sent before it is killed may arrive together with what its successor
+#: sends: of 0.08, 0.1, 0.12 and 0.15 tried, the sum holds up to 0.12 where all of 60
+#: gateways are killed while all upstreams stand still (beyond the share 100, 133, 175
+#: and 227, 188 allowed). At full rate, where arrivals are known after 0.6 s, 2 in 100
+#: extra requests fewer are sent (both in virtual time: a fleet's retries).
+UNSETTLED_SHARE = 0.1
 
 
 class Part(enum.Enum):
@@ -174,8 +174,8 @@
     @property
     def _most_unsettled(self) -> float:
         """Return how many extra requests may be unsettled: one at least."""
-        allowed = self.reserve + self.share * len(self.earned_at)
-        return max(1.0, UNSETTLED_SHARE * allowed)
+        earned = self.share * len(self.earned_at)
+        return max(1.0, self.reserve + UNSETTLED_SHARE * earned)
 
     @property
     def _kept(self) -> float:
--- a/spindlenotch/kernel/extra_budgets.py
+++ b/spindlenotch/kernel/extra_budgets.py
@@ -20,13 +20,20 @@
     The budgets of one service's retries and hedges.
 
     Both may be the same budget, which then earns once for each call.
+    ``counts_drains``: also requests that an upstream turned away because it drains take
+    a retry from it.
     """
 
     def __init__(
-        self, retries: budgets.ExtraBudget, hedges: budgets.ExtraBudget
+        self,
+        retries: budgets.ExtraBudget,
+        hedges: budgets.ExtraBudget,
+        *,
+        counts_drains: bool,
     ) -> None:
         self.retries = retries
         self.hedges = hedges
+        self.counts_drains = counts_drains
         shared = retries is hedges
         self._distinct = (retries,) if shared else (retries, hedges)
 
@@ -71,7 +78,11 @@
     def create(self) -> ExtraBudgets:
         """Return new budgets with their initial reserve."""
         return ExtraBudgets(
-            budgets.ShareBudget(self.retry_share), budgets.ShareBudget(self.hedge_share)
+            budgets.ShareBudget(self.retry_share),
+            budgets.ShareBudget(self.hedge_share),
+            # They come once, when an upstream begins to drain, as many as it had. From
+            # a budget that begins with one retry the second of two was refused.
+            counts_drains=False,
         )
 
     def update(self, existing: ExtraBudgets) -> None:
@@ -99,7 +110,8 @@
     def create(self) -> ExtraBudgets:
         """Return one new budget for both."""
         shared = budgets.SlidingShareBudget(self.share, self.reserve, self.window_s)
-        return ExtraBudgets(shared, shared)
+        # The sum over the fleet counts whatever arrives again.
+        return ExtraBudgets(shared, shared, counts_drains=True)
 
     def update(self, existing: ExtraBudgets) -> None:
         """Change the reserve; the share and the window need a restart."""
