A try that reached nobody: the test, red

A request is lost with its upstream, its retry finds another one that has just ended and is still listed, and the caller gets 502, as the retry has used up the route's tries. The property: 1 such try is made, 2 at least are asked.

--- a/features/kernel.feature
+++ b/features/kernel.feature
@@ -12,6 +12,7 @@
       | a rate holds in every span, early uses wait       |
       | a higher class never waits behind a lower one     |
       | what a draining upstream turned away moves beside the budget |
+      | a try that reached nobody leaves a call its tries |
       | nobody unfit is chosen                            |
       | a decision follows from state, time and seed      |
       | an older document never replaces a newer one      |
--- a/features/steps/kernel.py
+++ b/features/steps/kernel.py
@@ -6,6 +6,7 @@
 
 import behave
 import hypothesis
+import msgspec
 from hypothesis import strategies
 
 from spindlenotch import ids, registry, selection
@@ -243,6 +244,36 @@
         assert (made.retries.balance >= 1.0) is (placed == len(grants))
 
 
+@PROPERTIES.register("a try that reached nobody leaves a call its tries")
+def reached_nobody() -> None:
+    # The first try is lost with its upstream; then others turn out to have ended.
+    window = extra_budgets.SharedWindow(share=0.05, reserve=20, window_s=10.0)
+    made = loaded(1, 12, extra=window)
+    grant = made.offer(msgspec.structs.replace(call(0), most_tries=2), NOW)
+    assert isinstance(grant, verdicts.Grant), grant
+    made.finish(grant, upstreams.Result.FAILED, None, NOW)
+    tried = {grant.upstream.spec.id}
+    again = made.retry(grant, NOW)
+    unreached = 0
+    while again is not None:
+        assert again.upstream.spec.id not in tried
+        tried.add(again.upstream.spec.id)
+        made.finish(again, upstreams.Result.CONNECT_FAILED, None, NOW)
+        unreached += 1
+        again = made.retry(again, NOW, known_not_run=True)
+    # Not for ever: each costs a moment, up to that of a connection.
+    assert 2 <= unreached <= 5, unreached
+    # One that was reached counts, whatever became of it.
+    made = loaded(2, 12, extra=window)
+    grant = made.offer(msgspec.structs.replace(call(1), most_tries=2), NOW)
+    assert isinstance(grant, verdicts.Grant), grant
+    made.finish(grant, upstreams.Result.FAILED, None, NOW)
+    again = made.retry(grant, NOW)
+    assert again is not None
+    made.finish(again, upstreams.Result.FAILED, None, NOW)
+    assert made.retry(again, NOW) is None
+
+
 @PROPERTIES.register("a higher class never waits behind a lower one")
 def ranks() -> None:
     @SETTINGS
