A try that reached nobody leaves a call its tries

Cause: every grant counted as one of the route's tries, also one whose connection was refused. Beside upstreams that end, the retry of a lost request often finds one that has just ended, and the caller got 502 though a third upstream stood ready. Change: up to three tries that reached nobody do not count; each upstream still gets a call once, and each such retry is taken from the budget.

--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -63,6 +63,7 @@
         self.hedges = self.extra.hedges
         self.repeats = repeats.Repeats(self.extra)
         self.tried_by_call: dict[ids.CallId, set[ids.UpstreamId]] = {}
+        self._unreached_by_call: collections.Counter[ids.CallId] = collections.Counter()
         self.decisions: collections.deque[verdicts.Decision] = collections.deque(
             maxlen=DECISIONS_KEPT
         )
@@ -115,6 +116,8 @@
         upstream.ended(grant.call.id, result, expected_s, now)
         if result is not upstreams.Result.CANCELLED:
             self.repeats.ended(grant.call.id, upstream, now)
+        if result is upstreams.Result.CONNECT_FAILED:
+            self._unreached_by_call[grant.call.id] += 1
         if self.split is not None:
             self.split.ended(grant, result, expected_s, now)
         if answered:
@@ -142,6 +145,7 @@
     def forget(self, call_id: ids.CallId) -> None:
         """Drop what was kept to place further tries of a call."""
         self.tried_by_call.pop(call_id, None)
+        self._unreached_by_call.pop(call_id, None)
         self.repeats.forget(call_id)
 
     def settle(self, now: ids.Instant) -> list[verdicts.Settlement]:
@@ -185,7 +189,10 @@
         said that this try has not run and never will.
         """
         call = grant.call
-        tries = len(self.tried_by_call.get(call.id, ()))
+        tries = retrying.Tries(
+            sent=len(self.tried_by_call.get(call.id, ())),
+            unreached=self._unreached_by_call[call.id],
+        )
         allowed = retrying.is_allowed(
             self.pool, call, tries, now, known_not_run=known_not_run
         )
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -258,12 +258,22 @@
             "forwarding/race.Race._retry",
         ),
         inputs="whether the failed try is known not to have run, whether the request"
-        " may run twice, tries so far, deadline, share of failed calls, budget.",
+        " may run twice, tries so far and how many of them reached nobody, deadline,"
+        " share of failed calls, budget.",
         reason="A request that may not be repeated is sent again only if it is known"
-        " not to have run. While much of the service fails, repeats only add load.",
-        constants=("decisions/overload.FAILED_SHARE",),
+        " not to have run. While much of the service fails, repeats only add load. A"
+        " try that reached nobody does not use up the route's tries; what a draining"
+        " upstream turned away takes nothing from an entry's budget.",
+        constants=(
+            "decisions/overload.FAILED_SHARE",
+            "decisions/retrying.MOST_UNREACHED",
+        ),
         events=("REQUEST_SENT_AGAIN",),
         tests=(
+            Scenario("kernel", "a try that reached nobody leaves a call its tries"),
+            Scenario(
+                "kernel", "what a draining upstream turned away moves beside the budget"
+            ),
             Scenario("gateway", "only what is known not to have run is sent again"),
             Scenario("gateway", "no call is sent to more upstreams than it may be"),
         ),
