--- a/features/poison_requests.feature
+++ b/features/poison_requests.feature
@@ -46,6 +46,12 @@
     When it is sent to all gateways again and again
     Then few workers get it once it has ended three and gateways had time to know
 
+  Scenario: Workers that end without a reset of their connections
+    Given a request that ends each worker that runs it
+    And crashes that leave connections silent for good
+    When it is sent to all gateways again and again
+    Then few workers get it once it has ended three and gateways had time to know
+
   Scenario: Two requests that end workers at the same time
     Given a request that ends each worker that runs it
     And another one that does
--- a/features/steps/poison_requests.py
+++ b/features/steps/poison_requests.py
@@ -44,6 +44,8 @@
 AT_ONCE_S = 0.1
 LAST = 20
 OK, NOT_RUN = 200, 503
+#: In place of a status where there was no answer in time.
+UNANSWERED = 0
 
 run = platform_context.run
 fleet_of = platform_context.fleet_of
@@ -88,6 +90,7 @@
         self.stream_by_name: dict[str, Stream] = {}
         #: The requests that do harm, or did.
         self.poisons: list[Poison] = []
+        self.crashes_silently = False
         self._count = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -96,6 +99,7 @@
         self._count += 1
         worker = await self.fleet.add_worker(f"i-{self._count}", zone=zone)
         worker.work_s = WORK_S
+        worker.crashes_silently = self.crashes_silently
         worker.on_crash = lambda: self._crashed(worker.id, zone)
         return worker
 
@@ -131,14 +135,18 @@
 
     async def _one(self, stream: Stream, node: str, number: int) -> None:
         sent_at = time.monotonic()
-        answer = await self.fleet.send(
-            node,
-            f"{stream.target}/{number}" if stream.differ else stream.target,
-            f"{stream.name}-{sent_at:.3f}-{number}",
-            stream.method,
-            stream.body,
-            DEADLINE_MS,
-        )
+        try:
+            answer = await self.fleet.send(
+                node,
+                f"{stream.target}/{number}" if stream.differ else stream.target,
+                f"{stream.name}-{sent_at:.3f}-{number}",
+                stream.method,
+                stream.body,
+                DEADLINE_MS,
+            )
+        except TimeoutError:
+            # The gateway's own answer comes at that very moment.
+            answer = platform_fleet.Answer(UNANSWERED, {}, b"")
         took_s = time.monotonic() - sent_at
         retry_after = answer.headers.get("Retry-After")
         stream.sent.append(Sent(sent_at, took_s, answer.status, retry_after))
@@ -195,6 +203,14 @@
     fleet_of(context).poisons.add(DEADLY)
 
 
+@behave.given("crashes that leave connections silent for good")
+def silent_crashes(context: typing.Any) -> None:
+    play = play_of(context)
+    play.crashes_silently = True
+    for worker in play.fleet.worker_by_id.values():
+        worker.crashes_silently = True
+
+
 @behave.given("a request that may not be repeated and ends each worker that runs it")
 def deadly_booking(context: typing.Any) -> None:
     fleet_of(context).poisons.add(DEADLY_BOOKING)
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -174,6 +174,8 @@
         #: Called when the worker has crashed under a request.
         self.on_crash: typing.Callable[[], None] = lambda: None
         self.has_crashed = False
+        #: Whether a crash under a request leaves its connections silent for good.
+        self.crashes_silently = False
         #: When it crashed under a request, and that request's target.
         self.crashes: list[tuple[float, str]] = []
         self.slots = 4
@@ -248,8 +250,9 @@
         self._reads = asyncio.Event()
         if self._server is not None:
             self._server.close()
-        for writer in list(self._writers):
-            reset(writer)
+        if not self.crashes_silently:
+            for writer in list(self._writers):
+                reset(writer)
         self.on_crash()
 
     async def close(self) -> None:
@@ -338,6 +341,9 @@
         if Poison(run.target, run.body) in self.poisons:
             self.crashes.append((time.monotonic(), run.target))
             self.crash()
+            if self.crashes_silently:
+                # Never set: the connection stays as it is.
+                await self._reads.wait()
             return False
         return self._reply(writer, run)
 
