--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -207,6 +207,18 @@
         """
         self._reads.clear()
 
+    async def _until_it_reads(self) -> None:
+        """Wait while it stands still; raise where it has ended meanwhile."""
+        reads = self._reads
+        await reads.wait()
+        if reads is not self._reads:
+            raise ConnectionResetError
+
+    def _end_standstill(self) -> None:
+        """Let what waits know that it has ended."""
+        reads, self._reads = self._reads, asyncio.Event()
+        reads.set()
+
     def go_on(self) -> None:
         """Read what came meanwhile, also on connections that are closed by now."""
         self._reads.set()
@@ -247,7 +259,7 @@
     def crash(self) -> None:
         """End as a process does that crashes: nothing listens, all is reset."""
         self.has_crashed = True
-        self._reads = asyncio.Event()
+        self._end_standstill()
         if self._server is not None:
             self._server.close()
         if not self.crashes_silently:
@@ -257,7 +269,7 @@
 
     async def close(self) -> None:
         """Stop listening and drop all connections."""
-        self._reads = asyncio.Event()
+        self._end_standstill()
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
@@ -282,7 +294,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         data = await reader.readuntil(b"\r\n\r\n")
-        await self._reads.wait()
+        await self._until_it_reads()
         head = _parse(data)
         if head.target.startswith("/health"):
             self.probed_at.append(head.at)
@@ -361,7 +373,7 @@
             return False
         closed.cancel()
         await asyncio.gather(closed, return_exceptions=True)
-        await self._reads.wait()
+        await self._until_it_reads()
         return True
 
     def _reply(self, writer: asyncio.StreamWriter, run: Run) -> bool:
