--- a/features/steps/late_properties.py
+++ b/features/steps/late_properties.py
@@ -166,6 +166,7 @@
     followed.forget(call)
     followed.look(ids.later(NOW, 30.0))
     assert budget.unsettled == 1
+    assert budget.available(ids.later(NOW, 30.0))
     assert budget.balance == 3.0
     first.reported(REPORT, ids.later(NOW, 30.0))
     followed.look(ids.later(NOW, 30.0))
--- a/tools/late_mutants.py
+++ b/tools/late_mutants.py
@@ -1,5 +1,5 @@
 """
-The mutants of what arrives late: unread copies, silence, probes that tell again.
+The mutants of what arrives late, or nowhere: unread copies, silence, lost tries.
 
 Part of the table of ``mutant_table``; ``tools/mutants.py`` tries them.
 """
@@ -12,7 +12,7 @@
         "kernel/budgets",
         "return len(self.settled_at) + self.unsettled",
         "return len(self.settled_at)",
-        "a fleet's retries keep to it where they arrive late",
+        "a repeat has arrived when all copies but one were read",
     ),
     mutant_table.Mutant(
         "any part of the budget may be unsettled",
@@ -56,4 +56,18 @@
         "True",
         "a cold upstream that stands still reads what it bears",
     ),
+    mutant_table.Mutant(
+        "a try that reached nobody uses up one of a call's tries",
+        "decisions/retrying",
+        "self.sent - min(self.unreached, MOST_UNREACHED)",
+        "self.sent",
+        "a try that reached nobody leaves a call its tries",
+    ),
+    mutant_table.Mutant(
+        "what a draining upstream turned away takes from an entry's budget",
+        "decisions/balancer",
+        "if known_not_run and drains and not self.extra.counts_drains:",
+        "if False:",
+        "what a draining upstream turned away moves beside the budget",
+    ),
 )
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -48,6 +48,8 @@
 from features.steps import gateway_reborn_peers, gateway_rollout, gateway_rollout_orders
 from features.steps import kernel, late_properties, poison_properties
 from features.steps import suspended_hosts
+from spindlenotch.entry import plugins
+plugins.load()
 kernel.PROPERTIES.get({name!r})()
 """
 
