What silence costs an upstream is not reckoned where it owes nothing

Cause: the early return for idle upstreams went with the silence that adds up, and each placement reckoned it for up to 40 upstreams. Change: it returns at once again unless tries were broken off there.

--- a/spindlenotch/kernel/hearing.py
+++ b/spindlenotch/kernel/hearing.py
@@ -104,6 +104,11 @@
         """Return for how many seconds it has owed an answer without giving any."""
         return self._owed(now) + (self._waited_s(now) if is_busy else 0.0)
 
+    @property
+    def owes(self) -> bool:
+        """Tell whether tries were broken off since anything was heard."""
+        return self._owed_s > 0.0
+
     def was_probed(self) -> bool:
         """Tell whether reports of it came regularly until it owed an answer."""
         return self.told_at >= self._owing_since - REPORTED_WITHIN_S
