What was read late is kept in one row for each upstream; steps that play two things share one way

Found on reading the change again: a process that never asks what was read late, as the entry daemon does, kept a figure for each such copy for good. Two steps repeated the same five lines.

--- a/features/steps/late_arrivals.py
+++ b/features/steps/late_arrivals.py
@@ -221,6 +221,11 @@
     play_of(context).rate = rate
 
 
+async def beside(*troubles: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
+    """Let several things happen at the same time."""
+    await asyncio.gather(*troubles)
+
+
 @behave.when("half of the workers stand still for {seconds:g} s")
 def half_stands_still(context: typing.Any, seconds: float) -> None:
     play = play_of(context)
@@ -252,10 +257,7 @@
         await asyncio.sleep(JUMP_PART * seconds)
         play.rate = before
 
-    async def both() -> None:
-        await asyncio.gather(play.stand_still(half, seconds), jump())
-
-    run(context, play.play(both()))
+    run(context, play.play(beside(play.stand_still(half, seconds), jump())))
 
 
 @behave.when(
@@ -269,10 +271,7 @@
         await asyncio.sleep(KILL_PART * seconds)
         await play.kill_all()
 
-    async def both() -> None:
-        await asyncio.gather(play.stand_still(half, seconds), kill())
-
-    run(context, play.play(both()))
+    run(context, play.play(beside(play.stand_still(half, seconds), kill())))
 
 
 @behave.then("in no window more arrived again than may be")
--- a/spindlenotch/kernel/repeats.py
+++ b/spindlenotch/kernel/repeats.py
@@ -7,8 +7,6 @@
 then it may arrive at any time. Pure; relies on ``upstreams`` for what has been read.
 """
 
-import collections
-
 import msgspec
 
 from spindlenotch import ids
@@ -62,9 +60,7 @@
         self.extra = extra
         self._request_by_call: dict[ids.CallId, _Request] = {}
         self._unread: list[_Copy] = []
-        self._ages_by_upstream: dict[ids.UpstreamId, list[float]] = (
-            collections.defaultdict(list)
-        )
+        self._late_by_upstream: dict[ids.UpstreamId, LateRead] = {}
 
     def begin(
         self,
@@ -116,21 +112,24 @@
             if is_read or now - copy.sent_at > MOST_UNREAD_S:
                 self._settle(copy, now)
                 if is_read and now - copy.sent_at > LATE_S:
-                    ages_s = self._ages_by_upstream[copy.upstream.spec.id]
-                    ages_s.append(now - copy.sent_at)
+                    self._note_late(copy.upstream.spec.id, now - copy.sent_at)
             else:
                 still_unread.append(copy)
         self._unread = still_unread
 
     def take_late(self) -> list[LateRead]:
         """Return which upstreams have read copies late since this was asked last."""
-        late = [
-            LateRead(upstream, len(ages_s), max(ages_s))
-            for upstream, ages_s in self._ages_by_upstream.items()
-        ]
-        self._ages_by_upstream.clear()
+        late = list(self._late_by_upstream.values())
+        self._late_by_upstream.clear()
         return late
 
+    def _note_late(self, upstream: ids.UpstreamId, after_s: float) -> None:
+        """Add to what is told; kept in one row each, as nobody may ever ask."""
+        before = self._late_by_upstream.get(upstream, LateRead(upstream, 0, 0.0))
+        self._late_by_upstream[upstream] = LateRead(
+            upstream, before.count + 1, max(before.after_s, after_s)
+        )
+
     def _settle(self, copy: _Copy, now: ids.Instant) -> None:
         request = copy.request
         before = request.pending
