--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -155,7 +155,9 @@
     ``born`` is the Unix time of its start in ms, None where it tells none;
     ``probed_at`` has the times of health checks. At ``most_at_once`` requests it
     turns further ones away. ``fault_by_version`` and ``poisons`` are shared by the
-    workers of a fleet.
+    workers of a fleet. ``names_limit`` is the text of the limit that its answers name,
+    None where they name none; ``is_leaving`` says whether they tell that it leaves.
+    While ``asks_rest`` is a text, it turns requests away and asks for so much rest.
     """
 
     def __init__(
@@ -180,6 +182,11 @@
         self.crashes: list[tuple[float, str]] = []
         self.slots = 4
         self.most_at_once = 1000
+        self.names_limit: str | None = None
+        self.is_leaving = False
+        self.asks_rest: str | None = None
+        #: Ids of the requests that it turned away asking for rest, with the instant.
+        self.rests: list[tuple[float, str]] = []
         self.accepted = 0
         self.born: int | None = None
         self.probed_at: list[float] = []
@@ -298,7 +305,8 @@
         head = _parse(data)
         if head.target.startswith("/health"):
             self.probed_at.append(head.at)
-            writer.write(self._head("200 OK", "", 0, extra=self._cold_header()))
+            status = "503 Service Unavailable" if self.is_leaving else "200 OK"
+            writer.write(self._head(status, "", 0, extra=self._cold_header()))
             return True
         self.coldness.arrives()
         if self.coldness.has_fallen:
@@ -337,6 +345,15 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, run: Run
     ) -> bool:
         request_id = run.request_id
+        if self.asks_rest is not None:
+            self.rests.append((time.monotonic(), request_id))
+            asked = (
+                f"X-Spindlenotch-Not-Executed: 1\r\nRetry-After: {self.asks_rest}\r\n"
+            )
+            writer.write(
+                self._head("503 Service Unavailable", request_id, 0, extra=asked)
+            )
+            return True
         if run.mode is Mode.SHED or self.running >= self.most_at_once:
             not_run = "X-Spindlenotch-Not-Executed: 1\r\n"
             writer.write(
@@ -417,6 +434,12 @@
         left_ms = self.coldness.left_ms()
         return f"X-Spindlenotch-Cold-Ms: {left_ms}\r\n" if left_ms else ""
 
+    def _demands(self) -> str:
+        """Return the headers by which it asks for less, or for nothing more."""
+        limit = "" if self.names_limit is None else self.names_limit
+        named = f"Server-Limit: {limit}\r\n" if limit else ""
+        return named + ("Server-Leaving: 1\r\n" if self.is_leaving else "")
+
     def _answer(self, request_id: str, body: bytes) -> bytes:
         return self._head("200 OK", request_id, len(body)) + body
 
@@ -426,7 +449,7 @@
         framing = "" if length is None else f"Content-Length: {length}\r\n"
         echo = f"X-Spindlenotch-Request-Id: {request_id}\r\n" if request_id else ""
         return (
-            f"HTTP/1.1 {status}\r\n{framing}{echo}{extra}"
+            f"HTTP/1.1 {status}\r\n{framing}{echo}{extra}{self._demands()}"
             f"X-Spindlenotch-Server-Stamp: {STAMP}\r\n"
             f"X-Spindlenotch-Instance-Id: {self.id}\r\n"
             f"X-Spindlenotch-Server-Load: {self.running},0,8,100\r\n\r\n"
