The logs tell which upstreams name a limit and what each gateway sends there (E409 to E411, E613)

Nothing read an upstream's Server-Limit, and no line told what went to one. E613 sums up, for each gateway and 4 s, what it sent to an upstream that names a limit: the lines of all gateways add up to what the upstream got. Nothing is decided by it yet.

--- a/features/support/fake_upstreams.py
+++ b/features/support/fake_upstreams.py
@@ -12,7 +12,7 @@
 
 from features.support import fake_network, virtual_world
 from spindlenotch import headers, ids, ports
-from spindlenotch.kernel import upstreams
+from spindlenotch.kernel import backpressure, upstreams
 
 #: Longest time of a request's work, as a multiple of ``service_s``.
 WORK_SPREAD = 2
@@ -104,6 +104,7 @@
         self.not_run = fields.get(headers.OUTCOME) == "not-run" and status == 503
         self.draining = fields.get(headers.STATE) == "draining"
         self.retry_after_s: float | None = None
+        self.signals = backpressure.Signals()
         self.report: upstreams.LoadReport | None = upstreams.LoadReport(1, 0)
         self._pieces: list[bytes | ports.UpstreamFault] = [body] if body else []
         if breaks:
--- a/features/support/served_gateway.py
+++ b/features/support/served_gateway.py
@@ -19,7 +19,7 @@
 from spindlenotch.gateway import dialect, gateway
 from spindlenotch.gateway.serving import answering, ingress, job_factory
 from spindlenotch.gateway.source import routing, sources
-from spindlenotch.kernel import upstreams
+from spindlenotch.kernel import backpressure, upstreams
 
 #: Bytes of an answer that is too long to be read whole.
 LONG_ANSWER_BYTES = 200_000
@@ -63,6 +63,7 @@
         self.not_run = False
         self.draining = False
         self.retry_after_s: float | None = None
+        self.signals = backpressure.Signals()
         self.report: upstreams.LoadReport | None = None
         self._pieces = list(pieces)
         self._hangs = hangs
--- a/spindlenotch/drivers/upstream_dialect.py
+++ b/spindlenotch/drivers/upstream_dialect.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from spindlenotch import headers
-from spindlenotch.kernel import upstreams
+from spindlenotch.kernel import backpressure, upstreams
 
 #: Header values by name; looked up without regard to case.
 Fields = abc.Mapping[str, str]
@@ -33,7 +33,8 @@
     the headers of an answer and returns None where they hold no load that can
     be read. ``read_cold_s`` gets those of a health answer and returns for how many
     seconds more the upstream is cold, None where it does not say. The others get its
-    status and headers: ``is_genuine`` tells
+    status and headers: ``read_signals`` returns what the answer says of how much the
+    upstream will take, ``is_genuine`` tells
     whether an upstream made the answer, ``is_not_run`` whether it says that
     the request has not run and never will, ``is_draining`` whether the
     upstream that was meant gets no more work.
@@ -43,6 +44,7 @@
     probe_path: str
     read_load: abc.Callable[[Fields], upstreams.LoadReport | None]
     read_cold_s: abc.Callable[[Fields], float | None]
+    read_signals: abc.Callable[[int, Fields], backpressure.Signals]
     is_genuine: abc.Callable[[int, Fields], bool]
     is_not_run: abc.Callable[[int, Fields], bool]
     is_draining: abc.Callable[[int, Fields], bool]
@@ -81,6 +83,7 @@
     probe_path=PROBE_PATH,
     read_load=lambda fields: read_load(fields.get(headers.LOAD)),
     read_cold_s=lambda fields: None,
+    read_signals=lambda status, fields: backpressure.Signals(),
     is_genuine=_is_genuine,
     is_not_run=_is_not_run,
     is_draining=_is_draining,
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -80,6 +80,7 @@
         self.draining = dialect.is_draining(response.status, fields)
         self.retry_after_s = _seconds(fields.get("Retry-After"))
         self.report = dialect.read_load(fields)
+        self.signals = dialect.read_signals(response.status, fields)
 
     async def chunk(self) -> bytes | ports.UpstreamFault:
         """Return the next piece of the body; empty at its true end."""
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -216,6 +216,21 @@
         "an upstream has started again under its id; nothing known of it counts on",
         "none; if it repeats, look at the upstream's host",
     )
+    UPSTREAM_LIMITED = CatalogueRow(
+        409,
+        "WARNING",
+        "an upstream names the requests a second that it takes from all processes",
+        "find out what it lacks; add the lines E613 of all processes for what it gets",
+    )
+    UPSTREAM_LIMIT_ENDED = CatalogueRow(
+        410, "INFO", "an upstream names no limit any more", "none"
+    )
+    SIGNAL_UNREADABLE = CatalogueRow(
+        411,
+        "WARNING",
+        "a header of an upstream's answers means nothing and is ignored",
+        "mend the upstream; the line is written once for each upstream and header",
+    )
     ID_TABLE_FULL = CatalogueRow(
         501,
         "WARNING",
@@ -284,6 +299,12 @@
         "an upstream reads on: copies of requests that were sent long ago arrived now",
         "find out why it stood still",
     )
+    SENT_TO_LIMITED = CatalogueRow(
+        613,
+        "INFO",
+        "requests that this process sent to an upstream that names a limit",
+        "add the lines of all processes to compare them with the limit",
+    )
 
 
 def emit(event: Event, **fields: object) -> None:
--- a/spindlenotch/forwarding/race.py
+++ b/spindlenotch/forwarding/race.py
@@ -19,6 +19,7 @@
     jobs,
     judgement,
     sending,
+    signal_events,
     trials,
 )
 from spindlenotch.kernel import outcomes, upstreams
@@ -142,6 +143,7 @@
         if answer.draining:
             self._note_drain(grant)
         end = judgement.end_of_answer(answer)
+        self._take_signals(grant, answer, end)
         if end is judgement.SHED:
             await self._end_shed(grant, answer)
             return None
@@ -237,6 +239,22 @@
         if left_now and self.on_drain_notice is not None:
             self.on_drain_notice()
 
+    def _take_signals(
+        self,
+        grant: verdicts.Grant,
+        answer: ports.UpstreamAnswer,
+        end: judgement.TryEnd,
+    ) -> None:
+        """Take in what an answer says of how much its upstream will take."""
+        news = grant.upstream.backpressure.take(
+            answer.signals,
+            sent_at=grant.sent_at,
+            is_whole=end is judgement.GOOD_ANSWER,
+            now=self.state.clock.now(),
+        )
+        service = self.job.balancer.service.name
+        signal_events.report(service, grant.upstream.spec.id, news)
+
     def _record_foreign(self, grant: verdicts.Grant) -> None:
         service = self.job.balancer.service.name
         self.state.metrics.foreign_answers.labels(service).inc()
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -14,6 +14,7 @@
 from spindlenotch.gateway import (
     dialect,
     lifecycle,
+    limit_report,
     repeat_report,
     settings,
     side_ports,
@@ -75,6 +76,7 @@
         self.cold_senders = cold_senders.ColdSenders(gateway_state, self.fleet)
         self.region_loads = region_loads.RegionLoads(gateway_state)
         self.repeat_report = repeat_report.RepeatReport(gateway_state.metrics)
+        self.limit_report = limit_report.LimitReport()
         self.side_ports = side_ports.SidePorts(
             gateway_state, self.fleet, gateway_dialect
         )
@@ -171,9 +173,9 @@
                 self.relay.publish_expiry()
             self.cold_senders.update()
             self.region_loads.update()
-            self.repeat_report.update(
-                self.state.balancer_by_service.values(), self.state.clock.now()
-            )
+            services = self.state.balancer_by_service.values()
+            self.repeat_report.update(services, self.state.clock.now())
+            self.limit_report.update(services, self.state.clock.now())
             await self.state.wakeups.sleep(TICK_S)
 
     def _note_suspension(self) -> None:
--- /dev/null
+++ b/spindlenotch/gateway/limit_report.py
@@ -0,0 +1,70 @@
+"""
+Tells what this gateway sends to upstreams that name a limit.
+
+One line for each such upstream and window, so that the lines of all gateways add up
+to what the upstream got. Holds what was told last.
+"""
+
+from collections import abc
+
+import msgspec
+
+from spindlenotch import events, ids
+from spindlenotch.decisions import balancer
+from spindlenotch.forwarding import signal_events
+from spindlenotch.kernel import upstreams
+
+#: Seconds that a line sums up: those in which upstreams are judged to get too much.
+WINDOW_S = 4.0
+
+
+class _Told(msgspec.Struct):
+    """How many requests were told of, and when the next line is due."""
+
+    sent: int
+    window_until: ids.Instant
+
+
+class LimitReport:
+    """Reports on the upstreams of one process that name a limit."""
+
+    def __init__(self) -> None:
+        self._told_by_id: dict[ids.UpstreamId, _Told] = {}
+
+    def update(
+        self, services: abc.Iterable[balancer.Balancer], now: ids.Instant
+    ) -> None:
+        """Tell what is due."""
+        limited: set[ids.UpstreamId] = set()
+        for service in services:
+            for upstream in service.pool.usable_order:
+                if upstream.backpressure.limit_per_s is not None:
+                    limited.add(upstream.spec.id)
+                    self._tell(service.service.name, upstream, now)
+        for upstream_id in self._told_by_id.keys() - limited:
+            del self._told_by_id[upstream_id]
+
+    def _tell(
+        self, service: ids.ServiceName, upstream: upstreams.Upstream, now: ids.Instant
+    ) -> None:
+        pressure = upstream.backpressure
+        told = self._told_by_id.get(upstream.spec.id)
+        if told is None:
+            until = ids.later(now, WINDOW_S)
+            self._told_by_id[upstream.spec.id] = _Told(pressure.sent, until)
+            return
+        if now < told.window_until:
+            return
+        if pressure.sent > told.sent:
+            events.emit(
+                events.Event.SENT_TO_LIMITED,
+                service=service,
+                upstream=upstream.spec.id,
+                count=pressure.sent - told.sent,
+                limit_per_s=round(
+                    pressure.limit_per_s or 0.0, signal_events.RATE_DIGITS
+                ),
+                window_s=WINDOW_S,
+            )
+        told.sent = pressure.sent
+        told.window_until = ids.later(now, WINDOW_S)
--- /dev/null
+++ b/spindlenotch/kernel/backpressure.py
@@ -0,0 +1,120 @@
+"""
+What an upstream says with its answers of how much it will take.
+
+``Signals`` is what one answer says, decoded by the protocol's dialect;
+``Backpressure`` is what one process holds of one upstream by its answers. Pure: every
+method takes the instant.
+"""
+
+import enum
+import math
+
+import msgspec
+
+from spindlenotch import ids
+
+#: Seconds between two lines of the log on a limit that moves: its window.
+LOG_PERIOD_S = 4.0
+#: When anything was told that was never told.
+NEVER_TOLD = ids.Instant(-math.inf)
+
+
+class Unreadable(msgspec.Struct, frozen=True):
+    """A header by its name, and the beginning of its value, which means nothing."""
+
+    name: str
+    value: str
+
+
+class Signals(msgspec.Struct, frozen=True):
+    """
+    What one answer says.
+
+    ``limit_per_s``: the requests a second that the upstream takes from all processes
+    together, None where it names none.
+    """
+
+    limit_per_s: float | None = None
+    unreadable: tuple[Unreadable, ...] = ()
+
+
+class Change(enum.Enum):
+    """What has changed by an answer."""
+
+    LIMITED = "limited"
+    LIMIT_ENDED = "limit ended"
+    UNREADABLE = "unreadable"
+
+
+class News(msgspec.Struct, frozen=True):
+    """A change that the log tells; ``limit_per_s`` and ``unreadable`` where it is."""
+
+    change: Change
+    limit_per_s: float = 0.0
+    unreadable: Unreadable | None = None
+
+
+class Backpressure:
+    """
+    What one upstream has said to one process of how much it will take.
+
+    ``limit_per_s`` is None while it names none; ``sent`` counts the requests that
+    were sent while it named one.
+    """
+
+    def __init__(self) -> None:
+        self.limit_per_s: float | None = None
+        self.limit_told_at = NEVER_TOLD
+        self.sent = 0
+        self._limit_logged_at = NEVER_TOLD
+        self._unreadable_names: set[str] = set()
+
+    def request_sent(self) -> None:
+        """Count a request that goes out."""
+        if self.limit_per_s is not None:
+            self.sent += 1
+
+    def take(
+        self,
+        signals: Signals,
+        *,
+        sent_at: ids.Instant,
+        is_whole: bool,
+        now: ids.Instant,
+    ) -> list[News]:
+        """
+        Take in what an answer says; return what the log is to tell of it.
+
+        ``sent_at`` is when its request was sent. Only an answer that ``is_whole``, to
+        a request that was run, says by its silence that there is no limit: refusals
+        may leave it out.
+        """
+        news = self._unreadable_news(signals.unreadable)
+        before = self.limit_per_s
+        if signals.limit_per_s is not None:
+            self.limit_told(signals.limit_per_s, now)
+        elif is_whole and not signals.unreadable and sent_at > self.limit_told_at:
+            self.limit_told(None, now)
+        return news + self._limit_news(before, now)
+
+    def limit_told(self, limit_per_s: float | None, at: ids.Instant) -> None:
+        """Take in a limit that was told at ``at``, unless a later one was."""
+        if at > self.limit_told_at:
+            self.limit_per_s = limit_per_s
+            self.limit_told_at = at
+
+    def _limit_news(self, before: float | None, now: ids.Instant) -> list[News]:
+        limit_per_s = self.limit_per_s
+        if limit_per_s is None:
+            self._limit_logged_at = NEVER_TOLD
+            return [] if before is None else [News(Change.LIMIT_ENDED)]
+        if limit_per_s == before or now - self._limit_logged_at < LOG_PERIOD_S:
+            return []
+        self._limit_logged_at = now
+        return [News(Change.LIMITED, limit_per_s)]
+
+    def _unreadable_news(self, unreadable: tuple[Unreadable, ...]) -> list[News]:
+        """Return what is told once of each header, however often it is sent."""
+        new = [one for one in unreadable if one.name not in self._unreadable_names]
+        self._unreadable_names.update(one.name for one in new)
+        return [News(Change.UNREADABLE, unreadable=one) for one in new]
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -15,7 +15,14 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.kernel import cold_start, ejection, failure_share, hearing, latency
+from spindlenotch.kernel import (
+    backpressure,
+    cold_start,
+    ejection,
+    failure_share,
+    hearing,
+    latency,
+)
 
 #: Weight of the newest sample in an upstream's latency ratio. Chosen, not
 #: measured.
@@ -127,6 +134,7 @@
         self.spec = spec
         self.known_since = now
         self.cold = cold_start.ColdStart(spec.warming_up_until)
+        self.backpressure = backpressure.Backpressure()
         self.on_change = on_change
         self.slots = slots
         self.crowding_sample = zlib.crc32(spec.id.encode()) % 2 == 0
@@ -161,6 +169,7 @@
         self.hearing.sent(now, is_first=not self.sent_at_by_call)
         self.sent_at_by_call[call] = now
         self.cold.sent(now)
+        self.backpressure.request_sent()
 
     def ended(
         self, call: ids.CallId, result: Result, typical_s: float, now: ids.Instant
--- a/spindlenotch/ports.py
+++ b/spindlenotch/ports.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from spindlenotch import ids, registry
-from spindlenotch.kernel import upstreams
+from spindlenotch.kernel import backpressure, upstreams
 
 
 class StoreFault(enum.Enum):
@@ -154,7 +154,8 @@
     ``length`` is the body's in bytes, None where the head does not tell it.
     ``not_run`` says that the request has not run and never will, ``draining``
     that the upstream gets no more work. ``retry_after_s`` and ``report``, the
-    upstream's load, are None where they are absent or can't be read.
+    upstream's load, are None where they are absent or can't be read. ``signals`` is
+    what it says of how much it will take.
     """
 
     status: int
@@ -164,6 +165,7 @@
     draining: bool
     retry_after_s: float | None
     report: upstreams.LoadReport | None
+    signals: backpressure.Signals
 
     async def chunk(self) -> bytes | UpstreamFault:
         """Return the next piece of the body; empty only where the body is whole."""
