--- a/features/steps/late_arrivals.py
+++ b/features/steps/late_arrivals.py
@@ -5,14 +5,10 @@
 """
 
 import asyncio
-import contextlib
-import dataclasses
-import random
 import time
 import typing
 from collections import abc
 
-import aiohttp
 import behave
 
 from features.support import (
@@ -20,36 +16,20 @@
     platform_fleet,
     platform_worker,
     repeat_sum,
+    steady_callers,
 )
 
 WORK_S, SLOTS = 0.08, 6
-#: What a caller gives its request, in seconds: the route's time is shorter.
-CALLER_WAITS_S = 2.0
-#: Seconds until gateways know each other, before and after what is played.
-SETTLE_S, AFTER_S = 2.0, 2.0
 #: Load jumps by this factor, for this part of the time for which workers stand still.
 JUMP, JUMP_PART = 2.0, 0.6
 #: When in the time for which workers stand still all gateways are killed, as a part.
 KILL_PART = 0.5
-ASK_EVERY_S = 1.0
-SEED = 5
-OK = 200
-#: How a gateway fails that is killed or starts.
-UNANSWERED = (aiohttp.ClientError, OSError, TimeoutError)
 
 run = platform_context.run
 fleet_of = platform_context.fleet_of
 
 
-@dataclasses.dataclass(slots=True)
-class Request:
-    """One request of a caller, and what came of it; 0 where nothing did."""
-
-    sent_at: float
-    status: int = 0
-
-
-class Play:
+class Play(steady_callers.SteadyCallers):
     """Callers' requests at a steady rate, and workers that stand still meanwhile."""
 
     def __init__(
@@ -59,33 +39,12 @@
         share: float,
         reserve: float,
     ) -> None:
-        self.fleet = fleet
+        super().__init__(fleet)
         self.window_s = window_s
         self.share = share
         self.reserve = reserve
-        self.rate = 0.0
-        self.request_by_id: dict[str, Request] = {}
         self.stood_still: set[str] = set()
         self.went_on_at = 0.0
-        self._rng = random.Random(SEED)
-        self._nodes: list[str] = []
-        self._sending: set[asyncio.Task[None]] = set()
-
-    async def play(self, trouble: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
-        """Send requests until ``trouble`` is over, and somewhat longer."""
-        asking = asyncio.ensure_future(self._ask())
-        await asyncio.sleep(SETTLE_S)
-        sending = asyncio.ensure_future(self._send_all())
-        try:
-            await asyncio.sleep(SETTLE_S)
-            await trouble
-            await asyncio.sleep(AFTER_S)
-        finally:
-            for task in (sending, asking):
-                task.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await task
-        await asyncio.gather(*self._sending)
 
     async def stand_still(
         self, workers: abc.Collection[platform_worker.PlatformWorker], seconds: float
@@ -104,16 +63,6 @@
         workers = list(self.fleet.worker_by_id.values())
         return workers[::2], workers[1::2]
 
-    async def kill_all(self) -> None:
-        """Kill all gateways and start them again."""
-        processes = self.fleet.process_by_node
-        for process in processes.values():
-            process.kill()
-        for process in processes.values():
-            await process.wait()
-        for node in list(processes):
-            await self.fleet.start_gateway(int(node.removeprefix("node-")))
-
     def worst(self) -> repeat_sum.Worst:
         """Return the window with the most arrivals again beyond the share."""
         arrivals = sorted(
@@ -132,45 +81,6 @@
             sent_at, again_at, share=self.share, window_s=self.window_s
         )
 
-    async def _ask(self) -> None:
-        """Ask again and again where requests may be sent."""
-        while True:
-            for zone in platform_fleet.ZONES:
-                node = self._rng.choice(list(self.fleet.ip_by_node))
-                # One that starts has no addresses to tell.
-                with contextlib.suppress(*UNANSWERED, ValueError, KeyError):
-                    self._nodes = await self._resolve(node, zone)
-            await asyncio.sleep(ASK_EVERY_S)
-
-    async def _resolve(self, node: str, zone: str) -> list[str]:
-        query = f"/resolve?name={platform_fleet.HOST}&region=r&zone={zone}"
-        url = self.fleet.url(node, "directory", query)
-        limit = aiohttp.ClientTimeout(total=ASK_EVERY_S)
-        async with self.fleet.session.get(url, timeout=limit) as page:
-            addresses = (await page.json(content_type=None))["addresses"]
-        node_by_ip = {ip: node for node, ip in self.fleet.ip_by_node.items()}
-        return [node_by_ip[address.rpartition(":")[0]] for address in addresses]
-
-    async def _send_all(self) -> None:
-        due = time.monotonic()
-        while True:
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            due += 1 / self.rate
-            task = asyncio.ensure_future(self._send(f"q-{len(self.request_by_id)}"))
-            self._sending.add(task)
-            task.add_done_callback(self._sending.discard)
-
-    async def _send(self, request_id: str) -> None:
-        request = self.request_by_id[request_id] = Request(time.monotonic())
-        node = self._rng.choice(self._nodes)
-        deadline_ms = int(1000 * CALLER_WAITS_S)
-        # A gateway that is killed answers nothing.
-        with contextlib.suppress(*UNANSWERED):
-            answer = await self.fleet.send(
-                node, f"/read/{request_id}", request_id, deadline_ms=deadline_ms
-            )
-            request.status = answer.status
-
 
 def play_of(context: typing.Any) -> Play:
     """Return the scenario's play."""
@@ -221,11 +131,6 @@
     play_of(context).rate = rate
 
 
-async def beside(*troubles: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
-    """Let several things happen at the same time."""
-    await asyncio.gather(*troubles)
-
-
 @behave.when("half of the workers stand still for {seconds:g} s")
 def half_stands_still(context: typing.Any, seconds: float) -> None:
     play = play_of(context)
@@ -257,7 +162,10 @@
         await asyncio.sleep(JUMP_PART * seconds)
         play.rate = before
 
-    run(context, play.play(beside(play.stand_still(half, seconds), jump())))
+    run(
+        context,
+        play.play(steady_callers.beside(play.stand_still(half, seconds), jump())),
+    )
 
 
 @behave.when(
@@ -269,9 +177,12 @@
 
     async def kill() -> None:
         await asyncio.sleep(KILL_PART * seconds)
-        await play.kill_all()
+        await play.kill(list(play.fleet.process_by_node))
 
-    run(context, play.play(beside(play.stand_still(half, seconds), kill())))
+    run(
+        context,
+        play.play(steady_callers.beside(play.stand_still(half, seconds), kill())),
+    )
 
 
 @behave.then("in no window more arrived again than may be")
@@ -309,12 +220,12 @@
 )
 def served(context: typing.Any, seconds: float, count: int) -> None:
     play = play_of(context)
-    until = play.went_on_at - CALLER_WAITS_S / 2
+    until = play.went_on_at - steady_callers.CALLER_WAITS_S / 2
     asked = [
         request
         for request in play.request_by_id.values()
         if until - seconds < request.sent_at < until
     ]
-    missed = [request for request in asked if request.status != OK]
+    missed = [request for request in asked if request.status != steady_callers.OK]
     assert asked, "nothing was sent"
     assert len(missed) * count <= len(asked), (len(missed), len(asked))
--- /dev/null
+++ b/features/support/steady_callers.py
@@ -0,0 +1,133 @@
+"""
+Callers that send requests at a steady rate to the gateways that the directory names.
+
+What each got is kept by the request's id. Relies on a ``platform_fleet``.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import time
+import typing
+from collections import abc
+
+import aiohttp
+
+from features.support import platform_fleet
+
+#: What a caller gives its request, in seconds: the route's time is shorter.
+CALLER_WAITS_S = 2.0
+#: Seconds until gateways know each other, before and after what is played.
+SETTLE_S, AFTER_S = 2.0, 2.0
+ASK_EVERY_S = 1.0
+SEED = 5
+OK = 200
+#: How a gateway fails that is killed or starts.
+UNANSWERED = (aiohttp.ClientError, OSError, TimeoutError)
+
+Trouble = abc.Coroutine[typing.Any, typing.Any, None]
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """
+    One request of a caller, and what came of it; status 0 where nothing did.
+
+    ``life`` counts the starts of its ``node`` when it was sent.
+    """
+
+    sent_at: float
+    node: str = ""
+    life: int = 0
+    status: int = 0
+    ended_at: float = 0.0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+class SteadyCallers:
+    """Callers' requests at a steady rate, and trouble meanwhile."""
+
+    def __init__(self, fleet: platform_fleet.PlatformFleet) -> None:
+        self.fleet = fleet
+        self.rate = 0.0
+        self.request_by_id: dict[str, Request] = {}
+        self.life_by_node: dict[str, int] = {}
+        self._rng = random.Random(SEED)
+        self._nodes: list[str] = []
+        self._sending: set[asyncio.Task[None]] = set()
+
+    async def play(self, trouble: Trouble) -> None:
+        """Send requests until ``trouble`` is over, and somewhat longer."""
+        asking = asyncio.ensure_future(self._ask())
+        await asyncio.sleep(SETTLE_S)
+        sending = asyncio.ensure_future(self._send_all())
+        try:
+            await asyncio.sleep(SETTLE_S)
+            await trouble
+            await asyncio.sleep(AFTER_S)
+        finally:
+            for task in (sending, asking):
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+        await asyncio.gather(*self._sending)
+
+    async def kill(self, nodes: abc.Collection[str]) -> None:
+        """Kill gateways and start them again."""
+        processes = [self.fleet.process_by_node[node] for node in nodes]
+        for process in processes:
+            process.kill()
+        for process in processes:
+            await process.wait()
+        for node in nodes:
+            self.life_by_node[node] = self.life_by_node.get(node, 0) + 1
+            await self.fleet.start_gateway(int(node.removeprefix("node-")))
+
+    async def _ask(self) -> None:
+        """Ask again and again where requests may be sent."""
+        while True:
+            for zone in platform_fleet.ZONES:
+                node = self._rng.choice(list(self.fleet.ip_by_node))
+                # One that starts has no addresses to tell.
+                with contextlib.suppress(*UNANSWERED, ValueError, KeyError):
+                    self._nodes = await self._resolve(node, zone)
+            await asyncio.sleep(ASK_EVERY_S)
+
+    async def _resolve(self, node: str, zone: str) -> list[str]:
+        query = f"/resolve?name={platform_fleet.HOST}&region=r&zone={zone}"
+        url = self.fleet.url(node, "directory", query)
+        limit = aiohttp.ClientTimeout(total=ASK_EVERY_S)
+        async with self.fleet.session.get(url, timeout=limit) as page:
+            addresses = (await page.json(content_type=None))["addresses"]
+        node_by_ip = {ip: node for node, ip in self.fleet.ip_by_node.items()}
+        return [node_by_ip[address.rpartition(":")[0]] for address in addresses]
+
+    async def _send_all(self) -> None:
+        due = time.monotonic()
+        while True:
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            due += 1 / self.rate
+            task = asyncio.ensure_future(self._send(f"q-{len(self.request_by_id)}"))
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
+
+    async def _send(self, request_id: str) -> None:
+        node = self._rng.choice(self._nodes)
+        life = self.life_by_node.get(node, 0)
+        request = Request(time.monotonic(), node, life)
+        self.request_by_id[request_id] = request
+        deadline_ms = int(1000 * CALLER_WAITS_S)
+        # A gateway that is killed answers nothing.
+        with contextlib.suppress(*UNANSWERED):
+            answer = await self.fleet.send(
+                node, f"/read/{request_id}", request_id, deadline_ms=deadline_ms
+            )
+            request.status = answer.status
+            request.headers = answer.headers
+        request.ended_at = time.monotonic()
+
+
+async def beside(*troubles: Trouble) -> None:
+    """Let several things happen at the same time."""
+    await asyncio.gather(*troubles)
