--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -73,6 +73,16 @@
       | calls that only others may place are refused at once |
       | each cold upstream has one owner among equal views         |
       | a cold upstream that stands still reads what it bears      |
+      | upstreams get the limits that they name, and no more       |
+      | limits hold while gateways end, start and stand still      |
+      | limits hold while views of who shares them differ          |
+      | limits hold where upstreams stand still, and read on       |
+      | a side that sees too few others sends a small part         |
+      | an upstream that names no limit any more is free at once   |
+      | an answer from before a limit does not end it              |
+      | what an upstream said holds when its entry comes back      |
+      | a limit is told on by who heard it, and that it ended      |
+      | limits are read where they mean something                  |
       | a probed upstream has one prober with equal views          |
       | hostile bytes of gateways are refused and bounded          |
       | peer messages come out as they went in                     |
--- a/features/steps/gateway_cold.py
+++ b/features/steps/gateway_cold.py
@@ -17,29 +17,23 @@
 from hypothesis import strategies
 
 from features.steps import kernel
+from features.support import rate_pools
 from spindlenotch import ids
-from spindlenotch.decisions import balancer, soonest
+from spindlenotch.decisions import balancer
 from spindlenotch.gateway.cluster import prober
 from spindlenotch.kernel import (
     cold_start,
-    extra_budgets,
     outcomes,
     ownership,
-    service_policy,
     upstream_pool,
     upstreams,
 )
 from spindlenotch_platform import http_dialect
 
 NOW = kernel.NOW
-ZONE = kernel.ZONES[0]
-UPSTREAMS = 300
-COLD_SHARE = 1 / 3
-ALLOWED_PER_S = 4.5
 #: What an upstream may get in any one second at most: the rate, half of it more and
 #: eight requests, by the users' bounds.
-MOST_IN_A_SECOND = ALLOWED_PER_S * 1.5 + 8
-COLD_S = 3.0
+MOST_IN_A_SECOND = rate_pools.ALLOWED_PER_S * 1.5 + 8
 VIEWS_DIFFER_S = 3.0
 #: Between two tries of one gateway at one upstream.
 POLL_S = 0.02
@@ -71,80 +65,39 @@
         return most
 
 
-def policy() -> service_policy.ServicePolicy:
-    """Return a service whose cold upstreams bear a bounded rate."""
-    return service_policy.ServicePolicy(
-        name=ids.ServiceName("s"),
-        zones=(ZONE,),
-        slots=4,
-        typical_s=0.11,
-        selection=soonest.NAME,
-        extra=extra_budgets.SharedWindow(share=0.0, reserve=0, window_s=10.0),
-        queue_limit=100,
-        eject_share=0.5,
-        cold_rate_per_s=ALLOWED_PER_S,
-        cold_start_s=3.0,
-    )
-
-
-def specs(count: int, cold_s: float) -> list[upstreams.UpstreamSpec]:
-    """Return upstreams, the first third of them cold for ``cold_s`` seconds."""
-    cold = int(count * COLD_SHARE)
-    return [
-        upstreams.UpstreamSpec(
-            ids.UpstreamId(f"u{n}"),
-            ZONE,
-            ids.Address(""),
-            1,
-            4,
-            ids.later(NOW, cold_s if n < cold else 0.0),
-        )
-        for n in range(count)
-    ]
-
-
-def host(number: int) -> ids.HostId:
-    """Return the name of a gateway."""
-    return ids.HostId(f"g{number}")
-
-
-def pool_of(number: int) -> upstream_pool.Pool:
-    """Return the pool of one gateway."""
-    member = ownership.Member(ZONE, host(number))
-    made = upstream_pool.Pool(policy(), member, random.Random(number))
-    made.set_listed(specs(UPSTREAMS, COLD_S), NOW)
-    return made
-
-
 def views(count: int, number: int, at: float) -> tuple[ids.HostId, ...]:
     """Return who serves as a gateway sees it; half of them are wrong at first."""
-    hosts = tuple(host(n) for n in range(count))
+    hosts = tuple(rate_pools.host(n) for n in range(count))
     if at < VIEWS_DIFFER_S and number % 2:
-        return (*hosts[2:], host(count))
+        return (*hosts[2:], rate_pools.host(count))
     return hosts
 
 
 def by_owner(made: upstream_pool.Pool, count: int, at: float) -> None:
     """One gateway owns each cold upstream: the product's way."""
     number = int(made.local_member.host.removeprefix("g"))
-    made.set_cold_senders(views(count, number, at), ids.later(NOW, at))
+    made.set_sharers(rate_pools.view(*views(count, number, at)), ids.later(NOW, at))
 
 
 def by_division(made: upstream_pool.Pool, count: int, at: float) -> None:
     """Every gateway has an equal part of the rate."""
     number = int(made.local_member.host.removeprefix("g"))
     for upstream in made.upstream_by_id.values():
-        part = ALLOWED_PER_S / len(views(count, number, at))
+        part = rate_pools.ALLOWED_PER_S / len(views(count, number, at))
         upstream.cold.limit(part, ids.later(NOW, at))
 
 
 def play(count: int, share: Limits) -> dict[ids.UpstreamId, Played]:
     """Play the fleet; return what each cold upstream got."""
-    pools = [pool_of(number) for number in range(count)]
-    names = [u.id for u in specs(UPSTREAMS, COLD_S) if u.warming_up_until > NOW]
+    pools = [rate_pools.pool_of(number) for number in range(count)]
+    names = [
+        u.id
+        for u in rate_pools.specs(rate_pools.UPSTREAMS, rate_pools.COLD_S)
+        if u.warming_up_until > NOW
+    ]
     played = {name: Played([]) for name in names}
     rng = random.Random(count)
-    for step in range(int(COLD_S / POLL_S)):
+    for step in range(int(rate_pools.COLD_S / POLL_S)):
         at = step * POLL_S
         order = list(enumerate(pools))
         rng.shuffle(order)
@@ -173,7 +126,7 @@
 def used_share(played: dict[ids.UpstreamId, Played]) -> float:
     """Return which share of what the cold upstreams bear they got."""
     sent = sum(len(one.sent_at) for one in played.values())
-    return sent / (len(played) * ALLOWED_PER_S * COLD_S)
+    return sent / (len(played) * rate_pools.ALLOWED_PER_S * rate_pools.COLD_S)
 
 
 @kernel.PROPERTIES.register("cold upstreams get no more than they bear, by one owner")
@@ -217,7 +170,7 @@
 @kernel.PROPERTIES.register("the latest health answer says whether one is cold")
 def latest() -> None:
     cold = cold_start.ColdStart(NOW)
-    cold.limit(ALLOWED_PER_S, NOW)
+    cold.limit(rate_pools.ALLOWED_PER_S, NOW)
     cold.told(ids.later(NOW, 3.0), ids.later(NOW, 0.1))
     assert cold.is_cold(ids.later(NOW, 2.9))
     # An older answer that arrives later changes nothing.
@@ -236,7 +189,7 @@
 @kernel.PROPERTIES.register("silence on coldness means warm only where cold ones speak")
 def silence() -> None:
     silent = upstreams.LoadReport(1, 0)
-    bounded = policy()
+    bounded = rate_pools.policy()
     unbounded = msgspec.structs.replace(bounded, cold_rate_per_s=None)
     assert prober.with_coldness(silent, bounded).cold_s == 0.0
     assert prober.with_coldness(silent, unbounded).cold_s is None
@@ -258,8 +211,8 @@
 @kernel.PROPERTIES.register("an upstream that was away is cold until it says otherwise")
 def away() -> None:
     for told, expected in ((False, True), (True, False)):
-        made = pool_of(0)
-        made.set_cold_senders((host(0),), NOW)
+        made = rate_pools.pool_of(0)
+        made.set_sharers(rate_pools.view(rate_pools.host(0)), NOW)
         upstream = made.upstream_by_id[ids.UpstreamId("u299")]
         made.eject(upstream, "silent", NOW)
         now = ids.later(NOW, 2.0)
@@ -274,22 +227,22 @@
 
 @kernel.PROPERTIES.register("calls that only others may place are refused at once")
 def refused_at_once() -> None:
-    member = ownership.Member(ZONE, host(0))
-    made = balancer.Balancer(policy(), member, random.Random(1))
-    made.pool.set_listed([specs(3, 2.0)[0]], NOW)
-    made.pool.set_cold_senders((host(1),), NOW)
+    member = ownership.Member(rate_pools.ZONE, rate_pools.host(0))
+    made = balancer.Balancer(rate_pools.policy(), member, random.Random(1))
+    made.pool.set_listed([rate_pools.specs(3, 2.0)[0]], NOW)
+    made.pool.set_sharers(rate_pools.view(rate_pools.host(1)), NOW)
     call = msgspec.structs.replace(kernel.call(0), wait_until=ids.later(NOW, 1.0))
     verdict = made.offer(call, NOW)
     assert isinstance(verdict, outcomes.Refusal), verdict
     assert verdict.reason is outcomes.Reason.NO_UPSTREAM
     assert verdict.retry_at == ids.later(NOW, 2.0)
-    made.pool.set_cold_senders((host(0),), NOW)
+    made.pool.set_sharers(rate_pools.view(rate_pools.host(0)), NOW)
     assert not isinstance(made.offer(call, NOW), outcomes.Refusal)
 
 
 @kernel.PROPERTIES.register("each cold upstream has one owner among equal views")
 def one_owner() -> None:
-    hosts = [host(n) for n in range(7)]
+    hosts = [rate_pools.host(n) for n in range(7)]
     owned_by = collections.Counter(
         cold_start.owner(ids.UpstreamId(f"u{n}"), hosts) for n in range(700)
     )
@@ -297,20 +250,20 @@
     assert max(owned_by.values()) < 2 * min(owned_by.values()), owned_by
     assert cold_start.owner(ids.UpstreamId("u"), ()) is None
     rates = {
-        cold_start.rate_per_s(ids.UpstreamId("u"), ALLOWED_PER_S, hosts, one)
+        cold_start.rate_per_s(ids.UpstreamId("u"), rate_pools.ALLOWED_PER_S, hosts, one)
         for one in hosts
     }
-    assert rates == {0.0, ALLOWED_PER_S}
+    assert rates == {0.0, rate_pools.ALLOWED_PER_S}
     unbounded = cold_start.rate_per_s(ids.UpstreamId("u"), None, (), hosts[0])
     assert unbounded == math.inf
 
 
 @kernel.PROPERTIES.register("a cold upstream that stands still reads what it bears")
 def stands_still() -> None:
-    member = ownership.Member(ZONE, host(0))
-    made = upstream_pool.Pool(policy(), member, random.Random(1))
-    made.set_listed(specs(3, STILL_COLD_S), NOW)
-    made.set_cold_senders((host(0),), NOW)
+    member = ownership.Member(rate_pools.ZONE, rate_pools.host(0))
+    made = upstream_pool.Pool(rate_pools.policy(), member, random.Random(1))
+    made.set_listed(rate_pools.specs(3, STILL_COLD_S), NOW)
+    made.set_sharers(rate_pools.view(rate_pools.host(0)), NOW)
     upstream = made.upstream_by_id[ids.UpstreamId("u0")]
     arrived_at: list[float] = []
     # What is under way, with the instant at which it is given up or answered.
--- a/features/steps/gateway_reborn.py
+++ b/features/steps/gateway_reborn.py
@@ -10,7 +10,7 @@
 from features.support import captured_events, reborn_reading, store_reading
 from spindlenotch import events, ids
 from spindlenotch.gateway.source import sources
-from spindlenotch.kernel import upstreams
+from spindlenotch.kernel import shared_rate, upstreams
 from spindlenotch.peers import documents
 
 
@@ -286,7 +286,8 @@
             2, store_reading.SERVICE, cold_s=reborn_reading.COLD_S
         )
         playing.state.apply_configuration(bounded)
-        playing.pool.set_cold_senders((playing.state.config.host,), playing.clock.now())
+        view = shared_rate.View((playing.state.local_member,))
+        playing.pool.set_sharers(view, playing.clock.now())
         playing.clock.advance(9.0)
         assert not playing.upstream.cold.is_cold(playing.clock.now())
         playing.start_again(coldLeftS=left_s)
--- a/features/steps/gateway_regions.py
+++ b/features/steps/gateway_regions.py
@@ -14,7 +14,12 @@
 from spindlenotch.gateway import dialect, service_defaults
 from spindlenotch.gateway.cluster import moved_demand, prober
 from spindlenotch.gateway.source import reader_duty, relay, routing, sources
-from spindlenotch.kernel import cold_start, upstream_pool, upstreams
+from spindlenotch.kernel import (
+    cold_start,
+    shared_rate,
+    upstream_pool,
+    upstreams,
+)
 from spindlenotch.peers import documents, messages, region_links, workload
 from spindlenotch_platform import http_dialect
 
@@ -241,7 +246,7 @@
     return cold_start.rate_per_s(
         upstream,
         ALLOWED_PER_S,
-        gateway.cold_senders._senders(),
+        tuple(member.host for member in gateway.rate_sharers.view().members),
         gateway.state.config.host,
     )
 
@@ -395,7 +400,8 @@
         for zone in zones
     ]
     pool.set_listed(specs, made.clock.now())
-    pool.set_cold_senders((state.config.host,), made.clock.now())
+    view = shared_rate.View((state.local_member,))
+    pool.set_sharers(view, made.clock.now())
     for upstream in pool.usable_order:
         is_near = upstream in pool.near_order
         assert upstream.cold.rate_per_s == (4.0 if is_near else 0.0)
@@ -411,5 +417,5 @@
     for _ in range(8):
         made.run(1.0)
         for gateway in made.of("north"):
-            assert not gateway.cold_senders.quorum.of_fleet()
-    assert gateway.cold_senders.quorum.of_region()
+            assert not gateway.rate_sharers.quorum.of_fleet()
+    assert gateway.rate_sharers.quorum.of_region()
--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -33,6 +33,8 @@
     "LoadRecord.cold_s": "gossip-added.msgpack.hex",
     "LoadRecord.cold_age_s": "gossip-added.msgpack.hex",
     "LoadRecord.born": "gossip-added-2.msgpack.hex",
+    "LoadRecord.limit_per_s": "gossip-added-6.msgpack.hex",
+    "LoadRecord.limit_age_s": "gossip-added-6.msgpack.hex",
     "GatewaySettings.evacuate_s": "environment-gateway-added.json",
     "GatewaySettings.region_by_zone": "environment-gateway-added-2.json",
     "GatewaySettings.exposure_share": "environment-gateway-added-2.json",
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -171,6 +171,13 @@
     return msgspec.structs.replace(added_message(), crashes=notes)
 
 
+def limit_message() -> messages.Message:
+    """Return a message of a gateway that has heard the limit of an upstream."""
+    (load,) = added_message().loads
+    limited = msgspec.structs.replace(load, limit_per_s=4.4, limit_age_s=0.0625)
+    return msgspec.structs.replace(added_message(), loads=(limited,))
+
+
 def frame(kind: documents.DocumentKind, body: bytes) -> messages.DocumentFrame:
     """Return a document frame."""
     return messages.DocumentFrame(
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -126,6 +126,7 @@
         _added_gossip("gossip-added-3", recorded_messages.regional_message()),
         _added_gossip("gossip-added-4", recorded_messages.latest_message()),
         _added_gossip("gossip-added-5", recorded_messages.crash_message()),
+        _added_gossip("gossip-added-6", recorded_messages.limit_message()),
         Sample(
             "frame.msgpack.hex",
             "msgpack",
--- a/features/support/regional_fleet.py
+++ b/features/support/regional_fleet.py
@@ -13,7 +13,7 @@
 
 from spindlenotch import clock, ids
 from spindlenotch.gateway import lifecycle, settings, state as states
-from spindlenotch.gateway.cluster import cold_senders, fleet as fleets, membership
+from spindlenotch.gateway.cluster import fleet as fleets, membership, rate_sharers
 from spindlenotch.kernel import regions
 from spindlenotch.peers import messages, msgpack_codec, workload
 
@@ -53,7 +53,7 @@
         assert isinstance(config, settings.GatewaySettings), config
         self.state = states.GatewayState(config, world.clock)
         self.fleet = fleets.Fleet(self.state)
-        self.cold_senders = cold_senders.ColdSenders(self.state, self.fleet)
+        self.rate_sharers = rate_sharers.RateSharers(self.state, self.fleet)
         self.membership = membership.Membership(self.state)
         self.membership.link.send = self.send  # type: ignore[method-assign]
         self.state.phase = lifecycle.Phase.SERVING
--- a/spindlenotch/decisions/admission.py
+++ b/spindlenotch/decisions/admission.py
@@ -49,22 +49,26 @@
 
     def refuse_stranded(
         self,
-        any_usable: abc.Callable[[waiting.Call, ids.Instant], bool],
+        usable_at: abc.Callable[[waiting.Call, ids.Instant], ids.Instant],
         now: ids.Instant,
     ) -> list[verdicts.Settlement]:
         """
-        Refuse the waiting calls for which no upstream is usable.
+        Refuse the waiting calls for which no upstream is usable while they may wait.
 
-        That is the same for all that may run in the same regions.
+        From when on one is, is the same for all that may run in the same regions.
         """
         refusal = outcomes.not_run(
             outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
         )
-        usable_by_regions: dict[frozenset[ids.RegionName] | None, bool] = {}
+        usable_at_by_regions: dict[frozenset[ids.RegionName] | None, ids.Instant] = {}
         for call in self.queue:
-            if call.allowed_regions not in usable_by_regions:
-                usable_by_regions[call.allowed_regions] = any_usable(call, now)
-        stranded = [c for c in self.queue if not usable_by_regions[c.allowed_regions]]
+            if call.allowed_regions not in usable_at_by_regions:
+                usable_at_by_regions[call.allowed_regions] = usable_at(call, now)
+        stranded = [
+            call
+            for call in self.queue
+            if not call.may_wait_for(usable_at_by_regions[call.allowed_regions], now)
+        ]
         for call in stranded:
             self.queue.remove(call.id)
         return [verdicts.Settlement(call, refusal) for call in stranded]
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -85,7 +85,7 @@
         self.extra.earn(now)
         if call.deadline <= now:
             return outcomes.not_run(outcomes.Reason.DEADLINE_PASSED)
-        if not self._any_usable(call, now):
+        if not call.may_wait_for(self._usable_at(call, now), now):
             return outcomes.not_run(
                 outcomes.Reason.NO_UPSTREAM, self.pool.usable_again_at(now)
             )
@@ -159,8 +159,10 @@
             self.queue.take(call)
             settled.append(verdicts.Settlement(call, grant))
         settled.extend(self._send_far(now))
-        if len(self.queue) and (self.pool.far_order or not self._any_usable(None, now)):
-            settled.extend(self.admission.refuse_stranded(self._any_usable, now))
+        if len(self.queue) and (
+            self.pool.far_order or self._usable_at(None, now) > now
+        ):
+            settled.extend(self.admission.refuse_stranded(self._usable_at, now))
         return settled
 
     def give_up(self, now: ids.Instant) -> list[verdicts.Settlement]:
@@ -300,18 +302,27 @@
         if self.pool.frozen(upstream, grant.call.latency_key, now):
             self.pool.eject(upstream, ejection.SILENT, now)
 
-    def _any_usable(self, call: waiting.Call | None, now: ids.Instant) -> bool:
-        """Tell whether an upstream may yet take a call where it may run, or any."""
+    def _usable_at(self, call: waiting.Call | None, now: ids.Instant) -> ids.Instant:
+        """
+        Return from when an upstream may take a call where it may run, or any.
+
+        NEVER where none may, as far as that is known. One without a free slot may.
+        """
         barred = () if self.split is None else self.split.barred(self.pool)
+        usable_at = ids.NEVER
         for upstream in self.pool.usable_order:
             if upstream.spec.id in barred:
                 continue
             upstream.tick(now)
-            is_ejected = upstream.state is upstreams.State.EJECTED
-            may_send = not is_ejected and upstream.cold.may_ever_send(now)
-            if may_send and (call is None or self.pool.allows(call, upstream)):
-                return True
-        return False
+            if upstream.state is upstreams.State.EJECTED:
+                continue
+            if not upstream.cold.may_ever_send(now):
+                continue
+            if call is None or self.pool.allows(call, upstream):
+                usable_at = min(usable_at, upstream.free_at(now))
+                if usable_at <= now:
+                    break
+        return usable_at
 
     def _choose(
         self,
--- /dev/null
+++ b/spindlenotch/gateway/cluster/limit_news.py
@@ -0,0 +1,66 @@
+"""
+Which limits of upstreams, heard with own answers, peers are to be told of.
+
+Few gateways send to an upstream that names a limit, so that the others hear of it, and
+that it has ended, from these. Owns what was told last. Pure; ``load_sharing`` asks it.
+"""
+
+from collections import abc
+
+import msgspec
+
+from spindlenotch import ids
+from spindlenotch.kernel import named_limit, upstreams
+
+#: Least seconds between two messages on a limit that stays the same.
+REPEAT_S = 0.2
+#: Seconds for which it is told that a limit has ended: some rounds, as messages get
+#: lost.
+ENDED_TOLD_S = 1.0
+
+
+class _Told(msgspec.Struct, frozen=True):
+    """The limit of an upstream that was told last, when it was heard and told."""
+
+    per_s: float | None
+    heard_at: ids.Instant
+    told_at: ids.Instant
+
+
+class LimitNews:
+    """Tells which upstreams' limits are to be told now."""
+
+    def __init__(self) -> None:
+        self._told_by_id: dict[ids.UpstreamId, _Told] = {}
+
+    def due(
+        self, candidates: abc.Iterable[upstreams.Upstream], now: ids.Instant
+    ) -> list[upstreams.Upstream]:
+        """Return those whose limits are to be told now; they count as told."""
+        due = []
+        for upstream in candidates:
+            limit = upstream.backpressure.limit
+            if not _is_news(limit, now):
+                self._told_by_id.pop(upstream.spec.id, None)
+            elif self._is_due(upstream.spec.id, limit, now):
+                due.append(upstream)
+        return due
+
+    def _is_due(
+        self, upstream: ids.UpstreamId, limit: named_limit.NamedLimit, now: ids.Instant
+    ) -> bool:
+        told = self._told_by_id.get(upstream)
+        if told is not None:
+            if limit.heard_at <= told.heard_at:
+                return False
+            if limit.per_s == told.per_s and now < ids.later(told.told_at, REPEAT_S):
+                return False
+        self._told_by_id[upstream] = _Told(limit.per_s, limit.heard_at, now)
+        return True
+
+
+def _is_news(limit: named_limit.NamedLimit, now: ids.Instant) -> bool:
+    """Tell whether peers may not know it: there is a limit, or one has just ended."""
+    if limit.heard_at < limit.told_at:
+        return False
+    return limit.per_s is not None or now < ids.later(limit.ended_at, ENDED_TOLD_S)
--- a/spindlenotch/gateway/cluster/load_sharing.py
+++ b/spindlenotch/gateway/cluster/load_sharing.py
@@ -1,5 +1,7 @@
 """
-Passes load reports of upstreams, and until when they are cold, on between gateways.
+Passes on between gateways what upstreams say of themselves.
+
+That is their load, until when they are cold, and the limits that they name.
 
 A prober sends what its upstreams reported to the active gateways of its zone;
 these send the reports of their zone to the active gateways of the others.
@@ -14,7 +16,7 @@
 
 from spindlenotch import ids
 from spindlenotch.gateway import state
-from spindlenotch.gateway.cluster import fleet, report_filter
+from spindlenotch.gateway.cluster import fleet, limit_news, report_filter
 from spindlenotch.kernel import cold_start, upstreams
 from spindlenotch.peers import gossip, messages, peer_link, workload
 
@@ -53,6 +55,7 @@
         self.link = link
         self.probed = probed
         self._filter = report_filter.ReportFilter()
+        self._limit_news = limit_news.LimitNews()
 
     async def run(self) -> None:
         """Send new reports until cancelled."""
@@ -77,6 +80,7 @@
                 if upstream is None:
                     continue
                 _take_coldness(upstream, load, now)
+                _take_limit(upstream, load, now)
                 report_at = ids.Instant(now - load.age_s)
                 if not _is_of_this_start(load, report_at, upstream):
                     continue
@@ -116,8 +120,18 @@
     ) -> list[workload.LoadRecord]:
         """Return the reports that are to be sent now."""
         now = self.state.clock.now()
-        senders = self._senders(active_zones)
-        return [_record(upstream, now) for upstream in self._filter.due(senders, now)]
+        due = self._filter.due(self._senders(active_zones), now)
+        limited = self._limit_news.due(self._usable(), now)
+        record_by_id = {u.spec.id: _record(u, now) for u in due}
+        for upstream in limited:
+            record = record_by_id.get(upstream.spec.id) or _record(upstream, now)
+            record_by_id[upstream.spec.id] = _with_limit(record, upstream, now)
+        return list(record_by_id.values())
+
+    def _usable(self) -> abc.Iterator[upstreams.Upstream]:
+        """Yield the upstreams of all services that are not leaving."""
+        for service_balancer in self.state.balancer_by_service.values():
+            yield from service_balancer.pool.usable_order
 
     def _senders(
         self, active_zones: dict[ids.HostId, ids.ZoneName]
@@ -134,8 +148,7 @@
             ]
         return [
             upstream
-            for pool in pools
-            for upstream in pool.usable_order
+            for upstream in self._usable()
             if upstream.spec.zone == local_member.zone
             or upstream.spec.id in self.probed
         ]
@@ -168,6 +181,29 @@
         upstream.cold.told(ids.later(now, load.cold_s), told_at)
 
 
+def _take_limit(
+    upstream: upstreams.Upstream, load: workload.LoadRecord, now: ids.Instant
+) -> None:
+    """Take in the limit of an upstream that a peer has heard, where it is newer."""
+    if load.limit_age_s is None:
+        return
+    told_at = ids.Instant(now - load.limit_age_s)
+    if _is_of_this_start(load, told_at, upstream):
+        upstream.backpressure.limit.told(load.limit_per_s, told_at, now)
+
+
+def _with_limit(
+    record: workload.LoadRecord, upstream: upstreams.Upstream, now: ids.Instant
+) -> workload.LoadRecord:
+    """Return a record that tells of an upstream's limit, too."""
+    limit = upstream.backpressure.limit
+    return msgspec.structs.replace(
+        record,
+        limit_per_s=limit.per_s,
+        limit_age_s=round(now - limit.heard_at, AGE_DIGITS),
+    )
+
+
 def _record(upstream: upstreams.Upstream, now: ids.Instant) -> workload.LoadRecord:
     record = _load_record(upstream, now)
     cold = upstream.cold
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -21,11 +21,11 @@
     state,
 )
 from spindlenotch.gateway.cluster import (
-    cold_senders,
     fleet,
     load_sharing,
     membership,
     prober,
+    rate_sharers,
     region_loads,
 )
 from spindlenotch.gateway.quarantine import sharing, writer
@@ -73,7 +73,7 @@
         answerer = answering.Answerer(gateway_state, path, gateway_dialect)
         self.ingress = ingress.Ingress(gateway_state, answerer)
         self.fleet = fleet.Fleet(gateway_state)
-        self.cold_senders = cold_senders.ColdSenders(gateway_state, self.fleet)
+        self.rate_sharers = rate_sharers.RateSharers(gateway_state, self.fleet)
         self.region_loads = region_loads.RegionLoads(gateway_state)
         self.repeat_report = repeat_report.RepeatReport(gateway_state.metrics)
         self.limit_report = limit_report.LimitReport()
@@ -171,7 +171,7 @@
             self.fleet.update_size()
             if self.state.tick() and self.state.reads_source:
                 self.relay.publish_expiry()
-            self.cold_senders.update()
+            self.rate_sharers.update()
             self.region_loads.update()
             services = self.state.balancer_by_service.values()
             self.repeat_report.update(services, self.state.clock.now())
--- a/spindlenotch/gateway/limit_report.py
+++ b/spindlenotch/gateway/limit_report.py
@@ -12,10 +12,7 @@
 from spindlenotch import events, ids
 from spindlenotch.decisions import balancer
 from spindlenotch.forwarding import signal_events
-from spindlenotch.kernel import upstreams
-
-#: Seconds that a line sums up: those in which upstreams are judged to get too much.
-WINDOW_S = 4.0
+from spindlenotch.kernel import named_limit, upstreams
 
 
 class _Told(msgspec.Struct):
@@ -38,7 +35,7 @@
         limited: set[ids.UpstreamId] = set()
         for service in services:
             for upstream in service.pool.usable_order:
-                if upstream.backpressure.limit_per_s is not None:
+                if upstream.backpressure.limit.per_s is not None:
                     limited.add(upstream.spec.id)
                     self._tell(service.service.name, upstream, now)
         for upstream_id in self._told_by_id.keys() - limited:
@@ -47,24 +44,22 @@
     def _tell(
         self, service: ids.ServiceName, upstream: upstreams.Upstream, now: ids.Instant
     ) -> None:
-        pressure = upstream.backpressure
+        limit = upstream.backpressure.limit
         told = self._told_by_id.get(upstream.spec.id)
         if told is None:
-            until = ids.later(now, WINDOW_S)
-            self._told_by_id[upstream.spec.id] = _Told(pressure.sent, until)
+            until = ids.later(now, named_limit.WINDOW.seconds)
+            self._told_by_id[upstream.spec.id] = _Told(limit.sent, until)
             return
         if now < told.window_until:
             return
-        if pressure.sent > told.sent:
+        if limit.sent > told.sent:
             events.emit(
                 events.Event.SENT_TO_LIMITED,
                 service=service,
                 upstream=upstream.spec.id,
-                count=pressure.sent - told.sent,
-                limit_per_s=round(
-                    pressure.limit_per_s or 0.0, signal_events.RATE_DIGITS
-                ),
-                window_s=WINDOW_S,
+                count=limit.sent - told.sent,
+                limit_per_s=round(limit.per_s or 0.0, signal_events.RATE_DIGITS),
+                window_s=named_limit.WINDOW.seconds,
             )
-        told.sent = pressure.sent
-        told.window_until = ids.later(now, WINDOW_S)
+        told.sent = limit.sent
+        told.window_until = ids.later(now, named_limit.WINDOW.seconds)
--- a/spindlenotch/kernel/backpressure.py
+++ b/spindlenotch/kernel/backpressure.py
@@ -7,16 +7,14 @@
 """
 
 import enum
-import math
 
 import msgspec
 
 from spindlenotch import ids
+from spindlenotch.kernel import named_limit, shared_rate
 
-#: Seconds between two lines of the log on a limit that moves: its window.
+#: Least seconds between two lines of the log on a limit that moves.
 LOG_PERIOD_S = 4.0
-#: When anything was told that was never told.
-NEVER_TOLD = ids.Instant(-math.inf)
 
 
 class Unreadable(msgspec.Struct, frozen=True):
@@ -55,25 +53,13 @@
 
 
 class Backpressure:
-    """
-    What one upstream has said to one process of how much it will take.
-
-    ``limit_per_s`` is None while it names none; ``sent`` counts the requests that
-    were sent while it named one.
-    """
+    """What one upstream has said to one process of how much it will take."""
 
-    def __init__(self) -> None:
-        self.limit_per_s: float | None = None
-        self.limit_told_at = NEVER_TOLD
-        self.sent = 0
-        self._limit_logged_at = NEVER_TOLD
+    def __init__(self, place: shared_rate.Place) -> None:
+        self.limit = named_limit.NamedLimit(place)
+        self._limit_logged_at = shared_rate.LONG_AGO
         self._unreadable_names: set[str] = set()
 
-    def request_sent(self) -> None:
-        """Count a request that goes out."""
-        if self.limit_per_s is not None:
-            self.sent += 1
-
     def take(
         self,
         signals: Signals,
@@ -90,23 +76,17 @@
         may leave it out.
         """
         news = self._unreadable_news(signals.unreadable)
-        before = self.limit_per_s
+        before = self.limit.per_s
         if signals.limit_per_s is not None:
-            self.limit_told(signals.limit_per_s, now)
-        elif is_whole and not signals.unreadable and sent_at > self.limit_told_at:
-            self.limit_told(None, now)
+            self.limit.heard(signals.limit_per_s, now)
+        elif is_whole and not signals.unreadable and sent_at > self.limit.told_at:
+            self.limit.heard(None, now)
         return news + self._limit_news(before, now)
 
-    def limit_told(self, limit_per_s: float | None, at: ids.Instant) -> None:
-        """Take in a limit that was told at ``at``, unless a later one was."""
-        if at > self.limit_told_at:
-            self.limit_per_s = limit_per_s
-            self.limit_told_at = at
-
     def _limit_news(self, before: float | None, now: ids.Instant) -> list[News]:
-        limit_per_s = self.limit_per_s
+        limit_per_s = self.limit.per_s
         if limit_per_s is None:
-            self._limit_logged_at = NEVER_TOLD
+            self._limit_logged_at = shared_rate.LONG_AGO
             return [] if before is None else [News(Change.LIMIT_ENDED)]
         if limit_per_s == before or now - self._limit_logged_at < LOG_PERIOD_S:
             return []
--- a/spindlenotch/kernel/cold_start.py
+++ b/spindlenotch/kernel/cold_start.py
@@ -9,26 +9,22 @@
 lost, so that an owner that stood still does not wake with a full bucket; and what an
 upstream has not read counts, which may stand still and then read it all at once.
 
-Owns what is known of one upstream's coldness. Relies on ``rendezvous``.
+Owns what is known of one upstream's coldness. Relies on ``shared_rate``.
 """
 
-import collections
 import math
 from collections import abc
 
 from spindlenotch import ids
-from spindlenotch.kernel import ownership, rendezvous
-
-#: Requests a second where nothing bounds them.
-UNLIMITED = math.inf
-#: Requests that may lie unread at a cold upstream whatever its rate: one that waits for
-#: its slot, and the next.
-LEAST_UNREAD = 2
-#: Seconds after which one that has not read as many gets another request, whose answer
-#: shows that it reads on: where it is not probed, nothing else does.
-ASKED_AGAIN_S = 2.0
+from spindlenotch.kernel import ownership, shared_rate
+
+#: What a cold upstream bears is summed up over a second. One that has not read what it
+#: got is asked again after two, as its answer shows that it reads on.
+WINDOW = shared_rate.Window(seconds=1.0, asked_again_s=2.0)
 #: The owner is chosen among all processes, whatever their zone.
 ANY_ZONE = ids.ZoneName("")
+#: Whose place does not matter.
+NO_HOST = ids.HostId("")
 #: When a health answer told last, where none has yet.
 NEVER_TOLD = ids.Instant(-math.inf)
 
@@ -46,11 +42,14 @@
         self.until = until
         self.told_at = NEVER_TOLD
         self._listed_until = until
-        self.rate_per_s = UNLIMITED
+        self._pacer = shared_rate.Pacer(WINDOW)
         #: How long an upstream that was away is taken to be cold, in seconds.
         self.lasts_s = 0.0
-        self._next_at = ids.Instant(-math.inf)
-        self._sent_at: collections.deque[ids.Instant] = collections.deque()
+
+    @property
+    def rate_per_s(self) -> float:
+        """Return how many requests a second this process may send while it is cold."""
+        return self._pacer.part_per_s
 
     def is_cold(self, now: ids.Instant) -> bool:
         """Tell whether it is cold."""
@@ -68,23 +67,19 @@
         """
         if now >= self.until:
             return True
-        if now < self._next_at:
-            return False
-        if self._unread(read_until) < self._most_unread:
-            return True
-        return now >= ids.later(self._sent_at[-1], ASKED_AGAIN_S)
+        return self._pacer.may_send(now, read_until)
 
     def sent(self, now: ids.Instant) -> None:
         """Record that a request goes out."""
-        self._pause(now)
+        self._pacer.pause(now)
         if self.is_cold(now):
-            self._sent_at.append(now)
+            self._pacer.sent(now)
 
     def limit(self, rate_per_s: float, now: ids.Instant) -> None:
-        """Set what this process may send; a higher rate begins with a pause."""
+        """Set what this process may send; another rate begins with a pause."""
         if rate_per_s != self.rate_per_s:
-            self.rate_per_s = rate_per_s
-            self._pause(now)
+            self._pacer.set_part(rate_per_s)
+            self._pacer.pause(now)
 
     def listed(self, until: ids.Instant, now: ids.Instant) -> None:
         """Take in until when the source lists it as cold, unless that is known."""
@@ -105,40 +100,24 @@
         if self.told_at < since:
             self._extend(ids.later(now, self.lasts_s), now)
 
-    @property
-    def _most_unread(self) -> float:
-        """Return how many may lie unread: what it bears in a second, at least two."""
-        return max(LEAST_UNREAD, self.rate_per_s)
-
-    def _unread(self, read_until: ids.Instant) -> int:
-        """Count the requests sent while it is cold that it may not have read."""
-        while self._sent_at and self._sent_at[0] <= read_until:
-            self._sent_at.popleft()
-        return len(self._sent_at)
-
     def _extend(self, until: ids.Instant, now: ids.Instant) -> None:
         if until > self.until:
             self._become_cold(until, now)
 
     def _become_cold(self, until: ids.Instant, now: ids.Instant) -> None:
         if not self.is_cold(now):
-            self._pause(now)
+            self._pacer.pause(now)
         self.until = until
 
-    def _pause(self, now: ids.Instant) -> None:
-        if self.rate_per_s <= 0.0:
-            self._next_at = ids.NEVER
-        else:
-            self._next_at = ids.later(now, 1.0 / self.rate_per_s)
-
 
 def owner(
-    upstream_id: ids.UpstreamId, hosts: abc.Collection[ids.HostId]
+    upstream_id: ids.UpstreamId, hosts: abc.Iterable[ids.HostId]
 ) -> ids.HostId | None:
     """Return which of ``hosts`` may send to a cold upstream; None where none are."""
-    members = [ownership.Member(ANY_ZONE, host) for host in hosts]
-    chosen = rendezvous.chosen(members, ANY_ZONE, upstream_id, 1)
-    return chosen[0] if chosen else None
+    place = shared_rate.Place(upstream_id, zone=None, local_host=NO_HOST)
+    members = tuple(ownership.Member(ANY_ZONE, host) for host in hosts)
+    holders = place.holders(shared_rate.View(members), most=1)
+    return holders[0] if holders else None
 
 
 def rate_per_s(
@@ -154,7 +133,7 @@
     it; ``hosts`` are the processes that share that.
     """
     if allowed_per_s is None:
-        return UNLIMITED
+        return shared_rate.UNLIMITED
     if local_host not in hosts:
         return 0.0
     return allowed_per_s if owner(upstream_id, hosts) == local_host else 0.0
--- /dev/null
+++ b/spindlenotch/kernel/named_limit.py
@@ -0,0 +1,127 @@
+"""
+The requests a second that an upstream says it takes, and this process's part of them.
+
+The limit holds for all processes together, for as long as the upstream's answers name
+it. Who hears of it tells the others; ``shared_rate`` says who sends how much. Pure.
+"""
+
+from spindlenotch import ids
+from spindlenotch.kernel import shared_rate
+
+#: What an upstream that names a limit gets is summed up over four seconds.
+WINDOW = shared_rate.Window(seconds=4.0, asked_again_s=4.0)
+#: Least requests a second that are sent whatever limit is named: only answers tell that
+#: it is over.
+LEAST_PER_S = 0.5
+#: Parts of the limit for each process of the fleet while a process sees too few others
+#: to know that no further ones share it: both sides together get less than one and a
+#: half times the limit.
+PARTS_EACH_ALONE = 2
+#: Seconds without any word of the limit after which a process that holds no part of it
+#: asks with one request whether it is still named.
+ASK_AFTER_S = 30.0
+
+
+class NamedLimit:
+    """
+    What one process knows of the limit of one upstream, and may send it.
+
+    ``per_s`` is None while it names none; ``told_at`` is when it was told so last, by
+    an own answer (``heard_at``) or a peer; ``ended_at`` when it ended last. ``sent``
+    counts the requests that were sent while it was named.
+    """
+
+    def __init__(self, place: shared_rate.Place) -> None:
+        self.place = place
+        self.per_s: float | None = None
+        self.told_at = shared_rate.LONG_AGO
+        self.heard_at = shared_rate.LONG_AGO
+        self.ended_at = shared_rate.LONG_AGO
+        self.sent = 0
+        self._named_at = shared_rate.LONG_AGO
+        self._asked_at = shared_rate.LONG_AGO
+        self._pacer = shared_rate.Pacer(WINDOW)
+        self._views: tuple[shared_rate.View, ...] = ()
+
+    @property
+    def part_per_s(self) -> float:
+        """Return how many requests a second this process may send."""
+        return self._pacer.part_per_s
+
+    def heard(self, per_s: float | None, now: ids.Instant) -> None:
+        """Take in what an answer to this process said."""
+        self.heard_at = now
+        self.told(per_s, now, now)
+
+    def told(self, per_s: float | None, at: ids.Instant, now: ids.Instant) -> None:
+        """Take in what an answer said at ``at``, unless a later one has spoken."""
+        if at <= self.told_at:
+            return
+        self.told_at = at
+        if per_s == self.per_s:
+            return
+        if self.per_s is None:
+            self._named_at = now
+        if per_s is None:
+            self.ended_at = now
+        self.per_s = per_s
+        self._share()
+
+    def set_views(self, views: tuple[shared_rate.View, ...]) -> None:
+        """Take in who shares rates: as seen now, last, and a while ago."""
+        self._views = views
+        if self.per_s is not None:
+            self._share()
+
+    def request_sent(self, now: ids.Instant) -> None:
+        """Record that a request goes out."""
+        self._asked_at = now
+        if self.per_s is not None:
+            self.sent += 1
+        if self.per_s is not None or now < ids.later(self.ended_at, WINDOW.seconds):
+            # It may name its limit again at once: what it gets meanwhile counts.
+            self._pacer.sent(now)
+
+    def may_ever_send(self, now: ids.Instant) -> bool:
+        """Tell whether this process may send requests while it is as it is now."""
+        return self.part_per_s > 0.0 or self._may_ask(now)
+
+    def may_send(self, now: ids.Instant, read_until: ids.Instant) -> bool:
+        """
+        Tell whether one more request may go out.
+
+        ``read_until``: what was sent to it before that instant has been read.
+        """
+        return self._pacer.may_send(now, read_until) or self._may_ask(now)
+
+    def free_at(self, now: ids.Instant, read_until: ids.Instant) -> ids.Instant:
+        """Return from when one more may go out, as far as that is known now."""
+        return now if self._may_ask(now) else self._pacer.free_at(now, read_until)
+
+    def _may_ask(self, now: ids.Instant) -> bool:
+        if self.part_per_s > 0.0:
+            return False
+        return now >= ids.later(max(self.told_at, self._asked_at), ASK_AFTER_S)
+
+    def _share(self) -> None:
+        """Work out anew what part this process has."""
+        if self.per_s is None:
+            self._pacer.set_part(shared_rate.UNLIMITED)
+            return
+        per_s = max(LEAST_PER_S, self.per_s)
+        view = self._views[-1] if self._views else shared_rate.NOBODY
+        if not view.members:
+            parts = PARTS_EACH_ALONE * view.fleet_size
+            self._pacer.set_part(per_s / parts if parts else 0.0)
+            return
+        # A part of one request a second at least: each holder may be one request ahead.
+        most = max(1, int(per_s))
+        holders = self.place.holders(view, most)
+        if self.place.local_host not in holders:
+            self._pacer.set_part(0.0)
+            return
+        since = max(self._named_at, self.place.held_since(self._views, most, WINDOW))
+        # The holders begin one after the other, and upstreams apart from each other:
+        # where all name a limit at once they would else all be free at once, too.
+        turn = holders.index(self.place.local_host) + self.place.phase
+        self._pacer.set_part(per_s / len(holders), ids.later(since, turn / per_s))
--- a/spindlenotch/kernel/upstream_set.py
+++ b/spindlenotch/kernel/upstream_set.py
@@ -12,18 +12,33 @@
 
 from spindlenotch import ids
 from spindlenotch.kernel import (
+    backpressure,
     cold_start,
     hearing,
+    named_limit,
     ownership,
     regions,
     schedule,
     service_policy,
+    shared_rate,
     slot_division,
     state_changes,
     upstreams,
     waiting,
 )
 
+#: Seconds for which it is kept what an upstream said that is gone: its entry may be
+#: back when the source is.
+SAID_KEPT_S = 600.0
+
+
+class _Said(msgspec.Struct):
+    """What a start of an upstream has said, and until when that is kept."""
+
+    born: int | None
+    pressure: backpressure.Backpressure
+    keep_until: ids.Instant = ids.NEVER
+
 
 class UpstreamSet:
     """
@@ -33,8 +48,8 @@
     ``local_order`` those of them in this process's own zone, ``near_order`` in its
     region and ``far_order`` in others, ``ejected`` those that are ejected; ``owned``
     lists those of them in which this process owns slots, in all ``owned_total``.
-    ``revision`` rises with each change of ``usable_order``. ``cold_senders`` are the
-    processes that share what cold upstreams bear.
+    ``revision`` rises with each change of ``usable_order``. ``views`` say who shares
+    what upstreams take from all processes: as seen now, last, and a while ago.
     """
 
     def __init__(
@@ -42,7 +57,7 @@
     ) -> None:
         self.service = service
         self.local_member = local_member
-        self.cold_senders: tuple[ids.HostId, ...] = ()
+        self.views: tuple[shared_rate.View, ...] = (shared_rate.NOBODY,)
         self.members: tuple[ownership.Member, ...] = (local_member,)
         self.upstream_by_id: dict[ids.UpstreamId, upstreams.Upstream] = {}
         self.usable_order: list[upstreams.Upstream] = []
@@ -60,6 +75,7 @@
         self.owned_total = 0.0
         self.revision = 0
         self._changed = False
+        self._said_by_id: dict[ids.UpstreamId, _Said] = {}
 
     def set_members(self, members: abc.Iterable[ownership.Member]) -> None:
         """Take in the live members, this process included."""
@@ -91,14 +107,20 @@
                     known.spec = msgspec.structs.replace(known.spec, born=spec.born)
                 known.cold.listed(spec.warming_up_until, now)
         self._forget_gone(spec_by_id)
-        self._limit_cold(now)
+        self._forget_said(now)
+        self._share_rates(now)
         self.refresh()
 
-    def set_cold_senders(self, hosts: tuple[ids.HostId, ...], now: ids.Instant) -> None:
-        """Take in which processes share what cold upstreams bear."""
-        if hosts != self.cold_senders:
-            self.cold_senders = hosts
-            self._limit_cold(now)
+    def set_sharers(self, view: shared_rate.View, now: ids.Instant) -> None:
+        """Take in which processes share what upstreams take from all of them."""
+        before = self.views[-1]
+        if view == before:
+            return
+        ended = msgspec.structs.replace(before, until=now)
+        since = now - named_limit.WINDOW.seconds
+        recent = [one for one in self.views[:-1] if one.until > since]
+        self.views = (*recent, ended, view)
+        self._share_rates(now)
 
     def set_plan(self, plan: dict[ids.ZoneName, float]) -> None:
         """Take in the day's weights by zone."""
@@ -165,7 +187,12 @@
         """Return a new upstream in place of the one that is ``known`` by its id."""
         slots = spec.slots or self.service.slots
         upstream = upstreams.Upstream(
-            spec, slots, now, self._state_changed, self.probing
+            spec,
+            slots,
+            now,
+            self._state_changed,
+            self.probing,
+            self._backpressure(spec, now),
         )
         if known is None:
             return upstream
@@ -176,21 +203,37 @@
             upstream.cold.was_away_since(now, now)
         return upstream
 
+    def _backpressure(
+        self, spec: upstreams.UpstreamSpec, now: ids.Instant
+    ) -> backpressure.Backpressure:
+        """Return what a start of an upstream has said, also before it was relisted."""
+        kept = self._said_by_id.get(spec.id)
+        if kept is None or kept.born != spec.born:
+            place = shared_rate.Place(spec.id, spec.zone, self.local_member.host)
+            kept = _Said(spec.born, backpressure.Backpressure(place))
+        self._said_by_id[spec.id] = kept
+        return kept.pressure
+
     def _state_changed(self, upstream: upstreams.Upstream) -> None:
         self.changes.record(upstream)
         self._changed = True
 
-    def _limit_cold(self, now: ids.Instant) -> None:
-        """Work out anew what this process may send to cold upstreams."""
+    def _share_rates(self, now: ids.Instant) -> None:
+        """Work out anew what this process may send where a rate bounds all of them."""
+        hosts = tuple(member.host for member in self.views[-1].members)
         for upstream in self.upstream_by_id.values():
+            is_far = self.is_far(upstream)
             upstream.cold.lasts_s = self.service.cold_start_s
             rate_per_s = cold_start.rate_per_s(
                 upstream.spec.id,
                 self.service.cold_rate_per_s,
-                () if self.is_far(upstream) else self.cold_senders,
+                () if is_far else hosts,
                 self.local_member.host,
             )
             upstream.cold.limit(rate_per_s, now)
+            # Its own region's processes share it, who hear of each other.
+            views = (shared_rate.NOBODY,) if is_far else self.views
+            upstream.backpressure.limit.set_views(views)
 
     def _assign_slots(self) -> None:
         offers = slot_division.offers(self.usable_order, self.zone_factor)
@@ -200,6 +243,16 @@
         self.owned = [u for u in self.usable_order if u.owned_slots > 0]
         self.owned_total = sum(own.values())
 
+    def _forget_said(self, now: ids.Instant) -> None:
+        """Drop what upstreams said that have been gone for long."""
+        for upstream_id, said in list(self._said_by_id.items()):
+            if upstream_id in self.upstream_by_id:
+                said.keep_until = ids.NEVER
+            elif said.keep_until == ids.NEVER:
+                said.keep_until = ids.later(now, SAID_KEPT_S)
+            elif said.keep_until <= now:
+                del self._said_by_id[upstream_id]
+
     def _forget_gone(self, listed: abc.Container[ids.UpstreamId]) -> None:
         gone = [
             upstream_id
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -22,6 +22,7 @@
     failure_share,
     hearing,
     latency,
+    shared_rate,
 )
 
 #: Weight of the newest sample in an upstream's latency ratio. Chosen, not
@@ -44,6 +45,9 @@
 #: measured.
 WARM_AFTER_ANSWERS = 20
 
+#: Of a process that shares no rates.
+NO_HOST = ids.HostId("")
+
 #: Called with each upstream whose state has changed.
 ChangeListener = abc.Callable[["Upstream"], None]
 
@@ -120,7 +124,8 @@
     latency; ``crowding_sample`` holds for about half of all upstreams, the same in
     every process (``crowding``). ``cold`` says what it may get while it is cold;
     ``ejected_at`` is when it was ejected last, ``known_since`` when this process
-    learnt of this start of it.
+    learnt of this start of it, ``backpressure`` what this start has said of how much
+    it will take.
     """
 
     def __init__(
@@ -130,11 +135,14 @@
         now: ids.Instant,
         on_change: ChangeListener,
         probing: hearing.Probing | None = None,
+        said: backpressure.Backpressure | None = None,
     ) -> None:
         self.spec = spec
         self.known_since = now
         self.cold = cold_start.ColdStart(spec.warming_up_until)
-        self.backpressure = backpressure.Backpressure()
+        self.backpressure = said or backpressure.Backpressure(
+            shared_rate.Place(spec.id, spec.zone, NO_HOST)
+        )
         self.on_change = on_change
         self.slots = slots
         self.crowding_sample = zlib.crc32(spec.id.encode()) % 2 == 0
@@ -169,7 +177,7 @@
         self.hearing.sent(now, is_first=not self.sent_at_by_call)
         self.sent_at_by_call[call] = now
         self.cold.sent(now)
-        self.backpressure.request_sent()
+        self.backpressure.limit.request_sent(now)
 
     def ended(
         self, call: ids.CallId, result: Result, typical_s: float, now: ids.Instant
@@ -297,13 +305,28 @@
 
     def may_take(self, now: ids.Instant) -> bool:
         """Tell whether it may get one more request."""
-        if not self.cold.may_send(now, self.hearing.read_until):
+        read_until = self.hearing.read_until
+        if not self.cold.may_send(now, read_until):
+            return False
+        if not self.backpressure.limit.may_send(now, read_until):
             return False
         if self.state is State.ACTIVE:
             return True
         self.tick(now)
         return self.state is State.PROBATION and not self.sent_at_by_call
 
+    def free_at(self, now: ids.Instant) -> ids.Instant:
+        """
+        Return from when on it may be used, as far as that is known; NEVER: it is not.
+
+        Whether its slots are in use does not count.
+        """
+        if self.state is State.EJECTED:
+            return self.state_until
+        if not self.cold.may_ever_send(now):
+            return self.cold.until
+        return self.backpressure.limit.free_at(now, self.hearing.read_until)
+
     def trusted_share(self) -> float:
         """Return the share of its slots that it may be trusted with, 0 to 1."""
         return min(1.0, (1 + self.answers) / WARM_AFTER_ANSWERS)
--- a/spindlenotch/kernel/waiting.py
+++ b/spindlenotch/kernel/waiting.py
@@ -57,6 +57,10 @@
         """Return its place among waiting calls; the lowest goes first."""
         return 2 * self.priority + self.late
 
+    def may_wait_for(self, usable_at: ids.Instant, now: ids.Instant) -> bool:
+        """Tell whether it may wait for what is usable from then on; NEVER: nothing."""
+        return usable_at != ids.NEVER and usable_at <= max(now, self.wait_until)
+
 
 class WaitQueue:
     """
--- a/spindlenotch/peers/workload.py
+++ b/spindlenotch/peers/workload.py
@@ -31,6 +31,9 @@
     many seconds it was cold yet when this was sent, by a health answer made
     ``cold_age_s`` seconds before; None where there is nothing to tell. ``born`` tells
     of which start of the upstream all that is, None where nothing does.
+    ``limit_per_s``: the requests a second that it said it takes from all processes
+    together, ``limit_age_s`` seconds before; where that alone is there, it said that it
+    names no limit any more.
     """
 
     upstream: ids.UpstreamId
@@ -41,3 +44,5 @@
     cold_s: float | None = None
     cold_age_s: float = 0.0
     born: int | None = None
+    limit_per_s: float | None = None
+    limit_age_s: float | None = None
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -173,7 +173,7 @@
         functions=(
             "kernel/cold_start.owner",
             "kernel/cold_start.ColdStart.may_send",
-            "gateway/cluster/cold_senders.ColdSenders.update",
+            "gateway/cluster/rate_sharers.RateSharers.update",
         ),
         inputs="requests a second that a cold upstream of the service bears, until"
         " when it is cold (instant; its entry, health answers, ejections), active"
@@ -185,8 +185,8 @@
         " that of a partition one side does at most. What lies unread there counts: an"
         " upstream that stands still reads it all at once when it goes on.",
         constants=(
-            "kernel/cold_start.LEAST_UNREAD",
-            "kernel/cold_start.ASKED_AGAIN_S",
+            "kernel/shared_rate.LEAST_COUNTED",
+            "kernel/shared_rate.LATE_S",
             "gateway/cluster/fleet_size.MEMORY_S",
             "gateway/cluster/quorum.QUORUM_SHARE",
             "gateway/cluster/load_sharing.COLDNESS_TOLD_S",
@@ -207,6 +207,44 @@
             ),
         ),
     ),
+    Rule(
+        question="Who sends to an upstream that names a limit, and how often",
+        functions=(
+            "kernel/named_limit.NamedLimit.may_send",
+            "kernel/shared_rate.Place.holders",
+            "kernel/shared_rate.Place.held_since",
+            "kernel/shared_rate.Pacer.may_send",
+            "gateway/cluster/limit_news.LimitNews.due",
+        ),
+        inputs="requests a second that the upstream takes, as its answers or peers"
+        " said last, active gateways now and a window ago, gateways seen now and"
+        " lately, what was sent there and read.",
+        reason="An upstream in need names what it takes from all gateways together."
+        " Some active gateways of its zone have equal parts of that, by rendezvous"
+        " hashing, the others none; who begins to have one waits for a window. Who"
+        " hears the limit, or that it ended, tells the other active gateways. Where"
+        " too few others are in view, a small part is sent. Calls that find no turn in"
+        " time are refused at once.",
+        constants=(
+            "kernel/named_limit.LEAST_PER_S",
+            "kernel/named_limit.PARTS_EACH_ALONE",
+            "kernel/named_limit.ASK_AFTER_S",
+            "kernel/upstream_set.SAID_KEPT_S",
+            "gateway/cluster/limit_news.REPEAT_S",
+            "gateway/cluster/limit_news.ENDED_TOLD_S",
+        ),
+        events=("UPSTREAM_LIMITED", "UPSTREAM_LIMIT_ENDED", "SENT_TO_LIMITED"),
+        tests=(
+            Scenario("gateway", "upstreams get the limits that they name, and no more"),
+            Scenario(
+                "gateway", "limits hold while gateways end, start and stand still"
+            ),
+            Scenario("gateway", "limits hold while views of who shares them differ"),
+            Scenario("gateway", "limits hold where upstreams stand still, and read on"),
+            Scenario("gateway", "a side that sees too few others sends a small part"),
+            Scenario("named_limits", "All workers name a limit"),
+        ),
+    ),
     Rule(
         question="Who reads the store, who probes, who writes the discovery record",
         functions=(
--- a/tools/late_mutants.py
+++ b/tools/late_mutants.py
@@ -51,9 +51,9 @@
     ),
     mutant_table.Mutant(
         "a cold upstream gets more while what it got lies unread",
-        "kernel/cold_start",
-        "self._unread(read_until) < self._most_unread",
-        "True",
+        "kernel/shared_rate",
+        "if self._counted(now, read_until) <= most:",
+        "if True:",
         "a cold upstream that stands still reads what it bears",
     ),
     mutant_table.Mutant(
--- /dev/null
+++ b/tools/limit_mutants.py
@@ -0,0 +1,68 @@
+"""
+The mutants of what upstreams say of how much they will take.
+
+Part of the table of ``mutant_table``; ``tools/mutants.py`` tries them.
+"""
+
+from tools import mutant_table
+
+KEPT = "upstreams get the limits that they name, and no more"
+
+MUTANTS = (
+    mutant_table.Mutant(
+        "each gateway sends all that an upstream takes",
+        "kernel/named_limit",
+        "self._pacer.set_part(per_s / len(holders),",
+        "self._pacer.set_part(per_s,",
+        KEPT,
+    ),
+    mutant_table.Mutant(
+        "a limit that sinks does not count what was sent before",
+        "kernel/shared_rate",
+        "if self._counted(now, read_until) <= most:",
+        "if True:",
+        "limits hold where upstreams stand still, and read on",
+    ),
+    mutant_table.Mutant(
+        "who takes over a part of a limit begins at once",
+        "kernel/shared_rate",
+        "free_at = max(free_at, ids.later(view.until, window.seconds))",
+        "pass",
+        "limits hold while gateways end, start and stand still",
+    ),
+    mutant_table.Mutant(
+        "a pace begins anew with each limit that is named",
+        "kernel/named_limit",
+        "since = max(self._named_at,",
+        "since = max(self.told_at,",
+        KEPT,
+    ),
+    mutant_table.Mutant(
+        "a side that sees too few others sends as if it were alone",
+        "kernel/named_limit",
+        "self._pacer.set_part(per_s / parts if parts else 0.0)",
+        "self._pacer.set_part(per_s)",
+        "a side that sees too few others sends a small part",
+    ),
+    mutant_table.Mutant(
+        "an answer from before a limit ends it",
+        "kernel/backpressure",
+        "and sent_at > self.limit.told_at",
+        "",
+        "an answer from before a limit does not end it",
+    ),
+    mutant_table.Mutant(
+        "what an upstream said is forgotten with its entry",
+        "kernel/upstream_set",
+        "if kept is None or kept.born != spec.born:",
+        "if True:",
+        "what an upstream said holds when its entry comes back",
+    ),
+    mutant_table.Mutant(
+        "nobody tells that a limit has ended",
+        "gateway/cluster/limit_news",
+        "return limit.per_s is not None or now",
+        "return limit.per_s is not None and now",
+        "a limit is told on by who heard it, and that it ended",
+    ),
+)
--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -360,8 +360,8 @@
     Mutant(
         "gateways send to cold upstreams of other regions",
         "kernel/upstream_set",
-        "() if self.is_far(upstream) else self.cold_senders",
-        "self.cold_senders",
+        "() if is_far else hosts",
+        "hosts",
         "nobody of another region sends to a cold upstream",
     ),
     Mutant(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -14,7 +14,7 @@
 import tempfile
 from collections import abc
 
-from tools import late_mutants, mutant_table, quarantine_mutants
+from tools import late_mutants, limit_mutants, mutant_table, quarantine_mutants
 
 #: Plays of each machine against a mutant, and steps of a play. Chosen, not
 #: measured.
@@ -28,6 +28,7 @@
     *mutant_table.MUTANTS,
     *quarantine_mutants.MUTANTS,
     *late_mutants.MUTANTS,
+    *limit_mutants.MUTANTS,
 )
 #: Program that plays the machines in the scratch copy.
 PLAY_PROGRAM = """
