The logs tell which upstreams ask for rest (E412); stand-ins say by any text that they leave

Nothing read the Retry-After of an upstream but to pass it on to a refused caller. Nothing is decided by it yet.

--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -156,7 +156,7 @@
     ``probed_at`` has the times of health checks. At ``most_at_once`` requests it
     turns further ones away. ``fault_by_version`` and ``poisons`` are shared by the
     workers of a fleet. ``names_limit`` is the text of the limit that its answers name,
-    None where they name none; ``is_leaving`` says whether they tell that it leaves.
+    None where they name none; ``says_leaving`` that by which they say that it leaves.
     While ``asks_rest`` is a text, it turns requests away and asks for so much rest.
     """
 
@@ -183,7 +183,7 @@
         self.slots = 4
         self.most_at_once = 1000
         self.names_limit: str | None = None
-        self.is_leaving = False
+        self.says_leaving: str | None = None
         self.asks_rest: str | None = None
         #: Ids of the requests that it turned away asking for rest, with the instant.
         self.rests: list[tuple[float, str]] = []
@@ -305,7 +305,7 @@
         head = _parse(data)
         if head.target.startswith("/health"):
             self.probed_at.append(head.at)
-            status = "503 Service Unavailable" if self.is_leaving else "200 OK"
+            status = "503 Service Unavailable" if self.says_leaving else "200 OK"
             writer.write(self._head(status, "", 0, extra=self._cold_header()))
             return True
         self.coldness.arrives()
@@ -436,9 +436,15 @@
 
     def _demands(self) -> str:
         """Return the headers by which it asks for less, or for nothing more."""
-        limit = "" if self.names_limit is None else self.names_limit
-        named = f"Server-Limit: {limit}\r\n" if limit else ""
-        return named + ("Server-Leaving: 1\r\n" if self.is_leaving else "")
+        value_by_name = {
+            "Server-Limit": self.names_limit,
+            "Server-Leaving": self.says_leaving,
+        }
+        return "".join(
+            f"{name}: {value}\r\n"
+            for name, value in value_by_name.items()
+            if value is not None
+        )
 
     def _answer(self, request_id: str, body: bytes) -> bytes:
         return self._head("200 OK", request_id, len(body)) + body
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -231,6 +231,12 @@
         "a header of an upstream's answers means nothing and is ignored",
         "mend the upstream; the line is written once for each upstream and header",
     )
+    UPSTREAM_RESTS = CatalogueRow(
+        412,
+        "WARNING",
+        "an upstream turned a request away and asked this process for rest",
+        "find out what it lacks",
+    )
     ID_TABLE_FULL = CatalogueRow(
         501,
         "WARNING",
--- a/spindlenotch/forwarding/signal_events.py
+++ b/spindlenotch/forwarding/signal_events.py
@@ -9,7 +9,7 @@
 from spindlenotch import events, ids
 from spindlenotch.kernel import backpressure
 
-#: Digits behind the point of a rate that is told.
+#: Digits behind the point of what is told: a rate, seconds.
 RATE_DIGITS = 2
 
 
@@ -34,6 +34,13 @@
                     service=service,
                     upstream=upstream,
                 )
+            case backpressure.Change.RESTS:
+                events.emit(
+                    events.Event.UPSTREAM_RESTS,
+                    service=service,
+                    upstream=upstream,
+                    rest_s=round(one.rest_s, RATE_DIGITS),
+                )
             case backpressure.Change.UNREADABLE if one.unreadable is not None:
                 events.emit(
                     events.Event.SIGNAL_UNREADABLE,
--- a/spindlenotch/kernel/backpressure.py
+++ b/spindlenotch/kernel/backpressure.py
@@ -29,10 +29,12 @@
     What one answer says.
 
     ``limit_per_s``: the requests a second that the upstream takes from all processes
-    together, None where it names none.
+    together, None where it names none. ``rest_s``: the seconds for which it wants
+    nothing from this process, None where it asks for no rest.
     """
 
     limit_per_s: float | None = None
+    rest_s: float | None = None
     unreadable: tuple[Unreadable, ...] = ()
 
 
@@ -41,14 +43,16 @@
 
     LIMITED = "limited"
     LIMIT_ENDED = "limit ended"
+    RESTS = "rests"
     UNREADABLE = "unreadable"
 
 
 class News(msgspec.Struct, frozen=True):
-    """A change that the log tells; ``limit_per_s`` and ``unreadable`` where it is."""
+    """A change that the log tells, with what the answer said of it."""
 
     change: Change
     limit_per_s: float = 0.0
+    rest_s: float = 0.0
     unreadable: Unreadable | None = None
 
 
@@ -58,6 +62,7 @@
     def __init__(self, place: shared_rate.Place) -> None:
         self.limit = named_limit.NamedLimit(place)
         self._limit_logged_at = shared_rate.LONG_AGO
+        self.rests_until = shared_rate.LONG_AGO
         self._unreadable_names: set[str] = set()
 
     def take(
@@ -76,6 +81,8 @@
         may leave it out.
         """
         news = self._unreadable_news(signals.unreadable)
+        if signals.rest_s is not None:
+            news += self._rest_news(signals.rest_s, now)
         before = self.limit.per_s
         if signals.limit_per_s is not None:
             self.limit.heard(signals.limit_per_s, now)
@@ -83,6 +90,12 @@
             self.limit.heard(None, now)
         return news + self._limit_news(before, now)
 
+    def _rest_news(self, rest_s: float, now: ids.Instant) -> list[News]:
+        """Take in a rest; of those that overlap one is told."""
+        is_new = now >= self.rests_until
+        self.rests_until = max(self.rests_until, ids.later(now, rest_s))
+        return [News(Change.RESTS, rest_s=rest_s)] if is_new else []
+
     def _limit_news(self, before: float | None, now: ids.Instant) -> list[News]:
         limit_per_s = self.limit.per_s
         if limit_per_s is None:
