--- a/features/steps/late_arrivals.py
+++ b/features/steps/late_arrivals.py
@@ -19,7 +19,8 @@
     steady_callers,
 )
 
-WORK_S, SLOTS = 0.08, 6
+#: Time of the route until a step says another, in seconds.
+TIMEOUT_S = 1.0
 #: Load jumps by this factor, for this part of the time for which workers stand still.
 JUMP, JUMP_PART = 2.0, 0.6
 #: When in the time for which workers stand still all gateways are killed, as a part.
@@ -107,18 +108,7 @@
     )
     context.play = Play(fleet, window_s, share, reserve)
 
-    async def start() -> None:
-        for number in range(workers):
-            zone = platform_fleet.ZONES[number % len(platform_fleet.ZONES)]
-            worker = await fleet.add_worker(f"i-{number}", zone=zone)
-            worker.work_s, worker.slots = WORK_S, SLOTS
-            fleet.list_worker(worker, zone=zone)
-        for number in range(gateways):
-            await fleet.start_gateway(number + 1)
-        for node in fleet.process_by_node:
-            await fleet.until_ready(node)
-
-    run(context, start())
+    run(context, steady_callers.start(fleet, workers, gateways, TIMEOUT_S))
 
 
 @behave.given("requests that have {timeout_s:g} s come at {rate:g} a second")
@@ -126,7 +116,7 @@
     route = platform_fleet.route(
         "read", "/read/", timeoutS=timeout_s, targetLatencyS=timeout_s / 2
     )
-    config = platform_fleet.configuration(4, [route], ("core",))
+    config = platform_fleet.configuration(5, [route], ("core",))
     fleet_of(context).store.put("op/config", config)
     play_of(context).rate = rate
 
--- a/features/steps/named_limits.py
+++ b/features/steps/named_limits.py
@@ -21,7 +21,6 @@
     steady_callers,
 )
 
-WORK_S, SLOTS = 0.08, 6
 #: Seconds between two gateways that are killed or stand still, and for how long the
 #: latter do.
 TURN_S, AWAY_S = 4.0, 2.0
@@ -82,11 +81,10 @@
 
     def arrivals(self, worker_id: str) -> list[limit_sum.Arrival]:
         """Return what a worker read, in order."""
-        found = []
-        for head in self.fleet.worker_by_id[worker_id].heads:
-            request = self.request_by_id[head.fields["x-spindlenotch-request-id"]]
-            found.append(limit_sum.Arrival(head.at, request.node, request.life))
-        return sorted(found, key=lambda arrival: arrival.at)
+        return [
+            limit_sum.Arrival(at, request.node, request.life)
+            for at, request in self.read_by(worker_id)
+        ]
 
     def told_at(self, worker_id: str) -> dict[tuple[str, int], float]:
         """Return when each gateway first passed on an answer that names a limit."""
@@ -133,24 +131,7 @@
     fleet = fleet_of(context)
     context.play = Play(fleet)
     play_of(context).rate = rate
-    route = platform_fleet.route(
-        "read", "/read/", timeoutS=timeout_s, targetLatencyS=timeout_s / 2
-    )
-    config = platform_fleet.configuration(4, [route], ("core",))
-
-    async def start() -> None:
-        fleet.store.put("op/config", config)
-        for number in range(workers):
-            zone = platform_fleet.ZONES[number % len(platform_fleet.ZONES)]
-            worker = await fleet.add_worker(f"i-{number}", zone=zone)
-            worker.work_s, worker.slots = WORK_S, SLOTS
-            fleet.list_worker(worker, zone=zone)
-        for number in range(gateways):
-            await fleet.start_gateway(number + 1)
-        for node in fleet.process_by_node:
-            await fleet.until_ready(node)
-
-    run(context, start())
+    run(context, steady_callers.start(fleet, workers, gateways, timeout_s))
 
 
 @behave.when("{count:d} workers name a limit of {per_s:g} a second for {seconds:g} s")
--- a/features/support/steady_callers.py
+++ b/features/support/steady_callers.py
@@ -21,6 +21,9 @@
 #: Seconds until gateways know each other, before and after what is played.
 SETTLE_S, AFTER_S = 2.0, 2.0
 ASK_EVERY_S = 1.0
+SERVICE = "core"
+#: Work of a request, in seconds, and slots of a worker.
+WORK_S, SLOTS = 0.08, 6
 SEED = 5
 OK = 200
 #: How a gateway fails that is killed or starts.
@@ -84,6 +87,15 @@
             self.life_by_node[node] = self.life_by_node.get(node, 0) + 1
             await self.fleet.start_gateway(int(node.removeprefix("node-")))
 
+    def read_by(self, worker_id: str) -> list[tuple[float, Request]]:
+        """Return the requests that a worker read, each with the instant, in order."""
+        heads = self.fleet.worker_by_id[worker_id].heads
+        found = [
+            (head.at, self.request_by_id[head.fields["x-spindlenotch-request-id"]])
+            for head in heads
+        ]
+        return sorted(found, key=lambda pair: pair[0])
+
     async def _ask(self) -> None:
         """Ask again and again where requests may be sent."""
         while True:
@@ -128,6 +140,25 @@
         request.ended_at = time.monotonic()
 
 
+async def start(
+    fleet: platform_fleet.PlatformFleet, workers: int, gateways: int, timeout_s: float
+) -> None:
+    """Start workers and gateways with one route, and wait until these are ready."""
+    route = platform_fleet.route(
+        "read", "/read/", timeoutS=timeout_s, targetLatencyS=timeout_s / 2
+    )
+    fleet.store.put("op/config", platform_fleet.configuration(4, [route], (SERVICE,)))
+    for number in range(workers):
+        zone = platform_fleet.ZONES[number % len(platform_fleet.ZONES)]
+        worker = await fleet.add_worker(f"i-{number}", zone=zone)
+        worker.work_s, worker.slots = WORK_S, SLOTS
+        fleet.list_worker(worker, zone=zone)
+    for number in range(gateways):
+        await fleet.start_gateway(number + 1)
+    for node in fleet.process_by_node:
+        await fleet.until_ready(node)
+
+
 async def beside(*troubles: Trouble) -> None:
     """Let several things happen at the same time."""
     await asyncio.gather(*troubles)
