An upstream whose answers say that it leaves gets nothing more, whatever the store says

Callers saw nothing, but a request sent to an upstream that ends may be lost with it: one was sent 10.2 s after the gateway had passed on an answer that says so. Cause: the header was not read, and leaving was known from the store alone, which took no writes. Mend: the adapter reads it; the upstream leaves at once, and that it said so is kept by its id and start (backpressure), so that an entry that goes and comes back, or is written anew, does not bring it back into use.

--- a/features/steps/named_limits.py
+++ b/features/steps/named_limits.py
@@ -316,7 +316,7 @@
         if one.status not in (0, steady_callers.OK)
     }
     assert refused, "none was refused"
-    since = min(namings[0].at for namings in play.namings_by_id.values()) + KNOWN_S
+    since = play.trouble_at + KNOWN_S
     for name, one in refused.items():
         assert one.status == NOT_RUN and name not in ran, (name, one)
         assert 0.0 < float(one.headers["Retry-After"]) < 4.0, (name, one)
--- a/features/support/steady_callers.py
+++ b/features/support/steady_callers.py
@@ -54,6 +54,7 @@
     def __init__(self, fleet: platform_fleet.PlatformFleet) -> None:
         self.fleet = fleet
         self.rate = 0.0
+        self.trouble_at = 0.0
         self.request_by_id: dict[str, Request] = {}
         self.life_by_node: dict[str, int] = {}
         self._rng = random.Random(SEED)
@@ -67,6 +68,7 @@
         sending = asyncio.ensure_future(self._send_all())
         try:
             await asyncio.sleep(SETTLE_S)
+            self.trouble_at = time.monotonic()
             await trouble
             await asyncio.sleep(AFTER_S)
         finally:
--- a/spindlenotch/forwarding/race.py
+++ b/spindlenotch/forwarding/race.py
@@ -22,13 +22,15 @@
     signal_events,
     trials,
 )
-from spindlenotch.kernel import outcomes, upstreams
+from spindlenotch.kernel import outcomes, upstream_set, upstreams
 
 #: Seconds after which an upstream that is not heard of is asked again whether it is
 #: there, as it may run a request long before it ends. Without asking, a request that
 #: ends upstreams that reset nothing was sent 47 and 48 times later than 3 s after the
 #: third end, 3 allowed; with it not at all in four runs (real gateways).
 ASK_AGAIN_S = 0.5
+#: Why an upstream gets no new work that turned a request away since it is draining.
+SAID_DRAINING = "said it is draining"
 
 
 class UpstreamState(typing.Protocol):
@@ -141,7 +143,7 @@
             await self._end_with_fault(grant, answer)
             return None
         if answer.draining:
-            self._note_drain(grant)
+            self._note_drain(grant, SAID_DRAINING)
         end = judgement.end_of_answer(answer)
         self._take_signals(grant, answer, end)
         if end is judgement.SHED:
@@ -231,11 +233,9 @@
         exchange.end(judgement.FAILED_ANSWER.result)
         return True
 
-    def _note_drain(self, grant: verdicts.Grant) -> None:
+    def _note_drain(self, grant: verdicts.Grant, reason: str) -> None:
         service = self.job.balancer.service.name
-        left_now = self.state.leave_upstream(
-            service, grant.upstream.spec, "said it is draining"
-        )
+        left_now = self.state.leave_upstream(service, grant.upstream.spec, reason)
         if left_now and self.on_drain_notice is not None:
             self.on_drain_notice()
 
@@ -254,6 +254,8 @@
         )
         service = self.job.balancer.service.name
         signal_events.report(service, grant.upstream.spec.id, news)
+        if answer.signals.is_leaving:
+            self._note_drain(grant, upstream_set.SAID_LEAVING)
 
     def _record_foreign(self, grant: verdicts.Grant) -> None:
         service = self.job.balancer.service.name
--- a/spindlenotch/kernel/backpressure.py
+++ b/spindlenotch/kernel/backpressure.py
@@ -30,11 +30,12 @@
 
     ``limit_per_s``: the requests a second that the upstream takes from all processes
     together, None where it names none. ``rest_s``: the seconds for which it wants
-    nothing from this process, None where it asks for no rest.
+    nothing from this process, None where it asks for no rest. ``is_leaving``: it ends.
     """
 
     limit_per_s: float | None = None
     rest_s: float | None = None
+    is_leaving: bool = False
     unreadable: tuple[Unreadable, ...] = ()
 
 
@@ -57,11 +58,17 @@
 
 
 class Backpressure:
-    """What one upstream has said to one process of how much it will take."""
+    """
+    What one upstream has said to one process of how much it will take.
+
+    ``is_leaving`` holds for good, for this start of it. ``rests_until`` is when it may
+    be sent something again.
+    """
 
     def __init__(self, place: shared_rate.Place) -> None:
         self.limit = named_limit.NamedLimit(place)
         self._limit_logged_at = shared_rate.LONG_AGO
+        self.is_leaving = False
         self.rests_until = shared_rate.LONG_AGO
         self._unreadable_names: set[str] = set()
 
@@ -81,6 +88,7 @@
         may leave it out.
         """
         news = self._unreadable_news(signals.unreadable)
+        self.is_leaving |= signals.is_leaving
         if signals.rest_s is not None:
             news += self._rest_news(signals.rest_s, now)
         before = self.limit.per_s
--- a/spindlenotch/kernel/upstream_set.py
+++ b/spindlenotch/kernel/upstream_set.py
@@ -30,6 +30,8 @@
 #: Seconds for which it is kept what an upstream said that is gone: its entry may be
 #: back when the source is.
 SAID_KEPT_S = 600.0
+#: Why an upstream gets no new work whose answers say that it leaves.
+SAID_LEAVING = "says that it leaves"
 
 
 class _Said(msgspec.Struct):
@@ -131,7 +133,9 @@
     def leave(self, upstream_id: ids.UpstreamId, generation: int, reason: str) -> bool:
         """Mark an upstream as leaving; tell whether it was not before."""
         known = self.upstream_by_id.get(upstream_id)
-        if known is None or known.spec.generation > generation:
+        if known is None:
+            return False
+        if known.spec.generation > generation and not known.backpressure.is_leaving:
             return False
         if known.state is upstreams.State.LEAVING:
             return False
@@ -194,6 +198,9 @@
             self.probing,
             self._backpressure(spec, now),
         )
+        if upstream.backpressure.is_leaving:
+            # Its entry lags behind, or was written by another; it said so itself.
+            upstream.leave(SAID_LEAVING)
         if known is None:
             return upstream
         known.end()
