An upstream that asks a gateway for rest gets nothing from it until then

Callers were refused, and told to come back in 3 s, while other upstreams had room; an upstream in need got 91 requests in the first 0.6 s of a rest of 3 s. Cause: Retry-After was passed on to the caller and heeded by nobody; who turns requests away at once seems to have all its slots free. Mend: the rest is kept for the gateway that was asked (backpressure), also where the upstream's entry goes and comes back; where all rest, calls are refused at once with the end of the first; a refused caller is told when any upstream may be used. A Retry-After that is no number of seconds, or not a finite one, is ignored.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -83,6 +83,10 @@
       | what an upstream said holds when its entry comes back      |
       | a limit is told on by who heard it, and that it ended      |
       | limits are read where they mean something                  |
+      | an upstream that rests gets nothing until its rest is over |
+      | where all rest calls are refused with the end of the first |
+      | an upstream that said it leaves stays out whatever is listed |
+      | rests and leaving are read where they mean something       |
       | a probed upstream has one prober with equal views          |
       | hostile bytes of gateways are refused and bounded          |
       | peer messages come out as they went in                     |
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -16,6 +16,7 @@
 from spindlenotch.decisions import (
     admission,
     hedging,
+    queueing,
     retrying,
     silence,
     traffic_split,
@@ -302,6 +303,13 @@
         if self.pool.frozen(upstream, grant.call.latency_key, now):
             self.pool.eject(upstream, ejection.SILENT, now)
 
+    def room_at(self, call: waiting.Call, now: ids.Instant) -> ids.Instant:
+        """Return when a caller may come back whose call no upstream took."""
+        usable_at = self._usable_at(call, now)
+        if usable_at == ids.NEVER:
+            return self.pool.usable_again_at(now)
+        return max(usable_at, queueing.retry_at(self.pool, len(self.queue), now))
+
     def _usable_at(self, call: waiting.Call | None, now: ids.Instant) -> ids.Instant:
         """
         Return from when an upstream may take a call where it may run, or any.
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import math
 import types
 import typing
 
@@ -280,6 +281,7 @@
 def _seconds(text: str | None) -> float | None:
     """Read ``Retry-After`` in seconds; its form as a date counts as absent."""
     try:
-        return None if text is None else float(text)
+        seconds = 0.0 if text is None else float(text)
     except ValueError:
         return None
+    return seconds if 0.0 < seconds < math.inf else None
--- a/spindlenotch/forwarding/judgement.py
+++ b/spindlenotch/forwarding/judgement.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from spindlenotch import ids, ports
-from spindlenotch.decisions import queueing
 from spindlenotch.kernel import outcomes, upstreams
 
 
@@ -106,19 +105,17 @@
     reason: outcomes.Reason,
     *,
     may_have_run: bool,
-    retry_after_s: float | None,
-    now: ids.Instant,
+    room_at: ids.Instant,
 ) -> outcomes.Refusal:
     """
     Refuse a request none of whose tries was answered.
 
-    ``retry_after_s`` is what the last upstream that shed it asked for, in
-    seconds. A request whose deadline passed gets no instant to ask again: the
-    same request would be too late again.
+    ``room_at`` is when another may find room. A request whose deadline passed gets
+    no instant to ask again: the same request would be too late again.
     """
     retry_at = None
     if reason is not outcomes.Reason.DEADLINE_PASSED:
-        retry_at = ids.later(now, retry_after_s or queueing.LEAST_RETRY_AFTER_S)
+        retry_at = room_at
     if may_have_run:
         return outcomes.unknown(reason, retry_at)
     return outcomes.not_run(reason, retry_at)
--- a/spindlenotch/forwarding/race.py
+++ b/spindlenotch/forwarding/race.py
@@ -179,7 +179,8 @@
     ) -> None:
         answer.abandon()
         self._keep(judgement.SHED)
-        self._retry_after_s = answer.retry_after_s
+        if answer.signals.rest_s is None:
+            self._retry_after_s = answer.retry_after_s
         self.grants.finish(self.job, grant, judgement.SHED.result, answer.report)
         await self._retry(grant, known_not_run=True)
 
@@ -270,10 +271,20 @@
         return judgement.refusal(
             reason,
             may_have_run=self._may_have_run,
-            retry_after_s=self._retry_after_s,
-            now=self.state.clock.now(),
+            room_at=self._room_at(),
         )
 
+    def _room_at(self) -> ids.Instant:
+        """
+        Return when the caller may come back.
+
+        What one upstream asked of this process says nothing of the others: as long as
+        they have room, the caller need not wait for that one.
+        """
+        now = self.state.clock.now()
+        room_at = self.job.balancer.room_at(self.job.call, now)
+        return max(room_at, ids.later(now, self._retry_after_s or 0.0))
+
     def _cancel_rest(self) -> None:
         for task, grant in self._grant_by_task.items():
             if task.done() and not task.cancelled():
--- a/spindlenotch/kernel/backpressure.py
+++ b/spindlenotch/kernel/backpressure.py
@@ -72,6 +72,19 @@
         self.rests_until = shared_rate.LONG_AGO
         self._unreadable_names: set[str] = set()
 
+    def may_send(self, now: ids.Instant, read_until: ids.Instant) -> bool:
+        """
+        Tell whether it may be sent one more request.
+
+        An upstream that turns requests away answers at once, and so would seem to have
+        all its slots free. ``read_until``: what it got before that instant was read.
+        """
+        return now >= self.rests_until and self.limit.may_send(now, read_until)
+
+    def free_at(self, now: ids.Instant, read_until: ids.Instant) -> ids.Instant:
+        """Return from when it may be sent one more, as far as that is known now."""
+        return max(self.rests_until, self.limit.free_at(now, read_until))
+
     def take(
         self,
         signals: Signals,
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -308,7 +308,7 @@
         read_until = self.hearing.read_until
         if not self.cold.may_send(now, read_until):
             return False
-        if not self.backpressure.limit.may_send(now, read_until):
+        if not self.backpressure.may_send(now, read_until):
             return False
         if self.state is State.ACTIVE:
             return True
@@ -325,7 +325,7 @@
             return self.state_until
         if not self.cold.may_ever_send(now):
             return self.cold.until
-        return self.backpressure.limit.free_at(now, self.hearing.read_until)
+        return self.backpressure.free_at(now, self.hearing.read_until)
 
     def trusted_share(self) -> float:
         """Return the share of its slots that it may be trusted with, 0 to 1."""
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -245,6 +245,35 @@
             Scenario("named_limits", "All workers name a limit"),
         ),
     ),
+    Rule(
+        question="What becomes of an upstream that leaves, or asks for rest",
+        functions=(
+            "kernel/backpressure.Backpressure.take",
+            "kernel/backpressure.Backpressure.may_send",
+            "decisions/balancer.Balancer.room_at",
+        ),
+        inputs="what its answers to this process said, when (instant), seconds of rest",
+        reason="An upstream that says it leaves gets nothing more from this process,"
+        " whatever its entry says, until it starts again. One that turns a request"
+        " away and asks for rest gets nothing from this process for so long; others"
+        " may send there. A caller is told to come back when any upstream may be"
+        " used.",
+        constants=("kernel/upstream_set.SAID_KEPT_S",),
+        events=("UPSTREAM_LEAVING", "UPSTREAM_RESTS", "SIGNAL_UNREADABLE"),
+        tests=(
+            Scenario(
+                "gateway", "an upstream that rests gets nothing until its rest is over"
+            ),
+            Scenario(
+                "gateway", "where all rest calls are refused with the end of the first"
+            ),
+            Scenario(
+                "gateway",
+                "an upstream that said it leaves stays out whatever is listed",
+            ),
+            Scenario("answers_that_say", "All workers ask for rest"),
+        ),
+    ),
     Rule(
         question="Who reads the store, who probes, who writes the discovery record",
         functions=(
--- a/tools/limit_mutants.py
+++ b/tools/limit_mutants.py
@@ -58,6 +58,27 @@
         "if True:",
         "what an upstream said holds when its entry comes back",
     ),
+    mutant_table.Mutant(
+        "an upstream that rests is sent more",
+        "kernel/backpressure",
+        "return now >= self.rests_until and self.limit",
+        "return self.limit",
+        "an upstream that rests gets nothing until its rest is over",
+    ),
+    mutant_table.Mutant(
+        "who is refused where all rest is told to come back at once",
+        "kernel/backpressure",
+        "return max(self.rests_until, self.limit.free_at(now, read_until))",
+        "return self.limit.free_at(now, read_until)",
+        "where all rest calls are refused with the end of the first",
+    ),
+    mutant_table.Mutant(
+        "an entry brings back an upstream that said it leaves",
+        "kernel/upstream_set",
+        "if upstream.backpressure.is_leaving:",
+        "if False:",
+        "an upstream that said it leaves stays out whatever is listed",
+    ),
     mutant_table.Mutant(
         "nobody tells that a limit has ended",
         "gateway/cluster/limit_news",
