--- a/spindlenotch/decisions/queueing.py
+++ b/spindlenotch/decisions/queueing.py
@@ -25,9 +25,9 @@
     They get their turn as calls of this process end, or as often as the upstreams take
     any where all of them name limits. Zero until that rate is known.
     """
-    limited = pool.limited(now)
-    if limited is not None:
-        return max(0.0, limited.turn_at(ahead) - now)
+    turns = pool.turns(now)
+    if turns is not None:
+        return max(0.0, turns.at(ahead) - now)
     per_s = pool.completions.per_s(now)
     if per_s is None:
         return 0.0
--- /dev/null
+++ b/spindlenotch/kernel/said.py
@@ -0,0 +1,54 @@
+"""
+What upstreams have said, kept beyond their entries in the list.
+
+An entry goes while the source is away, or is written anew, and is back; what the
+upstream has said holds all the same. Owns it by upstream. Pure.
+"""
+
+from collections import abc
+
+import msgspec
+
+from spindlenotch import ids
+from spindlenotch.kernel import backpressure, shared_rate, upstreams
+
+#: Seconds for which it is kept what an upstream said that is gone: its entry may be
+#: back when the source is.
+KEPT_S = 600.0
+
+
+class _Said(msgspec.Struct):
+    """What a start of an upstream has said, and until when that is kept."""
+
+    born: int | None
+    pressure: backpressure.Backpressure
+    keep_until: ids.Instant = ids.NEVER
+
+
+class Said:
+    """What each start of the upstreams of one service has said to ``local_host``."""
+
+    def __init__(self, local_host: ids.HostId) -> None:
+        self.local_host = local_host
+        self._said_by_id: dict[ids.UpstreamId, _Said] = {}
+
+    def by(self, spec: upstreams.UpstreamSpec) -> backpressure.Backpressure:
+        """Return what this start of an upstream has said; nothing, where it is new."""
+        kept = self._said_by_id.get(spec.id)
+        if kept is None or kept.born != spec.born:
+            place = shared_rate.Place(spec.id, spec.zone, self.local_host)
+            kept = _Said(spec.born, backpressure.Backpressure(place))
+            self._said_by_id[spec.id] = kept
+        return kept.pressure
+
+    def forget_gone(
+        self, known: abc.Container[ids.UpstreamId], now: ids.Instant
+    ) -> None:
+        """Drop what upstreams said that have not been ``known`` for long."""
+        for upstream_id, said in list(self._said_by_id.items()):
+            if upstream_id in known:
+                said.keep_until = ids.NEVER
+            elif said.keep_until == ids.NEVER:
+                said.keep_until = ids.later(now, KEPT_S)
+            elif said.keep_until <= now:
+                del self._said_by_id[upstream_id]
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -6,11 +6,8 @@
 Answers what the decisions ask: how much an upstream is estimated to have.
 """
 
-import heapq
 import random
 
-import msgspec
-
 from spindlenotch import ids
 from spindlenotch.kernel import (
     completion_rate,
@@ -21,6 +18,7 @@
     ownership,
     service_policy,
     shared_rate,
+    turns,
     upstream_set,
     upstreams,
 )
@@ -36,28 +34,6 @@
 LATENCY_RATIO_WEIGHT = 0.02
 
 
-class Turn(msgspec.Struct, frozen=True, order=True):
-    """When an upstream that names a limit takes its next request, and any further."""
-
-    at: ids.Instant
-    spacing_s: float
-
-
-class Limited(msgspec.Struct, frozen=True):
-    """The next turns of upstreams that all name limits; there is one at least."""
-
-    turns: tuple[Turn, ...]
-
-    def turn_at(self, ahead: int) -> ids.Instant:
-        """Return when a call behind ``ahead`` others has its turn."""
-        heap = list(self.turns)
-        heapq.heapify(heap)
-        for _ in range(ahead):
-            at = ids.later(heap[0].at, heap[0].spacing_s)
-            heapq.heapreplace(heap, Turn(at, heap[0].spacing_s))
-        return heap[0].at
-
-
 class Pool(upstream_set.UpstreamSet):
     """
     The upstreams by id, and the running means of the service as a whole.
@@ -90,8 +66,8 @@
         #: The mean over all answers; ``Upstream.latency_ratio`` is that of one.
         self.latency_ratio = latency.Mean(1.0, LATENCY_RATIO_WEIGHT)
         self.crowding = crowding.Crowding()
-        self._limited_at = shared_rate.LONG_AGO
-        self._limited: Limited | None = None
+        self._turns_at = shared_rate.LONG_AGO
+        self._turns: turns.Turns | None = None
         self.completions = completion_rate.CompletionRate()
         self.latencies = latency_table.LatencyTable(
             service.typical_s, service.latency_keys
@@ -212,29 +188,16 @@
         """Count the calls in flight but for those stuck in ejected upstreams."""
         return self.in_flight - sum(u.outstanding for u in self.ejected)
 
-    def limited(self, now: ids.Instant) -> Limited | None:
+    def turns(self, now: ids.Instant) -> turns.Turns | None:
         """
-        Return what this process may send where every upstream names a limit.
+        Return when calls get their turns where every upstream names a limit, else None.
 
-        None where one names none, or none takes any here. Worked out
-        once for each instant, as many waiting calls ask.
+        Worked out once for each instant, as many waiting calls ask.
         """
-        if now != self._limited_at:
-            self._limited_at = now
-            self._limited = self._look_at_limits(now)
-        return self._limited
-
-    def _look_at_limits(self, now: ids.Instant) -> Limited | None:
-        turns: list[Turn] = []
-        for upstream in self.usable_order:
-            if upstream.state is upstreams.State.EJECTED:
-                continue
-            part_per_s = upstream.backpressure.limit.part_per_s
-            if part_per_s == shared_rate.UNLIMITED:
-                return None
-            if part_per_s > 0.0:
-                turns.append(Turn(upstream.free_at(now), 1.0 / part_per_s))
-        return Limited(tuple(turns)) if turns else None
+        if now != self._turns_at:
+            self._turns_at = now
+            self._turns = turns.create(self.usable_order, now)
+        return self._turns
 
     def usable_again_at(self, now: ids.Instant) -> ids.Instant:
         """Return when the first may be used again, or a moment where none is known."""
--- a/spindlenotch/kernel/upstream_set.py
+++ b/spindlenotch/kernel/upstream_set.py
@@ -12,12 +12,12 @@
 
 from spindlenotch import ids
 from spindlenotch.kernel import (
-    backpressure,
     cold_start,
     hearing,
     named_limit,
     ownership,
     regions,
+    said,
     schedule,
     service_policy,
     shared_rate,
@@ -27,21 +27,10 @@
     waiting,
 )
 
-#: Seconds for which it is kept what an upstream said that is gone: its entry may be
-#: back when the source is.
-SAID_KEPT_S = 600.0
 #: Why an upstream gets no new work whose answers say that it leaves.
 SAID_LEAVING = "says that it leaves"
 
 
-class _Said(msgspec.Struct):
-    """What a start of an upstream has said, and until when that is kept."""
-
-    born: int | None
-    pressure: backpressure.Backpressure
-    keep_until: ids.Instant = ids.NEVER
-
-
 class UpstreamSet:
     """
     The upstreams by id, and those that may get work.
@@ -77,7 +66,7 @@
         self.owned_total = 0.0
         self.revision = 0
         self._changed = False
-        self._said_by_id: dict[ids.UpstreamId, _Said] = {}
+        self._said = said.Said(local_member.host)
 
     def set_members(self, members: abc.Iterable[ownership.Member]) -> None:
         """Take in the live members, this process included."""
@@ -109,7 +98,7 @@
                     known.spec = msgspec.structs.replace(known.spec, born=spec.born)
                 known.cold.listed(spec.warming_up_until, now)
         self._forget_gone(spec_by_id)
-        self._forget_said(now)
+        self._said.forget_gone(self.upstream_by_id, now)
         self._share_rates(now)
         self.refresh()
 
@@ -196,7 +185,7 @@
             now,
             self._state_changed,
             self.probing,
-            self._backpressure(spec, now),
+            self._said.by(spec),
         )
         if upstream.backpressure.is_leaving:
             # Its entry lags behind, or was written by another; it said so itself.
@@ -210,17 +199,6 @@
             upstream.cold.was_away_since(now, now)
         return upstream
 
-    def _backpressure(
-        self, spec: upstreams.UpstreamSpec, now: ids.Instant
-    ) -> backpressure.Backpressure:
-        """Return what a start of an upstream has said, also before it was relisted."""
-        kept = self._said_by_id.get(spec.id)
-        if kept is None or kept.born != spec.born:
-            place = shared_rate.Place(spec.id, spec.zone, self.local_member.host)
-            kept = _Said(spec.born, backpressure.Backpressure(place))
-        self._said_by_id[spec.id] = kept
-        return kept.pressure
-
     def _state_changed(self, upstream: upstreams.Upstream) -> None:
         self.changes.record(upstream)
         self._changed = True
@@ -250,16 +228,6 @@
         self.owned = [u for u in self.usable_order if u.owned_slots > 0]
         self.owned_total = sum(own.values())
 
-    def _forget_said(self, now: ids.Instant) -> None:
-        """Drop what upstreams said that have been gone for long."""
-        for upstream_id, said in list(self._said_by_id.items()):
-            if upstream_id in self.upstream_by_id:
-                said.keep_until = ids.NEVER
-            elif said.keep_until == ids.NEVER:
-                said.keep_until = ids.later(now, SAID_KEPT_S)
-            elif said.keep_until <= now:
-                del self._said_by_id[upstream_id]
-
     def _forget_gone(self, listed: abc.Container[ids.UpstreamId]) -> None:
         gone = [
             upstream_id
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -229,7 +229,7 @@
             "kernel/named_limit.LEAST_PER_S",
             "kernel/named_limit.PARTS_EACH_ALONE",
             "kernel/named_limit.ASK_AFTER_S",
-            "kernel/upstream_set.SAID_KEPT_S",
+            "kernel/said.KEPT_S",
             "gateway/cluster/limit_news.REPEAT_S",
             "gateway/cluster/limit_news.ENDED_TOLD_S",
         ),
@@ -258,7 +258,7 @@
         " away and asks for rest gets nothing from this process for so long; others"
         " may send there. A caller is told to come back when any upstream may be"
         " used.",
-        constants=("kernel/upstream_set.SAID_KEPT_S",),
+        constants=("kernel/said.KEPT_S",),
         events=("UPSTREAM_LEAVING", "UPSTREAM_RESTS", "SIGNAL_UNREADABLE"),
         tests=(
             Scenario(
--- a/tools/limit_mutants.py
+++ b/tools/limit_mutants.py
@@ -53,7 +53,7 @@
     ),
     mutant_table.Mutant(
         "what an upstream said is forgotten with its entry",
-        "kernel/upstream_set",
+        "kernel/said",
         "if kept is None or kept.born != spec.born:",
         "if True:",
         "what an upstream said holds when its entry comes back",
