--- a/features/soak.feature
+++ b/features/soak.feature
@@ -21,6 +21,11 @@
     Then the play has no violation
     And nothing that it started still runs
 
+  Scenario: A play with upstreams that say how much they will take is clean
+    When upstreams name limits, ask for rest and leave beside other faults
+    Then the play has no violation
+    And nothing that it started still runs
+
   Scenario: A play that is interrupted ends what it started
     When a play is interrupted while its gateways run
     Then nothing that it started still runs
--- a/features/steps/answers_that_say.py
+++ b/features/steps/answers_that_say.py
@@ -86,7 +86,6 @@
     context: typing.Any, count: int, rest_s: float, seconds: float
 ) -> None:
     workers = first_workers(context, count)
-    context.rest_s = rest_s
 
     async def ask() -> None:
         for worker in workers:
@@ -147,9 +146,9 @@
     rests = 0
     for worker in context.speakers:
         read = play.read_by(worker.id)
-        for at, request_id in worker.rests:
-            node = play.request_by_id[request_id].node
-            since, until = at + UNDER_WAY_S, at + context.rest_s - MARGIN_S
+        for rest in worker.rests:
+            node = play.request_by_id[rest.request_id].node
+            since, until = rest.at + UNDER_WAY_S, rest.at + rest.seconds - MARGIN_S
             got = sum(since < when < until and r.node == node for when, r in read)
             rests += 1
             if got > count:
@@ -163,18 +162,18 @@
     """Where all rest, a caller that comes back as told finds one that may be asked."""
     play = callers_of(context)
     asked = sorted(
-        (at, play.request_by_id[request_id].node, worker.id)
+        (rest, play.request_by_id[rest.request_id].node, worker.id)
         for worker in context.speakers
-        for at, request_id in worker.rests
+        for rest in worker.rests
     )
     early = refused = 0
     for request in play.request_by_id.values():
         if request.status != DOWN:
             continue
         until_by_worker = {
-            worker_id: at + context.rest_s
-            for at, node, worker_id in asked
-            if node == request.node and at < request.ended_at
+            worker_id: rest.at + rest.seconds
+            for rest, node, worker_id in asked
+            if node == request.node and rest.at < request.ended_at
         }
         if len(until_by_worker) < len(context.speakers):
             continue
@@ -190,5 +189,5 @@
     for worker in context.speakers:
         # One that turns all away is passed over for most requests, by its failures.
         assert len(worker.rests) >= LEAST_ASKED, len(worker.rests)
-        last_at = max(at for at, _ in worker.rests)
+        last_at = max(rest.at for rest in worker.rests)
         assert last_at > context.play.ended_at - LEAST_EVERY_S, "it is asked no more"
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -31,6 +31,15 @@
     "3 2 upstreams-treat-badly 8",
     "4 2 gateways-killed 3",
 )
+#: Upstreams that say how much they will take while gateways end and stand still.
+ASKING_STEPS = (
+    "0.5 4 upstreams-name-limits 8",
+    "1 3 upstreams-ask-for-rest 12",
+    "1.5 2 upstream-says-it-leaves 7",
+    "2 2 gateways-killed 5",
+    "4 2 gateway-paused 4",
+    "4.5 3 upstreams-name-limits 5",
+)
 #: How a log line of the event begins that tells of a suspension.
 HOST_SUSPENDED = '"event":109,'
 #: Longest time until a play that is interrupted has ended, in seconds.
@@ -69,6 +78,12 @@
     _play(context, settings, tuple(plans.read(step) for step in STANDSTILL_STEPS))
 
 
+@behave.when("upstreams name limits, ask for rest and leave beside other faults")
+def asking_played(context: typing.Any) -> None:
+    settings, _ = drawn(1, 6.0)
+    _play(context, settings, tuple(plans.read(step) for step in ASKING_STEPS))
+
+
 def _play(
     context: typing.Any, settings: plans.Settings, steps: tuple[plans.Step, ...]
 ) -> None:
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -114,6 +114,19 @@
     born: int | None = None
 
 
+class Rest(typing.NamedTuple):
+    """A request that was turned away; ``text`` says for how long nothing is wanted."""
+
+    at: float
+    request_id: str
+    text: str
+
+    @property
+    def seconds(self) -> float:
+        """Return the time that is asked for."""
+        return float(self.text)
+
+
 @dataclasses.dataclass(slots=True)
 class Coldness:
     """
@@ -185,8 +198,8 @@
         self.names_limit: str | None = None
         self.says_leaving: str | None = None
         self.asks_rest: str | None = None
-        #: Ids of the requests that it turned away asking for rest, with the instant.
-        self.rests: list[tuple[float, str]] = []
+        #: The requests that it turned away asking for rest.
+        self.rests: list[Rest] = []
         self.accepted = 0
         self.born: int | None = None
         self.probed_at: list[float] = []
@@ -245,6 +258,7 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{LOOPBACK}:{port}"
         self._started_at = time.monotonic()
+        self.names_limit = self.says_leaving = self.asks_rest = None
         self.coldness = Coldness(until=0.0, most_in_a_second=0.0)
 
     @property
@@ -346,7 +360,7 @@
     ) -> bool:
         request_id = run.request_id
         if self.asks_rest is not None:
-            self.rests.append((time.monotonic(), request_id))
+            self.rests.append(Rest(time.monotonic(), request_id, self.asks_rest))
             asked = (
                 f"X-Spindlenotch-Not-Executed: 1\r\nRetry-After: {self.asks_rest}\r\n"
             )
--- a/tools/soak_processes/callers.py
+++ b/tools/soak_processes/callers.py
@@ -9,6 +9,7 @@
 import contextlib
 import random
 import time
+from collections import abc
 
 import aiohttp
 import yarl
@@ -171,3 +172,15 @@
             request.status = answer.status
             request.is_stamped = "X-Spindlenotch-Server-Stamp" in answer.headers
             request.has_own_body = got == request.target.encode()
+            self._note_said(request, answer.headers)
+
+    def _note_said(
+        self, request: ledger.Request, headers: abc.Mapping[str, str]
+    ) -> None:
+        """Note what the answer's upstream said of how much it will take."""
+        upstream = headers.get("X-Spindlenotch-Instance-Id", "")
+        if "Server-Limit" in headers:
+            request.limited_by = upstream
+        if "Server-Leaving" in headers:
+            request.left_by = upstream
+            request.left_by_start = self.world.fleet.worker_by_id[upstream].born
--- a/tools/soak_processes/ledger.py
+++ b/tools/soak_processes/ledger.py
@@ -10,7 +10,7 @@
 import time
 import typing
 
-from features.support import platform_worker
+from features.support import limit_sum, platform_worker
 
 #: Subject of what concerns every process of the play.
 ALL = "*"
@@ -58,6 +58,10 @@
     is_stamped: bool = False
     has_own_body: bool = False
     ended_life: int = 0
+    #: The upstream whose answer named a limit, or said that it leaves, and its start.
+    limited_by: str = ""
+    left_by: str = ""
+    left_by_start: int | None = None
 
     @property
     def is_served(self) -> bool:
@@ -130,6 +134,10 @@
     closed: list[Closed] = dataclasses.field(default_factory=list)
     cold: list[Closed] = dataclasses.field(default_factory=list)
     orders: list[Order] = dataclasses.field(default_factory=list)
+    #: What limits upstreams named, in order.
+    namings_by_upstream: dict[str, list[limit_sum.Naming]] = dataclasses.field(
+        default_factory=dict
+    )
     #: Targets of requests that end the upstreams that run them.
     poisons: list[str] = dataclasses.field(default_factory=list)
     #: When the store took each version of the configuration.
--- a/tools/soak_processes/mutants.py
+++ b/tools/soak_processes/mutants.py
@@ -151,6 +151,30 @@
         held_by="a planned stop cuts nothing",
         steps=("0.1 6 upstreams-treat-badly 132", "1 1 gateway-stopped 2"),
     ),
+    mutant_table.Mutant(
+        "the limit that an upstream names is not heeded",
+        "kernel/backpressure",
+        "and self.limit.may_send(now, read_until)",
+        "",
+        held_by="limits that upstreams name",
+        steps=("0.5 5 upstreams-name-limits 4", "0.6 5 burst 2"),
+    ),
+    mutant_table.Mutant(
+        "the rest that an upstream asks for is not kept",
+        "kernel/backpressure",
+        "return now >= self.rests_until and self.limit",
+        "return self.limit",
+        held_by="rests that upstreams ask for",
+        steps=("0.5 5 upstreams-ask-for-rest 6", "0.6 5 burst 2"),
+    ),
+    mutant_table.Mutant(
+        "that an upstream says it leaves is not heeded",
+        "forwarding/race",
+        "if answer.signals.is_leaving:",
+        "if False:",
+        held_by="upstreams that say they leave",
+        steps=("0.5 5 upstream-says-it-leaves 7", "0.6 5 upstream-says-it-leaves 8"),
+    ),
 )
 
 
--- a/tools/soak_processes/play.py
+++ b/tools/soak_processes/play.py
@@ -16,6 +16,7 @@
 import loguru
 
 from tools.soak_processes import (
+    asking,  # noqa: F401  (registers its faults and its checks)
     callers as all_callers,
     checks,
     faults,
