--- a/spindlenotch/bundles/account_tables.py
+++ b/spindlenotch/bundles/account_tables.py
@@ -12,8 +12,7 @@
 from spindlenotch.bundles import bundle, faults, table_reader
 
 SHA256_HEX = re.compile(r"[0-9a-f]{64}")
-#: Priority (``rank`` in the table) of the class that is served last; 0 is served
-#: first. Chosen, not measured.
+#: Priority (``rank`` in the table) of the class that is served last; 0 is served first.
 MAX_PRIORITY = 9
 
 PriorityByClass = dict[ids.ClassName, int]
--- a/spindlenotch/bundles/bundle_check.py
+++ b/spindlenotch/bundles/bundle_check.py
@@ -19,8 +19,8 @@
     table_reader,
 )
 
-#: Longest text in bytes. The key-value service holds values of up to a
-#: megabyte, and the envelope with its log needs the rest. Chosen, not measured.
+#: Longest text in bytes. The key-value service holds values of up to a megabyte, and
+#: the envelope with its log needs the rest.
 MAX_TEXT_BYTES = 900_000
 
 TABLES = (
--- a/spindlenotch/bundles/bundle_seal.py
+++ b/spindlenotch/bundles/bundle_seal.py
@@ -18,7 +18,7 @@
 from spindlenotch import ids
 from spindlenotch.bundles import bundle, bundle_check
 
-#: Versions that the log keeps. Chosen, not measured.
+#: Versions that the log keeps.
 MAX_LOG_ENTRIES = 50
 
 
--- a/spindlenotch/bundles/faults.py
+++ b/spindlenotch/bundles/faults.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-#: Longest excerpt of a value in a fault, in characters. Chosen, not measured.
+#: Longest excerpt of a value in a fault, in characters.
 MAX_FOUND_CHARACTERS = 80
 
 
--- a/spindlenotch/bundles/scalar_fields.py
+++ b/spindlenotch/bundles/scalar_fields.py
@@ -2,8 +2,7 @@
 The scalar fields of a bundle: type, bounds, default, unit and meaning of each.
 
 The tables drive the check of a bundle (``bundle_check``) and the reference in
-``docs/BUNDLE.md`` (``tools.make_docs``). Relies on nothing else. All defaults
-and bounds are chosen, not measured.
+``docs/BUNDLE.md`` (``tools.make_docs``). Relies on nothing else.
 """
 
 import typing
--- a/spindlenotch/bundles/service_tables.py
+++ b/spindlenotch/bundles/service_tables.py
@@ -23,7 +23,7 @@
 #: Methods that are repeatable unless the bundle says otherwise: the safe ones
 #: (RFC 9110, 9.2.1) among ``METHODS``.
 REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
-#: Largest weight of a zone; only ratios count. Chosen, not measured.
+#: Largest weight of a zone; only ratios count.
 MAX_WEIGHT = 1000
 
 Zones = tuple[ids.ZoneName, ...]
--- a/spindlenotch/bundles/table_reader.py
+++ b/spindlenotch/bundles/table_reader.py
@@ -12,8 +12,8 @@
 
 from spindlenotch.bundles import faults, scalar_fields
 
-#: Names that end up in paths, metrics and logs; at most 63 characters, as in a
-#: DNS label. Chosen, not measured.
+#: Names that end up in paths, metrics and logs; at most 63 characters, as in a DNS
+#: label.
 NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,62})")
 NAME_ALLOWED = "a-z, 0-9 and inner hyphens, at most 63"
 
--- a/spindlenotch/cli/bundle_commands.py
+++ b/spindlenotch/cli/bundle_commands.py
@@ -20,7 +20,7 @@
 
 app = cyclopts.App(help="Check, sign, publish and look at bundles.")
 
-#: Digits of keys and digests in lines for people. Chosen, not measured.
+#: Digits of keys and digests in lines for people.
 SHOWN_DIGITS = 16
 
 
--- a/spindlenotch/cli/explain_entry.py
+++ b/spindlenotch/cli/explain_entry.py
@@ -11,7 +11,7 @@
 import aiohttp
 import msgspec
 
-#: Longest wait for the operator port. Chosen, not measured.
+#: Longest wait for the operator port.
 TIMEOUT_S = 3.0
 
 Shape = typing.TypeVar("Shape")
--- a/spindlenotch/cli/explain_logs.py
+++ b/spindlenotch/cli/explain_logs.py
@@ -17,14 +17,13 @@
 from spindlenotch import events
 from spindlenotch.cli import log_lines
 
-#: Lines of a story, the latest ones. Chosen, not measured.
+#: Lines of a story, the latest ones.
 MAX_STORY_LINES = 500
-#: Lines of its context, the latest ones. Chosen, not measured.
+#: Lines of its context, the latest ones.
 MAX_CONTEXT_LINES = 20
 #: How long before a request's first line its context begins, in seconds.
-#: Chosen, not measured.
 CONTEXT_S = 30.0
-#: Unreadable lines that are named one by one. Chosen, not measured.
+#: Unreadable lines that are named one by one.
 MAX_NAMED_LINES = 10
 #: Event numbers divided by 100 that make up a context: configuration and
 #: store, peers, upstreams.
--- a/spindlenotch/cli/latencies.py
+++ b/spindlenotch/cli/latencies.py
@@ -8,10 +8,9 @@
 
 #: By definition.
 MICROSECONDS_PER_S = 1_000_000
-#: Longest latency that is told apart, in microseconds; beyond it none is
-#: recorded. Chosen, not measured.
+#: Longest latency that is told apart, in microseconds; beyond it none is recorded.
 MAX_LATENCY_US = 60 * MICROSECONDS_PER_S
-#: Decimal digits that a latency keeps. Chosen, not measured.
+#: Decimal digits that a latency keeps.
 SIGNIFICANT_DIGITS = 3
 
 
--- a/spindlenotch/cli/load_commands.py
+++ b/spindlenotch/cli/load_commands.py
@@ -19,7 +19,7 @@
 
 app = cyclopts.App(help="Send one request, or a bounded load, through the system.")
 
-#: Bounds of a load, so that a mistyped flag does no harm. Chosen, not measured.
+#: Bounds of a load, so that a mistyped flag does no harm.
 MAX_REQUESTS = 200_000
 MAX_SECONDS = 300.0
 #: Percentiles in the report of a load.
--- a/spindlenotch/cli/log_lines.py
+++ b/spindlenotch/cli/log_lines.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-#: Longest part of a line that is read at once; what follows counts as a
-#: further, unreadable line. Chosen, not measured.
+#: Longest part of a line that is read at once; what follows counts as a further,
+#: unreadable line.
 MAX_LINE_BYTES = 64 * 1024
 #: Fields of every line that are not among its details.
 COMMON_FIELDS = frozenset({"at", "level", "text", "event"})
--- a/spindlenotch/cli/publishing.py
+++ b/spindlenotch/cli/publishing.py
@@ -17,7 +17,7 @@
 
 #: Where the store holds the bundle.
 KEY = "bundle"
-#: Writes before the outcome is called uncertain. Chosen, not measured.
+#: Writes before the outcome is called uncertain.
 MAX_WRITES = 5
 
 
--- a/spindlenotch/client.py
+++ b/spindlenotch/client.py
@@ -15,14 +15,12 @@
 from spindlenotch import clock, entry_directory, headers, ids
 from spindlenotch.kernel import outcomes
 
-#: How many entries one request is sent to at the most. Chosen, not measured.
+#: How many entries one request is sent to at the most.
 MAX_TRIES = 4
-#: How long a connection to an entry may take to be made, in seconds. Chosen, not
-#: measured.
+#: How long a connection to an entry may take to be made, in seconds.
 CONNECT_TIMEOUT_S = 1.0
-#: How long after its deadline an answer is still waited for, in seconds: the
-#: entry's own answer that the deadline passed comes in this time. Chosen, not
-#: measured.
+#: How long after its deadline an answer is still waited for, in seconds: the entry's
+#: own answer that the deadline passed comes in this time.
 ANSWER_MARGIN_S = 0.05
 
 
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -33,7 +33,7 @@
     waiting,
 )
 
-#: Decisions kept for ``explain``. Chosen, not measured.
+#: Decisions kept for ``explain``.
 DECISIONS_KEPT = 2000
 
 
--- a/spindlenotch/decisions/hedging.py
+++ b/spindlenotch/decisions/hedging.py
@@ -10,17 +10,15 @@
 from spindlenotch.decisions import overload, silence
 from spindlenotch.kernel import upstream_pool, upstreams, waiting
 
-#: Answers that an upstream must have missed to count as stuck: if answers came
-#: at random, a healthy one would miss that many with probability exp(-4), about
-#: 2 in 100. Chosen, not measured.
+#: Answers that an upstream must have missed to count as stuck: if answers came at
+#: random, a healthy one would miss that many with probability exp(-4), about 2 in 100.
 MISSED_ANSWERS = 4.0
 #: A call at a slowed upstream is hedged after this share of its typical latency.
-#: Chosen, not measured.
 SLOWED_AGE_SHARE = 0.6
-#: Interval of the checks where upstreams report slowdowns, as a share of the
-#: typical latency. Chosen, not measured.
+#: Interval of the checks where upstreams report slowdowns, as a share of the typical
+#: latency.
 SLOWDOWN_CHECK_SHARE = 0.5
-#: Shortest interval of the checks, in seconds. Chosen, not measured.
+#: Shortest interval of the checks, in seconds.
 LEAST_CHECK_S = 0.001
 
 
--- a/spindlenotch/decisions/overload.py
+++ b/spindlenotch/decisions/overload.py
@@ -9,12 +9,11 @@
 from spindlenotch.kernel import upstream_pool
 
 #: Share of recently offered calls refused above which a service is overloaded.
-#: Chosen, not measured.
 REFUSED_SHARE = 0.05
-#: Calls queued per own slot above which it is overloaded. Chosen, not measured.
+#: Calls queued per own slot above which it is overloaded.
 QUEUED_PER_SLOT = 5.0
-#: Share of recent answers that are failures above which retries and hedges
-#: would only add load. Chosen, not measured.
+#: Share of recent answers that are failures above which retries and hedges would only
+#: add load.
 FAILED_SHARE = 0.3
 
 
--- a/spindlenotch/decisions/owned_slots.py
+++ b/spindlenotch/decisions/owned_slots.py
@@ -16,8 +16,8 @@
 from spindlenotch.decisions import overload, queueing_cost
 from spindlenotch.kernel import upstream_pool, upstreams, waiting
 
-#: Upstreams compared besides the own ones. Few, and random, so that many entries
-#: with the same stale estimate do not all pick the same one. Chosen, not measured.
+#: Upstreams compared besides the own ones. Few, and random, so that many entries with
+#: the same stale estimate do not all pick the same one.
 SAMPLE = 8
 #: Own upstreams with room that are compared, and own ones when all are busy.
 #: Bounds the time of a decision where an entry owns slots in many; that all of
@@ -28,22 +28,21 @@
 #: with the others. Chosen; a sweep of this threshold brought no gain
 #: (MEASUREMENTS.md, round 2).
 SLOW_COST = 1.6
-#: Least calls in flight per own slot. Above one, so that a slot does not idle
-#: while its answer is on its way. Chosen, not measured.
+#: Least calls in flight per own slot. Above one, so that a slot does not idle while its
+#: answer is on its way.
 LEAST_FACTOR = 1.15
 #: Most calls in flight per own slot (MEASUREMENTS.md, round 8; commit 77b545b
 #: names the values tried).
 MOST_FACTOR = 8.0
-#: Added to the factor with each report of a short queue. Chosen, not measured.
+#: Added to the factor with each report of a short queue.
 FACTOR_STEP = 0.01
-#: The factor is multiplied by this with each report of a long queue. Chosen, not
-#: measured.
+#: The factor is multiplied by this with each report of a long queue.
 FACTOR_DECAY = 0.99
 #: Calls queued per slot of an upstream above which the factor shrinks
 #: (MEASUREMENTS.md, round 8; commit 77b545b names the values tried).
 QUEUE_TARGET = 3.0
-#: Least that has to be free of an own slot, which may be a fraction of one, for
-#: it to count as free. Chosen, not measured.
+#: Least that has to be free of an own slot, which may be a fraction of one, for it to
+#: count as free.
 FREE_SLOT_SHARE = 0.5
 
 
--- a/spindlenotch/decisions/queueing.py
+++ b/spindlenotch/decisions/queueing.py
@@ -10,11 +10,10 @@
 from spindlenotch import ids
 from spindlenotch.kernel import outcomes, upstream_pool, waiting
 
-#: Least wait in seconds that a refused caller is asked to keep before it tries
-#: again. Chosen, not measured.
+#: Least wait in seconds that a refused caller is asked to keep before it tries again.
 LEAST_RETRY_AFTER_S = 0.05
-#: Fewest ends a second that the estimate of a wait divides by, so that it stays
-#: finite where nothing ends. Chosen, not measured.
+#: Fewest ends a second that the estimate of a wait divides by, so that it stays finite
+#: where nothing ends.
 LEAST_PER_S = 1.0
 
 
--- a/spindlenotch/decisions/queueing_cost.py
+++ b/spindlenotch/decisions/queueing_cost.py
@@ -10,7 +10,6 @@
 from spindlenotch.kernel import upstream_pool, upstreams, waiting
 
 #: Least latency ratio that counts: a few quick answers must not draw all calls.
-#: Chosen, not measured.
 LEAST_LATENCY_RATIO = 0.5
 
 
--- a/spindlenotch/decisions/silence.py
+++ b/spindlenotch/decisions/silence.py
@@ -9,10 +9,9 @@
 from spindlenotch import ids
 from spindlenotch.kernel import upstreams
 
-#: Missed answers that cost nothing yet. Chosen, not measured.
+#: Missed answers that cost nothing yet.
 FREE_MISSED_ANSWERS = 3.0
-#: What each further one costs, as a share of the typical latency. Chosen, not
-#: measured.
+#: What each further one costs, as a share of the typical latency.
 COST_PER_MISSED_ANSWER = 0.3
 
 
--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -18,22 +18,18 @@
 #: more room than the slots is measured (MEASUREMENTS.md, "Room at an upstream");
 #: the margin is chosen.
 ROOM_MARGIN = 0.25
-#: Share of its slots in use from which an upstream is expected to be slower,
-#: rising to ``FULL_SLOWDOWN`` when all are in use. It weighs upstreams against
-#: each other; ``crowding.NEARLY_FULL`` is where slots stop being used. Chosen, not
-#: measured.
+#: Share of its slots in use from which an upstream is expected to be slower, rising to
+#: ``FULL_SLOWDOWN`` when all are in use. It weighs upstreams against each other;
+#: ``crowding.NEARLY_FULL`` is where slots stop being used.
 SLOWER_FROM_SHARE = 0.7
-#: How much longer work takes when all slots are in use, as a share. Chosen, not
-#: measured.
+#: How much longer work takes when all slots are in use, as a share.
 FULL_SLOWDOWN = 0.7
 #: How many times its typical time work takes in an upstream that is warming up.
-#: Chosen, not measured.
 COLD_FACTOR = 2.0
-#: Least latency ratio that counts. Chosen, not measured.
+#: Least latency ratio that counts.
 MIN_LATENCY_RATIO = 0.7
-#: Answers with which an upstream's own latency ratio counts as much as that of
-#: all. Chosen, not measured; that few answers count little is (MEASUREMENTS.md,
-#: round 19).
+#: Answers with which an upstream's own latency ratio counts as much as that of all.
+#: That few answers count little is (MEASUREMENTS.md, round 19).
 ANSWERS_TRUSTED = 10.0
 #: What a failure costs a call that may run again, in units of its work: the time
 #: until it is known, and a further try. With 1.5 instead, 3.1 of 100 calls that may
@@ -43,12 +39,12 @@
 #: 2.9 of 100 such calls reach one of them from 2 s on, 12.8 without these costs (means
 #: of three seeds in virtual time, features/steps/gateway_failing).
 UNREPEATABLE_COST = 15.0
-#: Costs within this share of the least are taken for equal. Chosen, not measured.
+#: Costs within this share of the least are taken for equal.
 NEAR_SHARE = 0.08
 #: Upstreams compared for one call. Of more than that samples are drawn, from the
 #: own zone and from all: 64 of all took 1.4 ms a call with 300 upstreams.
 MOST_COMPARED = 40
-#: How many of them are drawn from the own zone. Chosen, not measured.
+#: How many of them are drawn from the own zone.
 LOCAL_COMPARED = 24
 
 
--- a/spindlenotch/decisions/start_limit.py
+++ b/spindlenotch/decisions/start_limit.py
@@ -10,15 +10,13 @@
 
 from spindlenotch import ids
 
-#: Share of the target that a request may wait which can't be in time any more.
-#: Short: its caller learns soon that there is no room and comes back when there
-#: is. Chosen, not measured.
+#: Share of the target that a request may wait which can't be in time any more. Short:
+#: its caller learns soon that there is no room and comes back when there is.
 LATE_WAIT_SHARE = 0.2
-#: Seconds that a request may wait where its route has no target. Chosen, not
-#: measured.
+#: Seconds that a request may wait where its route has no target.
 WAIT_WITHOUT_TARGET_S = 0.1
 #: Seconds that an answer is taken to need back to its caller: one way of some
-#: milliseconds, and what handling it takes. Chosen, not measured.
+#: milliseconds, and what handling it takes.
 RETURN_S = 0.01
 
 
--- a/spindlenotch/drivers/hostlist_http.py
+++ b/spindlenotch/drivers/hostlist_http.py
@@ -11,7 +11,7 @@
 from spindlenotch.drivers import http_client
 from spindlenotch.kernel import hostlist
 
-#: Longest time of one call, in seconds. Chosen, not measured.
+#: Longest time of one call, in seconds.
 CALL_TIMEOUT_S = 1.5
 UNCHANGED = 304
 OK = 200
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -12,7 +12,7 @@
 
 from spindlenotch import ids
 
-#: aiohttp's own limit of connections. Chosen, not measured.
+#: aiohttp's own limit of connections.
 DEFAULT_CONNECTIONS = 100
 
 
--- a/spindlenotch/drivers/store_http.py
+++ b/spindlenotch/drivers/store_http.py
@@ -11,11 +11,11 @@
 from spindlenotch import ports
 from spindlenotch.drivers import http_client
 
-#: Longest time of a read or write, in seconds. Chosen, not measured.
+#: Longest time of a read or write, in seconds.
 CALL_TIMEOUT_S = 1.5
-#: What a watch may take beyond the wait it asked for. Chosen, not measured.
+#: What a watch may take beyond the wait it asked for.
 WATCH_GRACE_S = 2.0
-#: Connections open at once, waiting watches included. Chosen, not measured.
+#: Connections open at once, waiting watches included.
 CONNECTIONS = 64
 REVISION = "X-Revision"
 OK = 200
--- a/spindlenotch/drivers/upstream_dialect.py
+++ b/spindlenotch/drivers/upstream_dialect.py
@@ -19,9 +19,9 @@
 PROBE_PATH = "/-/load"
 NOT_RUN = "not-run"
 DRAINING = "draining"
-#: Longest load header that is read, in characters. Chosen, not measured.
+#: Longest load header that is read, in characters.
 MAX_LOAD_CHARACTERS = 64
-#: Largest count that is believed in a load header. Chosen, not measured.
+#: Largest count that is believed in a load header.
 MAX_LOAD_COUNT = 1_000_000
 
 
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -21,13 +21,13 @@
 from spindlenotch.drivers import http_client, upstream_dialect
 from spindlenotch.kernel import upstreams
 
-#: Longest time of connecting, in seconds. Chosen, not measured.
+#: Longest time of connecting, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 #: How much later than due the end of that time may be noticed, in seconds: more than
 #: a host under a quota of processor time is kept waiting. Later, this process stood
 #: still, and the connection may have come up meanwhile.
 LATE_TIMER_S = 0.15
-#: Most bytes of a body that are handed on at a time. Chosen, not measured.
+#: Most bytes of a body that are handed on at a time.
 CHUNK_BYTES = 64 * 1024
 OK = 200
 #: Headers that aiohttp would add to a caller's own.
--- a/spindlenotch/entry/admit.py
+++ b/spindlenotch/entry/admit.py
@@ -18,8 +18,7 @@
 from spindlenotch.kernel import outcomes
 
 SERVICE_PREFIX = "/s/"
-#: Longest time a request may ask for, in milliseconds: a day. Chosen, not
-#: measured.
+#: Longest time a request may ask for, in milliseconds: a day.
 MAX_TIMEOUT_MS = 24 * 3600 * 1000
 #: Numbers in headers have at most nine digits, enough for ``MAX_TIMEOUT_MS``.
 NUMBER = re.compile(r"[0-9]{1,9}")
--- a/spindlenotch/entry/bodies.py
+++ b/spindlenotch/entry/bodies.py
@@ -10,7 +10,6 @@
 from aiohttp import web
 
 #: Bodies of requests and of answers up to this size are held whole, in bytes.
-#: Chosen, not measured.
 MAX_WHOLE_BODY = 64 * 1024
 
 
--- a/spindlenotch/entry/caller_port.py
+++ b/spindlenotch/entry/caller_port.py
@@ -23,17 +23,16 @@
 )
 from spindlenotch.kernel import outcomes
 
-#: Longest header field that is read, in bytes. Chosen, not measured.
+#: Longest header field that is read, in bytes.
 MAX_HEADER_BYTES = 16 * 1024
-#: An idle connection is closed after this, in seconds. Chosen, not measured.
+#: An idle connection is closed after this, in seconds.
 KEEPALIVE_S = 75.0
-#: Connections that wait to be accepted, at the most. Chosen, not measured.
+#: Connections that wait to be accepted, at the most.
 BACKLOG = 1024
-#: How long closing waits for open connections, in seconds: a planned stop has
-#: waited for the requests in flight before. Chosen, not measured.
+#: How long closing waits for open connections, in seconds: a planned stop has waited
+#: for the requests in flight before.
 SHUTDOWN_S = 0.1
 #: How often a planned stop looks whether requests are left, in seconds.
-#: Chosen, not measured.
 DRAIN_CHECK_S = 0.05
 
 
--- a/spindlenotch/entry/claims.py
+++ b/spindlenotch/entry/claims.py
@@ -17,12 +17,12 @@
 from spindlenotch.entry import entry_state, once
 from spindlenotch.kernel import budgets
 
-#: Longest that a claim waits for a token of the claim budget, in seconds:
-#: above the 0.09 s in which an entry that had just started refused claims
-#: while the fleet's budget was unused. Chosen, not measured.
+#: Longest that a claim waits for a token of the claim budget, in seconds: above the
+#: 0.09 s in which an entry that had just started refused claims while the fleet's
+#: budget was unused.
 MAX_CLAIM_WAIT_S = 0.25
-#: How often a claim is written before its id is given up: once more after an
-#: answer that was lost. Chosen, not measured.
+#: How often a claim is written before its id is given up: once more after an answer
+#: that was lost.
 MAX_WRITES = 2
 
 
--- a/spindlenotch/entry/confirmation.py
+++ b/spindlenotch/entry/confirmation.py
@@ -19,10 +19,10 @@
 )
 from spindlenotch.kernel import hostlist
 
-#: Seconds between two attempts. Chosen, not measured.
+#: Seconds between two attempts.
 ATTEMPT_PERIOD_S = 0.3
-#: Least and greatest factor of that wait, so that a fleet that starts together
-#: does not call the store at once. Chosen, not measured.
+#: Least and greatest factor of that wait, so that a fleet that starts together does not
+#: call the store at once.
 JITTER = (0.7, 1.3)
 
 
--- a/spindlenotch/entry/document_relay.py
+++ b/spindlenotch/entry/document_relay.py
@@ -19,10 +19,10 @@
     peer_link,
 )
 
-#: How many times a new document is announced at once, each time to a few
-#: random members. Chosen, not measured.
+#: How many times a new document is announced at once, each time to a few random
+#: members.
 ANNOUNCEMENTS = 3
-#: Seconds between these. Chosen, not measured.
+#: Seconds between these.
 ANNOUNCEMENT_PAUSE_S = 0.05
 
 
--- a/spindlenotch/entry/entry.py
+++ b/spindlenotch/entry/entry.py
@@ -25,8 +25,8 @@
 from spindlenotch.forwarding import data_path
 from spindlenotch.peers import peer_link
 
-#: Seconds added to the time that callers keep an answer, for the last answer to
-#: arrive and for all peers to learn of the stop. Chosen, not measured.
+#: Seconds added to the time that callers keep an answer, for the last answer to arrive
+#: and for all peers to learn of the stop.
 STOP_ALLOWANCE_S = 1.0
 #: Registered names of what the daemon runs on.
 DRIVER = "http"
--- a/spindlenotch/entry/explain.py
+++ b/spindlenotch/entry/explain.py
@@ -15,7 +15,7 @@
 from spindlenotch.kernel import upstream_pool, upstreams
 from spindlenotch.peers import known_peer, messages
 
-#: How many of a service's latest decisions are shown. Chosen, not measured.
+#: How many of a service's latest decisions are shown.
 RECENT_DECISIONS = 10
 
 
--- a/spindlenotch/entry/front.py
+++ b/spindlenotch/entry/front.py
@@ -24,8 +24,7 @@
 from spindlenotch.forwarding import data_path, jobs
 from spindlenotch.kernel import outcomes, waiting
 
-#: When a caller may ask an entry again that is not ready, in seconds. Chosen,
-#: not measured.
+#: When a caller may ask an entry again that is not ready, in seconds.
 NOT_READY_RETRY_S = 0.5
 
 Body = bytes | abc.AsyncIterable[bytes] | None
--- a/spindlenotch/entry/home_forwarding.py
+++ b/spindlenotch/entry/home_forwarding.py
@@ -13,8 +13,7 @@
 from spindlenotch.forwarding import jobs
 from spindlenotch.kernel import outcomes
 
-#: A larger answer from a peer is not held, in bytes; its outcome is then
-#: unknown here. Chosen, not measured.
+#: A larger answer from a peer is not held, in bytes; its outcome is then unknown here.
 MAX_FORWARDED_BODY = 8 * 1024 * 1024
 #: Least time that a home is given, in milliseconds: the header counts whole
 #: ones, and zero is no deadline.
--- a/spindlenotch/entry/host_list_reader.py
+++ b/spindlenotch/entry/host_list_reader.py
@@ -11,10 +11,9 @@
 from spindlenotch.entry import document_relay, entry_state, readers
 from spindlenotch.peers import documents
 
-#: Seconds between two fetches. Chosen, not measured.
+#: Seconds between two fetches.
 FETCH_PERIOD_S = 1.0
-#: Least and greatest factor of that wait, so that readers do not fall into
-#: step. Chosen, not measured.
+#: Least and greatest factor of that wait, so that readers do not fall into step.
 JITTER = (0.8, 1.2)
 
 
--- a/spindlenotch/entry/membership_loop.py
+++ b/spindlenotch/entry/membership_loop.py
@@ -14,8 +14,8 @@
 from spindlenotch.kernel import hostlist
 from spindlenotch.peers import gossip, messages, peer_link, probing, timing
 
-#: Least and greatest factor of the wait between heartbeats, so that members
-#: do not fall into step. Chosen, not measured.
+#: Least and greatest factor of the wait between heartbeats, so that members do not fall
+#: into step.
 JITTER = (0.9, 1.1)
 
 
--- a/spindlenotch/entry/named_entries.py
+++ b/spindlenotch/entry/named_entries.py
@@ -8,12 +8,11 @@
 from spindlenotch.entry import entry_state
 from spindlenotch.peers import messages
 
-#: Most entries that one answer names. Chosen, not measured.
+#: Most entries that one answer names.
 MAX_ENTRIES_NAMED = 8
-#: Most tickets in one answer. Chosen, not measured.
+#: Most tickets in one answer.
 MAX_TICKETS = 64
-#: Digits that the count of tickets may have, leading zeros included. Chosen, not
-#: measured.
+#: Digits that the count of tickets may have, leading zeros included.
 MAX_COUNT_DIGITS = 8
 
 
--- a/spindlenotch/entry/once.py
+++ b/spindlenotch/entry/once.py
@@ -15,11 +15,9 @@
 from spindlenotch import ids
 from spindlenotch.kernel import outcomes
 
-#: A larger answer is not kept to be given again, in bytes. Chosen, not
-#: measured.
+#: A larger answer is not kept to be given again, in bytes.
 MAX_KEPT_BODY = 64 * 1024
-#: When a caller that finds the table full may ask again, in seconds. Chosen,
-#: not measured.
+#: When a caller that finds the table full may ask again, in seconds.
 TABLE_FULL_RETRY_S = 1.0
 
 OnceKey = typing.NewType("OnceKey", str)
--- a/spindlenotch/entry/once_path.py
+++ b/spindlenotch/entry/once_path.py
@@ -20,7 +20,6 @@
 from spindlenotch.kernel import outcomes
 
 #: When a caller whose id could not be claimed may ask again, in seconds.
-#: Chosen, not measured.
 CLAIM_RETRY_S = 1.0
 
 _REASON_BY_FAULT = {
--- a/spindlenotch/entry/operator_port.py
+++ b/spindlenotch/entry/operator_port.py
@@ -12,7 +12,7 @@
 from spindlenotch import ids
 from spindlenotch.entry import entry_state, explain
 
-#: How long a stop waits for answers under way, in seconds. Chosen, not measured.
+#: How long a stop waits for answers under way, in seconds.
 SHUTDOWN_TIMEOUT_S = 0.1
 
 
--- a/spindlenotch/entry/probe_lease.py
+++ b/spindlenotch/entry/probe_lease.py
@@ -18,22 +18,18 @@
 from spindlenotch.entry import entry_state
 from spindlenotch.kernel import budgets, rendezvous
 
-#: How long a lease lasts in the store, in seconds. Chosen, not measured.
+#: How long a lease lasts in the store, in seconds.
 LEASE_S = 10.0
-#: The holder stops this many seconds before the lease ends. Chosen, not
-#: measured.
+#: The holder stops this many seconds before the lease ends.
 MARGIN_S = 2.0
 #: Seconds between renewals, so that two may fail before the lease ends.
-#: Chosen, not measured.
 RENEWAL_PERIOD_S = 3.0
-#: Least and greatest factor of that wait, so that entries do not fall into
-#: step. Chosen, not measured.
+#: Least and greatest factor of that wait, so that entries do not fall into step.
 JITTER = (0.8, 1.2)
-#: How many entries apply for the lease of a service; the second covers a
-#: failure of the first. Chosen, not measured.
+#: How many entries apply for the lease of a service; the second covers a failure of the
+#: first.
 CANDIDATES = 2
-#: The budget of probes holds in any window of this many seconds. Chosen, not
-#: measured.
+#: The budget of probes holds in any window of this many seconds.
 WINDOW_S = 1.0
 #: Keeps a whole number that a division left just below itself.
 ROUNDING_ERROR = 1e-9
--- a/spindlenotch/entry/prober.py
+++ b/spindlenotch/entry/prober.py
@@ -14,12 +14,11 @@
 from spindlenotch.kernel import budgets, ejection, upstreams
 from spindlenotch.peers import background
 
-#: Seconds between two looks for upstreams to probe. Chosen, not measured.
+#: Seconds between two looks for upstreams to probe.
 CHECK_PERIOD_S = 0.05
-#: An upstream that answered or reported this recently, in seconds, needs no
-#: probe. Chosen, not measured.
+#: An upstream that answered or reported this recently, in seconds, needs no probe.
 KNOWN_FOR_S = 1.0
-#: How long a probe waits for its answer, in seconds. Chosen, not measured.
+#: How long a probe waits for its answer, in seconds.
 PROBE_TIMEOUT_S = 0.5
 
 
--- a/spindlenotch/entry/readers.py
+++ b/spindlenotch/entry/readers.py
@@ -12,8 +12,7 @@
 from spindlenotch.entry import entry_state
 from spindlenotch.kernel import rendezvous
 
-#: Readers in each zone; the second covers a failure of the first. Chosen, not
-#: measured.
+#: Readers in each zone; the second covers a failure of the first.
 READERS_PER_ZONE = 2
 
 
--- a/spindlenotch/entry/readiness.py
+++ b/spindlenotch/entry/readiness.py
@@ -12,13 +12,13 @@
 
 from spindlenotch import ids
 
-#: Seconds between observations while the process runs. Chosen, not measured.
+#: Seconds between observations while the process runs.
 OBSERVED_EVERY_S = 0.05
-#: A gap between observations longer than this, in seconds, is a stall. Twice
-#: the period of observations; chosen, not measured.
+#: A gap between observations longer than this, in seconds, is a stall. Twice the period
+#: of observations.
 STALL_S = 0.1
-#: Requests read within this many seconds after a stall may have been sent
-#: before its end. Chosen, not measured.
+#: Requests read within this many seconds after a stall may have been sent before its
+#: end.
 BACKLOG_S = 0.25
 
 
--- a/spindlenotch/entry/store_reader.py
+++ b/spindlenotch/entry/store_reader.py
@@ -15,16 +15,15 @@
 from spindlenotch.peers import documents
 
 BUNDLE_KEY = "bundle"
-#: Longest wait of one watch, in seconds. Chosen, not measured.
+#: Longest wait of one watch, in seconds.
 WATCH_S = 20.0
-#: How often an entry that is not a reader checks whether it has become one, in
-#: seconds. Chosen, not measured.
+#: How often an entry that is not a reader checks whether it has become one, in seconds.
 NOT_READER_WAIT_S = 1.0
-#: Backoff after a fault of the store, in seconds. Chosen, not measured.
+#: Backoff after a fault of the store, in seconds.
 BACKOFF_LEAST_S = 0.2
 BACKOFF_MOST_S = 5.0
-#: Least and greatest wait after a watch without a change, in seconds: a store
-#: that answers early must not be called in a busy loop. Chosen, not measured.
+#: Least and greatest wait after a watch without a change, in seconds: a store that
+#: answers early must not be called in a busy loop.
 UNCHANGED_WAIT_S = (0.05, 0.15)
 
 
--- a/spindlenotch/entry/tickets.py
+++ b/spindlenotch/entry/tickets.py
@@ -13,14 +13,13 @@
 
 from spindlenotch import ids
 
-#: A ticket is good for this long after it was minted, in seconds. Chosen, not
-#: measured; docs/CAPACITY.md counts the ids that it keeps in memory.
+#: A ticket is good for this long after it was minted, in seconds. Docs/CAPACITY.md
+#: counts the ids that it keeps in memory.
 LIFETIME_S = 120.0
-#: Longest request id that is read, in characters, whoever made it. Chosen, not
-#: measured.
+#: Longest request id that is read, in characters, whoever made it.
 MAX_ID_CHARS = 200
-#: Length that the MAC is cut to: 96 bits, more than the 80 that RFC 2104,
-#: section 5, gives as the least, less than half a digest. Chosen, not measured.
+#: Length that the MAC is cut to: 96 bits, more than the 80 that RFC 2104, section 5,
+#: gives as the least, less than half a digest.
 MAC_BYTES = 12
 #: Between the fields of a ticket, and their number: host, incarnation,
 #: sequence, milliseconds on the home's clock, MAC.
--- a/spindlenotch/entry/upkeep.py
+++ b/spindlenotch/entry/upkeep.py
@@ -9,7 +9,7 @@
 
 from spindlenotch.entry import entry_state, readiness
 
-#: Seconds between two rounds of ``update_balancers``. Chosen, not measured.
+#: Seconds between two rounds of ``update_balancers``.
 UPDATE_PERIOD_S = 0.25
 
 
--- a/spindlenotch/entry_directory.py
+++ b/spindlenotch/entry_directory.py
@@ -14,13 +14,12 @@
 
 from spindlenotch import api, clock, ids
 
-#: Tickets that are asked for when one is needed. Chosen, not measured.
+#: Tickets that are asked for when one is needed.
 TICKETS_ASKED = 8
-#: How long one entry may take to say which entries to use, in seconds. Chosen,
-#: not measured.
+#: How long one entry may take to say which entries to use, in seconds.
 ASK_TIMEOUT_S = 2.0
-#: A ticket is used at the most this long after it arrived, in seconds: half of the
-#: time for which its entry takes it. Chosen, not measured.
+#: A ticket is used at the most this long after it arrived, in seconds: half of the time
+#: for which its entry takes it.
 TICKET_USE_S = 60.0
 
 
--- a/spindlenotch/forwarding/granting.py
+++ b/spindlenotch/forwarding/granting.py
@@ -13,8 +13,7 @@
 from spindlenotch.forwarding import crash_watch, jobs
 from spindlenotch.kernel import outcomes, upstreams
 
-#: How often the queues are checked while calls wait, in seconds. Chosen, not
-#: measured.
+#: How often the queues are checked while calls wait, in seconds.
 QUEUE_CHECK_S = 0.02
 
 Verdict = verdicts.Grant | outcomes.Refusal
--- a/spindlenotch/forwarding/race.py
+++ b/spindlenotch/forwarding/race.py
@@ -25,9 +25,7 @@
 from spindlenotch.kernel import outcomes, upstream_set, upstreams
 
 #: Seconds after which an upstream that is not heard of is asked again whether it is
-#: there, as it may run a request long before it ends. Without asking, a request that
-#: ends upstreams that reset nothing was sent 47 and 48 times later than 3 s after the
-#: third end, 3 allowed; with it not at all in four runs (real gateways).
+#: there, as it may run a request long before it ends, and ends without a reset.
 ASK_AGAIN_S = 0.5
 #: Why an upstream gets no new work that turned a request away since it is draining.
 SAID_DRAINING = "said it is draining"
--- a/spindlenotch/forwarding/sending.py
+++ b/spindlenotch/forwarding/sending.py
@@ -12,8 +12,8 @@
 from spindlenotch.forwarding import jobs
 from spindlenotch.kernel import outcomes
 
-#: Taken off the time that the upstream is given, so that its answer can still
-#: get back before the deadline, in seconds. Chosen, not measured.
+#: Taken off the time that the upstream is given, so that its answer can still get back
+#: before the deadline, in seconds.
 RETURN_TIME_S = 0.002
 #: Least time that an upstream is given, in seconds: the header that carries it
 #: counts whole milliseconds.
--- a/spindlenotch/gateway/cluster/active_set.py
+++ b/spindlenotch/gateway/cluster/active_set.py
@@ -20,22 +20,19 @@
 #: gateways of two releases in one fleet must agree on it.
 TIE_SALT = "entries"
 #: Share of a host's processor that callers' requests may take on average.
-#: Chosen, not measured.
 PROCESSOR_SHARE = 0.7
-#: Share of a host's link that they may take on average; uploads come in bursts,
-#: which a link carries one after the other. Chosen, not measured; the trial
-#: with it is round 16 of docs/MEASUREMENTS.md.
+#: Share of a host's link that they may take on average; uploads come in bursts, which a
+#: link carries one after the other. The trial with it is round 16 of
+#: docs/MEASUREMENTS.md.
 LINK_SHARE = 0.25
-#: Requests a second that one processor core carries. Chosen, not measured; the
-#: entry daemon does about 1,000 calls/s a core (docs/MEASUREMENTS.md).
+#: Requests a second that one processor core carries. The entry daemon does about 1,000
+#: calls/s a core (docs/MEASUREMENTS.md).
 REQUESTS_PER_CORE = 700.0
 #: Bytes a second in one Mbit/s.
 BYTES_PER_MBIT = 125_000.0
-#: Bytes of a request by which hosts are compared in strength. Chosen, not
-#: measured.
+#: Bytes of a request by which hosts are compared in strength.
 BYTES_PER_REQUEST = 8_000.0
-#: Hosts within the same power of this factor count as equally strong. Chosen,
-#: not measured.
+#: Hosts within the same power of this factor count as equally strong.
 TIER_FACTOR = 1.5
 #: Requests or bytes a second that a host carries at least; keeps the shares
 #: finite where a peer reports no capacity or nonsense.
--- a/spindlenotch/gateway/cluster/demand_meter.py
+++ b/spindlenotch/gateway/cluster/demand_meter.py
@@ -11,12 +11,11 @@
 from spindlenotch import ids
 from spindlenotch.peers import workload
 
-#: Length of one span of counting. Chosen, not measured.
+#: Length of one span of counting.
 SPAN_S = 1.0
-#: Spans of which the busiest counts. Chosen, not measured.
+#: Spans of which the busiest counts.
 SPANS_KEPT = 8
-#: Changes by a smaller share than this are not reported to peers. Chosen, not
-#: measured.
+#: Changes by a smaller share than this are not reported to peers.
 REPORTED_CHANGE_SHARE = 0.2
 
 
--- a/spindlenotch/gateway/cluster/duties.py
+++ b/spindlenotch/gateway/cluster/duties.py
@@ -19,10 +19,9 @@
 #: in one fleet must agree on them.
 READER_SALT = "source"
 PROBER_SALT = "probes"
-#: Upstreams for each prober of a zone. Each prober sends its zone's active
-#: gateways up to 25 messages a second, which must not grow with the fleet.
-#: Chosen, not measured; the trial with it is in docs/CAPACITY.md, "The gateway
-#: on the grown site".
+#: Upstreams for each prober of a zone. Each prober sends its zone's active gateways up
+#: to 25 messages a second, which must not grow with the fleet. The trial with it is in
+#: docs/CAPACITY.md, "The gateway on the grown site".
 UPSTREAMS_PER_PROBER = 6
 
 HostsByZone = dict[ids.ZoneName, list[ids.HostId]]
--- a/spindlenotch/gateway/cluster/load_sharing.py
+++ b/spindlenotch/gateway/cluster/load_sharing.py
@@ -20,7 +20,7 @@
 from spindlenotch.kernel import cold_start, upstreams
 from spindlenotch.peers import gossip, messages, peer_link, workload
 
-#: Time between two rounds of sending. Chosen, not measured.
+#: Time between two rounds of sending.
 SEND_PERIOD_S = 0.04
 #: The same where a gateway has nothing to send; most of a large fleet. An idle
 #: process takes 0.73 to 0.87% of a core with it (docs/MEASUREMENTS.md, round 20).
@@ -30,8 +30,8 @@
 #: place of 463 with two digits each.
 SLOWDOWN_DIGITS = 2
 AGE_DIGITS = 3
-#: Seconds for which it is told that an upstream is warm again: some rounds, as
-#: messages get lost. Chosen, not measured.
+#: Seconds for which it is told that an upstream is warm again: some rounds, as messages
+#: get lost.
 COLDNESS_TOLD_S = 1.0
 
 
--- a/spindlenotch/gateway/cluster/membership.py
+++ b/spindlenotch/gateway/cluster/membership.py
@@ -31,8 +31,7 @@
 PAUSE_FACTOR = 1.25
 #: Questions of that kind before the periodic ones begin; together 1.7 s.
 BOOTSTRAP_ROUNDS = 10
-#: Known peers that each of them goes to, besides one of the settings. Chosen, not
-#: measured.
+#: Known peers that each of them goes to, besides one of the settings.
 BOOTSTRAP_FANOUT = 2
 
 
--- a/spindlenotch/gateway/cluster/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -20,11 +20,10 @@
 
 #: Longest wait for the answer to a probe, in seconds.
 PROBE_TIMEOUT_S = hearing.REPORT_LAG_S
-#: Time between two looks at which upstreams fall to this gateway. Chosen, not
-#: measured.
+#: Time between two looks at which upstreams fall to this gateway.
 MATCH_PERIOD_S = 0.2
-#: A probing task ends after about this long and is begun anew with the settings
-#: of that moment. Chosen, not measured.
+#: A probing task ends after about this long and is begun anew with the settings of that
+#: moment.
 TASK_S = 1.0
 #: Probes in the time that the work of a service takes on an idle upstream: what one
 #: has to do changes with the work that begins and ends there. By the mean of the
@@ -33,8 +32,8 @@
 #: can carry the worst windows earned 0.48 to 0.51 (three plays) in place of 0.53; two
 #: other days did not tell the two apart. With work of 1 s four were enough.
 PROBES_PER_WORK = 10.0
-#: Most seconds between two probes of an upstream: slowdowns come and go within half
-#: a second. Chosen, not measured.
+#: Most seconds between two probes of an upstream: slowdowns come and go within half a
+#: second.
 MOST_PERIOD_S = 0.25
 #: Keeps the period finite where the setting is nearly zero.
 LEAST_PROBES_PER_S = 0.001
--- a/spindlenotch/gateway/daemon.py
+++ b/spindlenotch/gateway/daemon.py
@@ -18,7 +18,6 @@
 from spindlenotch.settings import schema
 
 #: Seconds between looks at the settings file; it may change without a signal.
-#: Chosen, not measured.
 SETTINGS_CHECK_S = 1.0
 #: Exit code where the settings can't be used.
 EXIT_SETTINGS = 2
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -34,13 +34,12 @@
 from spindlenotch.gateway.source import discovery, relay, source_reader, sources
 from spindlenotch.peers import background
 
-#: Time between two ticks of the state. Chosen, not measured; docs/MEASUREMENTS.md,
-#: round 20, has what idle loops cost.
+#: Time between two ticks of the state. Docs/MEASUREMENTS.md, round 20, has what idle
+#: loops cost.
 TICK_S = 0.2
-#: Time between two looks at the requests in flight of a planned stop. Chosen,
-#: not measured.
+#: Time between two looks at the requests in flight of a planned stop.
 DRAIN_CHECK_S = 0.02
-#: Least time that connections get to close. Chosen, not measured.
+#: Least time that connections get to close.
 LEAST_CLOSE_S = 0.05
 
 
--- a/spindlenotch/gateway/jitter.py
+++ b/spindlenotch/gateway/jitter.py
@@ -6,7 +6,7 @@
 
 import random
 
-#: A jittered period lies within these shares of the period. Chosen, not measured.
+#: A jittered period lies within these shares of the period.
 LEAST_SHARE = 0.9
 MOST_SHARE = 1.1
 
--- a/spindlenotch/gateway/lifecycle.py
+++ b/spindlenotch/gateway/lifecycle.py
@@ -11,15 +11,13 @@
 import msgspec
 
 #: Callers may keep an answer this many times as long as they were told.
-#: Chosen, not measured.
 KEPT_FACTOR = 3.0
-#: Added to that time, for requests on their way. Chosen, not measured.
+#: Added to that time, for requests on their way.
 LAST_ARRIVALS_S = 0.5
-#: End of the longest planned stop in which nothing more is taken, so that what
-#: was taken comes to its end. Chosen, not measured (commit 0473df2).
+#: End of the longest planned stop in which nothing more is taken, so that what was
+#: taken comes to its end.
 CLOSING_S = 3.0
-#: Left of the longest planned stop when the process ends whatever is in
-#: flight. Chosen, not measured.
+#: Left of the longest planned stop when the process ends whatever is in flight.
 MARGIN_S = 0.4
 
 
--- a/spindlenotch/gateway/log_sink.py
+++ b/spindlenotch/gateway/log_sink.py
@@ -18,7 +18,7 @@
 
 #: Number of the standard output, by POSIX.
 STDOUT_DESCRIPTOR = 1
-#: Lines of one event in one second. Chosen, not measured.
+#: Lines of one event in one second.
 MAX_LINES_PER_EVENT = 50
 #: Decimal places of a line's time, in seconds since the epoch.
 TIME_DIGITS = 3
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -13,19 +13,16 @@
 from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import extra_budgets, regions, service_policy
 
-#: Typical latency of a route's requests before any was measured, as a share of
-#: the route's target. Chosen, not measured.
+#: Typical latency of a route's requests before any was measured, as a share of the
+#: route's target.
 TYPICAL_SHARE_OF_TARGET = 0.35
 #: The same where a route has no target, and of a service as a whole, in seconds.
-#: Chosen, not measured.
 TYPICAL_UNKNOWN_S = 0.1
-#: Most waiting requests of a service. Chosen, not measured.
+#: Most waiting requests of a service.
 QUEUE_LIMIT = 2000
-#: Largest share of a service's upstreams that may be ejected. Chosen, not
-#: measured.
+#: Largest share of a service's upstreams that may be ejected.
 EJECT_SHARE = 0.5
-#: Share of the allowed retries and hedges that the fleet uses at most. Chosen,
-#: not measured.
+#: Share of the allowed retries and hedges that the fleet uses at most.
 EXTRA_MARGIN = 0.9
 #: Parts of the reserve of retries and hedges for each gateway of the fleet: its own,
 #: and that of the process or host that follows on it, which knows nothing of what
@@ -54,11 +51,6 @@
     """
     Return this gateway's part of the fleet's reserve of retries and hedges.
 
-    Divided among 24 whatever their number, the retries of 117 gateways that use up
-    their budgets were 791 a window beyond the share of which 188 are allowed, and 2155
-    where all were killed meanwhile; in this way, and with what ``SlidingShareBudget``
-    lets fade, 75 at most (the property of a fleet's retries).
-
     ``size`` is that of the own region. Each region has an equal part, so that the sum
     holds while they have lost each other.
     """
--- a/spindlenotch/gateway/serving/answers.py
+++ b/spindlenotch/gateway/serving/answers.py
@@ -12,8 +12,8 @@
 from spindlenotch import headers, ports
 from spindlenotch.forwarding import exchanges
 
-#: Bytes of the longest answer that is read whole; bounds the memory that one
-#: request takes. Chosen, not measured.
+#: Bytes of the longest answer that is read whole; bounds the memory that one request
+#: takes.
 MAX_WHOLE_ANSWER_BYTES = 128 * 1024
 #: Statuses by which a caller knows that its request has not run and may be sent
 #: again. Defined by the protocol with callers.
--- a/spindlenotch/gateway/serving/caller_age.py
+++ b/spindlenotch/gateway/serving/caller_age.py
@@ -13,22 +13,19 @@
 from spindlenotch.gateway.source import routing
 
 #: Two stated times whose ratio is above this fall into one class, roughly.
-#: Chosen, not measured.
 CLASS_RATIO = 0.97
 LOG_CLASS_RATIO = math.log(CLASS_RATIO)
-#: Share of a route's requests from which a class holds times that callers begin
-#: with. Above what the tries of one age make, below what one of several kinds of
-#: caller makes. Chosen, not measured.
+#: Share of a route's requests from which a class holds times that callers begin with.
+#: Above what the tries of one age make, below what one of several kinds of caller
+#: makes.
 COMMON_SHARE = 0.15
-#: A common class is no time that callers begin with where another one lies above
-#: it within this ratio: those are tries that come back after a usual wait. Chosen, not
-#: measured.
+#: A common class is no time that callers begin with where another one lies above it
+#: within this ratio: those are tries that come back after a usual wait.
 APART_RATIO = 0.75
-#: Requests after which all counts are halved, so that they follow a change. Chosen,
-#: not measured.
+#: Requests after which all counts are halved, so that they follow a change.
 REQUESTS_COUNTED = 400
-#: Requests after which the common times are worked out anew, and before which
-#: nothing is concluded. Chosen, not measured.
+#: Requests after which the common times are worked out anew, and before which nothing
+#: is concluded.
 REQUESTS_BETWEEN = 20
 #: Stated times below this many seconds are not told apart: callers count milliseconds.
 LEAST_STATED_S = 0.001
--- a/spindlenotch/gateway/serving/caller_listener.py
+++ b/spindlenotch/gateway/serving/caller_listener.py
@@ -20,14 +20,14 @@
     [web_request.BaseRequest], abc.Awaitable[web_response.StreamResponse]
 ]
 
-#: Seconds an idle connection stays open beyond the operator's limit, so that a
-#: caller that reuses it just in time is not cut off. Chosen, not measured.
+#: Seconds an idle connection stays open beyond the operator's limit, so that a caller
+#: that reuses it just in time is not cut off.
 IDLE_MARGIN_S = 1.0
-#: Connections that may wait to be accepted. Chosen, not measured.
+#: Connections that may wait to be accepted.
 BACKLOG = 1024
-#: Bytes of the longest request line. Chosen, not measured.
+#: Bytes of the longest request line.
 MAX_LINE_BYTES = 64 * 1024
-#: Bytes of the longest header field. Chosen, not measured.
+#: Bytes of the longest header field.
 MAX_FIELD_BYTES = 64 * 1024
 
 
--- a/spindlenotch/gateway/serving/job_factory.py
+++ b/spindlenotch/gateway/serving/job_factory.py
@@ -20,7 +20,7 @@
 from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import waiting
 
-#: Seconds until the deadline of a request that states none. Chosen, not measured.
+#: Seconds until the deadline of a request that states none.
 DEFAULT_TIMEOUT_S = 60.0
 #: Longest time in seconds that a caller can give its request, a day; a longer one
 #: counts as none stated. Keeps instants within what the event loop can wait for.
@@ -37,10 +37,9 @@
 #: The most seconds by that share: an overloaded service, whose latency is high,
 #: needs the upstreams of all zones. The value that was measured.
 MOST_CROSS_ZONE_S = 0.03
-#: Seconds that each byte of the request's body adds to that. Chosen, not measured.
+#: Seconds that each byte of the request's body adds to that.
 CROSS_ZONE_S_PER_BYTE = 2.5e-6
-#: Milliseconds of the shortest time left that an upstream is told. Chosen, not
-#: measured.
+#: Milliseconds of the shortest time left that an upstream is told.
 LEAST_TIME_LEFT_MS = 1
 
 
--- a/spindlenotch/gateway/serving/pipelining.py
+++ b/spindlenotch/gateway/serving/pipelining.py
@@ -29,8 +29,8 @@
 
 from spindlenotch.gateway.serving import answer_stream
 
-#: Requests of one connection that may be begun before it is their turn; bounds what
-#: one caller can occupy. Chosen, not measured.
+#: Requests of one connection that may be begun before it is their turn; bounds what one
+#: caller can occupy.
 MOST_BEGUN = 8
 #: Methods of which several may run at once: RFC 9110, section 9.2.1, calls them
 #: safe.
--- a/spindlenotch/gateway/serving/request_body.py
+++ b/spindlenotch/gateway/serving/request_body.py
@@ -11,7 +11,7 @@
 import msgspec
 from aiohttp import web_request
 
-#: Bytes of the longest body that is read whole. Chosen, not measured.
+#: Bytes of the longest body that is read whole.
 MAX_WHOLE_BODY_BYTES = 1024 * 1024
 
 
--- a/spindlenotch/gateway/serving/request_log.py
+++ b/spindlenotch/gateway/serving/request_log.py
@@ -13,7 +13,7 @@
 from spindlenotch.gateway import state
 from spindlenotch.kernel import outcomes
 
-#: One in this many answered requests is logged. Chosen, not measured.
+#: One in this many answered requests is logged.
 SERVED_SAMPLE = 64
 #: Counts requests that are refused before a service is known.
 NO_SERVICE = ""
--- a/spindlenotch/gateway/side_ports.py
+++ b/spindlenotch/gateway/side_ports.py
@@ -22,7 +22,7 @@
 
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
-#: Seconds that open requests have when the ports close. Chosen, not measured.
+#: Seconds that open requests have when the ports close.
 STOP_LIMIT_S = 0.1
 
 
--- a/spindlenotch/gateway/source/discovery.py
+++ b/spindlenotch/gateway/source/discovery.py
@@ -16,13 +16,13 @@
 from spindlenotch.gateway import state
 from spindlenotch.gateway.source import sources
 
-#: Time between two looks at the record of the zone. Chosen, not measured.
+#: Time between two looks at the record of the zone.
 LOOK_PERIOD_S = 1.0
-#: How long a new reader waits before it writes: views differ while a fleet
-#: starts or heals. Chosen, not measured.
+#: How long a new reader waits before it writes: views differ while a fleet starts or
+#: heals.
 SETTLE_S = 3.0
-#: Least time between two writes, also of two gateways that both believe to be
-#: the reader. Chosen, not measured.
+#: Least time between two writes, also of two gateways that both believe to be the
+#: reader.
 REWRITE_S = 6.0
 
 
--- a/spindlenotch/gateway/source/lease_expiry.py
+++ b/spindlenotch/gateway/source/lease_expiry.py
@@ -10,15 +10,15 @@
 from spindlenotch import ids
 from spindlenotch.gateway.source import leases, sources
 
-#: Leases that vanish this soon after the source was out of reach may have
-#: expired because they could not be renewed. Chosen, not measured.
+#: Leases that vanish this soon after the source was out of reach may have expired
+#: because they could not be renewed.
 AFTER_OUTAGE_S = 4.0
 #: How long an upstream whose lease expired in an outage still gets work. Those
 #: that live are listed again about two seconds after the source's return, as
 #: its operators say (commit 25a8df1).
 GRACE_S = 2.2
-#: More than this share of a service must vanish at once to count as expired
-#: in the outage; fewer have left. Chosen, not measured.
+#: More than this share of a service must vanish at once to count as expired in the
+#: outage; fewer have left.
 EXPIRY_SHARE = 0.3
 
 
--- a/spindlenotch/gateway/source/reader_duty.py
+++ b/spindlenotch/gateway/source/reader_duty.py
@@ -21,8 +21,8 @@
 #: Seconds without a word of a reader after which the next in turn reads: it has left
 #: two questions unanswered (``relay.ASK_PERIOD_S``); one answer may just get lost.
 READER_LOST_S = 1.0
-#: Seconds that each further one in the order of duty waits longer: a reading and
-#: its announcement take less than 0.1 s. Chosen, not measured.
+#: Seconds that each further one in the order of duty waits longer: a reading and its
+#: announcement take less than 0.1 s.
 TURN_S = 0.2
 #: How many step in one after the other; later ones wait as long as the last of
 #: them, so that a group cut off from all of these reads within 1.8 s.
@@ -40,8 +40,8 @@
 #: it has members. Measured: docs/MEASUREMENTS.md, round 18 (0.4 s refused requests
 #: after a loss of all).
 FIRST_PEER_WAIT_S = 0.2
-#: Power of the number of cores by which stronger hosts wait less. Chosen, not measured
-#: by itself: hosts of 2.15 cores wait 0.04 s on average, about a reading.
+#: Power of the number of cores by which stronger hosts wait less:
+#: hosts of 2.15 cores wait 0.04 s on average, about a reading.
 STRENGTH_POWER = 2
 
 
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -26,18 +26,17 @@
     probing,
 )
 
-#: Time between two questions to the zone's reader; every second instant of
-#: ``wakeups``. Chosen, not measured.
+#: Time between two questions to the zone's reader; every second instant of ``wakeups``.
 ASK_PERIOD_S = 0.4
-#: How long it waits where peers answer, but none has read yet. Chosen, not measured:
-#: they are asked ten times meanwhile (``membership.FIRST_PAUSE_S``).
+#: How long it waits where peers answer, but none has read yet. They are asked ten times
+#: meanwhile (``membership.FIRST_PAUSE_S``).
 ANSWERED_WAIT_S = 1.0
-#: How many times, and how far apart in seconds, a reader announces a new
-#: document at once. Chosen, not measured.
+#: How many times, and how far apart in seconds, a reader announces a new document at
+#: once.
 ANNOUNCE_ROUNDS = 2
 ANNOUNCE_PAUSE_S = 0.1
-#: Versions of the list between two revisions of the source, for leases that
-#: expire meanwhile. Chosen, not measured.
+#: Versions of the list between two revisions of the source, for leases that expire
+#: meanwhile.
 EXPIRIES_PER_REVISION = 256
 
 
--- a/spindlenotch/gateway/source/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -15,16 +15,16 @@
 from spindlenotch.gateway.source import sources
 from spindlenotch.kernel import backoff
 
-#: Longest wait of one call; also bounds how long a lost answer goes unseen.
-#: Chosen, not measured; a longer wait costs fewer calls (commit fb5d18b).
+#: Longest wait of one call; also bounds how long a lost answer goes unseen. A longer
+#: wait costs fewer calls.
 WAIT_S = 2.4
-#: Changes within this time of each other are fetched by one call. Chosen, not
-#: measured; docs/CAPACITY.md, "The gateway on the grown site", has the calls.
+#: Changes within this time of each other are fetched by one call. Docs/CAPACITY.md,
+#: "The gateway on the grown site", has the calls.
 GATHER_S = 0.1
-#: Time between two looks whether this gateway must read. Chosen, not measured;
-#: docs/MEASUREMENTS.md, round 20, has what idle loops cost.
+#: Time between two looks whether this gateway must read. Docs/MEASUREMENTS.md, round
+#: 20, has what idle loops cost.
 OFF_DUTY_S = 0.2
-#: Bounds of the wait after a call that failed. Chosen, not measured.
+#: Bounds of the wait after a call that failed.
 BACKOFF_LEAST_S = 0.15
 BACKOFF_MOST_S = 0.8
 
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -30,8 +30,7 @@
 from spindlenotch.kernel import ownership, regions, upstreams
 from spindlenotch.peers import documents, region_links, regional_gossip, timing
 
-#: Callers fail over by themselves within a second; peers are dropped a bit
-#: later. Chosen, not measured.
+#: Callers fail over by themselves within a second; peers are dropped a bit later.
 GOSSIP_TIMING = timing.Timing(
     period_s=0.4,
     reply_s=0.25,
--- a/spindlenotch/headers.py
+++ b/spindlenotch/headers.py
@@ -24,8 +24,8 @@
 STATE = "Spindlenotch-State"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 
-#: Most hops a chain of calls may have, so that a loop ends; the deepest chain
-#: that docs/CAPACITY.md counts with has 19. Chosen, not measured.
+#: Most hops a chain of calls may have, so that a loop ends; the deepest chain that
+#: docs/CAPACITY.md counts with has 19.
 MAX_HOPS = 32
 
 #: Never passed on (lower case): RFC 9110, section 7.6.1, and ``Keep-Alive``,
--- a/spindlenotch/kernel/backoff.py
+++ b/spindlenotch/kernel/backoff.py
@@ -7,7 +7,7 @@
 
 import random
 
-#: Shortest and longest factor of a wait, drawn evenly. Chosen, not measured.
+#: Shortest and longest factor of a wait, drawn evenly.
 JITTER = (0.5, 1.5)
 
 
--- a/spindlenotch/kernel/budgets.py
+++ b/spindlenotch/kernel/budgets.py
@@ -14,9 +14,9 @@
 
 from spindlenotch import ids
 
-#: Most extra requests that a share budget saves up. Chosen, not measured.
+#: Most extra requests that a share budget saves up.
 MOST_SAVED = 10.0
-#: Extra requests that it allows before anything was earned. Chosen, not measured.
+#: Extra requests that it allows before anything was earned.
 INITIAL_RESERVE = 1.0
 #: Time constant with which a sliding budget loses what it saved, as a share of its
 #: window. Whoever takes over another's requests earns anew what that one has just
@@ -24,10 +24,7 @@
 SAVED_SHARE_OF_WINDOW = 0.1
 #: Share of what requests have earned that may be unsettled, besides the reserve. What a
 #: process has sent before it is killed may arrive together with what its successor
-#: sends: of 0.08, 0.1, 0.12 and 0.15 tried, the sum holds up to 0.12 where all of 60
-#: gateways are killed while all upstreams stand still (beyond the share 100, 133, 175
-#: and 227, 188 allowed). At full rate, where arrivals are known after 0.6 s, 2 in 100
-#: extra requests fewer are sent (both in virtual time: a fleet's retries).
+#: sends.
 UNSETTLED_SHARE = 0.1
 
 
--- a/spindlenotch/kernel/completion_rate.py
+++ b/spindlenotch/kernel/completion_rate.py
@@ -9,9 +9,8 @@
 from spindlenotch import ids
 from spindlenotch.kernel import latency
 
-#: Time constant of the rate, in seconds, and how long it has to be observed before
-#: it is known: long enough for some tens of ends, short enough to follow a burst.
-#: Chosen, not measured.
+#: Time constant of the rate, in seconds, and how long it has to be observed before it
+#: is known: long enough for some tens of ends, short enough to follow a burst.
 TIME_CONSTANT_S = 1.0
 
 
--- a/spindlenotch/kernel/crowding.py
+++ b/spindlenotch/kernel/crowding.py
@@ -14,20 +14,20 @@
 
 from spindlenotch.kernel import latency
 
-#: Share of its slots in use above which an upstream counts as nearly full. Not
-#: the share from which ``soonest`` expects a slowdown (``SLOWER_FROM_SHARE``):
-#: this one is where slots stop being used. Chosen, not measured.
+#: Share of its slots in use above which an upstream counts as nearly full. Not the
+#: share from which ``soonest`` expects a slowdown (``SLOWER_FROM_SHARE``): this one is
+#: where slots stop being used.
 NEARLY_FULL = 0.75
-#: Highest reported slowdown at which a request is a sample. Chosen, not measured.
+#: Highest reported slowdown at which a request is a sample.
 UNSLOWED_FACTOR = 1.3
-#: Least samples of each kind before anything is concluded. Chosen, not measured.
+#: Least samples of each kind before anything is concluded.
 LEAST_SAMPLES = 40
-#: Samples over which the means run. Chosen, not measured.
+#: Samples over which the means run.
 SAMPLES_AVERAGED = 300
-#: Highest latency ratio that one sample counts with. Chosen, not measured.
+#: Highest latency ratio that one sample counts with.
 MOST_LATENCY_RATIO = 3.0
-#: Requests above an upstream's slots with which a request is still a sample:
-#: estimates are fractions. Chosen, not measured.
+#: Requests above an upstream's slots with which a request is still a sample: estimates
+#: are fractions.
 LOAD_MARGIN = 0.5
 #: Ratio of the two latencies from which the last slots stay empty. It is far
 #: below the slowdown of a full upstream, since what counts as nearly full was so
@@ -36,7 +36,6 @@
 #: round 15).
 CROWDED = 1.08
 #: Least mean latency ratio that is divided by, so that the ratio stays finite.
-#: Chosen, not measured.
 LEAST_LATENCY = 1e-9
 
 
--- a/spindlenotch/kernel/ejection.py
+++ b/spindlenotch/kernel/ejection.py
@@ -6,30 +6,30 @@
 counts how many are out and applies the rules after each answer.
 """
 
-#: Failures in a row after which an upstream is ejected. Chosen, not measured.
+#: Failures in a row after which an upstream is ejected.
 FAILURES_IN_ROW = 3
-#: The first ejection, in seconds; each further one without an answer between
-#: takes twice as long as the one before. Chosen, not measured.
+#: The first ejection, in seconds; each further one without an answer between takes
+#: twice as long as the one before.
 FIRST_PAUSE_S = 1.0
-#: The longest ejection, in seconds. Chosen, not measured.
+#: The longest ejection, in seconds.
 LONGEST_PAUSE_S = 30.0
 #: Ejections in a row are counted up to this: the pause has long reached
 #: ``LONGEST_PAUSE_S`` then, and the power of two stays small.
 MOST_COUNTED = 10
 #: Silence after which an upstream counts as frozen, as a multiple of the 95th
-#: percentile of the latency. Chosen, not measured.
+#: percentile of the latency.
 FROZEN_P95_FACTOR = 3.0
-#: And at least this long, in seconds. Chosen, not measured.
+#: And at least this long, in seconds.
 FROZEN_LEAST_S = 0.25
 #: Why an upstream is ejected that owes answers for too long.
 SILENT = "silent"
 #: And one whose request on probation failed, or was broken off late.
 FAILED_ON_PROBATION = "failed on probation"
-#: A pool with fewer upstreams than this ejects none of them: a bad upstream is
-#: better than no upstream. Chosen, not measured.
+#: A pool with fewer upstreams than this ejects none of them: a bad upstream is better
+#: than no upstream.
 LEAST_POOL = 2
-#: Wait in seconds that a refused caller is asked to keep where no upstream is
-#: usable and none is due back. Chosen, not measured.
+#: Wait in seconds that a refused caller is asked to keep where no upstream is usable
+#: and none is due back.
 RETRY_AFTER_S = 1.0
 
 
--- a/spindlenotch/kernel/failure_share.py
+++ b/spindlenotch/kernel/failure_share.py
@@ -13,11 +13,11 @@
 #: three quarters of an even share 5 s later (2.0 s: two thirds; 1.5 s: all of it, but
 #: 3.4 in place of 2.9 of 100 calls reach a failing one: see the scenario on that).
 FADE_S = 1.7
-#: Answers that an upstream is credited with before any was seen: one failure makes
-#: a share of a third, not of one. Chosen, not measured.
+#: Answers that an upstream is credited with before any was seen: one failure makes a
+#: share of a third, not of one.
 PRIOR_ANSWERS = 2.0
-#: What a request counts that the upstream refused without running it, as a share
-#: of a failure: it costs a further try, but little time. Chosen, not measured.
+#: What a request counts that the upstream refused without running it, as a share of a
+#: failure: it costs a further try, but little time.
 REFUSED_COUNTS = 0.5
 
 
--- a/spindlenotch/kernel/hearing.py
+++ b/spindlenotch/kernel/hearing.py
@@ -2,9 +2,7 @@
 When one process heard of an upstream last, and for how long that has owed an answer.
 
 A try that is broken off at its deadline leaves the time for which it waited: where
-requests have little time, an upstream that stands still would else never be silent
-(of 5,060 requests that had 0.4 s 974 failed, 63 with this and the wait for a report;
-90 gateways, half of 53 upstreams standing still for 22 s, one run each).
+requests have little time, an upstream that stands still would else never be silent.
 Pure; every method takes the instant.
 """
 
@@ -121,9 +119,8 @@
         """
         Return what is owed of tries that were broken off, in seconds.
 
-        It does not fade while probes tell of others and miss this one. Where half of 12
-        upstreams stood still, 6 to 12 of 600 requests of the last 4 s were sent there
-        as it faded, 4 to 8 so (real gateways, three runs each beside load).
+        It does not fade while probes tell of others and miss this one: requests would
+        be sent there again and again.
         """
         if not self._owed_s:
             return 0.0
--- a/spindlenotch/kernel/latency.py
+++ b/spindlenotch/kernel/latency.py
@@ -10,9 +10,8 @@
 import msgspec
 
 #: Largest step of a quantile tracker with one sample, as a share of its value.
-#: Chosen, not measured.
 QUANTILE_GAIN = 0.05
-#: Weight of the newest sample where a mean is given none. Chosen, not measured.
+#: Weight of the newest sample where a mean is given none.
 DEFAULT_WEIGHT = 0.1
 
 
--- a/spindlenotch/kernel/latency_table.py
+++ b/spindlenotch/kernel/latency_table.py
@@ -12,16 +12,13 @@
 
 from spindlenotch.kernel import latency
 
-#: Weight of the newest answer in the mean over all calls of a service. Chosen,
-#: not measured.
+#: Weight of the newest answer in the mean over all calls of a service.
 OVERALL_WEIGHT = 0.02
-#: Weight of the newest answer in the mean of one kind. Chosen, not measured.
+#: Weight of the newest answer in the mean of one kind.
 KEY_WEIGHT = 0.05
-#: The quantile after which a call is late: 95 in 100 are faster. Chosen, not
-#: measured.
+#: The quantile after which a call is late: 95 in 100 are faster.
 SLOW_QUANTILE = 0.95
 #: The first estimate of that quantile, as a multiple of the typical latency.
-#: Chosen, not measured.
 SLOW_FACTOR = 3.0
 
 
--- a/spindlenotch/kernel/rendezvous.py
+++ b/spindlenotch/kernel/rendezvous.py
@@ -12,7 +12,7 @@
 from spindlenotch import ids
 from spindlenotch.kernel import ownership
 
-#: Scores that are cached. Chosen, not measured.
+#: Scores that are cached.
 SCORES_KEPT = 65_536
 #: Bits of a score, and how many different scores there are. Part of the choice:
 #: processes of two releases in one fleet must agree on it.
--- a/spindlenotch/kernel/state_changes.py
+++ b/spindlenotch/kernel/state_changes.py
@@ -12,8 +12,7 @@
 from spindlenotch import ids
 from spindlenotch.kernel import upstreams
 
-#: Changes kept until they are collected; older ones are dropped. Chosen, not
-#: measured.
+#: Changes kept until they are collected; older ones are dropped.
 CHANGES_KEPT = 1000
 
 
--- a/spindlenotch/kernel/upstream_pool.py
+++ b/spindlenotch/kernel/upstream_pool.py
@@ -23,11 +23,10 @@
     upstreams,
 )
 
-#: Time constant with which a report of other processes' requests fades, as a
-#: multiple of the typical latency. Chosen, not measured.
+#: Time constant with which a report of other processes' requests fades, as a multiple
+#: of the typical latency.
 REPORT_DECAY_FACTOR = 2.0
-#: Weights of the newest sample in the means over the whole service. Chosen, not
-#: measured.
+#: Weights of the newest sample in the means over the whole service.
 FOREIGN_LOAD_WEIGHT = 0.02
 REFUSED_WEIGHT = 0.01
 FAILED_WEIGHT = 0.05
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -25,24 +25,19 @@
     shared_rate,
 )
 
-#: Weight of the newest sample in an upstream's latency ratio. Chosen, not
-#: measured.
+#: Weight of the newest sample in an upstream's latency ratio.
 LATENCY_RATIO_WEIGHT = 0.08
 #: Weight of the newest report in an upstream's mean load from other processes.
-#: Chosen, not measured.
 FOREIGN_LOAD_WEIGHT = 0.05
-#: Weight of the newest report in an upstream's mean slowdown. Chosen, not
-#: measured.
+#: Weight of the newest report in an upstream's mean slowdown.
 MEAN_SLOWDOWN_WEIGHT = 0.03
-#: Slowdown above which an upstream is slowed. Chosen, not measured.
+#: Slowdown above which an upstream is slowed.
 SLOWED_FACTOR = 2.5
-#: Highest latency ratio that one answer counts with. Chosen, not measured.
+#: Highest latency ratio that one answer counts with.
 MAX_LATENCY_RATIO = 20.0
 #: Time constant, in seconds, with which a reported slowdown fades to the mean.
-#: Chosen, not measured.
 SLOWDOWN_DECAY_S = 0.5
-#: Answers after which an upstream is trusted with all its slots. Chosen, not
-#: measured.
+#: Answers after which an upstream is trusted with all its slots.
 WARM_AFTER_ANSWERS = 20
 
 #: Of a process that shares no rates.
@@ -294,10 +289,7 @@
         """
         Tell whether probes show that an upstream ejected as silent stands still yet.
 
-        A try there would cost its request the time, and a hedge: where half of 53
-        upstreams stood still for 22 s, 90 gateways failed 63 of 5,060 requests that had
-        0.4 s, all in the first two seconds; with a wait of 10 s at most 106 (one run
-        each of real gateways).
+        A try there would cost its request the time, and a hedge.
         """
         if now >= ids.later(self.ejected_at, ejection.LONGEST_PAUSE_S):
             return False
--- a/spindlenotch/kernel/waiting.py
+++ b/spindlenotch/kernel/waiting.py
@@ -13,14 +13,13 @@
 
 from spindlenotch import ids
 
-#: One call in this many is the longest-waiting one, whatever its priority, so that
-#: the lowest class never starves. Chosen, not measured.
+#: One call in this many is the longest-waiting one, whatever its priority, so that the
+#: lowest class never starves.
 OLDEST_FIRST_EVERY = 20
-#: Upstreams that a call may be sent to where nothing bounds them: more than there
-#: are. Chosen, not measured.
+#: Upstreams that a call may be sent to where nothing bounds them: more than there are.
 MOST_TRIES = 1_000
-#: What an upstream in another zone costs a call where nothing else is said, in
-#: seconds, both ways. Chosen, not measured.
+#: What an upstream in another zone costs a call where nothing else is said, in seconds,
+#: both ways.
 CROSS_ZONE_S = 0.002
 
 
--- a/spindlenotch/peers/background.py
+++ b/spindlenotch/peers/background.py
@@ -11,9 +11,8 @@
 
 from spindlenotch import events
 
-#: Seconds before a loop that failed is begun anew: short beside the time after
-#: which peers suspect a process, long enough not to fill the log. Chosen, not
-#: measured.
+#: Seconds before a loop that failed is begun anew: short beside the time after which
+#: peers suspect a process, long enough not to fill the log.
 RESTART_PAUSE_S = 0.2
 
 
--- a/spindlenotch/peers/capnp_codec.py
+++ b/spindlenotch/peers/capnp_codec.py
@@ -16,12 +16,11 @@
 from spindlenotch import ids
 from spindlenotch.peers import documents, messages, wire_format, workload
 
-#: Cap'n Proto counts what it traverses in words of 8 bytes: a packed message may
-#: unpack to eight times the bytes that it may have. Chosen, not measured.
+#: Cap'n Proto counts what it traverses in words of 8 bytes: a packed message may unpack
+#: to eight times the bytes that it may have.
 GOSSIP_TRAVERSAL_WORDS = wire_format.MAX_DATAGRAM_BYTES
 FRAME_TRAVERSAL_WORDS = wire_format.MAX_FRAME_BYTES
-#: Levels of structures within structures, more than the schema has. Chosen, not
-#: measured.
+#: Levels of structures within structures, more than the schema has.
 MAX_NESTING = 8
 #: The schema carries ratios as whole percent and ages as whole milliseconds.
 PERCENT = 100.0
--- a/spindlenotch/peers/drain_notices.py
+++ b/spindlenotch/peers/drain_notices.py
@@ -12,9 +12,9 @@
 
 from spindlenotch.peers import messages
 
-#: Messages that carry a new notice before older ones. Chosen, not measured.
+#: Messages that carry a new notice before older ones.
 DRAIN_NOTICE_REPEATS = 12
-#: The oldest notice goes first beyond this. Chosen, not measured.
+#: The oldest notice goes first beyond this.
 MAX_DRAIN_NOTICES = 4096
 
 
--- a/spindlenotch/peers/gossip.py
+++ b/spindlenotch/peers/gossip.py
@@ -28,8 +28,7 @@
     workload,
 )
 
-#: A longer time between two sweeps, in periods, means that this process stood
-#: still. Chosen, not measured.
+#: A longer time between two sweeps, in periods, means that this process stood still.
 STOOD_STILL_PERIODS = 3
 
 
--- a/spindlenotch/peers/membership.py
+++ b/spindlenotch/peers/membership.py
@@ -27,10 +27,10 @@
 #: of 450 were dropped in 30 s at 1% loss, with two none: docs/MEASUREMENTS.md,
 #: "Rounds", row 5.
 MISSED_BEFORE_SUSPECT = 2
-#: Seconds that a suspicion stands longer for each doubling of the fleet, since
-#: the refutation needs more periods to spread. Chosen, not measured.
+#: Seconds that a suspicion stands longer for each doubling of the fleet, since the
+#: refutation needs more periods to spread.
 SUSPECT_S_PER_DOUBLING = 0.4
-#: Records of further members are ignored beyond this. Chosen, not measured.
+#: Records of further members are ignored beyond this.
 MAX_MEMBERS = 4096
 
 
--- a/spindlenotch/peers/messages.py
+++ b/spindlenotch/peers/messages.py
@@ -17,17 +17,17 @@
 from spindlenotch.kernel import crash_notes
 from spindlenotch.peers import documents, rollout_notes, workload
 
-#: Changed member records in a message. Chosen, not measured; with it gossip
-#: took 2.6 to 4.7 KB/s at 1% loss (docs/CAPACITY.md, "Slopes").
+#: Changed member records in a message. With it gossip took 2.6 to 4.7 KB/s at 1% loss
+#: (docs/CAPACITY.md, "Slopes").
 MEMBERS_PER_MESSAGE = 4
-#: Member records in a reply to a sender that knows too few members, and the
-#: most that a receiver accepts. Chosen, not measured.
+#: Member records in a reply to a sender that knows too few members, and the most that a
+#: receiver accepts.
 MAX_MEMBERS_PER_MESSAGE = 10
-#: Chosen, not measured.
+#: Drain notices in a message.
 DRAIN_NOTICES_PER_MESSAGE = 12
-#: Chosen, not measured.
+#: Suspicions in a message.
 SUSPICIONS_PER_MESSAGE = 4
-#: Load records in a message. Chosen, not measured.
+#: Load records in a message.
 LOADS_PER_MESSAGE = 64
 #: Summaries of regions in a message: fleets lie in a few regions, and a datagram that
 #: held more would no longer fit its limit.
@@ -40,8 +40,8 @@
 #: Notes on requests under which upstreams ended, in a message; each takes some 100
 #: bytes. Further ones go with the next messages.
 CRASH_NOTES_PER_MESSAGE = 8
-#: Hexadecimal digits of a document's digest that a message carries. Chosen,
-#: not measured: enough to tell two documents of one version apart.
+#: Hexadecimal digits of a document's digest that a message carries. Enough to tell two
+#: documents of one version apart.
 DIGEST_DIGITS = 16
 
 
--- a/spindlenotch/peers/msgpack_codec.py
+++ b/spindlenotch/peers/msgpack_codec.py
@@ -13,8 +13,7 @@
 from spindlenotch.kernel import crash_notes
 from spindlenotch.peers import messages, rollout_notes, wire_format
 
-#: zlib's fastest: messages are small and sent several times a second. Chosen,
-#: not measured.
+#: zlib's fastest: messages are small and sent several times a second.
 COMPRESSION_LEVEL = 1
 
 _gossip_decoder: msgspec.msgpack.Decoder[messages.Message] = msgspec.msgpack.Decoder(
--- a/spindlenotch/peers/peer_link.py
+++ b/spindlenotch/peers/peer_link.py
@@ -25,10 +25,9 @@
 
 #: Length of a sealed frame in front of it on a document connection, in bytes.
 LENGTH = struct.Struct("!I")
-#: Seconds for a document request and its answer, on both sides. Chosen, not
-#: measured.
+#: Seconds for a document request and its answer, on both sides.
 CALL_TIMEOUT_S = 2.0
-#: Document connections that are served at a time. Chosen, not measured.
+#: Document connections that are served at a time.
 MAX_CONNECTIONS = 64
 
 #: What ends a document connection: unreachable, too slow, or closed early.
--- a/spindlenotch/peers/probing.py
+++ b/spindlenotch/peers/probing.py
@@ -13,8 +13,8 @@
 from spindlenotch import ids
 from spindlenotch.peers import known_peer
 
-#: Members that are probed in a period. Chosen, not measured; the cost of
-#: three is in docs/CAPACITY.md, "Slopes".
+#: Members that are probed in a period. The cost of three is in docs/CAPACITY.md,
+#: "Slopes".
 FANOUT = 3
 
 
--- a/spindlenotch/peers/record_spread.py
+++ b/spindlenotch/peers/record_spread.py
@@ -13,8 +13,7 @@
 from spindlenotch import ids
 from spindlenotch.peers import messages
 
-#: Messages that a changed record goes into first, for each doubling of the
-#: fleet. Chosen, not measured.
+#: Messages that a changed record goes into first, for each doubling of the fleet.
 REPEATS_PER_DOUBLING = 1
 
 
--- a/spindlenotch/peers/timing.py
+++ b/spindlenotch/peers/timing.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-#: Between two rounds of probes, in seconds. Chosen, not measured.
+#: Between two rounds of probes, in seconds.
 PERIOD_S = 1.0
-#: Seconds from a probe until its reply is due. Chosen, not measured; it is
-#: shorter than the period, so that each round judges the one before.
+#: Seconds from a probe until its reply is due. It is shorter than the period, so that
+#: each round judges the one before.
 REPLY_S = 0.7
-#: Seconds a suspicion stands before its member is dropped; more is added as
-#: the fleet grows, see ``membership``. Chosen, not measured.
+#: Seconds a suspicion stands before its member is dropped; more is added as the fleet
+#: grows, see ``membership``.
 SUSPECT_S = 3.0
 
 
--- a/spindlenotch/peers/tombstones.py
+++ b/spindlenotch/peers/tombstones.py
@@ -10,7 +10,7 @@
 from spindlenotch import ids
 from spindlenotch.peers import messages
 
-#: The oldest tombstone goes first beyond this. Chosen, not measured.
+#: The oldest tombstone goes first beyond this.
 MAX_TOMBSTONES = 4096
 
 NO_TOMBSTONE = messages.RecordVersion(0, 0)
--- a/spindlenotch/peers/wire_format.py
+++ b/spindlenotch/peers/wire_format.py
@@ -12,12 +12,11 @@
 
 from spindlenotch.peers import messages
 
-#: Bytes of a sealed gossip datagram at most. Chosen, not measured.
+#: Bytes of a sealed gossip datagram at most.
 MAX_DATAGRAM_BYTES = 8 * 1024
-#: Bytes of a sealed document frame at most, and of a body once it is
-#: decompressed. Chosen, not measured.
+#: Bytes of a sealed document frame at most, and of a body once it is decompressed.
 MAX_FRAME_BYTES = 2 * 1024 * 1024
-#: Characters of a host id, address or other text at most. Chosen, not measured.
+#: Characters of a host id, address or other text at most.
 MAX_TEXT_CHARACTERS = 256
 
 
--- a/spindlenotch/selection.py
+++ b/spindlenotch/selection.py
@@ -17,8 +17,8 @@
 from spindlenotch import ids, registry
 from spindlenotch.kernel import upstream_pool, upstreams, waiting
 
-#: Random draws per upstream of a sample: some hit one that is drawn already or
-#: that may not take the call. Chosen, not measured.
+#: Random draws per upstream of a sample: some hit one that is drawn already or that may
+#: not take the call.
 DRAWS_PER_SAMPLE = 3
 
 
--- a/spindlenotch/settings/kinds.py
+++ b/spindlenotch/settings/kinds.py
@@ -14,7 +14,7 @@
 
 #: Longest name in characters. Chosen; equal to the limit of a DNS label (RFC 1035).
 LONGEST_NAME = 63
-#: Shortest shared key in characters. Chosen, not measured.
+#: Shortest shared key in characters.
 SHORTEST_KEY = 16
 #: Highest TCP and UDP port.
 HIGHEST_PORT = 65_535
--- a/tools/constants.py
+++ b/tools/constants.py
@@ -1,8 +1,8 @@
 """
-Check that each numeric constant of the product says where its figure comes from.
+Check that each numeric constant of the product has a comment with its meaning and unit.
 
 A constant is an upper-case name bound to a number, or to arithmetic on numbers,
-in a module or class of spindlenotch/ or platform/. Its origin is the ``#:``
+in a module or class of spindlenotch/ or platform/. It has a ``#:``
 comment right above it; constants that follow each other without a blank line may
 share one. Prints each breach and exits with 1 where there is any.
 """
@@ -95,11 +95,11 @@
     modules = [p for root in ROOTS for p in sorted(pathlib.Path(root).rglob("*.py"))]
     constants = [constant for module in modules for constant in constants_of(module)]
     found = [
-        f"{one.module}:{one.line}: {one.name} = {one.value} does not say its origin"
+        f"{one.module}:{one.line}: {one.name} = {one.value} has no comment"
         for one in constants
         if not one.comment
     ]
-    print("\n".join(found) or f"{len(constants)} numeric constants say their origin")
+    print("\n".join(found) or f"{len(constants)} numeric constants have a comment")
     return 1 if found else 0
 
 
--- a/tools/decisions.py
+++ b/tools/decisions.py
@@ -2,7 +2,7 @@
 Make docs/DECISIONS.md: each rule that decides about requests, and its constants.
 
 ``tools/decision_table.py`` and the tables named like it list the rules.
-Values and origins of constants are read from the code, so that the page can't
+Values and meanings of constants are read from the code, so that the page can't
 differ from it; a name, an event or a scenario that does not exist raises
 ``UnknownReferenceError``.
 """
@@ -28,7 +28,7 @@
 
 Why did this request go there, wait, fail, come back? Each rule stands in one
 place. Functions are named as `package/module.name` below `spindlenotch/`. Values
-and origins are those of the code.
+and meanings are those of the code.
 """
 
 
@@ -65,7 +65,7 @@
         "",
     ]
     if rule.constants:
-        lines += ["| constant | value | unit and origin |", "|---|---|---|"]
+        lines += ["| constant | value | meaning and unit |", "|---|---|---|"]
         lines += [_constant_row(name) for name in rule.constants]
         lines.append("")
     return "\n".join(lines)
