Operators see limits and rests of upstreams in /state; an ended limit is told on for a second

That a limit has ended is repeated for a second though the upstream answers nothing more: one lost message would have left others with it for 30 s.

--- a/features/steps/gateway_limits.py
+++ b/features/steps/gateway_limits.py
@@ -309,7 +309,8 @@
     limit.heard(4.0, ids.later(NOW, 0.5))
     assert due(0.5)
     limit.heard(None, ids.later(NOW, 0.6))
-    assert due(0.6) and not due(0.6)
+    # Repeated though nothing more is heard: nobody else may ever hear it.
+    assert due(0.6) and not due(0.7) and due(0.9)
     limit.heard(None, ids.later(NOW, 2.0))
     assert not due(2.0), "long ended"
 
--- a/features/support/recorded_names.py
+++ b/features/support/recorded_names.py
@@ -32,7 +32,7 @@
             look=recorded_logs.lines_of,
         ),
         *recorded.grown_table("metrics", recorded_words.metric_rows, 3),
-        *recorded.grown_table("gateway-state", recorded_state.gateway_dump, 2),
+        *recorded.grown_table("gateway-state", recorded_state.gateway_dump, 3),
         recorded.table("entry-state", recorded_state.entry_dump),
         *recorded.grown_table("words", recorded_words.word_lists, 2),
         recorded.table("headers", recorded_words.header_names),
--- a/spindlenotch/gateway/cluster/limit_news.py
+++ b/spindlenotch/gateway/cluster/limit_news.py
@@ -51,7 +51,7 @@
     ) -> bool:
         told = self._told_by_id.get(upstream)
         if told is not None:
-            if limit.heard_at <= told.heard_at:
+            if limit.per_s is not None and limit.heard_at <= told.heard_at:
                 return False
             if limit.per_s == told.per_s and now < ids.later(told.told_at, REPEAT_S):
                 return False
--- a/spindlenotch/gateway/state_dump.py
+++ b/spindlenotch/gateway/state_dump.py
@@ -56,6 +56,9 @@
 
     ``slowdown`` is how many times as long as usual work takes there now, by its
     load reports; ``latency_ratio`` the same by the answers that this gateway had.
+    ``limit_per_s`` is what it says it takes from all gateways in a second, None where
+    it names none, ``part_per_s`` this gateway's part of that; ``rests_s`` for how much
+    longer it wants nothing from this one.
     """
 
     id: ids.UpstreamId
@@ -65,6 +68,9 @@
     slowdown: float
     latency_ratio: float
     report_s_ago: float
+    limit_per_s: float | None = None
+    part_per_s: float | None = None
+    rests_s: float = 0.0
 
 
 class ServiceDump(msgspec.Struct, rename={"retry_budget": "extra_left"}):
@@ -193,6 +199,8 @@
 
 
 def _upstream(upstream: upstreams.Upstream, now: ids.Instant) -> UpstreamDump:
+    pressure = upstream.backpressure
+    limit = pressure.limit
     return UpstreamDump(
         id=upstream.spec.id,
         state=upstream.state.value,
@@ -201,4 +209,7 @@
         slowdown=round(upstream.slowdown(now), RATIO_DIGITS),
         latency_ratio=round(upstream.latency_ratio.value, RATIO_DIGITS),
         report_s_ago=round(now - upstream.report_at, AGE_DIGITS),
+        limit_per_s=limit.per_s,
+        part_per_s=None if limit.per_s is None else limit.part_per_s,
+        rests_s=round(max(0.0, pressure.rests_until - now), AGE_DIGITS),
     )
