--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -6,7 +6,11 @@
 
 import behave
 
-from features.support import platform_context, platform_fleet, platform_worker
+from features.support import (
+    platform_context,
+    platform_fleet,
+    worker_records,
+)
 
 Fleet = platform_fleet.PlatformFleet
 fleet_of = platform_context.fleet_of
@@ -60,14 +64,14 @@
 @behave.given('one worker is "{mode}"')
 def one_worker(context: typing.Any, mode: str) -> None:
     worker = fleet_of(context).worker_by_id["i-0"]
-    worker.mode = platform_worker.Mode(mode)
+    worker.mode = worker_records.Mode(mode)
 
 
 @behave.given('all workers are "{mode}"')
 @behave.when('all workers are "{mode}"')
 def all_workers(context: typing.Any, mode: str) -> None:
     for worker in fleet_of(context).worker_by_id.values():
-        worker.mode = platform_worker.Mode(mode)
+        worker.mode = worker_records.Mode(mode)
 
 
 @behave.when('a client sends {method} "{target}" as "{request_id}"')
--- a/features/steps/platform_reborn.py
+++ b/features/steps/platform_reborn.py
@@ -6,7 +6,7 @@
 
 import behave
 
-from features.support import platform_context, platform_worker
+from features.support import platform_context, platform_worker, worker_records
 
 run = platform_context.run
 fleet_of = platform_context.fleet_of
@@ -44,7 +44,7 @@
     """Let a worker crash and start again, in good health, and say so."""
 
     async def start() -> None:
-        worker.mode = platform_worker.Mode.GOOD
+        worker.mode = worker_records.Mode.GOOD
         worker.start_again(SECOND_BORN)
         fleet_of(context).list_worker(worker)
 
--- a/features/steps/platform_zones.py
+++ b/features/steps/platform_zones.py
@@ -7,7 +7,12 @@
 import behave
 
 from features.steps import platform
-from features.support import platform_context, platform_fleet, platform_worker
+from features.support import (
+    platform_context,
+    platform_fleet,
+    platform_worker,
+    worker_records,
+)
 
 OTHER_ZONE = "z2"
 EVACUATION = "op/evacuate/"
@@ -158,7 +163,7 @@
         fleet = fleet_of(context)
         cold = fleet.worker_by_id["i-0"]
         context.cold = cold
-        cold.coldness = platform_worker.Coldness(
+        cold.coldness = worker_records.Coldness(
             until=time.monotonic() + seconds,
             most_in_a_second=OVERSHOOT * context.cold_rate + SLACK,
         )
--- a/features/steps/poison_requests.py
+++ b/features/steps/poison_requests.py
@@ -14,9 +14,14 @@
 
 import behave
 
-from features.support import platform_context, platform_fleet, platform_worker
+from features.support import (
+    platform_context,
+    platform_fleet,
+    platform_worker,
+    worker_records,
+)
 
-Poison = platform_worker.Poison
+Poison = worker_records.Poison
 
 #: Seconds from a crash until the old entry goes, and until a new upstream is there.
 ENTRY_LAPSES_S, BACK_AFTER_S = 1.5, 1.0
--- a/features/steps/rollout.py
+++ b/features/steps/rollout.py
@@ -9,7 +9,12 @@
 import aiohttp
 import behave
 
-from features.support import platform_context, platform_fleet, platform_worker
+from features.support import (
+    platform_context,
+    platform_fleet,
+    platform_worker,
+    worker_records,
+)
 from spindlenotch.cli import explain_logs
 
 ORDER, STATUS = "op/rollout/core", "status/rollout/core"
@@ -61,7 +66,7 @@
 
 @behave.given("the new version fails all requests")
 def fails(context: typing.Any) -> None:
-    context.mode = platform_worker.Mode.ERROR
+    context.mode = worker_records.Mode.ERROR
 
 
 @behave.when("the operator orders it within {by_s:d} s while requests are sent")
@@ -114,7 +119,7 @@
     began_at = time.monotonic()
     for number in range(3):
         worker = await fleet.add_worker(f"new-{number}", version=TARGET)
-        worker.mode = getattr(context, "mode", platform_worker.Mode.GOOD)
+        worker.mode = getattr(context, "mode", worker_records.Mode.GOOD)
     tasks = []
     while time.monotonic() < began_at + by_s + AFTER_S:
         nodes = platform_context.living(context)
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from features.support import free_ports, platform_store, platform_worker
+from features.support import free_ports, platform_store, platform_worker, worker_records
 
 ROOT = pathlib.Path(__file__).parents[2]
 #: Longest time that a scenario waits for one thing. Chosen, not measured.
@@ -111,8 +111,8 @@
     def __init__(self) -> None:
         self.store = platform_store.PlatformStore()
         self.worker_by_id: dict[str, platform_worker.PlatformWorker] = {}
-        self.fault_by_version: platform_worker.FaultByVersion = {}
-        self.poisons: set[platform_worker.Poison] = set()
+        self.fault_by_version: worker_records.FaultByVersion = {}
+        self.poisons: set[worker_records.Poison] = set()
         self.process_by_node: dict[str, asyncio.subprocess.Process] = {}
         self.ip_by_node: dict[str, str] = {}
         self.logs: dict[str, pathlib.Path] = {}
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -7,88 +7,19 @@
 """
 
 import asyncio
-import collections
 import dataclasses
-import enum
 import random
 import socket
 import struct
 import time
 import typing
 
+from features.support import worker_records
+
 LOOPBACK = "127.0.0.1"
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
-class Mode(enum.Enum):
-    """How a worker treats the next requests."""
-
-    GOOD = "good"
-    #: Refuses and says that the request has not run.
-    SHED = "shed"
-    #: Runs, and answers 503 without saying whether it ran.
-    BARE_503 = "bare-503"
-    #: Runs, and answers 500.
-    ERROR = "error"
-    #: Closes the connection before the end of the body.
-    CUT = "cut"
-    #: Sends a body without length and resets the connection in its midst.
-    RESET_UNFRAMED = "reset-unframed"
-    #: Sends a body whose end is that of the connection.
-    UNFRAMED = "unframed"
-    #: Echoes the id of another request.
-    FOREIGN = "foreign"
-    #: Leaves its stamp out.
-    UNSTAMPED = "unstamped"
-    #: Sends bytes that are no answer.
-    GARBAGE = "garbage"
-    #: Sends another answer right behind its own.
-    SURPLUS = "surplus"
-    #: Sends another answer a moment after its own.
-    LATE_SURPLUS = "late-surplus"
-    #: Answers before it has read the request's body.
-    EARLY = "early"
-    #: Runs, and resets the connection without an answer.
-    LOST = "lost"
-    #: Works until the caller's connection closes.
-    HANG = "hang"
-    #: Works several times as long.
-    SLOW = "slow"
-
-
-#: How many times as long work takes in the mode "slow".
-SLOWDOWN = 5.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class VersionFault:
-    """
-    What is wrong with a version of the workers' software.
-
-    A part ``share`` of its requests is treated as ``mode`` says: only of those
-    whose target begins with ``prefix``, only where ``least_running`` others run
-    at the worker, and only ``after_s`` seconds after the worker's start.
-    """
-
-    mode: Mode
-    share: float = 1.0
-    prefix: str = "/"
-    least_running: int = 0
-    after_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Poison:
-    """A request that ends each worker that runs it, whatever its id is."""
-
-    target: str
-    body: bytes = b""
-
-
-#: The faults of versions that have any.
-FaultByVersion = dict[str, VersionFault]
-
-
 @dataclasses.dataclass(slots=True)
 class Head:
     """The head of a request."""
@@ -99,65 +30,6 @@
     at: float = 0.0
 
 
-class Run(typing.NamedTuple):
-    """
-    A request that began to run; ``mode`` is how it was treated.
-
-    ``at`` is on the monotonic clock, and ``born`` names the life that ran it.
-    """
-
-    request_id: str
-    target: str
-    body: bytes
-    mode: Mode = Mode.GOOD
-    at: float = 0.0
-    born: int | None = None
-
-
-class Rest(typing.NamedTuple):
-    """A request that was turned away; ``text`` says for how long nothing is wanted."""
-
-    at: float
-    request_id: str
-    text: str
-
-    @property
-    def seconds(self) -> float:
-        """Return the time that is asked for."""
-        return float(self.text)
-
-
-@dataclasses.dataclass(slots=True)
-class Coldness:
-    """
-    Until when a worker is cold, on the monotonic clock, and what it bears while it is.
-
-    ``most_in_a_second`` requests are borne in any one second; at the next one the
-    worker has fallen over for good.
-    """
-
-    until: float
-    most_in_a_second: float
-    arrived_at: collections.deque[float] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    has_fallen: bool = False
-
-    def left_ms(self) -> int:
-        """Return for how many milliseconds more it is cold; 0 where it is not."""
-        return max(0, int(1000 * (self.until - time.monotonic())))
-
-    def arrives(self) -> None:
-        """Note the arrival of a request."""
-        now = time.monotonic()
-        if now >= self.until:
-            return
-        self.arrived_at.append(now)
-        while self.arrived_at[0] <= now - 1.0:
-            self.arrived_at.popleft()
-        self.has_fallen |= len(self.arrived_at) > self.most_in_a_second
-
-
 class PlatformWorker:
     """
     One worker.
@@ -178,8 +50,8 @@
         worker_id: str,
         work_s: float = 0.002,
         version: str = "v1",
-        fault_by_version: FaultByVersion | None = None,
-        poisons: set[Poison] | None = None,
+        fault_by_version: worker_records.FaultByVersion | None = None,
+        poisons: set[worker_records.Poison] | None = None,
     ) -> None:
         self.id = worker_id
         self.version = version
@@ -199,16 +71,16 @@
         self.says_leaving: str | None = None
         self.asks_rest: str | None = None
         #: The requests that it turned away asking for rest.
-        self.rests: list[Rest] = []
+        self.rests: list[worker_records.Rest] = []
         self.accepted = 0
         self.born: int | None = None
         self.probed_at: list[float] = []
-        self.mode = Mode.GOOD
+        self.mode = worker_records.Mode.GOOD
         self.running = 0
-        self.runs: list[Run] = []
+        self.runs: list[worker_records.Run] = []
         self.heads: list[Head] = []
         self.cancelled = 0
-        self.coldness = Coldness(until=0.0, most_in_a_second=0.0)
+        self.coldness = worker_records.Coldness(until=0.0, most_in_a_second=0.0)
         self.address = ""
         #: Where gateways reach it, where that is not ``address``.
         self.listed_address = ""
@@ -259,7 +131,7 @@
         self.address = f"{LOOPBACK}:{port}"
         self._started_at = time.monotonic()
         self.names_limit = self.says_leaving = self.asks_rest = None
-        self.coldness = Coldness(until=0.0, most_in_a_second=0.0)
+        self.coldness = worker_records.Coldness(until=0.0, most_in_a_second=0.0)
 
     @property
     def connected(self) -> int:
@@ -330,7 +202,7 @@
         request_id = head.fields.get("x-spindlenotch-request-id", "")
         expected = head.fields.get("x-spindlenotch-expect-instance", self.id)
         mode = self._mode(head)
-        if mode is Mode.EARLY:
+        if mode is worker_records.Mode.EARLY:
             writer.write(self._answer(request_id, b"early"))
             await asyncio.sleep(0.05)
             await _body(reader, head)
@@ -339,10 +211,12 @@
         if expected != self.id:
             writer.write(self._head("421 Misdirected Request", request_id, 0))
             return True
-        run = Run(request_id, head.target, body, mode, head.at, self.born)
+        run = worker_records.Run(
+            request_id, head.target, body, mode, head.at, self.born
+        )
         return await self._run(reader, writer, run)
 
-    def _mode(self, head: Head) -> Mode:
+    def _mode(self, head: Head) -> worker_records.Mode:
         """Return how a request is treated, by its version's fault or its own mode."""
         fault = self.fault_by_version.get(self.version)
         if (
@@ -356,11 +230,16 @@
         return self.mode
 
     async def _run(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, run: Run
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        run: worker_records.Run,
     ) -> bool:
         request_id = run.request_id
         if self.asks_rest is not None:
-            self.rests.append(Rest(time.monotonic(), request_id, self.asks_rest))
+            self.rests.append(
+                worker_records.Rest(time.monotonic(), request_id, self.asks_rest)
+            )
             asked = (
                 f"X-Spindlenotch-Not-Executed: 1\r\nRetry-After: {self.asks_rest}\r\n"
             )
@@ -368,7 +247,7 @@
                 self._head("503 Service Unavailable", request_id, 0, extra=asked)
             )
             return True
-        if run.mode is Mode.SHED or self.running >= self.most_at_once:
+        if run.mode is worker_records.Mode.SHED or self.running >= self.most_at_once:
             not_run = "X-Spindlenotch-Not-Executed: 1\r\n"
             writer.write(
                 self._head("503 Service Unavailable", request_id, 0, extra=not_run)
@@ -381,7 +260,7 @@
                 return False
         finally:
             self.running -= 1
-        if Poison(run.target, run.body) in self.poisons:
+        if worker_records.Poison(run.target, run.body) in self.poisons:
             self.crashes.append((time.monotonic(), run.target))
             self.crash()
             if self.crashes_silently:
@@ -390,10 +269,14 @@
             return False
         return self._reply(writer, run)
 
-    async def _work(self, reader: asyncio.StreamReader, mode: Mode) -> bool:
+    async def _work(
+        self, reader: asyncio.StreamReader, mode: worker_records.Mode
+    ) -> bool:
         """Work, and stop when the caller's connection closes."""
-        limit_s = self.work_s * (SLOWDOWN if mode is Mode.SLOW else 1.0)
-        if mode is Mode.HANG:
+        limit_s = self.work_s * (
+            worker_records.SLOWDOWN if mode is worker_records.Mode.SLOW else 1.0
+        )
+        if mode is worker_records.Mode.HANG:
             limit_s = 3600.0
         closed = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait({closed}, timeout=limit_s)
@@ -407,36 +290,38 @@
         await self._until_it_reads()
         return True
 
-    def _reply(self, writer: asyncio.StreamWriter, run: Run) -> bool:
+    def _reply(self, writer: asyncio.StreamWriter, run: worker_records.Run) -> bool:
         request_id, mode, body = run.request_id, run.mode, run.target.encode()
         whole = self._answer(request_id, body)
         match mode:
-            case Mode.LOST:
+            case worker_records.Mode.LOST:
                 reset(writer)
                 return False
-            case Mode.BARE_503:
+            case worker_records.Mode.BARE_503:
                 writer.write(self._head("503 Service Unavailable", request_id, 0))
-            case Mode.ERROR:
+            case worker_records.Mode.ERROR:
                 writer.write(self._head("500 Internal Server Error", request_id, 0))
-            case Mode.CUT:
+            case worker_records.Mode.CUT:
                 writer.write(whole[:-2])
                 return False
-            case Mode.UNFRAMED | Mode.RESET_UNFRAMED:
+            case worker_records.Mode.UNFRAMED | worker_records.Mode.RESET_UNFRAMED:
                 head = self._head("200 OK", request_id, None)
-                writer.write(head + (body if mode is Mode.UNFRAMED else body[:1]))
-                if mode is Mode.RESET_UNFRAMED:
+                writer.write(
+                    head + (body if mode is worker_records.Mode.UNFRAMED else body[:1])
+                )
+                if mode is worker_records.Mode.RESET_UNFRAMED:
                     asyncio.get_running_loop().call_later(0.05, reset, writer)
                     return True
                 return False
-            case Mode.FOREIGN:
+            case worker_records.Mode.FOREIGN:
                 writer.write(self._answer("somebody-else", body))
-            case Mode.UNSTAMPED:
+            case worker_records.Mode.UNSTAMPED:
                 writer.write(whole.replace(b"Server-Stamp", b"Server-Other"))
-            case Mode.GARBAGE:
+            case worker_records.Mode.GARBAGE:
                 writer.write(b"\x16\x03 this is no answer\r\n\r\n")
-            case Mode.SURPLUS:
+            case worker_records.Mode.SURPLUS:
                 writer.write(whole + self._answer("somebody-else", b"surplus"))
-            case Mode.LATE_SURPLUS:
+            case worker_records.Mode.LATE_SURPLUS:
                 writer.write(whole)
                 surplus = self._answer("somebody-else", b"late")
                 asyncio.get_running_loop().call_later(0.05, _write, writer, surplus)
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -16,10 +16,10 @@
 from spindlenotch.decisions import (
     admission,
     hedging,
-    queueing,
     retrying,
     silence,
     traffic_split,
+    usable,
     verdicts,
 )
 from spindlenotch.kernel import (
@@ -305,32 +305,13 @@
 
     def room_at(self, call: waiting.Call, now: ids.Instant) -> ids.Instant:
         """Return when a caller may come back whose call no upstream took."""
-        usable_at = self._usable_at(call, now)
-        if usable_at == ids.NEVER:
-            return self.pool.usable_again_at(now)
-        return max(usable_at, queueing.retry_at(self.pool, len(self.queue), now))
+        free_at = self._usable_at(call, now)
+        return usable.room_at(self.pool, free_at, len(self.queue), now)
 
     def _usable_at(self, call: waiting.Call | None, now: ids.Instant) -> ids.Instant:
-        """
-        Return from when an upstream may take a call where it may run, or any.
-
-        NEVER where none may, as far as that is known. One without a free slot may.
-        """
+        """Return from when an upstream may take a call where it may run, or any."""
         barred = () if self.split is None else self.split.barred(self.pool)
-        usable_at = ids.NEVER
-        for upstream in self.pool.usable_order:
-            if upstream.spec.id in barred:
-                continue
-            upstream.tick(now)
-            if upstream.state is upstreams.State.EJECTED:
-                continue
-            if not upstream.cold.may_ever_send(now):
-                continue
-            if call is None or self.pool.allows(call, upstream):
-                usable_at = min(usable_at, upstream.free_at(now))
-                if usable_at <= now:
-                    break
-        return usable_at
+        return usable.usable_at(self.pool, barred, call, now)
 
     def _choose(
         self,
--- a/tools/decisions.py
+++ b/tools/decisions.py
@@ -16,10 +16,16 @@
     decision_table,
     docs_check,
     fleet_decision_table,
+    limit_decision_table,
     rollout_decision_table,
 )
 
-RULES = decision_table.RULES + fleet_decision_table.RULES + rollout_decision_table.RULES
+RULES = (
+    decision_table.RULES
+    + fleet_decision_table.RULES
+    + limit_decision_table.RULES
+    + rollout_decision_table.RULES
+)
 
 HEAD = """# Decisions
 
--- a/tools/soak_processes/checks.py
+++ b/tools/soak_processes/checks.py
@@ -11,7 +11,7 @@
 import itertools
 from collections import abc
 
-from features.support import platform_worker, repeat_sum
+from features.support import repeat_sum, worker_records
 from spindlenotch import registry
 from tools.soak_processes import ledger as ledgers, world as worlds
 
@@ -30,7 +30,7 @@
 RECOVERY_S = 15.0
 MISSING = 404
 #: Ways of upstreams that give whole answers.
-WHOLE_MODES = (platform_worker.Mode.GOOD, platform_worker.Mode.SLOW)
+WHOLE_MODES = (worker_records.Mode.GOOD, worker_records.Mode.SLOW)
 
 
 def violations(ledger: Ledger) -> list[tuple[str, str]]:
@@ -187,7 +187,7 @@
         if len(at_new) > most:
             got = f"{len(at_new)} of {len(there)}"
             yield f"{order.version} got {got}, {most:.0f} allowed"
-        good = platform_worker.Mode.GOOD
+        good = worker_records.Mode.GOOD
         bad = sorted(r.at for w in new for r in w.runs if r.mode is not good)
         for at, upstream, request in at_new:
             told = len(bad) >= TELLING_ANSWERS
--- a/tools/soak_processes/faults.py
+++ b/tools/soak_processes/faults.py
@@ -14,7 +14,7 @@
 import typing
 from collections import abc
 
-from features.support import link, platform_store, platform_worker
+from features.support import link, platform_store, worker_records
 from spindlenotch import registry
 from tools.soak_processes import ledger, world as worlds
 
@@ -23,7 +23,7 @@
 ]
 FAULTS: registry.Registry[Fault] = registry.Registry("fault")
 World = worlds.World
-Mode = platform_worker.Mode
+Mode = worker_records.Mode
 
 #: Most that an upstream serves on after it said that it leaves, in seconds.
 LEAVES_AFTER_S = 3.5
--- a/tools/soak_processes/ledger.py
+++ b/tools/soak_processes/ledger.py
@@ -10,7 +10,7 @@
 import time
 import typing
 
-from features.support import limit_sum, platform_worker
+from features.support import limit_sum, platform_worker, worker_records
 
 #: Subject of what concerns every process of the play.
 ALL = "*"
@@ -164,13 +164,13 @@
             for trouble in self.troubles
         )
 
-    def runs_of(self, request_id: str) -> list[tuple[str, platform_worker.Run]]:
+    def runs_of(self, request_id: str) -> list[tuple[str, worker_records.Run]]:
         """Return a request's runs, with the upstream of each."""
         return self._runs_by_request.get(request_id, [])
 
     @functools.cached_property
-    def _runs_by_request(self) -> dict[str, list[tuple[str, platform_worker.Run]]]:
-        found: dict[str, list[tuple[str, platform_worker.Run]]] = {}
+    def _runs_by_request(self) -> dict[str, list[tuple[str, worker_records.Run]]]:
+        found: dict[str, list[tuple[str, worker_records.Run]]] = {}
         for worker in self.workers:
             for run in worker.runs:
                 found.setdefault(run.request_id, []).append((worker.id, run))
--- a/tools/soak_processes/poison.py
+++ b/tools/soak_processes/poison.py
@@ -10,7 +10,7 @@
 import time
 from collections import abc
 
-from features.support import platform_worker
+from features.support import worker_records
 from tools.soak_processes import checks, faults, ledger as ledgers, world as worlds
 
 #: Time between two sends, and for how many seconds they go on beyond the step's time:
@@ -30,7 +30,7 @@
     target = f"/{route.name}/poison-{rng.randrange(10**6)}?a=%2F"
     with world.trouble("poison-request", target, of="request", excuses=False):
         body = b"x" if route.runs_once else b""
-        world.fleet.poisons.add(platform_worker.Poison(target, body))
+        world.fleet.poisons.add(worker_records.Poison(target, body))
         world.ledger.poisons.append(target)
         end = time.monotonic() + for_s + BEYOND_S
         while time.monotonic() < end:
--- a/tools/soak_processes/versions.py
+++ b/tools/soak_processes/versions.py
@@ -10,10 +10,10 @@
 import random
 import time
 
-from features.support import platform_worker
+from features.support import worker_records
 from tools.soak_processes import faults, ledger, world as worlds
 
-Mode = platform_worker.Mode
+Mode = worker_records.Mode
 #: Time over which an order spreads its move, and what it may take beyond, in seconds.
 RAMP_S, SLACK_S = 8.0, 6.0
 #: Time for which new upstreams serve on after the order was given up, in seconds.
@@ -23,12 +23,12 @@
 #: Versions that are bad, each in its manner: at once, in part, late, under load, on
 #: one route only, and by being slow.
 BAD_VERSIONS = (
-    platform_worker.VersionFault(Mode.ERROR),
-    platform_worker.VersionFault(Mode.ERROR, share=0.4),
-    platform_worker.VersionFault(Mode.CUT, share=0.5, after_s=2.0),
-    platform_worker.VersionFault(Mode.ERROR, least_running=2),
-    platform_worker.VersionFault(Mode.ERROR, prefix="/book/"),
-    platform_worker.VersionFault(Mode.SLOW, share=0.6),
+    worker_records.VersionFault(Mode.ERROR),
+    worker_records.VersionFault(Mode.ERROR, share=0.4),
+    worker_records.VersionFault(Mode.CUT, share=0.5, after_s=2.0),
+    worker_records.VersionFault(Mode.ERROR, least_running=2),
+    worker_records.VersionFault(Mode.ERROR, prefix="/book/"),
+    worker_records.VersionFault(Mode.SLOW, share=0.6),
 )
 
 
--- a/tools/soak_processes/world.py
+++ b/tools/soak_processes/world.py
@@ -15,7 +15,7 @@
 
 import loguru
 
-from features.support import link, platform_fleet, platform_worker
+from features.support import link, platform_fleet, platform_worker, worker_records
 from tools.soak_processes import ledger as ledgers, plan as plans
 
 SERVICES = ("core", "side")
@@ -266,7 +266,7 @@
     def turn_cold(self, worker: platform_worker.PlatformWorker) -> None:
         """Let an upstream be cold from now on, and note it."""
         until = time.monotonic() + COLD_S
-        worker.coldness = platform_worker.Coldness(until, float("inf"))
+        worker.coldness = worker_records.Coldness(until, float("inf"))
         now = time.monotonic()
         self.ledger.cold.append(ledgers.Closed(worker.id, "cold", 0.0, now, until))
 
