A try that waits for its connection is not sent to an upstream that asked for rest meanwhile

By reading: connecting may take a second, longest where an upstream is in need, and up to a slot's worth of tries would have arrived in its rest, two are allowed. The port asks once more when the connection is up; such a try has not run and goes elsewhere.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -86,6 +86,7 @@
       | limits are read where they mean something                  |
       | an upstream that rests gets nothing until its rest is over |
       | where all rest calls are refused with the end of the first |
+      | a try that waits for its connection is not sent into a rest |
       | an upstream that said it leaves stays out whatever is listed |
       | rests and leaving are read where they mean something       |
       | a probed upstream has one prober with equal views          |
--- a/features/steps/gateway_rests.py
+++ b/features/steps/gateway_rests.py
@@ -3,13 +3,16 @@
 """
 
 import random
+import types
+import typing
 
 import msgspec
 
 from features.steps import kernel
 from features.support import rate_pools
-from spindlenotch import ids
+from spindlenotch import ids, ports
 from spindlenotch.decisions import balancer, verdicts
+from spindlenotch.forwarding import jobs, judgement, sending
 from spindlenotch.kernel import backpressure, outcomes, ownership, upstreams
 from spindlenotch_platform import signal_headers
 
@@ -75,6 +78,41 @@
     assert isinstance(settled.verdict, verdicts.Grant), settled
 
 
+@kernel.PROPERTIES.register(
+    "a try that waits for its connection is not sent into a rest"
+)
+def withdrawn() -> None:
+    made = balancer_of(2)
+    grant = offer(made, 1, after_s=0.0)
+    assert isinstance(grant, verdicts.Grant)
+    job = jobs.Job(
+        balancer=made,
+        call=grant.call,
+        method="GET",
+        target="/",
+        headers=[],
+        body=None,
+        needs_new_connection=True,
+    )
+    state = typing.cast(typing.Any, types.SimpleNamespace(clock=Clock()))
+    port = typing.cast(typing.Any, None)
+    request = sending.Sender(state, port, jobs.own_labels).request(job, grant)
+    assert request.may_send()
+    taken(grant.upstream, backpressure.Signals(rest_s=REST_S))
+    assert not request.may_send()
+    # It has not run, and no fault of the upstream is seen in it.
+    end = judgement.end_of_fault(ports.UpstreamFault.WITHDRAWN)
+    assert end.result is upstreams.Result.SHED and not end.may_have_run
+
+
+class Clock:
+    """Stands still."""
+
+    def now(self) -> ids.Instant:
+        """Return the instant."""
+        return NOW
+
+
 @kernel.PROPERTIES.register(
     "an upstream that said it leaves stays out whatever is listed"
 )
--- a/features/support/recorded_names.py
+++ b/features/support/recorded_names.py
@@ -34,7 +34,7 @@
         *recorded.grown_table("metrics", recorded_words.metric_rows, 3),
         *recorded.grown_table("gateway-state", recorded_state.gateway_dump, 3),
         recorded.table("entry-state", recorded_state.entry_dump),
-        *recorded.grown_table("words", recorded_words.word_lists, 2),
+        *recorded.grown_table("words", recorded_words.word_lists, 3),
         recorded.table("headers", recorded_words.header_names),
         recorded.table("dialects", recorded_words.dialects),
         recorded.table("registries", recorded_words.registered),
--- a/spindlenotch/forwarding/judgement.py
+++ b/spindlenotch/forwarding/judgement.py
@@ -27,7 +27,7 @@
     reason: outcomes.Reason | None
 
 
-#: A try that ended without the head of an answer, by the fault. Only two of
+#: A try that ended without the head of an answer, by the fault. Only three of
 #: the faults are found before the first byte of the request is sent.
 END_BY_FAULT = {
     ports.UpstreamFault.CONNECT_FAILED: TryEnd(
@@ -42,6 +42,11 @@
         may_have_run=False,
         reason=outcomes.Reason.DEADLINE_PASSED,
     ),
+    ports.UpstreamFault.WITHDRAWN: TryEnd(
+        upstreams.Result.SHED,
+        may_have_run=False,
+        reason=outcomes.Reason.UPSTREAM_SHED,
+    ),
     ports.UpstreamFault.CONNECTION_LOST: TryEnd(
         upstreams.Result.FAILED,
         may_have_run=True,
--- a/spindlenotch/forwarding/race.py
+++ b/spindlenotch/forwarding/race.py
@@ -138,7 +138,7 @@
         grant = self._grant_by_task.pop(task)
         answer = task.result()
         if isinstance(answer, ports.UpstreamFault):
-            await self._end_with_fault(grant, answer)
+            await self._end_with_fault(grant, self._told_apart(answer))
             return None
         if answer.draining:
             self._note_drain(grant, SAID_DRAINING)
@@ -160,6 +160,12 @@
             exchange.end(upstreams.Result.CANCELLED)
             raise
 
+    def _told_apart(self, fault: ports.UpstreamFault) -> ports.UpstreamFault:
+        """Tell what was not sent too late from what its upstream wants no more."""
+        if fault is ports.UpstreamFault.TOO_LATE and not self._deadline_passed():
+            return ports.UpstreamFault.WITHDRAWN
+        return fault
+
     async def _end_with_fault(
         self, grant: verdicts.Grant, fault: ports.UpstreamFault
     ) -> None:
--- a/spindlenotch/forwarding/sending.py
+++ b/spindlenotch/forwarding/sending.py
@@ -52,13 +52,14 @@
         ``last_reason`` is why the try before failed; for a first try, and
         where none failed on the way, it is ``NO_UPSTREAM``.
         """
-        request = self._request(job, grant)
+        request = self.request(job, grant)
         task = asyncio.ensure_future(self.port.send(request))
         if grant.kind is not verdicts.Kind.FIRST:
             self._record_extra(job, grant, request.request_id, last_reason)
         return task
 
-    def _request(self, job: jobs.Job, grant: verdicts.Grant) -> ports.UpstreamRequest:
+    def request(self, job: jobs.Job, grant: verdicts.Grant) -> ports.UpstreamRequest:
+        """Return what goes to the upstream of ``grant``."""
         steady_clock = self.state.clock
         deadline = job.call.deadline
         left_s = max(LEAST_TIME_S, deadline - steady_clock.now() - RETURN_TIME_S)
@@ -71,7 +72,9 @@
             body=job.body,
             request_id=labels.request_id,
             needs_new_connection=job.needs_new_connection,
-            may_send=lambda: steady_clock.now() < deadline,
+            may_send=lambda: (
+                steady_clock.now() < deadline and _is_wanted(grant, steady_clock)
+            ),
         )
 
     def _record_extra(
@@ -101,6 +104,11 @@
         )
 
 
+def _is_wanted(grant: verdicts.Grant, steady_clock: clock.Clock) -> bool:
+    """Tell whether the upstream has not asked for rest while a connection came up."""
+    return steady_clock.now() >= grant.upstream.backpressure.rests_until
+
+
 def _cause(kind: verdicts.Kind, last_reason: outcomes.Reason) -> str:
     """Say in the log why a request is sent again."""
     if kind is verdicts.Kind.HEDGE:
--- a/spindlenotch/ports.py
+++ b/spindlenotch/ports.py
@@ -104,8 +104,10 @@
 
     #: No connection came about; nothing was sent.
     CONNECT_FAILED = "connect-failed"
-    #: ``may_send`` said no; nothing was sent.
+    #: ``may_send`` said no, as the deadline has passed; nothing was sent.
     TOO_LATE = "too-late"
+    #: ``may_send`` said no, as the upstream wants nothing now; nothing was sent.
+    WITHDRAWN = "withdrawn"
     #: The connection broke or the answer can't be read; the request may have run.
     CONNECTION_LOST = "connection-lost"
     #: The answer belongs to another request or was not made by an upstream; the
--- a/tools/limit_mutants.py
+++ b/tools/limit_mutants.py
@@ -79,6 +79,13 @@
         "return self.limit.free_at(now, read_until)",
         "where all rest calls are refused with the end of the first",
     ),
+    mutant_table.Mutant(
+        "a try that waited for its connection is sent into a rest",
+        "forwarding/sending",
+        "steady_clock.now() < deadline and _is_wanted(grant, steady_clock)",
+        "steady_clock.now() < deadline",
+        "a try that waits for its connection is not sent into a rest",
+    ),
     mutant_table.Mutant(
         "an entry brings back an upstream that said it leaves",
         "kernel/upstream_set",
