--- a/spindlenotch/kernel/cold_start.py
+++ b/spindlenotch/kernel/cold_start.py
@@ -23,8 +23,6 @@
 WINDOW = shared_rate.Window(seconds=1.0, asked_again_s=2.0)
 #: The owner is chosen among all processes, whatever their zone.
 ANY_ZONE = ids.ZoneName("")
-#: Whose place does not matter.
-NO_HOST = ids.HostId("")
 #: When a health answer told last, where none has yet.
 NEVER_TOLD = ids.Instant(-math.inf)
 
@@ -114,7 +112,7 @@
     upstream_id: ids.UpstreamId, hosts: abc.Iterable[ids.HostId]
 ) -> ids.HostId | None:
     """Return which of ``hosts`` may send to a cold upstream; None where none are."""
-    place = shared_rate.Place(upstream_id, zone=None, local_host=NO_HOST)
+    place = shared_rate.Place(upstream_id, zone=None, local_host=shared_rate.NO_HOST)
     members = tuple(ownership.Member(ANY_ZONE, host) for host in hosts)
     holders = place.holders(shared_rate.View(members), most=1)
     return holders[0] if holders else None
--- a/spindlenotch/kernel/named_limit.py
+++ b/spindlenotch/kernel/named_limit.py
@@ -82,10 +82,6 @@
             # It may name its limit again at once: what it gets meanwhile counts.
             self._pacer.sent(now)
 
-    def may_ever_send(self, now: ids.Instant) -> bool:
-        """Tell whether this process may send requests while it is as it is now."""
-        return self.part_per_s > 0.0 or self._may_ask(now)
-
     def may_send(self, now: ids.Instant, read_until: ids.Instant) -> bool:
         """
         Tell whether one more request may go out.
--- a/spindlenotch/kernel/shared_rate.py
+++ b/spindlenotch/kernel/shared_rate.py
@@ -22,6 +22,8 @@
 UNLIMITED = math.inf
 #: Of an instant that has long passed.
 LONG_AGO = ids.Instant(-math.inf)
+#: Of a process that shares no rates, or whose part does not matter.
+NO_HOST = ids.HostId("")
 #: Seconds within which a request that was read has arrived about when it was sent: its
 #: way, and the time until a report shows it.
 LATE_S = 1.0
@@ -157,7 +159,7 @@
     @property
     def phase(self) -> float:
         """Return a number from 0 to 1 that is another one for each upstream."""
-        score, _ = rendezvous.score(self.upstream, ids.HostId(""))
+        score, _ = rendezvous.score(self.upstream, NO_HOST)
         return score / rendezvous.SCORES
 
     @property
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -40,9 +40,6 @@
 #: Answers after which an upstream is trusted with all its slots.
 WARM_AFTER_ANSWERS = 20
 
-#: Of a process that shares no rates.
-NO_HOST = ids.HostId("")
-
 #: Called with each upstream whose state has changed.
 ChangeListener = abc.Callable[["Upstream"], None]
 
@@ -136,7 +133,7 @@
         self.known_since = now
         self.cold = cold_start.ColdStart(spec.warming_up_until)
         self.backpressure = said or backpressure.Backpressure(
-            shared_rate.Place(spec.id, spec.zone, NO_HOST)
+            shared_rate.Place(spec.id, spec.zone, shared_rate.NO_HOST)
         )
         self.on_change = on_change
         self.slots = slots
--- a/tools/soak_processes/mutants.py
+++ b/tools/soak_processes/mutants.py
@@ -162,8 +162,8 @@
     mutant_table.Mutant(
         "the rest that an upstream asks for is not kept",
         "kernel/backpressure",
-        "if now < self.rests_until:",
-        "if False:",
+        "self.rests_until = max(self.rests_until, ids.later(now, rest_s))",
+        "pass",
         held_by="rests that upstreams ask for",
         steps=("0.5 5 upstreams-ask-for-rest 6", "0.6 5 burst 2"),
     ),
