Read once more: one test of a rest, one instant of long ago; a condition that never held is gone

A rest was looked at in three places, and cold_start had its own name for shared_rate's instant of long ago. LimitNews skipped upstreams that nothing was heard of, which each answer ends: it skipped none; what keeps it cheap is the pause while all is quiet. Three steps on limits share one way. Nothing decides otherwise.

--- a/features/steps/named_limits.py
+++ b/features/steps/named_limits.py
@@ -118,6 +118,19 @@
     return list(fleet_of(context).worker_by_id.values())[:count]
 
 
+def name_beside(
+    context: typing.Any,
+    workers: Workers,
+    per_s: float,
+    seconds: float,
+    trouble: steady_callers.Trouble,
+) -> None:
+    """Let workers name a limit while there is trouble."""
+    play = play_of(context)
+    naming = play.name_in_turn(workers, (per_s,), seconds)
+    run(context, play.play(steady_callers.beside(naming, trouble)))
+
+
 @behave.given(
     "{workers:d} workers and {gateways:d} gateways, and {rate:g} requests a second "
     "that have {timeout_s:g} s"
@@ -181,10 +194,8 @@
 def name_while_killed(
     context: typing.Any, count: int, per_s: float, seconds: float
 ) -> None:
-    play = play_of(context)
-    naming = play.name_in_turn(workers_of(context, count), (per_s,), seconds)
-    work = steady_callers.beside(naming, play.kill_in_turn(seconds))
-    run(context, play.play(work))
+    trouble = play_of(context).kill_in_turn(seconds)
+    name_beside(context, workers_of(context, count), per_s, seconds, trouble)
 
 
 @behave.when(
@@ -194,10 +205,8 @@
 def name_while_paused(
     context: typing.Any, count: int, per_s: float, seconds: float
 ) -> None:
-    play = play_of(context)
-    naming = play.name_in_turn(workers_of(context, count), (per_s,), seconds)
-    work = steady_callers.beside(naming, play.stand_still_in_turn(seconds))
-    run(context, play.play(work))
+    trouble = play_of(context).stand_still_in_turn(seconds)
+    name_beside(context, workers_of(context, count), per_s, seconds, trouble)
 
 
 @behave.when(
@@ -207,7 +216,6 @@
 def name_and_stand_still(
     context: typing.Any, count: int, per_s: float, seconds: float, still_s: float
 ) -> None:
-    play = play_of(context)
     workers = workers_of(context, count)
 
     async def stand_still() -> None:
@@ -218,8 +226,7 @@
         for worker in workers:
             worker.go_on()
 
-    naming = play.name_in_turn(workers, (per_s,), seconds)
-    run(context, play.play(steady_callers.beside(naming, stand_still())))
+    name_beside(context, workers, per_s, seconds, stand_still())
 
 
 @behave.when('{count:d} workers name the limit "{text}" for {seconds:g} s')
--- a/spindlenotch/forwarding/sending.py
+++ b/spindlenotch/forwarding/sending.py
@@ -73,7 +73,9 @@
             request_id=labels.request_id,
             needs_new_connection=job.needs_new_connection,
             may_send=lambda: (
-                steady_clock.now() < deadline and _is_wanted(grant, steady_clock)
+                steady_clock.now() < deadline
+                # It may have asked for rest while the connection came up.
+                and not grant.upstream.backpressure.rests(steady_clock.now())
             ),
         )
 
@@ -104,11 +106,6 @@
         )
 
 
-def _is_wanted(grant: verdicts.Grant, steady_clock: clock.Clock) -> bool:
-    """Tell whether the upstream has not asked for rest while a connection came up."""
-    return steady_clock.now() >= grant.upstream.backpressure.rests_until
-
-
 def _cause(kind: verdicts.Kind, last_reason: outcomes.Reason) -> str:
     """Say in the log why a request is sent again."""
     if kind is verdicts.Kind.HEDGE:
--- a/spindlenotch/gateway/cluster/limit_news.py
+++ b/spindlenotch/gateway/cluster/limit_news.py
@@ -47,8 +47,6 @@
         is_quiet = True
         for upstream in candidates:
             limit = upstream.backpressure.limit
-            if limit.told_at == shared_rate.LONG_AGO:
-                continue
             if not _is_news(limit, now):
                 self._told_by_id.pop(upstream.spec.id, None)
                 continue
--- a/spindlenotch/gateway/cluster/load_sharing.py
+++ b/spindlenotch/gateway/cluster/load_sharing.py
@@ -17,7 +17,7 @@
 from spindlenotch import ids
 from spindlenotch.gateway import state
 from spindlenotch.gateway.cluster import fleet, limit_news, report_filter
-from spindlenotch.kernel import cold_start, upstreams
+from spindlenotch.kernel import shared_rate, upstreams
 from spindlenotch.peers import gossip, messages, peer_link, workload
 
 #: Time between two rounds of sending.
@@ -207,7 +207,7 @@
 def _record(upstream: upstreams.Upstream, now: ids.Instant) -> workload.LoadRecord:
     record = _load_record(upstream, now)
     cold = upstream.cold
-    if cold.told_at == cold_start.NEVER_TOLD or cold.until + COLDNESS_TOLD_S < now:
+    if cold.told_at == shared_rate.LONG_AGO or cold.until + COLDNESS_TOLD_S < now:
         return record
     return msgspec.structs.replace(
         record,
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -13,7 +13,7 @@
 from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import extra_budgets, regions, service_policy
 
-#: Typical latency of a route's requests before any was measured, as a share of the
+#: Typical latency of a route's requests before any has ended, as a share of the
 #: route's target.
 TYPICAL_SHARE_OF_TARGET = 0.35
 #: The same where a route has no target, and of a service as a whole, in seconds.
--- a/spindlenotch/kernel/backpressure.py
+++ b/spindlenotch/kernel/backpressure.py
@@ -72,6 +72,10 @@
         self.rests_until = shared_rate.LONG_AGO
         self._unreadable_names: set[str] = set()
 
+    def rests(self, now: ids.Instant) -> bool:
+        """Tell whether it wants nothing from this process now."""
+        return now < self.rests_until
+
     def may_send(self, now: ids.Instant, read_until: ids.Instant) -> bool:
         """
         Tell whether it may be sent one more request.
@@ -79,7 +83,7 @@
         An upstream that turns requests away answers at once, and so would seem to have
         all its slots free. ``read_until``: what it got before that instant was read.
         """
-        if now < self.rests_until:
+        if self.rests(now):
             return False
         # Asked for each upstream that is compared for a call: most name no limit.
         return self.limit.per_s is None or self.limit.may_send(now, read_until)
@@ -116,7 +120,7 @@
 
     def _rest_news(self, rest_s: float, now: ids.Instant) -> list[News]:
         """Take in a rest; of those that overlap one is told."""
-        is_new = now >= self.rests_until
+        is_new = not self.rests(now)
         self.rests_until = max(self.rests_until, ids.later(now, rest_s))
         return [News(Change.RESTS, rest_s=rest_s)] if is_new else []
 
--- a/spindlenotch/kernel/cold_start.py
+++ b/spindlenotch/kernel/cold_start.py
@@ -12,7 +12,6 @@
 Owns what is known of one upstream's coldness. Relies on ``shared_rate``.
 """
 
-import math
 from collections import abc
 
 from spindlenotch import ids
@@ -23,8 +22,6 @@
 WINDOW = shared_rate.Window(seconds=1.0, asked_again_s=2.0)
 #: The owner is chosen among all processes, whatever their zone.
 ANY_ZONE = ids.ZoneName("")
-#: When a health answer told last, where none has yet.
-NEVER_TOLD = ids.Instant(-math.inf)
 
 
 class ColdStart:
@@ -38,7 +35,7 @@
 
     def __init__(self, until: ids.Instant) -> None:
         self.until = until
-        self.told_at = NEVER_TOLD
+        self.told_at = shared_rate.LONG_AGO
         self._listed_until = until
         self._pacer = shared_rate.Pacer(WINDOW)
         #: How long an upstream that was away is taken to be cold, in seconds.
--- a/tools/limit_mutants.py
+++ b/tools/limit_mutants.py
@@ -68,8 +68,8 @@
     mutant_table.Mutant(
         "an upstream that rests is sent more",
         "kernel/backpressure",
-        "if now < self.rests_until:",
-        "if False:",
+        "if self.rests(now):\n            return False\n        # Asked",
+        "if False:\n            return False\n        # Asked",
         "an upstream that rests gets nothing until its rest is over",
     ),
     mutant_table.Mutant(
@@ -82,8 +82,8 @@
     mutant_table.Mutant(
         "a try that waited for its connection is sent into a rest",
         "forwarding/sending",
-        "steady_clock.now() < deadline and _is_wanted(grant, steady_clock)",
-        "steady_clock.now() < deadline",
+        "and not grant.upstream.backpressure.rests(steady_clock.now())",
+        "",
         "a try that waits for its connection is not sent into a rest",
     ),
     mutant_table.Mutant(
