Turns are taken when they are due: who is let wait for one is not refused after all

Callers saw a refusal about 0.08 s late, and on a busy machine over 0.1 s, where all upstreams of a service name limits. The queue was looked at every 0.02 s, so each turn was taken up to that much late and moved all later ones; a call that was let wait because its turn came just in time was given up at the next one (E601, queue-too-long).

The next look at the queue is at the next turn, and a new call is let wait only where its turn comes 0.02 s sooner than it has to. Ruled out: the answer's way back (the gateway's own time is the same), retries (none of the refused had a try).

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -84,6 +84,7 @@
       | what an upstream said holds when its entry comes back      |
       | a limit is told on by who heard it, and that it ended      |
       | limits are read where they mean something                  |
+      | who is let wait for a turn is not refused after all        |
       | an upstream that rests gets nothing until its rest is over |
       | where all rest calls are refused with the end of the first |
       | a try that waits for its connection is not sent into a rest |
--- a/features/steps/gateway_rests.py
+++ b/features/steps/gateway_rests.py
@@ -2,7 +2,6 @@
 Upstreams that ask one gateway for rest, or say that they leave, without any process.
 """
 
-import random
 import types
 import typing
 
@@ -13,7 +12,7 @@
 from spindlenotch import ids, ports
 from spindlenotch.decisions import balancer, verdicts
 from spindlenotch.forwarding import jobs, judgement, sending
-from spindlenotch.kernel import backpressure, outcomes, ownership, upstreams
+from spindlenotch.kernel import backpressure, outcomes, upstreams
 from spindlenotch_platform import signal_headers
 
 NOW = kernel.NOW
@@ -27,14 +26,6 @@
     upstream.backpressure.take(signals, sent_at=NOW, is_whole=False, now=NOW)
 
 
-def balancer_of(count: int) -> balancer.Balancer:
-    """Return a balancer with ``count`` upstreams."""
-    member = ownership.Member(rate_pools.ZONE, rate_pools.host(0))
-    made = balancer.Balancer(rate_pools.policy(), member, random.Random(1))
-    made.pool.set_listed(rate_pools.specs(rate_pools.UPSTREAMS, 0.0)[-count:], NOW)
-    return made
-
-
 def offer(
     made: balancer.Balancer, number: int, after_s: float
 ) -> verdicts.Grant | verdicts.Waiting | outcomes.Refusal:
@@ -49,7 +40,7 @@
     "an upstream that rests gets nothing until its rest is over"
 )
 def rests() -> None:
-    made = balancer_of(2)
+    made = rate_pools.balancer_of(2)
     resting, other = made.pool.usable_order
     taken(resting, backpressure.Signals(rest_s=REST_S))
     # A shorter one that was asked for meanwhile does not end it sooner.
@@ -66,7 +57,7 @@
     "where all rest calls are refused with the end of the first"
 )
 def all_rest() -> None:
-    made = balancer_of(3)
+    made = rate_pools.balancer_of(3)
     for number, upstream in enumerate(made.pool.usable_order):
         taken(upstream, backpressure.Signals(rest_s=REST_S + number))
     verdict = offer(made, 1, after_s=0.0)
@@ -82,7 +73,7 @@
     "a try that waits for its connection is not sent into a rest"
 )
 def withdrawn() -> None:
-    made = balancer_of(2)
+    made = rate_pools.balancer_of(2)
     grant = offer(made, 1, after_s=0.0)
     assert isinstance(grant, verdicts.Grant)
     job = jobs.Job(
@@ -117,7 +108,7 @@
     "an upstream that said it leaves stays out whatever is listed"
 )
 def leaves() -> None:
-    made = balancer_of(2)
+    made = rate_pools.balancer_of(2)
     specs = [upstream.spec for upstream in made.pool.usable_order]
     leaving = made.pool.usable_order[0]
     taken(leaving, backpressure.Signals(is_leaving=True))
--- a/features/support/rate_pools.py
+++ b/features/support/rate_pools.py
@@ -6,7 +6,7 @@
 
 from features.steps import kernel
 from spindlenotch import ids
-from spindlenotch.decisions import soonest
+from spindlenotch.decisions import balancer, soonest
 from spindlenotch.kernel import (
     extra_budgets,
     ownership,
@@ -73,3 +73,11 @@
     made = upstream_pool.Pool(policy(), member, random.Random(number))
     made.set_listed(specs(UPSTREAMS, COLD_S), NOW)
     return made
+
+
+def balancer_of(count: int) -> balancer.Balancer:
+    """Return the balancer of one gateway with ``count`` upstreams, none cold."""
+    member = ownership.Member(ZONE, host(0))
+    made = balancer.Balancer(policy(), member, random.Random(1))
+    made.pool.set_listed(specs(UPSTREAMS, 0.0)[-count:], NOW)
+    return made
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -179,6 +179,11 @@
             for settlement in self.admission.give_up(now)
         ]
 
+    def next_turn(self, now: ids.Instant) -> ids.Instant:
+        """Return when the first waiting call has its turn; NEVER: not known."""
+        turns = self.pool.turns(now) if len(self.queue) else None
+        return ids.NEVER if turns is None else turns.at(0)
+
     def withdraw(self, call_id: ids.CallId) -> None:
         """Take a call out of the queue; its caller is gone."""
         self.queue.remove(call_id)
--- a/spindlenotch/decisions/queueing.py
+++ b/spindlenotch/decisions/queueing.py
@@ -15,6 +15,9 @@
 #: Fewest ends a second that the estimate of a wait divides by, so that it stays finite
 #: where nothing ends.
 LEAST_PER_S = 1.0
+#: Seconds by which a new call must have its turn sooner than it has to: turns are taken
+#: somewhat late, and a call that was let wait should not be refused after all.
+TURN_RESERVE_S = 0.02
 
 
 def expected_wait_s(pool: upstream_pool.Pool, ahead: int, now: ids.Instant) -> float:
@@ -34,16 +37,20 @@
 
 
 def rule_against(
-    pool: upstream_pool.Pool, call: waiting.Call, ahead: int, now: ids.Instant
+    pool: upstream_pool.Pool,
+    call: waiting.Call,
+    ahead: int,
+    now: ids.Instant,
+    reserve_s: float = 0.0,
 ) -> outcomes.RefusalRule | None:
     """
     Return why a call behind ``ahead`` others is refused at once, or None.
 
-    It would miss its deadline, or wait for longer than it may. Refusing it leaves
-    the caller time to try elsewhere, and no slot is spent on an answer that
-    comes too late.
+    It would miss its deadline, or wait for longer than it may, with ``reserve_s``
+    seconds to spare. Refusing it leaves the caller time to try elsewhere, and no slot
+    is spent on an answer that comes too late.
     """
-    wait_s = expected_wait_s(pool, ahead, now)
+    wait_s = expected_wait_s(pool, ahead, now) + reserve_s
     typical_s = pool.latencies.typical_s(call.latency_key)
     if call.deadline - now < wait_s + typical_s:
         return outcomes.RefusalRule.DEADLINE
@@ -52,6 +59,14 @@
     return None
 
 
+def rule_against_new(
+    pool: upstream_pool.Pool, call: waiting.Call, ahead: int, now: ids.Instant
+) -> outcomes.RefusalRule | None:
+    """Return why a new call behind ``ahead`` others is refused at once, or None."""
+    reserve_s = TURN_RESERVE_S if pool.turns(now) is not None else 0.0
+    return rule_against(pool, call, ahead, now, reserve_s)
+
+
 def rule_to_give_up(
     pool: upstream_pool.Pool, call: waiting.Call, ahead: int, now: ids.Instant
 ) -> outcomes.RefusalRule | None:
--- a/spindlenotch/forwarding/granting.py
+++ b/spindlenotch/forwarding/granting.py
@@ -7,18 +7,33 @@
 
 import asyncio
 import typing
+from collections import abc
 
 from spindlenotch import clock, ids
 from spindlenotch.decisions import balancer, verdicts
 from spindlenotch.forwarding import crash_watch, jobs
 from spindlenotch.kernel import outcomes, upstreams
 
-#: How often the queues are checked while calls wait, in seconds.
+#: How often the queues are checked at least while calls wait, in seconds.
 QUEUE_CHECK_S = 0.02
+#: Least seconds between two checks of the queues.
+LEAST_CHECK_S = 0.001
 
 Verdict = verdicts.Grant | outcomes.Refusal
 
 
+def check_in_s(deciders: abc.Iterable[balancer.Balancer], now: ids.Instant) -> float:
+    """
+    Return in how many seconds the queues are to be checked again.
+
+    A turn that is taken late makes all later ones late: calls that were let wait for
+    theirs would be refused after all.
+    """
+    turns = [decider.next_turn(now) for decider in deciders]
+    due_in_s = [turn - now for turn in turns if turn > now]
+    return max(LEAST_CHECK_S, min([QUEUE_CHECK_S, *due_in_s]))
+
+
 class GrantState(typing.Protocol):
     """What grants need of the process that they run in."""
 
@@ -90,7 +105,9 @@
     def _schedule_queue_check(self) -> None:
         if self._queue_check is None:
             loop = asyncio.get_running_loop()
-            self._queue_check = loop.call_later(QUEUE_CHECK_S, self._check_queues)
+            deciders = self.state.balancer_by_service.values()
+            delay_s = check_in_s(deciders, self.state.clock.now())
+            self._queue_check = loop.call_later(delay_s, self._check_queues)
 
     def _check_queues(self) -> None:
         self._queue_check = None
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -163,6 +163,7 @@
             "decisions/balancer.Balancer.offer",
             "decisions/admission.Admission",
             "decisions/start_limit.start_limit",
+            "decisions/queueing.rule_against_new",
             "decisions/queueing.rule_against",
             "decisions/queueing.rule_to_give_up",
             "decisions/queueing.displaced_by",
@@ -184,8 +185,10 @@
             "gateway/serving/caller_age.APART_RATIO",
             "kernel/completion_rate.TIME_CONSTANT_S",
             "decisions/queueing.LEAST_PER_S",
+            "decisions/queueing.TURN_RESERVE_S",
             "kernel/waiting.OLDEST_FIRST_EVERY",
             "forwarding/granting.QUEUE_CHECK_S",
+            "forwarding/granting.LEAST_CHECK_S",
         ),
         events=("REQUEST_REFUSED",),
         tests=(
--- a/tools/limit_mutants.py
+++ b/tools/limit_mutants.py
@@ -100,4 +100,11 @@
         "return limit.per_s is not None and now",
         "a limit is told on by who heard it, and that it ended",
     ),
+    mutant_table.Mutant(
+        "a call waits for a turn that comes just in time",
+        "decisions/queueing",
+        "expected_wait_s(pool, ahead, now) + reserve_s",
+        "expected_wait_s(pool, ahead, now)",
+        "who is let wait for a turn is not refused after all",
+    ),
 )
