The log tells how many answers of a promoted version were timed, slow and failed (E221)

A version that is slow with 6 of 10 requests was promoted; the line had the number of answers only, which does not tell whether none was slow or none was judged.

--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -6,6 +6,8 @@
 which hindrances were logged.
 """
 
+import functools
+
 from spindlenotch import events, ids
 from spindlenotch.gateway import service_defaults, state
 from spindlenotch.gateway.cluster import fleet, quorum
@@ -142,11 +144,11 @@
             for u in pool.usable_order
             if u.state in USABLE and not u.cold.is_cold(now)
         ]
-        rows = [r for record in self._records() for r in record.rows]
+        counts = self._target_counts()
         return promotion.Readiness(
             target_slots=sum(u.slots for u in able if self._is_target(u)),
             other_slots=sum(u.slots for u in able if self.run.is_other(u)),
-            answers=sum(r.counts.judged for r in rows if r.upstream),
+            answers=counts.judged,
             allowed=self.run.split.share * self.run.merged.answered(),
             suspicion=self.run.analysis.suspicion(),
         )
@@ -169,6 +171,13 @@
             in_view=frozenset({local, *in_view}),
         )
 
+    def _target_counts(self) -> rollout_notes.Counts:
+        """Return what all gateways together have counted of the target."""
+        rows = [r for record in self._records() for r in record.rows if r.upstream]
+        return functools.reduce(
+            rollout_notes.Counts.plus, (r.counts for r in rows), rollout_notes.NO_COUNTS
+        )
+
     def _records(self) -> list[rollout_notes.EvidenceRecord]:
         return list(self.run.merged.record_by_source.values())
 
@@ -192,11 +201,15 @@
 
     def _report_promotion(self, ready: promotion.Readiness) -> None:
         order = self.run.order
+        counts = self._target_counts()
         events.emit(
             events.Event.ROLLOUT_PROMOTING,
             service=order.service,
             target=order.target,
             answers=ready.answers,
+            failed=counts.failed,
+            timed=counts.timed,
+            slow=counts.slow,
             sent=self.run.merged.sent(),
             answered=self.run.merged.answered(),
             target_slots=ready.target_slots,
