--- a/features/rollout_rules.feature
+++ b/features/rollout_rules.feature
@@ -40,3 +40,6 @@
 
   Scenario: A slow version that reports itself slow is taken back while gateways start again
     Then the property "a version that reports itself slow is found out as well" holds
+
+  Scenario: A version that is slow with 6 of 10 requests is taken back while gateways start again
+    Then the property "a version that is slow in part is found by any gateway" holds
--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -352,6 +352,28 @@
     assert current.note() in gateway.state.gossip.rollout_phases
 
 
+# A version that was slow with 6 of 10 requests was promoted after gateways had started
+# again: of 45 answers that took 0.2 s in place of 0.04 s, 0.075 s were expected, and of
+# 17 that were timed 4 were slow (E221). What a gateway expects begins with a guess, and
+# the version's own answers went into it.
+@kernel.PROPERTIES.register("a version that is slow in part is found by any gateway")
+def slow_in_part() -> None:
+    promoted = []
+    for seed in range(12):
+        plan = worlds.Plan(
+            seed=seed,
+            per_s=100.0,
+            by_s=8.0,
+            harm=worlds.Harm(slower=5.0, slow_share=0.6),
+            guess=3.0,
+            disturb=rollout_trials.TROUBLES.get("gateways start again"),
+        )
+        world = worlds.played(plan)
+        if worlds.final_state(world) is not sources.RolloutState.ROLLED_BACK:
+            promoted.append(seed)
+    assert not promoted, promoted
+
+
 # Who writes what
 
 
--- a/features/support/rollout_world.py
+++ b/features/support/rollout_world.py
@@ -49,6 +49,8 @@
     from_s: float = 0.0
     route: str = ""
     only_full: bool = False
+    #: Share of its requests that are slow.
+    slow_share: float = 1.0
     #: Whether upstreams report it where they are slow.
     is_told: bool = False
 
@@ -75,6 +77,8 @@
     per_s: float = 200.0
     by_s: float = rollout_service.BY_S
     harm: Harm = dataclasses.field(default_factory=Harm)
+    #: How many times the usual time a gateway that starts takes a request to need.
+    guess: float = 1.0
     #: Called with the world before it is played.
     disturb: abc.Callable[["World"], None] | None = None
 
@@ -113,7 +117,7 @@
         member = ownership.Member(rollout_service.ZONE, host)
         self.balancer = balancer.Balancer(rollout_service.policy(), member, rng)
         for route, work_s in rollout_service.WORK_S_BY_ROUTE.items():
-            self.balancer.pool.latencies.learn(route, work_s)
+            self.balancer.pool.latencies.learn(route, world.plan.guess * work_s)
         measured = world.metrics
         self.rollouts = registry.Registry(rollout_service.SHARE, measured)
         self.local = rollout_service.record(host, next(world.numbers))
@@ -347,8 +351,9 @@
             if harm.strikes(machine, route, self.at_s):
                 harmed = self.rng.random() < harm.fails
                 failed |= harmed
-                work_s *= harm.slower
-                if harmed or harm.slower > 1.0:
+                is_slow = harm.slow_share >= 1.0 or self.rng.random() < harm.slow_share
+                work_s *= harm.slower if is_slow else 1.0
+                if harmed or (is_slow and harm.slower > 1.0):
                     self.after(work_s, lambda: self.seen.bad_at.append(self.at_s))
         machine.running += 1
         left_s = max(0.0, grant.call.deadline - self.now)
