--- a/features/steps/gateway_rollout.py
+++ b/features/steps/gateway_rollout.py
@@ -354,7 +354,7 @@
 
 # A version that was slow with 6 of 10 requests was promoted after gateways had started
 # again: of 45 answers that took 0.2 s in place of 0.04 s, 0.075 s were expected, and of
-# 17 that were timed 4 were slow (E221). What a gateway expects begins with a guess, and
+# 17 that were timed 4 were slow (E230). What a gateway expects begins with a guess, and
 # the version's own answers went into it.
 @kernel.PROPERTIES.register("a version that is slow in part is found by any gateway")
 def slow_in_part() -> None:
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -170,6 +170,9 @@
     ROLLOUT_DECIDER = CatalogueRow(
         229, "INFO", "this gateway decides on an order, or no longer", "none"
     )
+    ROLLOUT_COUNTED = CatalogueRow(
+        230, "INFO", "what was counted of a version when it was promoted", "none"
+    )
     PEER_GONE = CatalogueRow(
         301,
         "WARNING",
--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -201,21 +201,27 @@
 
     def _report_promotion(self, ready: promotion.Readiness) -> None:
         order = self.run.order
-        counts = self._target_counts()
         events.emit(
             events.Event.ROLLOUT_PROMOTING,
             service=order.service,
             target=order.target,
             answers=ready.answers,
-            failed=counts.failed,
-            timed=counts.timed,
-            slow=counts.slow,
             sent=self.run.merged.sent(),
             answered=self.run.merged.answered(),
             target_slots=ready.target_slots,
             other_slots=ready.other_slots,
             suspicion=round(ready.suspicion, 2),
         )
+        counts = self._target_counts()
+        events.emit(
+            events.Event.ROLLOUT_COUNTED,
+            service=order.service,
+            target=order.target,
+            judged=counts.judged,
+            failed=counts.failed,
+            timed=counts.timed,
+            slow=counts.slow,
+        )
         rows = [r for record in self._records() for r in record.rows]
         tested = {r.route for r in rows if r.upstream != evidence.OTHER_VERSIONS}
         untested = {r.route for r in rows} - tested
--- a/tools/rollout_decision_table.py
+++ b/tools/rollout_decision_table.py
@@ -130,6 +130,7 @@
             "ROLLOUT_ENDED",
             "ROLLOUT_UNTESTED",
             "ROLLOUT_DECIDER",
+            "ROLLOUT_COUNTED",
         ),
         tests=(
             Scenario(
