Answers of a tried version are timed by what was known when their calls were sent

Callers kept getting a version that was slow with 6 of 10 requests: it was promoted. A call that takes long makes its upstream ejected as silent; its answer, as one on probation, takes it to be cold for seconds from then on, and whether a call met a cold upstream was asked only afterwards, by an instant in the past. So just the slow ones fell out.

A grant says whether its upstream was taken to be cold when it was sent. Ruled out: that the upstreams were cold (they had told nothing, and the others of the version were timed).

--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -366,4 +366,5 @@
             sent_at=now,
             slowdown=slowdown,
             load=load,
+            to_cold=upstream.cold.is_cold(now),
         )
--- a/spindlenotch/decisions/verdicts.py
+++ b/spindlenotch/decisions/verdicts.py
@@ -27,10 +27,11 @@
     """
     Permission to send a call to one upstream now.
 
-    Both estimates are those of the moment it was granted: ``slowdown`` is how
+    What is told of the upstream is of the moment it was granted: ``slowdown`` is how
     many times its typical time work takes there, ``load`` the number of
-    requests in the upstream, this one included. ``taken_from`` is the part of the
-    budget that a retry or a hedge was taken from; None for a first try.
+    requests in the upstream, this one included, ``to_cold`` whether it was taken to be
+    cold. ``taken_from`` is the part of the budget that a retry or a hedge was taken
+    from; None for a first try.
     """
 
     call: waiting.Call
@@ -39,6 +40,7 @@
     sent_at: ids.Instant
     slowdown: float = 1.0
     load: float = 1.0
+    to_cold: bool = False
     taken_from: budgets.Part | None = None
 
 
--- a/spindlenotch/gateway/rollout/evidence.py
+++ b/spindlenotch/gateway/rollout/evidence.py
@@ -136,7 +136,9 @@
     upstream refused without running it not at all.
     """
     is_slow = now - grant.sent_at > SLOW_FACTOR * expected_s
-    is_timed = not grant.upstream.cold.is_cold(grant.sent_at)
+    # Not what is known by now: what takes long makes its upstream ejected and, with its
+    # answer, taken to be cold, so that no slow answer would be timed.
+    is_timed = not grant.to_cold
     if result is upstreams.Result.CANCELLED:
         overdue = int(is_slow and is_timed)
         return rollout_notes.Counts(timed=overdue, slow=overdue)
--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -427,6 +427,13 @@
         "if True:",
         "a version that is slow in part is found by any gateway",
     ),
+    Mutant(
+        "answers are timed by whether their upstream is cold when they come",
+        "gateway/rollout/evidence",
+        "is_timed = not grant.to_cold",
+        "is_timed = not grant.upstream.cold.is_cold(grant.sent_at)",
+        "answers are timed by what was known when calls were sent",
+    ),
     Mutant(
         "the others' failures in the moment count for nothing",
         "gateway/rollout/others_rates",
