--- a/features/support/callers.py
+++ b/features/support/callers.py
@@ -8,7 +8,7 @@
 
 from spindlenotch import client
 
-#: How long a caller waits for an answer, in seconds. Chosen, not measured.
+#: How long a caller waits for an answer, in seconds.
 TIMEOUT_S = 8.0
 
 #: What happens while requests are sent.
--- a/features/support/entry_fleet.py
+++ b/features/support/entry_fleet.py
@@ -21,7 +21,7 @@
 
 LOOPBACK = "127.0.0.1"
 PEER_KEY = "test-peer-key-0123456789"
-#: Longest wait for a process or a state, in seconds. Chosen, not measured.
+#: Longest wait for a process or a state, in seconds.
 START_LIMIT_S = 20.0
 
 
--- a/features/support/fake_network.py
+++ b/features/support/fake_network.py
@@ -13,7 +13,7 @@
 from spindlenotch import ids, metrics
 from spindlenotch.peers import capnp_codec, documents, messages, peer_seal, wire_format
 
-#: How long a message is on its way, in seconds. Chosen, not measured.
+#: How long a message is on its way, in seconds.
 DELIVERY_S = 0.001
 
 Value = typing.TypeVar("Value")
--- a/features/support/fake_platform.py
+++ b/features/support/fake_platform.py
@@ -15,10 +15,9 @@
 from features.support import fake_network, virtual_world
 from spindlenotch import ports
 
-#: How long a driver waits for the store, in seconds. Chosen, not measured.
+#: How long a driver waits for the store, in seconds.
 STORE_TIMEOUT_S = 1.5
-#: What a driver adds to the time that a watch lasts, in seconds. Chosen, not
-#: measured.
+#: What a driver adds to the time that a watch lasts, in seconds.
 WATCH_MARGIN_S = 2.0
 #: When a late write takes effect, in seconds: after its driver gave up.
 LATE_WRITE_S = 2.5
--- a/features/support/machine.py
+++ b/features/support/machine.py
@@ -19,7 +19,7 @@
 PAUSES = (0.002, 0.02, 0.15, 0.7, 2.5, 6.0)
 TIMEOUTS = (0.05, 0.4, 2.0, 5.0)
 #: Every entry has the newest bundle in force this long after the last fault, in
-#: seconds. Chosen, not measured.
+#: seconds.
 IN_FORCE_LIMIT_S = 9.0
 #: Every request has ended by then, in seconds: longer than the longest timeout.
 SETTLE_S = 6.0
--- a/features/support/oracle.py
+++ b/features/support/oracle.py
@@ -13,14 +13,13 @@
 from spindlenotch.kernel import outcomes
 
 #: A run may begin this long after its caller's deadline, in seconds: a stall
-#: that is too short to be detected, and the time on the way. Chosen, not
-#: measured.
+#: that is too short to be detected, and the time on the way.
 LATE_SLACK_S = 0.15
 #: A known leaving upstream gets no work after this time, in seconds. Chosen,
 #: not measured.
 LEAVING_LIMIT_S = 5.0
 #: Requests already on their way when the first refusal arrives get there within
-#: this time, in seconds. Chosen, not measured.
+#: this time, in seconds.
 IN_FLIGHT_LIMIT_S = 0.1
 
 
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -18,7 +18,7 @@
 from features.support import free_ports, platform_store, platform_worker, worker_records
 
 ROOT = pathlib.Path(__file__).parents[2]
-#: Longest time that a scenario waits for one thing. Chosen, not measured.
+#: Longest time that a scenario waits for one thing.
 LIMIT_S = 20.0
 #: Lines of each log that are shown when a scenario failed.
 LOG_TAIL = 30
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -9,7 +9,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).parents[2]
-#: Longest wait for a process to end by itself, in seconds. Chosen, not measured.
+#: Longest wait for a process to end by itself, in seconds.
 END_LIMIT_S = 30.0
 #: Characters of a process's log that are kept, the latest.
 MAX_LOG_CHARACTERS = 100_000
--- a/features/support/virtual_world.py
+++ b/features/support/virtual_world.py
@@ -17,7 +17,6 @@
 from spindlenotch import clock, ids
 
 #: Rounds within one instant after which a test fails instead of hanging.
-#: Chosen, not measured.
 MAX_STEPS = 10_000
 
 
--- a/spindlenotch/collector.py
+++ b/spindlenotch/collector.py
@@ -8,9 +8,7 @@
 import gc
 
 #: Objects allocated, and younger collections, before a collection. Most objects
-#: die with their request; collections that walked the rest held up the loop. The
-#: values are chosen; their effect together with the freeze in ``tune`` is in
-#: docs/MEASUREMENTS.md, "What an entry adds".
+#: die with their request; collections that walked the rest held up the loop.
 THRESHOLDS = (20_000, 20, 100)
 
 
@@ -19,8 +17,7 @@
     Keep the garbage collector away from what lives as long as the process.
 
     A full collection that walks modules and start-up state stops the loop for
-    tens of milliseconds (docs/MEASUREMENTS.md, "What an entry adds"); so there is
-    none here either, while the first callers wait.
+    tens of milliseconds; so there is none here either, while the first callers wait.
     """
     gc.freeze()
     gc.set_threshold(*THRESHOLDS)
--- a/spindlenotch/decisions/owned_slots.py
+++ b/spindlenotch/decisions/owned_slots.py
@@ -20,26 +20,22 @@
 #: the same stale estimate do not all pick the same one.
 SAMPLE = 8
 #: Own upstreams with room that are compared, and own ones when all are busy.
-#: Bounds the time of a decision where an entry owns slots in many; that all of
-#: them were too many is measured (MEASUREMENTS.md, round 3), the figure is chosen.
+#: Bounds the time of a decision where an entry owns slots in many.
 OWN_COMPARED = 4
 OWN_COMPARED_BUSY = 4
 #: Cost (a multiple of the typical latency) from which an own upstream competes
-#: with the others. Chosen; a sweep of this threshold brought no gain
-#: (MEASUREMENTS.md, round 2).
+#: with the others.
 SLOW_COST = 1.6
 #: Least calls in flight per own slot. Above one, so that a slot does not idle while its
 #: answer is on its way.
 LEAST_FACTOR = 1.15
-#: Most calls in flight per own slot (MEASUREMENTS.md, round 8; commit 77b545b
-#: names the values tried).
+#: Most calls in flight per own slot.
 MOST_FACTOR = 8.0
 #: Added to the factor with each report of a short queue.
 FACTOR_STEP = 0.01
 #: The factor is multiplied by this with each report of a long queue.
 FACTOR_DECAY = 0.99
-#: Calls queued per slot of an upstream above which the factor shrinks
-#: (MEASUREMENTS.md, round 8; commit 77b545b names the values tried).
+#: Calls queued per slot of an upstream above which the factor shrinks.
 QUEUE_TARGET = 3.0
 #: Least that has to be free of an own slot, which may be a fraction of one, for it to
 #: count as free.
--- a/spindlenotch/decisions/soonest.py
+++ b/spindlenotch/decisions/soonest.py
@@ -14,9 +14,7 @@
 
 NAME = "paced"
 #: How far the estimated load may lie above the slots for an upstream to have
-#: room: estimates of other processes' requests are fractions. That there is no
-#: more room than the slots is measured (MEASUREMENTS.md, "Room at an upstream");
-#: the margin is chosen.
+#: room: estimates of other processes' requests are fractions.
 ROOM_MARGIN = 0.25
 #: Share of its slots in use from which an upstream is expected to be slower, rising to
 #: ``FULL_SLOWDOWN`` when all are in use. It weighs upstreams against each other;
@@ -29,20 +27,17 @@
 #: Least latency ratio that counts.
 MIN_LATENCY_RATIO = 0.7
 #: Answers with which an upstream's own latency ratio counts as much as that of all.
-#: That few answers count little is (MEASUREMENTS.md, round 19).
 ANSWERS_TRUSTED = 10.0
 #: What a failure costs a call that may run again, in units of its work: the time
-#: until it is known, and a further try. With 1.5 instead, 3.1 of 100 calls that may
-#: not be repeated reach a failing upstream (see below), since others try it less.
+#: until it is known, and a further try. Not more, or none of them tries a failing
+#: upstream, and those that may not be repeated find out that it fails.
 REPEATABLE_COST = 0.7
-#: And one that may not: it is lost. Where 15 of 100 upstreams fail 40 of 100 requests,
-#: 2.9 of 100 such calls reach one of them from 2 s on, 12.8 without these costs (means
-#: of three seeds in virtual time, features/steps/gateway_failing).
+#: And one that may not: it is lost.
 UNREPEATABLE_COST = 15.0
 #: Costs within this share of the least are taken for equal.
 NEAR_SHARE = 0.08
 #: Upstreams compared for one call. Of more than that samples are drawn, from the
-#: own zone and from all: 64 of all took 1.4 ms a call with 300 upstreams.
+#: own zone and from all: a call must not cost more where there are more upstreams.
 MOST_COMPARED = 40
 #: How many of them are drawn from the own zone.
 LOCAL_COMPARED = 24
@@ -149,11 +144,9 @@
     """
     Return those that are not slowed, or all where all are.
 
-    While one of the others may get room a call had better wait for it
-    (MEASUREMENTS.md, round 12), and at the end of its wait be refused: a quarter of
-    the first tries of a saturated service went to slowed ones then. Without them the
-    mean worth of six plays rose from 0.538 to 0.599, the share of credit earned
-    from 0.777 to 0.828 (POLICY.md, round 1).
+    While one of the others may get room a call had better wait for it, and at the end
+    of its wait be refused: of a saturated service a quarter of the first tries would
+    go to slowed ones.
     """
     others = [u for u in options if u.slowdown(now) <= upstreams.SLOWED_FACTOR]
     return others or options
--- a/spindlenotch/decisions/start_limit.py
+++ b/spindlenotch/decisions/start_limit.py
@@ -56,9 +56,7 @@
     ``target_s`` is the route's target, ``age_s`` how long ago the caller began to
     ask, ``typical_s`` the typical latency of such requests; all in seconds.
 
-    The wait is what the target leaves beside the work: with a fixed fifth of the
-    target instead, and without the order of ``late``, the mean worth of two
-    overloaded days was 0.506 in place of 0.523 (POLICY.md, round 2).
+    The wait is what the target leaves beside the work.
     """
     if target_s is None:
         return StartLimit(ids.later(now, WAIT_WITHOUT_TARGET_S), late=False)
--- a/spindlenotch/gateway/cluster/active_set.py
+++ b/spindlenotch/gateway/cluster/active_set.py
@@ -22,11 +22,9 @@
 #: Share of a host's processor that callers' requests may take on average.
 PROCESSOR_SHARE = 0.7
 #: Share of a host's link that they may take on average; uploads come in bursts, which a
-#: link carries one after the other. The trial with it is round 16 of
-#: docs/MEASUREMENTS.md.
+#: link carries one after the other.
 LINK_SHARE = 0.25
-#: Requests a second that one processor core carries. The entry daemon does about 1,000
-#: calls/s a core (docs/MEASUREMENTS.md).
+#: Requests a second that one processor core carries, with room for a burst.
 REQUESTS_PER_CORE = 700.0
 #: Bytes a second in one Mbit/s.
 BYTES_PER_MBIT = 125_000.0
--- a/spindlenotch/gateway/cluster/duties.py
+++ b/spindlenotch/gateway/cluster/duties.py
@@ -20,8 +20,7 @@
 READER_SALT = "source"
 PROBER_SALT = "probes"
 #: Upstreams for each prober of a zone. Each prober sends its zone's active gateways up
-#: to 25 messages a second, which must not grow with the fleet. The trial with it is in
-#: docs/CAPACITY.md, "The gateway on the grown site".
+#: to 25 messages a second, which must not grow with the fleet.
 UPSTREAMS_PER_PROBER = 6
 
 HostsByZone = dict[ids.ZoneName, list[ids.HostId]]
--- a/spindlenotch/gateway/cluster/load_sharing.py
+++ b/spindlenotch/gateway/cluster/load_sharing.py
@@ -22,8 +22,8 @@
 
 #: Time between two rounds of sending.
 SEND_PERIOD_S = 0.04
-#: The same where a gateway has nothing to send; most of a large fleet. An idle
-#: process takes 0.73 to 0.87% of a core with it (docs/MEASUREMENTS.md, round 20).
+#: The same where a gateway has nothing to send, most of a large fleet: idle loops take
+#: processor time.
 IDLE_PERIOD_S = 0.2
 #: Digits behind the point of what is sent: a slowdown to the hundredth it is reported
 #: with, an age to the millisecond. Compressed, twelve reports take 333 bytes in
--- a/spindlenotch/gateway/cluster/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -27,10 +27,8 @@
 TASK_S = 1.0
 #: Probes in the time that the work of a service takes on an idle upstream: what one
 #: has to do changes with the work that begins and ends there. By the mean of the
-#: routes, as nearly every service may at times get the shortest work. Not by what is
-#: measured, which grows under load, when reports matter most: on a day near what all
-#: can carry the worst windows earned 0.48 to 0.51 (three plays) in place of 0.53; two
-#: other days did not tell the two apart. With work of 1 s four were enough.
+#: routes, as nearly every service may at times get the shortest work. Not by the
+#: latency seen, which grows under load, when reports matter most.
 PROBES_PER_WORK = 10.0
 #: Most seconds between two probes of an upstream: slowdowns come and go within half a
 #: second.
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -34,8 +34,7 @@
 from spindlenotch.gateway.source import discovery, relay, source_reader, sources
 from spindlenotch.peers import background
 
-#: Time between two ticks of the state. Docs/MEASUREMENTS.md, round 20, has what idle
-#: loops cost.
+#: Time between two ticks of the state: idle loops take processor time.
 TICK_S = 0.2
 #: Time between two looks at the requests in flight of a planned stop.
 DRAIN_CHECK_S = 0.02
--- a/spindlenotch/gateway/serving/job_factory.py
+++ b/spindlenotch/gateway/serving/job_factory.py
@@ -27,15 +27,12 @@
 LONGEST_TIMEOUT_S = 86_400.0
 #: Seconds of expected latency that an upstream in another zone counts more than
 #: one in this: the round trip, and load estimates that are less certain there.
-#: Raised from 0.002 after trials that also tried 0.012 (message of commit 83438aa).
 CROSS_ZONE_S = 0.008
 #: The same as a share of the typical latency, where that is more: what differs by
-#: less than the estimates err is not worth bytes between zones. With 0.03 s where
-#: the latency is 0.25 s, bytes between zones fell by 9 in 100 on one day (POLICY.md,
-#: round 3).
+#: less than the estimates err is not worth bytes between zones.
 CROSS_ZONE_SHARE = 0.12
 #: The most seconds by that share: an overloaded service, whose latency is high,
-#: needs the upstreams of all zones. The value that was measured.
+#: needs the upstreams of all zones.
 MOST_CROSS_ZONE_S = 0.03
 #: Seconds that each byte of the request's body adds to that.
 CROSS_ZONE_S_PER_BYTE = 2.5e-6
--- a/spindlenotch/gateway/serving/pipelining.py
+++ b/spindlenotch/gateway/serving/pipelining.py
@@ -6,9 +6,6 @@
 that may be repeated are begun when they are read; their answers still go out in
 the order of the requests. Owns what was begun on one connection. Relies on the
 queue of parsed messages of aiohttp's ``RequestHandler``.
-
-On a calm day 7.3 in 100 lookups of callers that send so were late without it,
-while 2.5 in 100 took that long from reading to answer (POLICY.md, round 4).
 """
 
 import asyncio
--- a/spindlenotch/gateway/source/lease_expiry.py
+++ b/spindlenotch/gateway/source/lease_expiry.py
@@ -14,8 +14,8 @@
 #: because they could not be renewed.
 AFTER_OUTAGE_S = 4.0
 #: How long an upstream whose lease expired in an outage still gets work. Those
-#: that live are listed again about two seconds after the source's return, as
-#: its operators say (commit 25a8df1).
+#: that live are listed again about two seconds after the source's return, as its
+#: operators say.
 GRACE_S = 2.2
 #: More than this share of a service must vanish at once to count as expired in the
 #: outage; fewer have left.
--- a/spindlenotch/gateway/source/reader_duty.py
+++ b/spindlenotch/gateway/source/reader_duty.py
@@ -37,8 +37,7 @@
 
 #: How long a starting gateway waits on average for a peer that has read already, at
 #: least, in seconds: so that a fleet that starts together does not read as often as
-#: it has members. Measured: docs/MEASUREMENTS.md, round 18 (0.4 s refused requests
-#: after a loss of all).
+#: it has members, and callers are not refused for longer after a loss of all.
 FIRST_PEER_WAIT_S = 0.2
 #: Power of the number of cores by which stronger hosts wait less:
 #: hosts of 2.15 cores wait 0.04 s on average, about a reading.
--- a/spindlenotch/gateway/source/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -21,8 +21,8 @@
 #: Changes within this time of each other are fetched by one call. Docs/CAPACITY.md,
 #: "The gateway on the grown site", has the calls.
 GATHER_S = 0.1
-#: Time between two looks whether this gateway must read. Docs/MEASUREMENTS.md, round
-#: 20, has what idle loops cost.
+#: Time between two looks whether this gateway must read: most of a fleet need not,
+#: and idle loops take processor time.
 OFF_DUTY_S = 0.2
 #: Bounds of the wait after a call that failed.
 BACKOFF_LEAST_S = 0.15
--- a/spindlenotch/kernel/crowding.py
+++ b/spindlenotch/kernel/crowding.py
@@ -8,8 +8,7 @@
 
 Where a service is saturated all its upstreams are full, and there is nothing to
 compare with: until enough is known, the last slots of every other upstream stay
-empty. Two plays of an overloaded day rose from 0.523 to 0.565 of worth by that and
-by preferring the own zone (POLICY.md, round 3).
+empty.
 """
 
 from spindlenotch.kernel import latency
@@ -29,11 +28,9 @@
 #: Requests above an upstream's slots with which a request is still a sample: estimates
 #: are fractions.
 LOAD_MARGIN = 0.5
-#: Ratio of the two latencies from which the last slots stay empty. It is far
-#: below the slowdown of a full upstream, since what counts as nearly full was so
-#: for part of the time only: 1.05 to 1.3 was measured where work takes 1.7
-#: times as long, 0.85 to 1.03 where it takes as long as ever (MEASUREMENTS.md,
-#: round 15).
+#: Ratio of the two latencies from which the last slots stay empty. It is far below the
+#: slowdown of a full upstream, since what counts as nearly full was so for part of the
+#: time only.
 CROWDED = 1.08
 #: Least mean latency ratio that is divided by, so that the ratio stays finite.
 LEAST_LATENCY = 1e-9
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -10,7 +10,7 @@
 import prometheus_client
 
 #: Upper bounds of the request time's buckets, in seconds. 0.0016 is the limit at
-#: p99 of what an entry adds (docs/MEASUREMENTS.md, "What an entry adds").
+#: p99 of what an entry adds.
 REQUEST_TIME_BUCKETS_S = (
     0.0005,
     0.001,
--- a/spindlenotch/peers/membership.py
+++ b/spindlenotch/peers/membership.py
@@ -23,9 +23,8 @@
     workload,
 )
 
-#: Replies missed in a row before a suspicion. With one, 2097 living members
-#: of 450 were dropped in 30 s at 1% loss, with two none: docs/MEASUREMENTS.md,
-#: "Rounds", row 5.
+#: Replies missed in a row before a suspicion: single datagrams get lost, and would have
+#: living members dropped.
 MISSED_BEFORE_SUSPECT = 2
 #: Seconds that a suspicion stands longer for each doubling of the fleet, since the
 #: refutation needs more periods to spread.
@@ -176,9 +175,8 @@
         """
         Return changed records, and random ones up to the limit for one that asks.
 
-        With ``near`` these are of its own zone, whose duties it shares: with 312
-        members in five zones that start together each knows 99 of 100 of its zone
-        after 2 s, and without this 37 of 100 (virtual time, 1% loss).
+        With ``near`` these are of its own zone, whose duties it shares and which it is
+        to know soon in a large fleet that starts together.
         """
         if fill_for is None:
             hosts = self.spread.next_hosts()
--- a/spindlenotch/peers/region_links.py
+++ b/spindlenotch/peers/region_links.py
@@ -16,8 +16,8 @@
 from spindlenotch.kernel import regions
 from spindlenotch.peers import messages, workload
 
-#: Age of a summary, in seconds, from which its gateways may be gone: with 20 gateways
-#: in each of three regions 99 in 100 are younger (2.4 s in virtual time).
+#: Age of a summary, in seconds, from which its gateways may be gone: nearly all
+#: summaries of a region that is there are younger.
 DOUBTFUL_S = 2.5
 #: Age from which a region counts as lost. Longer than a way that loses 4 in 10 of its
 #: messages keeps a region silent, about as long as callers keep an address.
--- a/spindlenotch/settings/kinds.py
+++ b/spindlenotch/settings/kinds.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-#: Longest name in characters. Chosen; equal to the limit of a DNS label (RFC 1035).
+#: Longest name in characters: that of a DNS label (RFC 1035).
 LONGEST_NAME = 63
 #: Shortest shared key in characters.
 SHORTEST_KEY = 16
--- a/standins/server.py
+++ b/standins/server.py
@@ -5,9 +5,9 @@
 from aiohttp import web
 
 LOOPBACK = "127.0.0.1"
-#: Connections that may wait to be accepted. Chosen, not measured.
+#: Connections that may wait to be accepted.
 BACKLOG = 1024
-#: How long a stop waits for requests under way. Chosen, not measured.
+#: How long a stop waits for requests under way.
 SHUTDOWN_S = 0.1
 
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -13,7 +13,7 @@
 
 from standins import faults, server
 
-#: Largest value in bytes; larger ones are answered with 413. Chosen.
+#: Largest value in bytes; larger ones are answered with 413.
 MAX_VALUE_BYTES = 1024 * 1024
 REVISION = "X-Revision"
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -19,12 +19,12 @@
 
 WORK = "X-Work"
 REQUEST_ID = "Spindlenotch-Request-Id"
-#: Time of a request that brings none, in milliseconds. Chosen, not measured.
+#: Time of a request that brings none, in milliseconds.
 DEFAULT_TIMEOUT_MS = 60_000
-#: A truncated answer's announced and sent size, in bytes. Chosen, not measured.
+#: A truncated answer's announced and sent size, in bytes.
 ANNOUNCED_BYTES = 100_000
 SENT_BYTES = 1_000
-#: How often a frozen upstream looks whether it goes on. Chosen, not measured.
+#: How often a frozen upstream looks whether it goes on.
 FROZEN_CHECK_S = 0.01
 
 
--- a/tools/experiment/paired.py
+++ b/tools/experiment/paired.py
@@ -15,13 +15,13 @@
 import msgspec
 
 #: Resamples of a bootstrap: the ends of an interval then move by some hundredths of
-#: its width from run to run. Chosen, not measured.
+#: its width from run to run.
 RESAMPLES = 4_000
 #: Share of the resampled means outside the interval, half of it at each end.
 OUTSIDE_SHARE = 0.05
 #: Standard errors between the mean and the end of such an interval.
 ERRORS_TO_END = 1.96
-#: Fewest pairs of which a bootstrap says anything. Chosen, not measured.
+#: Fewest pairs of which a bootstrap says anything.
 LEAST_PAIRS = 6
 
 
--- a/tools/measure_gossip.py
+++ b/tools/measure_gossip.py
@@ -23,7 +23,7 @@
 
 #: Bytes around a message: authentication code, UDP and IP headers.
 OVERHEAD_BYTES = peer_seal.MAC_BYTES + 28
-#: Share of messages that get lost. Chosen, not measured.
+#: Share of messages that get lost.
 LOST_SHARE = 0.01
 #: Periods of a fleet without failures.
 STEADY_PERIODS = 30
--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -18,11 +18,11 @@
 
 from features.support import entry_fleet
 
-#: Requests per second. Chosen, not measured.
+#: Requests per second.
 RATES = (50, 200, 500)
-#: Seconds of load at a rate, in each round. Chosen, not measured.
+#: Seconds of load at a rate, in each round.
 LOAD_S = 6.0
-#: Seconds over which the idle entry is measured. Chosen, not measured.
+#: Seconds over which the idle entry is measured.
 IDLE_S = 10.0
 ROUNDS = 2
 NS_PER_US = 1_000
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -16,13 +16,12 @@
 
 from tools import late_mutants, limit_mutants, mutant_table, quarantine_mutants
 
-#: Plays of each machine against a mutant, and steps of a play. Chosen, not
-#: measured.
+#: Plays of each machine against a mutant, and steps of a play.
 PLAYS = 200
 STEPS = 40
-#: Mutants that are tried side by side. Chosen, not measured.
+#: Mutants that are tried side by side.
 SIDE_BY_SIDE = 6
-#: Longest time for one mutant, in seconds. Chosen, not measured.
+#: Longest time for one mutant, in seconds.
 LIMIT_S = 500
 ALL_MUTANTS = (
     *mutant_table.MUTANTS,
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -17,10 +17,9 @@
 
 BIN = pathlib.Path(sys.executable).parent
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
-#: Features run side by side; each starts up to a dozen processes. Chosen, not
-#: measured.
+#: Features run side by side; each starts up to a dozen processes.
 SIDE_BY_SIDE = 3
-#: Longest time of one feature, in seconds. Chosen, not measured.
+#: Longest time of one feature, in seconds.
 FEATURE_LIMIT_S = 900
 FAILED_STATUSES = ("failed", "error", "undefined")
 
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -10,7 +10,7 @@
 from spindlenotch import ids
 
 #: Sizes that are measured: members, upstreams of a pool, services of a bundle,
-#: remembered ids. Chosen, not measured.
+#: remembered ids.
 FLEETS = (18, 50, 150, 450)
 POOLS = (30, 90, 225, 450)
 SERVICES = (2, 6, 12, 18)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -14,7 +14,7 @@
 
 from features.support import machines
 
-#: Plays of each machine with one seed, and steps of a play. Chosen, not measured.
+#: Plays of each machine with one seed, and steps of a play.
 PLAYS = 50
 STEPS = 50
 DEFAULT_SECONDS = 300.0
