An upstream that stands still is not tried again because it has long been silent

Cause: whether an upstream that is ejected as silent has to wait for a probe's word was decided by whether its last report was at most a second old when it was sent to. A gateway that came to it later in the standstill took it for one that nobody probes, and tried it after 1, 2, 4 s, while probes told of all others. The pause of probes that was suspected before is not the cause: they had told of others at most 0.11 s before, in every case.

It counts as probed for 30 s after its last report, while probes tell of others; then it is tried again, as an upstream may have nobody any more that probes it.

--- a/features/steps/late_properties.py
+++ b/features/steps/late_properties.py
@@ -148,10 +148,10 @@
     assert still.state is upstreams.State.PROBATION
 
 
-# Gateways that sent to an upstream for the first time seconds after it had begun to stand
-# still, tried it again after 1 and 2 s. The last report was older than a second by then:
-# it counted as one that nobody probes, though probes told of all others a moment before.
-# Up to 16 of 603 requests went there where 12 may.
+# Gateways that sent to an upstream for the first time seconds after it had begun to
+# stand still, tried it again after 1 and 2 s. The last report was older than a second
+# then: it counted as one that nobody probes, though probes told of all others. Up to 16
+# of 603 requests went there where 12 may.
 @kernel.PROPERTIES.register("so does one that is sent to long after probes miss it")
 def waits_though_found_late() -> None:
     one = decider()
--- a/spindlenotch/kernel/hearing.py
+++ b/spindlenotch/kernel/hearing.py
@@ -15,7 +15,9 @@
 #: Most seconds between two reports of an upstream that is probed: a probe every 0.25 s,
 #: passed on every 0.2 s by two gateways, and one of these messages lost.
 REPORTED_WITHIN_S = 1.0
-
+#: Seconds after its last report for which an upstream is taken to be probed while
+#: others are: its own silence must not make it one that nobody probes.
+PROBED_WITHIN_S = 30.0
 #: Seconds in which what is owed fades to a third, so that an upstream of which nobody
 #: hears is tried again: some seconds, as requests come far more often where it matters.
 OWED_FADE_S = 5.0
@@ -108,8 +110,8 @@
         return self._owed_s > 0.0
 
     def was_probed(self) -> bool:
-        """Tell whether reports of it came regularly until it owed an answer."""
-        return self.told_at >= self._owing_since - REPORTED_WITHIN_S
+        """Tell whether probes told of it in the time before it owed an answer."""
+        return self.told_at >= self._owing_since - PROBED_WITHIN_S
 
     def is_missed(self, since: ids.Instant, now: ids.Instant) -> bool:
         """Tell whether probes tell of other upstreams, and of it not since then."""
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -403,6 +403,7 @@
             "kernel/ejection.LEAST_POOL",
             "kernel/hearing.REPORT_LAG_S",
             "kernel/hearing.REPORTED_WITHIN_S",
+            "kernel/hearing.PROBED_WITHIN_S",
             "kernel/hearing.OWED_FADE_S",
         ),
         events=("UPSTREAM_EJECTED", "UPSTREAM_PROBATION", "UPSTREAM_BACK"),
--- a/tools/late_mutants.py
+++ b/tools/late_mutants.py
@@ -70,4 +70,11 @@
         "if False:",
         "what a draining upstream turned away moves beside the budget",
     ),
+    mutant_table.Mutant(
+        "an upstream that has long been silent counts as one that nobody probes",
+        "kernel/hearing",
+        "return self.told_at >= self._owing_since - PROBED_WITHIN_S",
+        "return self.told_at >= self._owing_since - REPORTED_WITHIN_S",
+        "so does one that is sent to long after probes miss it",
+    ),
 )
