--- a/features/steps/gateway_turns.py
+++ b/features/steps/gateway_turns.py
@@ -1,5 +1,9 @@
 """
 Calls that wait for their turn at upstreams that all name limits, in virtual time.
+
+Callers were let wait because a turn would come just in time, and refused 0.08 s later
+(E601, queue-too-long): turns were taken when the queue happened to be looked at, which
+moved all later ones. With this load 55 of 804 refused callers had waited.
 """
 
 import collections
