--- a/features/steps/poison_requests.py
+++ b/features/steps/poison_requests.py
@@ -15,6 +15,7 @@
 import behave
 
 from features.support import (
+    own_stalls,
     platform_context,
     platform_fleet,
     platform_worker,
@@ -96,6 +97,7 @@
         #: The requests that do harm, or did.
         self.poisons: list[Poison] = []
         self.crashes_silently = False
+        self.own_stalls = own_stalls.OwnStalls()
         self._count = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -124,7 +126,9 @@
         for stream in streams:
             self.stream_by_name.setdefault(stream.name, stream)
         kept = [self.stream_by_name[stream.name] for stream in streams]
+        watching = asyncio.ensure_future(self.own_stalls.watch())
         await asyncio.gather(*(self._send(stream, seconds) for stream in kept))
+        watching.cancel()
 
     async def _send(self, stream: Stream, seconds: float) -> None:
         nodes = list(self.fleet.process_by_node)
@@ -152,7 +156,9 @@
         except TimeoutError:
             # The gateway's own answer comes at that very moment.
             answer = platform_fleet.Answer(UNANSWERED, {}, b"")
-        took_s = time.monotonic() - sent_at
+        ended_at = time.monotonic()
+        own_s = self.own_stalls.within_s(sent_at, ended_at)
+        took_s = ended_at - sent_at - own_s
         retry_after = answer.headers.get("Retry-After")
         stream.sent.append(Sent(sent_at, took_s, answer.status, retry_after))
 
