--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -47,7 +47,7 @@
 from features.steps import gateway_limits, gateway_overflow, gateway_reborn
 from features.steps import gateway_regions, gateway_rests, gateway_turns
 from features.steps import gateway_reborn_peers, gateway_rollout, gateway_rollout_orders
-from features.steps import kernel, late_properties, poison_properties
+from features.steps import kernel, kernel_budgets, late_properties, poison_properties
 from features.steps import suspended_hosts
 from spindlenotch.entry import plugins
 plugins.load()
