--- a/tools/soak_processes/versions.py
+++ b/tools/soak_processes/versions.py
@@ -77,12 +77,14 @@
     free = [upstream for upstream in old if not world.is_in_hand(upstream)]
     for upstream in old:
         world.fleet.worker_by_id[upstream].version = version
-    for upstream in free:
-        await world.fleet.worker_by_id[upstream].close()
-        world.fleet.store.remove(f"servers/{upstream}")
-    await asyncio.sleep(NEW_DRAIN_AFTER_S)
-    for upstream in free:
-        await world.restart_upstream(upstream, is_cold=False)
+    # No other step may take them meanwhile: one would list anew what the other ends.
+    with world.trouble("version replaced", *free, of="life", excuses=False):
+        for upstream in free:
+            await world.fleet.worker_by_id[upstream].close()
+            world.fleet.store.remove(f"servers/{upstream}")
+        await asyncio.sleep(NEW_DRAIN_AFTER_S)
+        for upstream in free:
+            await world.restart_upstream(upstream, is_cold=False)
 
 
 async def _drain(world: worlds.World, new: list[str]) -> None:
