Read once more: nothing new is made for each answer without an order; one way to watch own stalls

Balancer.finish made a record of what a call was expected to take for each answer, though only a service that changes its version asks for it. Callers' own stalls are watched by one context manager; two properties share how their upstream was ejected; which routes went untested is told by a function of its own. Nothing decides otherwise.

--- a/features/steps/late_properties.py
+++ b/features/steps/late_properties.py
@@ -148,44 +148,46 @@
     assert still.state is upstreams.State.PROBATION
 
 
-# Gateways that sent to an upstream for the first time seconds after it had begun to
-# stand still, tried it again after 1 and 2 s. The last report was older than a second
-# then: it counted as one that nobody probes, though probes told of all others. Up to 16
-# of 603 requests went there where 12 may.
-@kernel.PROPERTIES.register("so does one that is sent to long after probes miss it")
-def waits_though_found_late() -> None:
+def probed_after_silence(
+    silent_s: float, ejected_s: float
+) -> tuple[balancer.Balancer, upstreams.Upstream, ids.Instant]:
+    """
+    Return a balancer, an upstream ejected as silent, and the instant.
+
+    It is first sent to ``silent_s`` after its last report; from its ejection on
+    ``ejected_s`` have passed, and probes still tell of the other one.
+    """
     one = decider()
     still, other = one.pool.upstream_by_id.values()
     for upstream in (still, other):
         one.pool.told(upstream, REPORT, NOW)
-    sent_at = ids.later(NOW, 7.0)
+    sent_at = ids.later(NOW, silent_s)
     still.sent(ids.CallId("1"), sent_at)
     ejected_at = ids.later(sent_at, 0.4)
     one.pool.told(other, REPORT, ejected_at)
     assert one.pool.eject(still, "silent", ejected_at)
-    later = ids.later(ejected_at, 5.0)
-    one.pool.told(other, REPORT, later)
-    still.tick(later)
+    now = ids.later(ejected_at, ejected_s)
+    one.pool.told(other, REPORT, now)
+    still.tick(now)
+    return one, still, now
+
+
+# Gateways that sent to an upstream for the first time seconds after it had begun to
+# stand still, tried it again after 1 and 2 s. The last report was older than a second
+# then: it counted as one that nobody probes, though probes told of all others. Up to 16
+# of 603 requests went there where 12 may.
+@kernel.PROPERTIES.register("so does one that is sent to long after probes miss it")
+def waits_though_found_late() -> None:
+    one, still, now = probed_after_silence(silent_s=7.0, ejected_s=5.0)
     assert still.state is upstreams.State.EJECTED
-    one.pool.told(still, REPORT, ids.later(later, 0.1))
-    still.tick(ids.later(later, 0.1))
+    one.pool.told(still, REPORT, ids.later(now, 0.1))
+    still.tick(ids.later(now, 0.1))
     assert still.state is upstreams.State.PROBATION
 
 
 @kernel.PROPERTIES.register("one that probes have left for long is tried again")
 def not_probed_any_more() -> None:
-    one = decider()
-    still, other = one.pool.upstream_by_id.values()
-    for upstream in (still, other):
-        one.pool.told(upstream, REPORT, NOW)
-    sent_at = ids.later(NOW, 60.0)
-    still.sent(ids.CallId("1"), sent_at)
-    ejected_at = ids.later(sent_at, 0.4)
-    one.pool.told(other, REPORT, ejected_at)
-    assert one.pool.eject(still, "silent", ejected_at)
-    later = ids.later(ejected_at, 1.0)
-    one.pool.told(other, REPORT, later)
-    still.tick(later)
+    _, still, _ = probed_after_silence(silent_s=60.0, ejected_s=1.0)
     assert still.state is upstreams.State.PROBATION
 
 
--- a/features/steps/poison_requests.py
+++ b/features/steps/poison_requests.py
@@ -126,9 +126,8 @@
         for stream in streams:
             self.stream_by_name.setdefault(stream.name, stream)
         kept = [self.stream_by_name[stream.name] for stream in streams]
-        watching = asyncio.ensure_future(self.own_stalls.watch())
-        await asyncio.gather(*(self._send(stream, seconds) for stream in kept))
-        watching.cancel()
+        async with self.own_stalls.watched():
+            await asyncio.gather(*(self._send(stream, seconds) for stream in kept))
 
     async def _send(self, stream: Stream, seconds: float) -> None:
         nodes = list(self.fleet.process_by_node)
--- a/features/support/own_stalls.py
+++ b/features/support/own_stalls.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import contextlib
 import time
 import typing
+from collections import abc
 
 #: Between two looks at the clock, and how much later than due one counts, in seconds.
 LOOK_EVERY_S, LATE_S = 0.005, 0.01
@@ -20,13 +22,23 @@
 
 
 class OwnStalls:
-    """Looks at the clock again and again while ``watch`` runs."""
+    """Looks at the clock again and again while it is ``watched``."""
 
     def __init__(self) -> None:
         self.stalls: list[Stall] = []
 
-    async def watch(self) -> None:
-        """Note when this process stands still, until it is cancelled."""
+    @contextlib.asynccontextmanager
+    async def watched(self) -> abc.AsyncIterator[None]:
+        """Note when this process stands still while the context lasts."""
+        watching = asyncio.ensure_future(self._watch())
+        try:
+            yield
+        finally:
+            watching.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watching
+
+    async def _watch(self) -> None:
         while True:
             due = time.monotonic() + LOOK_EVERY_S
             await asyncio.sleep(LOOK_EVERY_S)
--- a/features/support/steady_callers.py
+++ b/features/support/steady_callers.py
@@ -68,7 +68,10 @@
 
     async def play(self, trouble: Trouble) -> None:
         """Send requests until ``trouble`` is over, and somewhat longer."""
-        watching = asyncio.ensure_future(self.own_stalls.watch())
+        async with self.own_stalls.watched():
+            await self._play(trouble)
+
+    async def _play(self, trouble: Trouble) -> None:
         asking = asyncio.ensure_future(self._ask())
         await asyncio.sleep(SETTLE_S)
         sending = asyncio.ensure_future(self._send_all())
@@ -78,9 +81,11 @@
             await trouble
             await asyncio.sleep(AFTER_S)
         finally:
-            await _cancel(sending, asking)
+            for task in (sending, asking):
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
         await asyncio.gather(*self._sending)
-        await _cancel(watching)
 
     async def kill(self, nodes: abc.Collection[str]) -> None:
         """Kill gateways and start them again."""
@@ -199,14 +204,6 @@
     assert len(late) <= 0.01 * len(counted), (len(late), len(counted), late[0])
 
 
-async def _cancel(*tasks: asyncio.Task[None]) -> None:
-    """End tasks that go on until they are cancelled."""
-    for task in tasks:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
-
-
 async def beside(*troubles: Trouble) -> None:
     """Let several things happen at the same time."""
     await asyncio.gather(*troubles)
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -114,16 +114,17 @@
             self.policy.reported(self.pool, upstream, report.queued)
         # The call ran at neither the first nor the last slowdown alone.
         slowdown = (grant.slowdown + upstream.slowdown(now)) / 2
-        expected = traffic_split.Expected(typical_s, slowdown)
-        upstream.ended(grant.call.id, result, expected.seconds, now)
+        expected_s = typical_s * slowdown
+        upstream.ended(grant.call.id, result, expected_s, now)
         if result is not upstreams.Result.CANCELLED:
             self.repeats.ended(grant.call.id, upstream, now)
         if result is upstreams.Result.CONNECT_FAILED:
             self._unreached_by_call[grant.call.id] += 1
         if self.split is not None:
+            expected = traffic_split.Expected(typical_s, slowdown)
             self.split.ended(grant, result, expected, now)
         if answered:
-            latency_ratio = took_s / expected.seconds
+            latency_ratio = took_s / expected_s
             self.pool.latency_ratio.add(min(upstreams.MAX_LATENCY_RATIO, latency_ratio))
         self.pool.in_flight -= 1
         self.pool.completions.add(now)
--- a/spindlenotch/decisions/traffic_split.py
+++ b/spindlenotch/decisions/traffic_split.py
@@ -53,11 +53,6 @@
     typical_s: float
     slowdown: float
 
-    @property
-    def seconds(self) -> float:
-        """Return the time expected."""
-        return self.typical_s * self.slowdown
-
 
 class Observer(typing.Protocol):
     """Learns how calls ended."""
--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -222,13 +222,17 @@
             timed=counts.timed,
             slow=counts.slow,
         )
+        self._report_untested()
+
+    def _report_untested(self) -> None:
+        """Log which routes are promoted without an answer of the target."""
         rows = [r for record in self._records() for r in record.rows]
         tested = {r.route for r in rows if r.upstream != evidence.OTHER_VERSIONS}
         untested = {r.route for r in rows} - tested
         if untested:
             events.emit(
                 events.Event.ROLLOUT_UNTESTED,
-                service=order.service,
-                target=order.target,
+                service=self.run.order.service,
+                target=self.run.order.target,
                 routes=",".join(sorted(untested)),
             )
