Log how a gateway learned that upstreams get no new work, and source restores

The logs could not show whether a gateway learns late of a leaving upstream because its peers refuse a list or because the list arrives late. E218 names the upstreams that a list takes out of use (20 at most, with their count), the revision of that list, and whether it came from the source or from a peer.

E219 reports that the source was restored from a backup. No other decision changes.

--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -23,7 +23,7 @@
 DATA_MAPS = ("_by_name",)
 STRANGER = "aFieldThatNobodyKnows"
 #: End the names of files that hold what came after the first record, in turn.
-ADDED_ENDINGS = ("-added", "-added-2", "-added-3", "-added-4", "-added-5")
+ADDED_ENDINGS = ("-added", "-added-2", "-added-3", "-added-4", "-added-5", "-added-6")
 #: Fields that came after the first record, each with the sample that tells it: the
 #: samples recorded before can't hold them.
 ADDED_SAMPLE_BY_FIELD = {
--- a/features/support/recorded_names.py
+++ b/features/support/recorded_names.py
@@ -22,8 +22,8 @@
 def name_samples() -> list[Sample]:
     """Return the samples of names in logs, metrics, answers and registries."""
     return [
-        *recorded.grown_table("events", recorded_logs.event_rows, 5),
-        *recorded.grown_table("log-fields", recorded_logs.line_fields, 5),
+        *recorded.grown_table("events", recorded_logs.event_rows, 6),
+        *recorded.grown_table("log-fields", recorded_logs.line_fields, 6),
         Sample(
             "log-lines.jsonl",
             "lines",
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -125,6 +125,18 @@
         "a part of the configuration was passed over or read with caution",
         "see the place; update the gateways where it is of a newer form",
     )
+    UPSTREAMS_WITHDRAWN = CatalogueRow(
+        218,
+        "INFO",
+        "a list of upstreams was applied that stops new work to some of them",
+        "none; if a gateway is late, compare revisions and times between gateways",
+    )
+    SOURCE_RESTORED = CatalogueRow(
+        219,
+        "WARNING",
+        "the source was restored from a backup; its revisions may have decreased",
+        "see the store's own alarms",
+    )
     ROLLOUT_BEGUN = CatalogueRow(
         220, "INFO", "a service changes its version by an order", "none"
     )
--- a/spindlenotch/gateway/source/leases.py
+++ b/spindlenotch/gateway/source/leases.py
@@ -33,6 +33,11 @@
         """Tell whether it is still listed, and in the same words."""
         return self.drop_at == ids.NEVER and self.listed == listed
 
+    def is_in_use(self, now: ids.Instant) -> bool:
+        """Tell whether the upstream may get new work."""
+        is_ready = self.listed.state is sources.UpstreamState.READY
+        return is_ready and now < self.leave_at
+
     def is_same_start(self, listed: sources.ListedUpstream) -> bool:
         """
         Tell whether an entry is of the start that this lease is of.
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -176,6 +176,12 @@
             found.leave_at = now
         return found
 
+    def in_use(self, now: ids.Instant) -> frozenset[ids.UpstreamId]:
+        """Return the ids of the upstreams that may get new work."""
+        return frozenset(
+            i for i, lease in self.lease_by_id.items() if lease.is_in_use(now)
+        )
+
     def specs(
         self, now: ids.Instant
     ) -> dict[ids.ServiceName, list[upstreams.UpstreamSpec]]:
@@ -183,8 +189,7 @@
         specs_by_service: dict[ids.ServiceName, list[upstreams.UpstreamSpec]] = {}
         for lease in self.lease_by_id.values():
             specs = specs_by_service.setdefault(lease.listed.service, [])
-            is_ready = lease.listed.state is sources.UpstreamState.READY
-            if is_ready and now < lease.leave_at:
+            if lease.is_in_use(now):
                 specs.append(lease.spec)
         return specs_by_service
 
--- a/spindlenotch/gateway/source/source_events.py
+++ b/spindlenotch/gateway/source/source_events.py
@@ -9,6 +9,9 @@
 from spindlenotch import events, ids, metrics
 from spindlenotch.gateway.source import bad_items, routing, sources
 
+#: Maximum number of upstream ids in one log line.
+MAX_LOGGED_UPSTREAMS = 20
+
 
 class SourceEvents:
     """Reports on the source of one gateway."""
@@ -36,6 +39,31 @@
         )
 
 
+def report_withdrawn(
+    upstream_ids: abc.Collection[ids.UpstreamId], learned_from: str, revision: int
+) -> None:
+    """Log the upstreams that get no new work since a list was applied, if any."""
+    if not upstream_ids:
+        return
+    events.emit(
+        events.Event.UPSTREAMS_WITHDRAWN,
+        learned_from=learned_from,
+        revision=revision,
+        count=len(upstream_ids),
+        upstreams=",".join(sorted(upstream_ids)[:MAX_LOGGED_UPSTREAMS]),
+    )
+
+
+def report_restored(previous_era: int, era: int, revision: int) -> None:
+    """Log that the source was restored from a backup."""
+    events.emit(
+        events.Event.SOURCE_RESTORED,
+        era=era,
+        before=previous_era,
+        revision=revision,
+    )
+
+
 def report_evacuations(
     before: frozenset[ids.ZoneName], now: frozenset[ids.ZoneName]
 ) -> None:
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -152,7 +152,8 @@
     ``configuration`` is None where there is none yet. ``unusable`` are upstreams of
     which the source holds what can't be used. No new work goes to the upstreams of
     ``evacuated_zones``. ``unreadable_orders``: the services whose order can't be read,
-    which leaves the one before in force.
+    which leaves the one before in force. ``era`` increases each time the source is
+    restored from a backup, which may decrease its revisions; None if it reports no era.
     """
 
     revision: int
@@ -166,6 +167,7 @@
     status_by_service: dict[ids.ServiceName, RolloutStatus] = {}
     unreadable_orders: frozenset[ids.ServiceName] = frozenset()
     quarantines: tuple[StoredQuarantine, ...] = ()
+    era: int | None = None
 
 
 class Changes(msgspec.Struct, frozen=True):
@@ -175,7 +177,8 @@
     ``unusable`` are upstreams whose entry now can't be used, whatever it was before.
     ``evacuated_zones`` are those newly evacuated, ``restored_zones`` those whose
     evacuation was taken back. Orders and statuses are None where they are gone.
-    ``released`` are requests whose quarantine an operator has taken away.
+    ``released`` are requests whose quarantine an operator has taken away. ``era`` has
+    the same meaning as in ``Snapshot``.
     """
 
     revision: int
@@ -191,6 +194,7 @@
     status_by_service: dict[ids.ServiceName, RolloutStatus | None] = {}
     quarantines: tuple[StoredQuarantine, ...] = ()
     released: frozenset[ids.Fingerprint] = frozenset()
+    era: int | None = None
 
 
 class Source(typing.Protocol):
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -39,6 +39,10 @@
     asks_while_learning=True,
 )
 
+#: Where a list of upstreams came from: values of the log field ``learned_from``.
+FROM_SOURCE = "source"
+FROM_PEER = "peer"
+
 #: Called with each upstream that is gone for good.
 EndListener = abc.Callable[[sources.ListedUpstream], None]
 
@@ -79,6 +83,8 @@
         self.services = services.Services(self.local_member, self.region_size, self.rng)
         self.balancer_by_service = self.services.balancer_by_service
         self.listed_once = False
+        self._upstreams_in_use: frozenset[ids.UpstreamId] = frozenset()
+        self._era: int | None = None
         self.fence = documents.Fence()
         self.discovery_record_by_zone: dict[ids.ZoneName, sources.DiscoveryRecord] = {}
         self._source_events = source_events.SourceEvents(self.metrics)
@@ -175,6 +181,7 @@
         upstreams stay: an older list would bring back those that have ended.
         """
         self._source_events.report_bad(snapshot.bad, self.clock.now())
+        self._note_era(snapshot)
         self._store_discovery_records(snapshot.discovery_records)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration)
@@ -191,7 +198,7 @@
             self.listing.discard(snapshot.unusable)
             self.listing.replace(snapshot.upstream_by_id.values(), now)
         source_events.report_evacuations(before, self.listing.evacuated_zones)
-        self._listing_changed()
+        self._listing_changed(FROM_SOURCE)
 
     def apply_listing(
         self, listed: abc.Iterable[sources.ListedUpstream], revision: int = 0
@@ -203,7 +210,7 @@
         plain = self.rollouts.orders.take_marks(listed, now)
         self.listing.replace_by_peer(plain, now)
         source_events.report_evacuations(before, self.listing.evacuated_zones)
-        self._listing_changed()
+        self._listing_changed(FROM_PEER)
 
     def apply_changes(self, changes: sources.Changes) -> bool:
         """Put what has changed in the source in force; tell whether anything had."""
@@ -242,7 +249,7 @@
         self.listing.add(changes.listed, now)
         self.listing.remove(changes.gone, now)
         source_events.report_evacuations(before, self.listing.evacuated_zones)
-        self._listing_changed()
+        self._listing_changed(FROM_SOURCE)
         return True
 
     def listed_for_peers(self) -> tuple[sources.ListedUpstream, ...]:
@@ -273,6 +280,7 @@
         now = self.clock.now()
         expired = self.listing.drop_expired(now)
         if self.listing.leave_due(now) or expired:
+            self._upstreams_in_use = self.listing.in_use(now)
             self._refresh_upstreams()
         self.services.tick(self.config, now)
         if self.demand.update(now):
@@ -300,8 +308,20 @@
         for record in records:
             self.discovery_record_by_zone[record.zone] = record
 
-    def _listing_changed(self) -> None:
+    def _note_era(self, snapshot: sources.Snapshot) -> None:
+        if snapshot.era is None:
+            return
+        if self._era is not None and snapshot.era > self._era:
+            source_events.report_restored(self._era, snapshot.era, snapshot.revision)
+        self._era = snapshot.era
+
+    def _listing_changed(self, learned_from: str) -> None:
         self.listed_once = True
+        before = self._upstreams_in_use
+        self._upstreams_in_use = self.listing.in_use(self.clock.now())
+        source_events.report_withdrawn(
+            before - self._upstreams_in_use, learned_from, self.listing.revision
+        )
         self._refresh_upstreams()
         self._settle_phase()
 
