--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -70,8 +70,22 @@
     refuse_by_ip: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """What the store held when a copy of it was made."""
+
+    revision: int
+    item_by_key: dict[str, Item]
+    log: tuple[dict[str, typing.Any], ...]
+    leases: frozenset[int]
+
+
 class PlatformStore:
-    """The store; ``calls_by_name`` counts what was asked."""
+    """
+    The store; ``calls_by_name`` counts what was asked.
+
+    ``era`` goes with each answer and rises when the store is restored from a copy.
+    """
 
     def __init__(self) -> None:
         self.trouble = Trouble()
@@ -79,6 +93,7 @@
         self.log: list[dict[str, typing.Any]] = []
         self.forgotten = 0
         self.revision = 0
+        self.era = 1
         self.calls_by_name: dict[str, int] = {}
         self.address = ""
         self.lease_ttl_s: dict[int, float] = {}
@@ -144,6 +159,41 @@
         self.log.clear()
         self._wake()
 
+    def copy(self) -> Copy:
+        """Return a copy of what the store holds."""
+        return Copy(
+            self.revision,
+            dict(self.item_by_key),
+            tuple(self.log),
+            frozenset(self.lease_ttl_s),
+        )
+
+    def restore(self, copy: Copy) -> dict[str, bytes]:
+        """
+        Go back to a copy, in a new era.
+
+        Return what the operator and the workers have written since it was made.
+        """
+        lost = {
+            key: item.value
+            for key, item in self.item_by_key.items()
+            if key.startswith(FOREIGN_PREFIXES) and copy.item_by_key.get(key) != item
+        }
+        for lease in self.lease_ttl_s.keys() - copy.leases:
+            self.lease_ttl_s.pop(lease)
+            self._expiry_by_lease.pop(lease).cancel()
+        self.revision = copy.revision
+        self.item_by_key = dict(copy.item_by_key)
+        self.log = list(copy.log)
+        self.era += 1
+        self._wake()
+        return lost
+
+    def write_again(self, lost: dict[str, bytes]) -> None:
+        """Write what a restore has lost, as those do who wrote it."""
+        for key, value in lost.items():
+            self.put(key, value)
+
     def _log(self, event: dict[str, typing.Any]) -> None:
         self.log.append(event)
         self._wake()
@@ -154,6 +204,11 @@
 
     @web.middleware
     async def _trouble(self, request: web.Request, handler: typing.Any) -> typing.Any:
+        answer = await self._answer(request, handler)
+        answer.headers["Store-Era"] = str(self.era)
+        return answer
+
+    async def _answer(self, request: web.Request, handler: typing.Any) -> typing.Any:
         name = request.path.split("/")[1].removeprefix("kv-")
         self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
         if self.trouble.lost is not Lost.DONE:
@@ -195,7 +250,7 @@
         after = int(request.query["after"])
         end = time.monotonic() + int(request.query["waitMs"]) / 1000
         while True:
-            if after < self.forgotten:
+            if after < self.forgotten or after > self.revision:
                 return web.Response(status=410)
             found = [
                 event
