Lists of a restored source replace lists of higher revisions

Symptom: requests reached an upstream 2031 and 2043 ms after the store had acknowledged that the upstream leaves (2000 ms allowed). They came from two gateways that do not read the store.

Cause: the version of a list that gateways pass on is derived from the store's revision, and a list replaces only one of a lower version. When the store is restored from a backup, its revisions decrease. Readers and all other gateways then reject what the readers publish, until the revisions exceed the previous ones.

Fix: a list carries the era of the store (Store-Era) and its position within that era. The list of the later era is newer; within one era, the list of the higher position is newer. Gateways of earlier releases compare only the version, which a reader raises above that of the list it replaces. Their lists have no position and are compared by version. Without the header nothing changes on the wire.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -48,6 +48,12 @@
       | the first reading begins when the wait for a peer ends     |
       | a fleet that starts has one reader a zone                  |
       | only who reads the source passes news on at once           |
+      | lists are ordered by era, then by version within it        |
+      | peers accept the list of a restored source                 |
+      | a list of an earlier era does not overtake a snapshot      |
+      | changes of an earlier era do not alter a later list        |
+      | a list without a position is compared by version           |
+      | gossip advertises the position of a list                   |
       | a load report that tells nothing new is sent now and then  |
       | that an upstream is full or slowed is sent each time       |
       | nothing is kept of the reports of upstreams that are gone  |
--- /dev/null
+++ b/features/steps/gateway_restored.py
@@ -0,0 +1,180 @@
+"""Properties of gateways whose source was restored from a backup."""
+
+import asyncio
+import typing
+
+import msgspec
+
+from features.steps import kernel
+from features.support import reborn_reading, started_gateway, store_reading
+from spindlenotch import ids
+from spindlenotch.gateway.source import relay, sources
+from spindlenotch.peers import documents, messages
+from spindlenotch_platform import store_client
+
+HOSTS = documents.DocumentKind.HOSTS
+
+
+def document(
+    version: int, position: tuple[int, int] | None = None
+) -> documents.Document:
+    """Return an empty list; ``position`` is its era and version within the era."""
+    read_at = None if position is None else documents.SourcePosition(*position)
+    return documents.Document(HOSTS, version, ids.Digest(""), b"[]", read_at)
+
+
+@kernel.PROPERTIES.register("lists are ordered by era, then by version within it")
+def ordered_by_position() -> None:
+    cases = (
+        # Offered, held, whether the offered one is newer.
+        (document(9, (2, 900)), document(8, (2, 800)), True),
+        (document(9, (2, 700)), document(8, (2, 800)), False),
+        (document(7, (3, 500)), document(8, (2, 800)), True),
+        (document(9, (1, 900)), document(8, (2, 800)), False),
+        (document(9, (2, 800)), document(8, (2, 800)), False),
+        (document(9), document(8, (2, 800)), True),
+        (document(9, (2, 800)), document(9), False),
+    )
+    for offered, held, newer in cases:
+        fence = documents.Fence()
+        fence.offer(held)
+        assert documents.is_newer(offered, held) is newer
+        applied = fence.offer(offered) is documents.Offer.APPLIED
+        assert applied is newer, (offered, held)
+        assert fence.held(HOSTS) is (offered if newer else held)
+
+
+def publish_listing(reading: store_reading.Reading) -> documents.Document:
+    """Publish the list that a reader has read, and return its document."""
+
+    async def publish() -> None:
+        listing = reading.state.listing
+        reading.relay.publish(listing.revision, listing.era)
+
+    asyncio.run(publish())
+    return reading.state.fence.held(HOSTS)
+
+
+def ready_entries() -> list[store_client.Item]:
+    """Return the entries of ready upstreams."""
+    return [store_reading.item(n, store_reading.entry()) for n in store_reading.NAMES]
+
+
+@kernel.PROPERTIES.register("peers accept the list of a restored source")
+def accepted_by_peers() -> None:
+    reader, peer = store_reading.Reading(), store_reading.Reading()
+
+    async def receive(offered: documents.Document) -> None:
+        peer.relay._receive(offered)
+
+    reader.store.revision, reader.store.era = 899, 4
+    entries = ready_entries()
+    reader.read(*entries)
+    first = publish_listing(reader)
+    asyncio.run(receive(first))
+    assert (peer.state.listing.revision, peer.state.listing.era) == (900, 4)
+    reader.store.revision, reader.store.era = 499, 5
+    draining = store_reading.item("u0", store_reading.entry(state="draining"))
+    reader.read(draining, *entries[1:])
+    second = publish_listing(reader)
+    # Peers of earlier releases compare versions only.
+    assert second.version > first.version
+    asyncio.run(receive(second))
+    assert (peer.state.listing.revision, peer.state.listing.era) == (500, 5)
+    assert "u0" not in peer.in_use()
+    # A list that another reader published before the restore arrives late.
+    asyncio.run(receive(msgspec.structs.replace(first, version=second.version + 9)))
+    assert "u0" not in peer.in_use()
+    # Later changes and expired leases still lead to newer lists.
+    reader.follow(store_reading.item("u1", store_reading.entry(state="draining")))
+    third = publish_listing(reader)
+    assert third.version > second.version
+
+    async def expire() -> None:
+        reader.relay.publish_expiry()
+
+    asyncio.run(expire())
+    for later in (third, reader.state.fence.held(HOSTS)):
+        held = peer.state.fence.held(HOSTS)
+        asyncio.run(receive(later))
+        assert documents.is_newer(peer.state.fence.held(HOSTS), held)
+    assert "u1" not in peer.in_use()
+
+
+@kernel.PROPERTIES.register("a list of an earlier era does not overtake a snapshot")
+def not_overtaken() -> None:
+    class OvertakenSource:
+        """A source during whose reading a peer's list is applied."""
+
+        async def read(self) -> sources.Snapshot:
+            """Apply the peer's list, and return a snapshot with a draining upstream."""
+            by_id = {one.listed.id: one.listed for one in leases}
+            state.apply_listing(tuple(by_id.values()), 99, peer_era)
+            draining = msgspec.structs.replace(
+                by_id[reborn_reading.NAME], state=sources.UpstreamState.DRAINING
+            )
+            by_id[draining.id] = draining
+            return sources.Snapshot(50, None, by_id, era=3)
+
+    for peer_era, is_applied in ((2, True), (3, False), (4, False), (None, False)):
+        playing = reborn_reading.Playing()
+        state = playing.state
+        leases = tuple(state.listing.lease_by_id.values())
+        reader = playing.reader(typing.cast(sources.Source, OvertakenSource()))
+        asyncio.run(reader._read())
+        assert (reborn_reading.NAME not in playing.in_use()) is is_applied, peer_era
+
+
+@kernel.PROPERTIES.register("changes of an earlier era do not alter a later list")
+def changes_of_earlier_era() -> None:
+    reading = store_reading.Reading()
+    listed = reading.state.listing.listed(reading.clock.now())
+    reading.state.apply_listing(listed, 40, 5)
+    reading.store.revision, reading.store.era = 90, 4
+    reading.follow(store_reading.item("u0", None))
+    assert "u0" in reading.in_use()
+    reading.store.revision, reading.store.era = 41, 5
+    reading.follow(store_reading.item("u0", None))
+    assert "u0" not in reading.in_use()
+
+
+@kernel.PROPERTIES.register("a list without a position is compared by version")
+def without_position() -> None:
+    reading = store_reading.Reading()
+
+    async def receive(offered: documents.Document) -> None:
+        reading.relay._receive(offered)
+
+    reading.store.revision, reading.store.era = 899, 4
+    entries = ready_entries()
+    reading.read(*entries)
+    first = publish_listing(reading)
+    listed = reading.state.listing.listed(reading.clock.now())
+    body = msgspec.json.encode(listed)
+    unpositioned = documents.Document(
+        HOSTS, first.version + relay.EXPIRIES_PER_REVISION, ids.Digest(""), body
+    )
+    asyncio.run(receive(unpositioned))
+    assert reading.state.fence.held(HOSTS) is unpositioned
+    # The first list after a restore replaces it although its revision is lower.
+    reading.store.revision, reading.store.era = 499, 5
+    reading.read(*entries)
+    assert documents.is_newer(publish_listing(reading), unpositioned)
+    assert reading.state.fence.version(HOSTS) > unpositioned.version
+
+
+@kernel.PROPERTIES.register("gossip advertises the position of a list")
+def position_in_gossip() -> None:
+    state, _ = started_gateway.gateway(started_gateway.SEED)
+    held = messages.DocumentVersion(
+        HOSTS, 9, ids.Digest(""), documents.SourcePosition(4, 900)
+    )
+    state.gossip.advertise(held)
+    assert held in state.gossip.compose().documents
+    for position, is_newer in (((5, 100), True), ((3, 950), False)):
+        offered = msgspec.structs.replace(
+            held, position=documents.SourcePosition(*position)
+        )
+        message = messages.Message(state.gossip.local, 1, documents=(offered,))
+        handled = state.gossip.handle(message, state.clock.now())
+        assert bool(handled.newer) is is_newer
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -71,8 +71,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Copy:
-    """What the store held when a copy of it was made."""
+class Backup:
+    """The content of the store at the time of a backup."""
 
     revision: int
     item_by_key: dict[str, Item]
@@ -84,7 +84,7 @@
     """
     The store; ``calls_by_name`` counts what was asked.
 
-    ``era`` goes with each answer and rises when the store is restored from a copy.
+    ``era`` is sent with each answer and increases when the store is restored.
     """
 
     def __init__(self) -> None:
@@ -159,39 +159,40 @@
         self.log.clear()
         self._wake()
 
-    def copy(self) -> Copy:
-        """Return a copy of what the store holds."""
-        return Copy(
+    def backup(self) -> Backup:
+        """Return a backup of the store's content."""
+        return Backup(
             self.revision,
             dict(self.item_by_key),
             tuple(self.log),
             frozenset(self.lease_ttl_s),
         )
 
-    def restore(self, copy: Copy) -> dict[str, bytes]:
+    def restore(self, backup: Backup) -> dict[str, bytes]:
         """
-        Go back to a copy, in a new era.
+        Restore the content of a backup and start a new era.
 
-        Return what the operator and the workers have written since it was made.
+        Return the values, by key, that the operator and the workers have written since
+        the backup.
         """
-        lost = {
+        lost_value_by_key = {
             key: item.value
             for key, item in self.item_by_key.items()
-            if key.startswith(FOREIGN_PREFIXES) and copy.item_by_key.get(key) != item
+            if key.startswith(FOREIGN_PREFIXES) and backup.item_by_key.get(key) != item
         }
-        for lease in self.lease_ttl_s.keys() - copy.leases:
+        for lease in self.lease_ttl_s.keys() - backup.leases:
             self.lease_ttl_s.pop(lease)
             self._expiry_by_lease.pop(lease).cancel()
-        self.revision = copy.revision
-        self.item_by_key = dict(copy.item_by_key)
-        self.log = list(copy.log)
+        self.revision = backup.revision
+        self.item_by_key = dict(backup.item_by_key)
+        self.log = list(backup.log)
         self.era += 1
         self._wake()
-        return lost
+        return lost_value_by_key
 
-    def write_again(self, lost: dict[str, bytes]) -> None:
-        """Write what a restore has lost, as those do who wrote it."""
-        for key, value in lost.items():
+    def rewrite(self, value_by_key: dict[str, bytes]) -> None:
+        """Write values again that a restore has lost, as their writers do."""
+        for key, value in value_by_key.items():
             self.put(key, value)
 
     def _log(self, event: dict[str, typing.Any]) -> None:
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -189,4 +189,21 @@
     )
 
 
+def positioned_message() -> messages.Message:
+    """Return a message with the source position of a document."""
+    position = documents.SourcePosition(era=3, version=25_344)
+    bundle, hosts = message().documents
+    positioned = msgspec.structs.replace(hosts, position=position)
+    return msgspec.structs.replace(added_message(), documents=(bundle, positioned))
+
+
+def positioned_frame(body: bytes) -> messages.DocumentFrame:
+    """Return a document frame with a source position."""
+    plain = frame(documents.DocumentKind.HOSTS, body)
+    document = msgspec.structs.replace(
+        plain.document, position=documents.SourcePosition(era=3, version=25_344)
+    )
+    return msgspec.structs.replace(plain, document=document)
+
+
 SHORT = frame(documents.DocumentKind.HOSTS, b"a short body")
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -105,6 +105,7 @@
     bundle_kind, hosts_kind = documents.DocumentKind
     body = b'{"the body of a document":"as it is"}'
     hosts = recorded_messages.frame(hosts_kind, body)
+    positioned = recorded_messages.positioned_frame(body)
     return [
         Sample(
             "gossip.msgpack.hex",
@@ -127,6 +128,7 @@
         _added_gossip("gossip-added-4", recorded_messages.latest_message()),
         _added_gossip("gossip-added-5", recorded_messages.crash_message()),
         _added_gossip("gossip-added-6", recorded_messages.limit_message()),
+        _added_gossip("gossip-added-7", recorded_messages.positioned_message()),
         Sample(
             "frame.msgpack.hex",
             "msgpack",
@@ -135,6 +137,14 @@
             lambda data: codec.decode_frame(zlib.compress(data)),
             strangers="passed over",
         ),
+        Sample(
+            "frame-added.msgpack.hex",
+            "msgpack",
+            positioned,
+            lambda: zlib.decompress(codec.encode_frame(positioned)),
+            lambda data: codec.decode_frame(zlib.compress(data)),
+            strangers="passed over",
+        ),
         Sample(
             "datagram.sealed.hex",
             "sealed",
--- a/features/support/store_reading.py
+++ b/features/support/store_reading.py
@@ -51,14 +51,15 @@
     def __init__(self) -> None:
         self.items: tuple[store_client.Item, ...] = ()
         self.revision = 0
+        self.era: int | None = None
 
     async def read_page(self, after_key: str | None) -> store_client.Page:
         """Return everything on one page."""
-        return store_client.Page(list(self.items), self.revision)
+        return store_client.Page(list(self.items), self.revision, era=self.era)
 
     async def watch(self, after: int, wait_s: float) -> store_client.Watched:
         """Return what has changed."""
-        return store_client.Watched(list(self.items), self.revision)
+        return store_client.Watched(list(self.items), self.revision, self.era)
 
 
 class Reading:
--- a/features/support/store_restore.py
+++ b/features/support/store_restore.py
@@ -1,8 +1,8 @@
 """
-A store that comes back from a copy while callers send requests to all gateways.
+Load on all gateways while the store is restored from a backup.
 
-Relies on a ``platform_fleet``. Instants are those of ``time.monotonic``; arrivals count
-when the worker reads them.
+Relies on a ``platform_fleet``. Times are those of ``time.monotonic``; a request arrives
+when the worker reads it.
 """
 
 import asyncio
@@ -13,69 +13,72 @@
 
 from features.support import platform_fleet, platform_store, steady_callers
 
-#: Seconds for which the store is away before it comes back from a copy, and after which
-#: the operator and the workers have written again what it has lost.
-AWAY_S, WRITTEN_AGAIN_S = 0.6, 0.5
-#: Seconds before the store is away at which a worker joins.
-JOINED_S = 0.3
-#: Seconds between two workers that leave, and until the last late request is read.
-APART_S, LATE_S = 1.0, 5.0
-#: Seconds for which a gateway is frozen, and for which that excuses it afterwards.
-FROZEN_S, EXCUSED_S = 3.0, 3.0
-OTHER_KEY = "status/other"
+#: Seconds for which the store refuses all calls before it is restored, and from the
+#: restore until the operator and the workers write the lost values again.
+OUTAGE_S, REWRITE_DELAY_S = 0.6, 0.5
+#: Seconds between the last worker's joining and the outage.
+JOIN_LEAD_S = 0.3
+#: Seconds between two workers that drain, and for which late requests are recorded
+#: afterwards.
+DRAIN_INTERVAL_S, OBSERVATION_S = 1.0, 5.0
+#: Seconds for which a gateway is frozen, and for which its requests are not counted
+#: after it resumes.
+FREEZE_S, FREEZE_GRACE_S = 3.0, 3.0
+UNRELATED_KEY = "status/other"
 DOWN = 503
 
 
-class Restore(steady_callers.SteadyCallers):
+class StoreRestorePlay(steady_callers.SteadyCallers):
     """
-    Callers of all gateways, and a store that is restored meanwhile.
+    Sends requests to all gateways while the store is restored.
 
-    ``known_at_by_worker`` is when each leaving was taken by a store that answers,
-    ``excused_until_by_node`` until when a gateway is not to blame.
+    ``acknowledged_at_by_worker`` is when the store acknowledged that a worker drains.
+    Requests of a gateway before its time in ``ignored_until_by_node`` do not count as
+    late.
     """
 
     def __init__(self, fleet: platform_fleet.PlatformFleet) -> None:
         super().__init__(fleet)
-        self.writes_per_s = 0.0
-        self.known_at_by_worker: dict[str, float] = {}
-        self.excused_until_by_node: dict[str, float] = {}
+        self.unrelated_writes_per_s = 0.0
+        self.acknowledged_at_by_worker: dict[str, float] = {}
+        self.ignored_until_by_node: dict[str, float] = {}
 
-    async def leave(self, names: list[str]) -> None:
-        """Let workers say in their entries, one after the other, that they leave."""
+    async def drain_workers(self, names: list[str]) -> None:
+        """Mark workers as draining in their entries, one after the other."""
         for name in names:
-            self.leave_now(name, time.monotonic())
-            await asyncio.sleep(APART_S)
+            self.drain_worker(name, time.monotonic())
+            await asyncio.sleep(DRAIN_INTERVAL_S)
 
-    def leave_now(self, name: str, known_at: float) -> None:
-        """Let a worker say in its entry that it leaves."""
+    def drain_worker(self, name: str, acknowledged_at: float) -> None:
+        """Mark a worker as draining in its entry."""
         self.fleet.list_worker(self.fleet.worker_by_id[name], state="draining")
-        self.known_at_by_worker[name] = known_at
-
-    async def restore(self, copy_age_s: float) -> None:
-        """Let the store be away for a moment and come back from a copy."""
-        copy = await self.aged_copy(copy_age_s)
-        async with self.away():
-            await asyncio.sleep(AWAY_S)
-            lost = self.fleet.store.restore(copy)
-        await asyncio.sleep(WRITTEN_AGAIN_S)
-        self.fleet.store.write_again(lost)
-
-    async def aged_copy(self, age_s: float) -> platform_store.Copy:
+        self.acknowledged_at_by_worker[name] = acknowledged_at
+
+    async def restore_store(self, backup_age_s: float) -> None:
+        """Restore the store from a backup after a short outage."""
+        backup = await self.make_backup(backup_age_s)
+        async with self.store_outage():
+            await asyncio.sleep(OUTAGE_S)
+            lost_value_by_key = self.fleet.store.restore(backup)
+        await asyncio.sleep(REWRITE_DELAY_S)
+        self.fleet.store.rewrite(lost_value_by_key)
+
+    async def make_backup(self, age_s: float) -> platform_store.Backup:
         """
-        Return a copy of the store of some seconds ago.
+        Back up the store, and return the backup once it is ``age_s`` seconds old.
 
-        A worker joins last, so that a list of upstreams is published by a revision that
-        the copy does not have.
+        A worker joins meanwhile, so that gateways publish an upstream list of a
+        revision that is not in the backup.
         """
-        copy = self.fleet.store.copy()
-        await asyncio.sleep(age_s - JOINED_S)
+        backup = self.fleet.store.backup()
+        await asyncio.sleep(age_s - JOIN_LEAD_S)
         await self.fleet.add_worker("joined-last")
-        await asyncio.sleep(JOINED_S)
-        return copy
+        await asyncio.sleep(JOIN_LEAD_S)
+        return backup
 
     @contextlib.asynccontextmanager
-    async def away(self):  # type: ignore[no-untyped-def]
-        """Let the store refuse all calls meanwhile."""
+    async def store_outage(self):  # type: ignore[no-untyped-def]
+        """Make the store refuse all calls within the context."""
         store = self.fleet.store
         store.trouble = dataclasses.replace(store.trouble, refuse=DOWN)
         try:
@@ -83,35 +86,39 @@
         finally:
             store.trouble = dataclasses.replace(store.trouble, refuse=0)
 
-    async def freeze(self, nodes: list[str]) -> None:
-        """Stop gateways for a while, one after the other."""
+    async def freeze_gateways(self, nodes: list[str]) -> None:
+        """Freeze gateways for ``FREEZE_S`` each, one after the other."""
         for node in nodes:
             process = self.fleet.process_by_node[node]
             process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(FROZEN_S)
+            await asyncio.sleep(FREEZE_S)
             process.send_signal(signal.SIGCONT)
-            self.excused_until_by_node[node] = time.monotonic() + EXCUSED_S
+            self.ignored_until_by_node[node] = time.monotonic() + FREEZE_GRACE_S
 
-    async def write_other_key(self) -> None:
-        """Write a key that is nothing to the gateways, again and again."""
+    async def keep_writing_unrelated_key(self) -> None:
+        """Write a key that gateways ignore, at a steady rate until cancelled."""
         while True:
-            self.write_other_once()
-            await asyncio.sleep(1 / self.writes_per_s)
+            self.write_unrelated_key()
+            await asyncio.sleep(1 / self.unrelated_writes_per_s)
 
-    def write_other_once(self) -> None:
-        """Write that key."""
-        self.fleet.store.put(OTHER_KEY, {"at": time.time()})
+    def write_unrelated_key(self) -> None:
+        """Write a key that gateways ignore, which increases the store's revision."""
+        self.fleet.store.put(UNRELATED_KEY, {"at": time.time()})
 
-    def late(self, seconds: float) -> list[tuple[str, str, float]]:
-        """Return requests read so long after their worker's leaving was known."""
+    def late_requests(self, allowed_s: float) -> list[tuple[str, str, float]]:
+        """
+        Return requests that reached a draining worker too late.
+
+        Each with its worker, its gateway and the seconds since the acknowledgement.
+        """
         return [
-            (name, request.node, round(when - known_at, 2))
-            for name, known_at in self.known_at_by_worker.items()
-            for when, request in self.read_by(name)
-            if when > known_at + seconds
-            and when > self.excused_until_by_node.get(request.node, 0.0)
+            (name, request.node, round(arrived_at - acknowledged_at, 2))
+            for name, acknowledged_at in self.acknowledged_at_by_worker.items()
+            for arrived_at, request in self.read_by(name)
+            if arrived_at > acknowledged_at + allowed_s
+            and arrived_at > self.ignored_until_by_node.get(request.node, 0.0)
         ]
 
     async def _ask(self) -> None:
-        """Send to all gateways, those that do not read the store among them."""
+        """Select all gateways, including those that do not read the store."""
         self._nodes = list(self.fleet.ip_by_node)
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -32,7 +32,8 @@
     while the source was in reach, is not in ``specs``, nor is one of an evacuated
     zone once its time to leave has come; one that is listed again, or has started
     again, gets a higher generation. ``evacuate_s`` is the operator's bound on
-    evacuations in seconds; ``revision`` that of the source which the list is of.
+    evacuations in seconds; ``revision`` and ``era`` are those of the source when the
+    list was read.
     """
 
     def __init__(self, evacuate_s: float = 0.0) -> None:
@@ -42,9 +43,21 @@
         self.lease_by_id: dict[ids.UpstreamId, leases.Lease] = {}
         self.fault_at = ids.Instant(float("-inf"))
         self.revision = 0
+        self.era: int | None = None
         self._generation = 0
         self._ended: list[Ended] = []
 
+    def set_position(self, revision: int, era: int | None) -> None:
+        """Set the revision and era of the source at which the list was read."""
+        self.revision = revision
+        self.era = era
+
+    def is_newer_than(self, revision: int, era: int | None) -> bool:
+        """Tell whether the list was read at a later position of the source."""
+        if era is not None and self.era is not None and era != self.era:
+            return self.era > era
+        return self.revision > revision
+
     def note_fault(self, now: ids.Instant) -> None:
         """Note that the source could not be read."""
         self.fault_at = now
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -4,8 +4,8 @@
 In each zone one gateway reads the source, in each region where there are several;
 the others ask it a few times a second which versions it holds, and fetch documents
 from it or from whoever has newer ones. Too many readers or none for a moment do no
-harm: versions only grow. Relies on ``reader_duty`` for who reads and on ``fleet`` for
-the order of duty; the documents lie in ``state.fence``.
+harm: a document replaces only an older one. Relies on ``reader_duty`` for who reads
+and on ``fleet`` for the order of duty; the documents lie in ``state.fence``.
 """
 
 import asyncio
@@ -44,7 +44,7 @@
     """
     Decides whether this gateway reads, and offers and fetches documents.
 
-    Invariant: a document replaces only one of a lower version.
+    Invariant: a document replaces only an older one (``documents.is_newer``).
     """
 
     def __init__(
@@ -68,6 +68,7 @@
         )
         self._announce_rounds = 0
         self._is_announcing = False
+        self._last_era: int | None = None
         self.duty = reader_duty.ReaderDuty(gateway_state.config.host, self.started_at)
 
     async def run(self) -> None:
@@ -133,15 +134,25 @@
 
     # Offering
 
-    def publish(self, revision: int) -> None:
+    def publish(self, revision: int, era: int | None = None) -> None:
         """Offer what was read up to ``revision`` of the source to the peers."""
-        self._publish(revision * EXPIRIES_PER_REVISION)
+        version = revision * EXPIRIES_PER_REVISION
+        if era is None:
+            self._publish(version, None)
+        else:
+            self._publish(version, documents.SourcePosition(era, version))
 
     def publish_expiry(self) -> None:
         """Offer the list after a lease has expired without a change in the source."""
-        self._publish(self.state.fence.version(documents.DocumentKind.HOSTS) + 1)
-
-    def _publish(self, listing_version: int) -> None:
+        held = self.state.fence.held(documents.DocumentKind.HOSTS)
+        position = held.position
+        if position is not None:
+            position = documents.SourcePosition(position.era, position.version + 1)
+        self._publish(held.version + 1, position)
+
+    def _publish(
+        self, listing_version: int, position: documents.SourcePosition | None
+    ) -> None:
         gateway_state = self.state
         if gateway_state.table is not None:
             configuration = gateway_state.table.configuration
@@ -150,21 +161,44 @@
             )
         if gateway_state.listed_once:
             listed = gateway_state.listed_for_peers()
-            self._offer_own(documents.DocumentKind.HOSTS, listing_version, listed)
+            self._offer_own(
+                documents.DocumentKind.HOSTS, listing_version, listed, position
+            )
 
     def _offer_own(
-        self, kind: documents.DocumentKind, version: int, content: object
+        self,
+        kind: documents.DocumentKind,
+        version: int,
+        content: object,
+        position: documents.SourcePosition | None = None,
     ) -> None:
-        if version > self.state.fence.version(kind):
+        held = self.state.fence.held(kind)
+        if position is not None and self._is_newer_position(position, held):
+            # Peers of earlier releases ignore the position and compare versions only.
+            version = max(version, held.version + 1)
+        offered = documents.Document(kind, version, ids.Digest(""), b"", position)
+        if documents.is_newer(offered, held):
             body = msgspec.json.encode(content)
-            self._offer(documents.Document(kind, version, ids.Digest(""), body))
+            self._offer(msgspec.structs.replace(offered, body=body))
+
+    def _is_newer_position(
+        self, position: documents.SourcePosition, held: documents.Document
+    ) -> bool:
+        """Tell whether ``position`` is newer than ``held``, by era if that has none."""
+        if held.position is not None:
+            return position > held.position
+        return self._last_era is not None and position.era > self._last_era
 
     def _offer(self, document: documents.Document) -> None:
         if self.state.fence.offer(document) is not documents.Offer.APPLIED:
             return
         self.state.gossip.advertise(
-            messages.DocumentVersion(document.kind, document.version, document.digest)
+            messages.DocumentVersion(
+                document.kind, document.version, document.digest, document.position
+            )
         )
+        if document.position is not None:
+            self._last_era = document.position.era
         self._begin_announcing()
 
     def _begin_announcing(self) -> None:
@@ -216,7 +250,7 @@
 
     def _receive(self, document: documents.Document) -> None:
         """Put a peer's document in force where it is newer."""
-        if document.version <= self.state.fence.version(document.kind):
+        if self.state.fence.judge(document) is not documents.Offer.APPLIED:
             return
         try:
             self._apply(document)
@@ -239,4 +273,11 @@
             listed = msgspec.json.decode(
                 document.body, type=tuple[sources.ListedUpstream, ...]
             )
-            self.state.apply_listing(listed, document.version // EXPIRIES_PER_REVISION)
+            position = document.position
+            if position is None:
+                position = documents.SourcePosition(0, document.version)
+            self.state.apply_listing(
+                listed,
+                position.version // EXPIRIES_PER_REVISION,
+                None if document.position is None else position.era,
+            )
--- a/spindlenotch/gateway/source/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -41,7 +41,7 @@
     def reading_began(self) -> None:
         """Let the zone know that this gateway reads the source from now on."""
 
-    def publish(self, revision: int) -> None:
+    def publish(self, revision: int, era: int | None) -> None:
         """Offer what was read up to ``revision`` of the source to the peers."""
 
 
@@ -118,16 +118,19 @@
 
     async def _read(self) -> sources.SourceFault | None:
         self.state.metrics.store_calls.labels("read").inc()
-        before = self.state.listing.revision
+        listing = self.state.listing
+        before = (listing.era, listing.revision)
         snapshot = await self.source.read()
         if isinstance(snapshot, sources.SourceFault):
             return snapshot
         self.revision = snapshot.revision
-        in_force = self.state.listing.revision
         # Only where a peer's list came meanwhile: a source that was set back counts.
-        is_overtaken = in_force != before and snapshot.revision < in_force
+        is_overtaken = (
+            listing.era,
+            listing.revision,
+        ) != before and listing.is_newer_than(snapshot.revision, snapshot.era)
         self.state.apply_snapshot(snapshot, is_overtaken=is_overtaken)
-        self.publisher.publish(snapshot.revision)
+        self.publisher.publish(snapshot.revision, snapshot.era)
         return None
 
     async def _follow(self, after: int) -> sources.SourceFault | None:
@@ -137,7 +140,7 @@
             return changes
         self.revision = max(after, changes.revision)
         if self.state.apply_changes(changes):
-            self.publisher.publish(changes.revision)
+            self.publisher.publish(changes.revision, changes.era)
             await asyncio.sleep(GATHER_S)
         return None
 
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -193,7 +193,7 @@
             # What of it was taken back since then comes as a change.
             self.listing.evacuate(before | snapshot.evacuated_zones, now)
         else:
-            self.listing.revision = snapshot.revision
+            self.listing.set_position(snapshot.revision, snapshot.era)
             self.listing.evacuate(snapshot.evacuated_zones, now)
             self.listing.discard(snapshot.unusable)
             self.listing.replace(snapshot.upstream_by_id.values(), now)
@@ -201,10 +201,13 @@
         self._listing_changed(FROM_SOURCE)
 
     def apply_listing(
-        self, listed: abc.Iterable[sources.ListedUpstream], revision: int = 0
+        self,
+        listed: abc.Iterable[sources.ListedUpstream],
+        revision: int = 0,
+        era: int | None = None,
     ) -> None:
         """Put the whole list that a peer read at ``revision`` in force."""
-        self.listing.revision = revision
+        self.listing.set_position(revision, era)
         now = self.clock.now()
         before = self.listing.evacuated_zones
         plain = self.rollouts.orders.take_marks(listed, now)
@@ -232,12 +235,12 @@
         Upstreams that changed before the list in force, which came from a peer then,
         are in it as they are now; older entries would bring back what has ended.
         """
-        if changes.revision < self.listing.revision:
+        if self.listing.is_newer_than(changes.revision, changes.era):
             changes = msgspec.structs.replace(
                 changes, listed=(), gone=(), unusable=frozenset()
             )
         else:
-            self.listing.revision = changes.revision
+            self.listing.set_position(changes.revision, changes.era)
         now = self.clock.now()
         before = self.listing.evacuated_zones
         zones = (before | changes.evacuated_zones) - changes.restored_zones
--- a/spindlenotch/peers/documents.py
+++ b/spindlenotch/peers/documents.py
@@ -1,13 +1,14 @@
 """
 Versioned documents that all members must hold, and the fence that replaces them.
 
-Whoever offers a document (store, operator, peer), it takes effect only if its
-version is higher than the one in force: versions are fencing tokens. The fence
+Whoever offers a document (store, operator, peer), it takes effect only if it is
+newer than the one in force (``is_newer``): versions are fencing tokens. The fence
 is the only place where a document is replaced, so no member ever goes back to
 an older one.
 """
 
 import enum
+import typing
 
 import msgspec
 
@@ -32,18 +33,52 @@
     HOSTS = 1
 
 
-class Document(msgspec.Struct, frozen=True):
+class SourcePosition(msgspec.Struct, frozen=True, order=True):
+    """
+    The position in the source's history at which a document was read.
+
+    ``era`` increases when the source is restored from a backup, which may decrease its
+    revisions and the versions derived from them.
+    """
+
+    era: int
+    version: int
+
+
+class Document(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     A document as it travels between members.
 
     ``digest`` tells two documents of one version apart; it is empty where the
-    version alone identifies the document.
+    version alone identifies the document. ``position`` is None where the source
+    reports no era, and in documents from members of earlier releases, which compare
+    ``version`` only.
     """
 
     kind: DocumentKind
     version: int
     digest: ids.Digest
     body: bytes
+    position: SourcePosition | None = None
+
+
+class Versioned(typing.Protocol):
+    """Anything that has the version and position of a document."""
+
+    @property
+    def version(self) -> int:
+        """Return the version, which is compared where a position is missing."""
+
+    @property
+    def position(self) -> SourcePosition | None:
+        """Return the position in the source, or None if it is not known."""
+
+
+def is_newer(offered: Versioned, held: Versioned) -> bool:
+    """Tell whether ``offered`` replaces ``held``, a document of the same kind."""
+    if offered.position is not None and held.position is not None:
+        return offered.position > held.position
+    return offered.version > held.version
 
 
 def absent(kind: DocumentKind) -> Document:
@@ -68,10 +103,10 @@
     """
     Holds the newest document of each kind.
 
-    Invariant: the version of a kind only grows. Two documents of one version
-    but different digests cannot both have been accepted by the store; the
-    later one to arrive is reported as ``FORKED``, and it replaces the one in
-    force only if it comes from the store itself (``authoritative``).
+    Invariant: a document is replaced only by a newer one (``is_newer``). Two
+    documents of one version but different digests cannot both have been accepted
+    by the store; the later one to arrive is reported as ``FORKED``, and it replaces
+    the one in force only if it comes from the store itself (``authoritative``).
     """
 
     def __init__(self) -> None:
@@ -89,9 +124,9 @@
     def judge(self, document: Document) -> Offer:
         """Return what ``offer`` would return, and change nothing."""
         current = self.document_by_kind.get(document.kind)
-        if current is None or document.version > current.version:
+        if current is None or is_newer(document, current):
             return Offer.APPLIED
-        if document.version < current.version:
+        if is_newer(current, document):
             return Offer.OLDER
         if document.digest == current.digest:
             return Offer.SAME
--- a/spindlenotch/peers/gossip.py
+++ b/spindlenotch/peers/gossip.py
@@ -239,4 +239,4 @@
 
     def _is_newer(self, offered: messages.DocumentVersion) -> bool:
         own = self.version_by_kind.get(offered.kind)
-        return own is None or offered.version > own.version
+        return own is None or documents.is_newer(offered, own)
--- a/spindlenotch/peers/messages.py
+++ b/spindlenotch/peers/messages.py
@@ -102,12 +102,13 @@
     generation: int
 
 
-class DocumentVersion(msgspec.Struct, frozen=True):
+class DocumentVersion(msgspec.Struct, frozen=True, omit_defaults=True):
     """The version of a document that the sender has in force."""
 
     kind: documents.DocumentKind
     version: int
     digest: ids.Digest
+    position: documents.SourcePosition | None = None
 
 
 class Suspicion(msgspec.Struct, frozen=True):
