Read the source in full after it was restored

Symptom: after a restore, requests are sent to upstreams that have announced that they are draining, by all gateways that follow a reader, for as long as nothing else about the upstream changes.

Cause: a reader watches for changes after the last revision it has seen. If a restored store has passed that revision by the time the reader asks, the watch gets no 410, and changes written at lower revisions since the restore are never read. Class: a position in one history is used in another.

Fix: the reader compares the era of each answer with the era of its last full read. If they differ, it reads everything again, as it does when the history is no longer available.

--- a/features/steps/gateway_restored.py
+++ b/features/steps/gateway_restored.py
@@ -163,6 +163,26 @@
     assert reading.state.fence.version(HOSTS) > unpositioned.version
 
 
+@kernel.PROPERTIES.register("a reader reads everything again after a restore")
+def full_read_after_restore() -> None:
+    reading = store_reading.Reading()
+    reader = reading.reader(reading.source)
+    reading.store.revision, reading.store.era = 900, 4
+    asyncio.run(reader._read_or_wait())
+    reading.store.revision = 901
+    asyncio.run(reader._read_or_wait())
+    assert reader.revision == 901
+    # Restored and already past revision 901, so the source reports no HISTORY_GONE.
+    draining = store_reading.item("u0", store_reading.entry(state="draining"))
+    reading.store.revision, reading.store.era = 950, 5
+    asyncio.run(reader._read_or_wait())
+    assert reader.revision is None
+    reading.store.items = (draining, *ready_entries()[1:])
+    asyncio.run(reader._read_or_wait())
+    assert reader.revision == 950
+    assert reading.in_use() == {"u1", "u2", "u3"}
+
+
 @kernel.PROPERTIES.register("gossip advertises the position of a list")
 def position_in_gossip() -> None:
     state, _ = started_gateway.gateway(started_gateway.SEED)
--- a/spindlenotch/gateway/source/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -63,6 +63,7 @@
         self.source = source
         self.publisher = publisher
         self.revision: int | None = None
+        self.era: int | None = None
         self.lost = False
         self._backoff = backoff.Backoff(
             gateway_state.rng, BACKOFF_LEAST_S, BACKOFF_MOST_S
@@ -124,6 +125,7 @@
         if isinstance(snapshot, sources.SourceFault):
             return snapshot
         self.revision = snapshot.revision
+        self.era = snapshot.era
         # Only where a peer's list came meanwhile: a source that was set back counts.
         is_overtaken = (
             listing.era,
@@ -138,6 +140,9 @@
         changes = await self.source.follow(after, WAIT_S)
         if isinstance(changes, sources.SourceFault):
             return changes
+        if changes.era != self.era:
+            # After a restore, changes at revisions up to ``after`` would be missed.
+            return sources.SourceFault.HISTORY_GONE
         self.revision = max(after, changes.revision)
         if self.state.apply_changes(changes):
             self.publisher.publish(changes.revision, changes.era)
