Keep withdrawn upstreams out of use when an older backup lists them as ready

Symptom: after the store is restored from a backup, requests reach upstreams that had announced before the restore that they drain, or whose entries had been removed, until the entry is written again or expires.

Cause: a restored entry counts like any other and brings its upstream back into use. Class: an older state of a source is taken for a newer one.

Why this works: when a gateway learns of a new era, it notes which upstreams were draining or had ended in the last 60 s, and gives them no work for 6 s, whatever the source says. This exceeds three heartbeats of 1.5 s, after which entries that are not renewed expire. Peers are told that these upstreams are draining. Another start of such an upstream is not withheld. An upstream that comes back into use under the same start within these 6 s waits until they have passed.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -54,6 +54,8 @@
       | changes of an earlier era do not alter a later list        |
       | a list without a position is compared by version           |
       | gossip advertises the position of a list                   |
+      | withdrawn upstreams stay out of use after a restore        |
+      | withdrawn upstreams stay out of use after two restores     |
       | a reader reads everything again after a restore            |
       | a load report that tells nothing new is sent now and then  |
       | that an upstream is full or slowed is sent each time       |
--- a/features/steps/gateway_restored.py
+++ b/features/steps/gateway_restored.py
@@ -8,7 +8,7 @@
 from features.steps import kernel
 from features.support import reborn_reading, started_gateway, store_reading
 from spindlenotch import ids
-from spindlenotch.gateway.source import relay, sources
+from spindlenotch.gateway.source import relay, sources, withdrawals
 from spindlenotch.peers import documents, messages
 from spindlenotch_platform import store_client
 
@@ -183,6 +183,72 @@
     assert reading.in_use() == {"u1", "u2", "u3"}
 
 
+@kernel.PROPERTIES.register("withdrawn upstreams stay out of use after a restore")
+def withheld_after_restore() -> None:
+    reader, peer = store_reading.Reading(), store_reading.Reading()
+
+    async def publish_to_peer() -> None:
+        reader.relay.publish(reader.state.listing.revision, reader.state.listing.era)
+        peer.relay._receive(reader.state.fence.held(HOSTS))
+
+    reader.store.revision, reader.store.era = 899, 4
+    entries = ready_entries()
+    reader.read(*entries)
+    asyncio.run(publish_to_peer())
+    reader.follow(
+        store_reading.item("u0", store_reading.entry(state="draining")),
+        store_reading.item("u1", None),
+    )
+    asyncio.run(publish_to_peer())
+    reader.store.revision, reader.store.era = 499, 5
+    reader.read(*entries)
+    asyncio.run(publish_to_peer())
+    for reading in (reader, peer):
+        assert reading.in_use() == {"u2", "u3"}
+    # Draining and new upstreams that are listed after the restore count at once.
+    reader.follow(
+        store_reading.item("u2", store_reading.entry(state="draining")),
+        store_reading.item("u9", store_reading.entry()),
+    )
+    asyncio.run(publish_to_peer())
+    for reading in (reader, peer):
+        assert reading.in_use() == {"u3", "u9"}
+        reading.clock.advance(withdrawals.WITHHOLD_S - 0.1)
+        assert not reading.state.tick()
+        assert reading.in_use() == {"u3", "u9"}
+        reading.clock.advance(0.2)
+        assert reading.state.tick()
+        assert not reading.state.tick()
+    # Upstreams that the source still lists as ready are used again.
+    assert reader.in_use() == {"u0", "u1", "u3", "u9"}
+
+    async def expire() -> None:
+        reader.relay.publish_expiry()
+        peer.relay._receive(reader.state.fence.held(HOSTS))
+
+    asyncio.run(expire())
+    assert peer.in_use() == {"u0", "u1", "u3", "u9"}
+
+
+@kernel.PROPERTIES.register("withdrawn upstreams stay out of use after two restores")
+def withheld_after_second_restore() -> None:
+    reading = store_reading.Reading()
+    reading.store.revision, reading.store.era = 899, 4
+    entries = ready_entries()
+    reading.read(*entries)
+    reading.follow(store_reading.item("u0", None))
+    for era in (5, 6):
+        reading.store.revision, reading.store.era = 499, era
+        reading.read(*entries)
+        reading.clock.advance(withdrawals.WITHHOLD_S - 1.0)
+        reading.state.tick()
+        assert reading.in_use() == {"u1", "u2", "u3"}, era
+    # Another start of the upstream is not withheld.
+    restarted = store_reading.entry(born=1_700_000_000_099)
+    reading.follow(store_reading.item("u0", restarted))
+    assert "u0" in reading.in_use()
+
+
 @kernel.PROPERTIES.register("gossip advertises the position of a list")
 def position_in_gossip() -> None:
     state, _ = started_gateway.gateway(started_gateway.SEED)
--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -113,6 +113,48 @@
     run_play(context, trouble())
 
 
+@behave.when(
+    "{count:d} workers drain, then the store is restored from a backup {age_s:g} s old "
+    "and the lost values are written again {delay_s:g} s later"
+)
+def restore_after_drain(
+    context: typing.Any, count: int, age_s: float, delay_s: float
+) -> None:
+    play = play_of(context)
+
+    async def trouble() -> None:
+        backup = await play.make_backup(age_s)
+        for name in first_workers(context, count):
+            play.drain_worker(name, time.monotonic())
+        # Lets all gateways read the draining entries before the restore.
+        await asyncio.sleep(store_restore.DRAIN_INTERVAL_S)
+        await play.restore_backup(backup, delay_s)
+        await asyncio.sleep(store_restore.OBSERVATION_S)
+
+    run_play(context, trouble())
+
+
+@behave.when(
+    "the entries of {count:d} workers are removed, then the store is restored from a "
+    "backup {age_s:g} s old and the restored entries expire {delay_s:g} s later"
+)
+def restore_after_removal(
+    context: typing.Any, count: int, age_s: float, delay_s: float
+) -> None:
+    play = play_of(context)
+    names = first_workers(context, count)
+
+    async def trouble() -> None:
+        backup = await play.make_backup(age_s)
+        play.remove_entries(names)
+        await asyncio.sleep(store_restore.DRAIN_INTERVAL_S)
+        await play.restore_backup(backup, delay_s)
+        play.remove_entries(names)
+        await asyncio.sleep(store_restore.OBSERVATION_S)
+
+    run_play(context, trouble())
+
+
 @behave.then(
     "no request reaches a draining worker more than {seconds:g} s after the store "
     "acknowledged its draining"
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -18,3 +18,11 @@
   Scenario: Gateways are frozen in turn while the store is restored
     When the store is restored from a backup 4 s old while gateways are frozen in turn, then 2 workers drain
     Then no request reaches a draining worker more than 2.5 s after the store acknowledged its draining
+
+  Scenario: The backup was made before workers drained
+    When 2 workers drain, then the store is restored from a backup 4 s old and the lost values are written again 3 s later
+    Then no request reaches a draining worker more than 2.5 s after the store acknowledged its draining
+
+  Scenario: The backup was made before workers left without draining
+    When the entries of 2 workers are removed, then the store is restored from a backup 4 s old and the restored entries expire 4.5 s later
+    Then no request reaches a draining worker more than 2.5 s after the store acknowledged its draining
--- a/features/support/store_restore.py
+++ b/features/support/store_restore.py
@@ -57,12 +57,28 @@
     async def restore_store(self, backup_age_s: float) -> None:
         """Restore the store from a backup after a short outage."""
         backup = await self.make_backup(backup_age_s)
+        await self.restore_backup(backup, REWRITE_DELAY_S)
+
+    async def restore_backup(
+        self, backup: platform_store.Backup, rewrite_delay_s: float
+    ) -> None:
+        """Restore a backup after a short outage, and rewrite lost values later."""
         async with self.store_outage():
             await asyncio.sleep(OUTAGE_S)
             lost_value_by_key = self.fleet.store.restore(backup)
-        await asyncio.sleep(REWRITE_DELAY_S)
+        await asyncio.sleep(rewrite_delay_s)
         self.fleet.store.rewrite(lost_value_by_key)
 
+    def remove_entries(self, names: list[str]) -> None:
+        """
+        Remove the entries of workers, which keep serving.
+
+        The first removal of an entry counts as the acknowledgement.
+        """
+        for name in names:
+            self.fleet.store.remove(f"servers/{name}")
+            self.acknowledged_at_by_worker.setdefault(name, time.monotonic())
+
     async def make_backup(self, age_s: float) -> platform_store.Backup:
         """
         Back up the store, and return the backup once it is ``age_s`` seconds old.
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -13,7 +13,7 @@
 
 from spindlenotch import ids
 from spindlenotch.decisions import evacuation
-from spindlenotch.gateway.source import lease_expiry, leases, sources
+from spindlenotch.gateway.source import lease_expiry, leases, sources, withdrawals
 from spindlenotch.kernel import upstreams
 
 
@@ -44,11 +44,17 @@
         self.fault_at = ids.Instant(float("-inf"))
         self.revision = 0
         self.era: int | None = None
+        self.withdrawals = withdrawals.Withdrawals()
         self._generation = 0
         self._ended: list[Ended] = []
 
-    def set_position(self, revision: int, era: int | None) -> None:
-        """Set the revision and era of the source at which the list was read."""
+    def set_position(self, revision: int, era: int | None, now: ids.Instant) -> None:
+        """
+        Set the revision and era of the source at which the next list was read.
+
+        Must be called before that list replaces the known one.
+        """
+        self.withdrawals.note_era(era, self.lease_by_id.values(), now)
         self.revision = revision
         self.era = era
 
@@ -87,7 +93,7 @@
             listed_by_id[one.id] = msgspec.structs.replace(
                 one, state=sources.UpstreamState.READY, is_evacuated=False
             )
-        self.discard([i for i in self.lease_by_id if i not in listed_by_id])
+        self.discard([i for i in self.lease_by_id if i not in listed_by_id], now)
         self.add(listed_by_id.values(), now)
         for lease in self.lease_by_id.values():
             # Peers of earlier releases leave the start out.
@@ -130,7 +136,7 @@
         for upstream in listed:
             lease = self.lease_by_id.get(upstream.id)
             if lease is not None and not lease.is_same_start(upstream):
-                self._end(lease, is_replaced=True)
+                self._end(lease, now, is_replaced=True)
                 lease = None
             if lease is None or not lease.holds(upstream):
                 lease = self._renewed(lease, upstream, now)
@@ -152,10 +158,12 @@
     def drop_expired(self, now: ids.Instant) -> bool:
         """Drop upstreams whose grace is over; tell whether there was any."""
         expired = [i for i, lease in self.lease_by_id.items() if lease.drop_at <= now]
-        self.discard(expired)
+        self.discard(expired, now)
         return bool(expired)
 
-    def discard(self, upstream_ids: abc.Iterable[ids.UpstreamId]) -> bool:
+    def discard(
+        self, upstream_ids: abc.Iterable[ids.UpstreamId], now: ids.Instant
+    ) -> bool:
         """
         Drop upstreams at once, without grace; tell whether there was any.
 
@@ -164,7 +172,7 @@
         """
         dropped = [i for i in upstream_ids if i in self.lease_by_id]
         for upstream_id in dropped:
-            self._end(self.lease_by_id.pop(upstream_id), is_replaced=False)
+            self._end(self.lease_by_id.pop(upstream_id), now, is_replaced=False)
         return bool(dropped)
 
     def take_ended(self) -> list[Ended]:
@@ -172,7 +180,8 @@
         ended, self._ended = self._ended, []
         return ended
 
-    def _end(self, lease: leases.Lease, *, is_replaced: bool) -> None:
+    def _end(self, lease: leases.Lease, now: ids.Instant, *, is_replaced: bool) -> None:
+        self.withdrawals.note_ended(lease.listed, now)
         self._ended.append(Ended(lease.listed, is_replaced))
 
     def _renewed(
@@ -192,7 +201,12 @@
     def in_use(self, now: ids.Instant) -> frozenset[ids.UpstreamId]:
         """Return the ids of the upstreams that may get new work."""
         return frozenset(
-            i for i, lease in self.lease_by_id.items() if lease.is_in_use(now)
+            i for i, lease in self.lease_by_id.items() if self._is_in_use(lease, now)
+        )
+
+    def _is_in_use(self, lease: leases.Lease, now: ids.Instant) -> bool:
+        return lease.is_in_use(now) and not self.withdrawals.is_withheld(
+            lease.listed, now
         )
 
     def specs(
@@ -202,7 +216,7 @@
         specs_by_service: dict[ids.ServiceName, list[upstreams.UpstreamSpec]] = {}
         for lease in self.lease_by_id.values():
             specs = specs_by_service.setdefault(lease.listed.service, [])
-            if lease.is_in_use(now):
+            if self._is_in_use(lease, now):
                 specs.append(lease.spec)
         return specs_by_service
 
@@ -213,6 +227,8 @@
         listed = msgspec.structs.replace(
             lease.listed, cold_s=max(0.0, lease.spec.warming_up_until - now)
         )
+        if self.withdrawals.is_withheld(lease.listed, now):
+            return msgspec.structs.replace(listed, state=sources.UpstreamState.DRAINING)
         is_ready = listed.state is sources.UpstreamState.READY
         if not is_ready or listed.zone not in self.evacuated_zones:
             return listed
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -193,9 +193,9 @@
             # What of it was taken back since then comes as a change.
             self.listing.evacuate(before | snapshot.evacuated_zones, now)
         else:
-            self.listing.set_position(snapshot.revision, snapshot.era)
+            self.listing.set_position(snapshot.revision, snapshot.era, now)
             self.listing.evacuate(snapshot.evacuated_zones, now)
-            self.listing.discard(snapshot.unusable)
+            self.listing.discard(snapshot.unusable, now)
             self.listing.replace(snapshot.upstream_by_id.values(), now)
         source_events.report_evacuations(before, self.listing.evacuated_zones)
         self._listing_changed(FROM_SOURCE)
@@ -207,8 +207,8 @@
         era: int | None = None,
     ) -> None:
         """Put the whole list that a peer read at ``revision`` in force."""
-        self.listing.set_position(revision, era)
         now = self.clock.now()
+        self.listing.set_position(revision, era, now)
         before = self.listing.evacuated_zones
         plain = self.rollouts.orders.take_marks(listed, now)
         self.listing.replace_by_peer(plain, now)
@@ -235,17 +235,17 @@
         Upstreams that changed before the list in force, which came from a peer then,
         are in it as they are now; older entries would bring back what has ended.
         """
+        now = self.clock.now()
         if self.listing.is_newer_than(changes.revision, changes.era):
             changes = msgspec.structs.replace(
                 changes, listed=(), gone=(), unusable=frozenset()
             )
         else:
-            self.listing.set_position(changes.revision, changes.era)
-        now = self.clock.now()
+            self.listing.set_position(changes.revision, changes.era, now)
         before = self.listing.evacuated_zones
         zones = (before | changes.evacuated_zones) - changes.restored_zones
         # An entry that can't be used is written again and again: no news but once.
-        is_dropped = self.listing.discard(changes.unusable)
+        is_dropped = self.listing.discard(changes.unusable, now)
         if not (changes.listed or changes.gone or is_dropped or zones != before):
             return False
         self.listing.evacuate(zones, now)
@@ -278,18 +278,20 @@
         Let ejections and expired leases end; called a few times a second.
 
         Budgets follow the size of the fleet.
-        Tell whether a lease has expired, which peers have to know.
+        Tell whether a lease has expired, or upstreams withheld after a restore of the
+        source have been released, which peers have to know.
         """
         now = self.clock.now()
         expired = self.listing.drop_expired(now)
-        if self.listing.leave_due(now) or expired:
+        is_released = self.listing.withdrawals.release_due(now)
+        if self.listing.leave_due(now) or expired or is_released:
             self._upstreams_in_use = self.listing.in_use(now)
             self._refresh_upstreams()
         self.services.tick(self.config, now)
         if self.demand.update(now):
             self.gossip.set_demand(self.demand.reported)
         self.services.report_changes()
-        return expired
+        return expired or is_released
 
     def take_settings(self, config: settings.GatewaySettings) -> None:
         """Take in the settings that may change without a restart."""
--- a/tools/mutant_table.py
+++ b/tools/mutant_table.py
@@ -135,9 +135,9 @@
     ),
     Mutant(
         "an evacuated zone is never left",
-        "gateway/source/listing",
-        "if is_ready and now < lease.leave_at:",
-        "if is_ready:",
+        "gateway/source/leases",
+        "return is_ready and now < self.leave_at",
+        "return is_ready",
         held_by="nothing is sent to an evacuated zone after its bound",
     ),
     Mutant(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -14,7 +14,13 @@
 import tempfile
 from collections import abc
 
-from tools import late_mutants, limit_mutants, mutant_table, quarantine_mutants
+from tools import (
+    late_mutants,
+    limit_mutants,
+    mutant_table,
+    quarantine_mutants,
+    restore_mutants,
+)
 
 #: Plays of each machine against a mutant, and steps of a play.
 PLAYS = 200
@@ -28,6 +34,7 @@
     *quarantine_mutants.MUTANTS,
     *late_mutants.MUTANTS,
     *limit_mutants.MUTANTS,
+    *restore_mutants.MUTANTS,
 )
 #: Program that plays the machines in the scratch copy.
 PLAY_PROGRAM = """
@@ -46,7 +53,8 @@
 from features.steps import gateway_cold, gateway_directory, gateway_evacuation
 from features.steps import gateway_limits, gateway_overflow, gateway_reborn
 from features.steps import gateway_regions, gateway_rests, gateway_turns
-from features.steps import gateway_reborn_peers, gateway_rollout, gateway_rollout_orders
+from features.steps import gateway_reborn_peers, gateway_restored, gateway_rollout
+from features.steps import gateway_rollout_orders
 from features.steps import kernel, kernel_budgets, late_properties, poison_properties
 from features.steps import suspended_hosts
 from spindlenotch.entry import plugins
--- /dev/null
+++ b/tools/restore_mutants.py
@@ -0,0 +1,38 @@
+"""
+Mutants of the handling of a source that is restored from a backup.
+
+Part of the table of ``mutant_table``; ``tools/mutants.py`` tries them.
+"""
+
+from tools import mutant_table
+
+MUTANTS = (
+    mutant_table.Mutant(
+        "lists are ordered by version alone",
+        "peers/documents",
+        "return offered.position > held.position",
+        "return offered.version > held.version",
+        "peers accept the list of a restored source",
+    ),
+    mutant_table.Mutant(
+        "a reader continues from its old revision after a restore",
+        "gateway/source/source_reader",
+        "if changes.era != self.era:",
+        "if False:",
+        "a reader reads everything again after a restore",
+    ),
+    mutant_table.Mutant(
+        "withdrawn upstreams are used after a restore",
+        "gateway/source/withdrawals",
+        "return now < self.withheld_until and start_of(listed) in self.withheld_starts",
+        "return False",
+        "withdrawn upstreams stay out of use after a restore",
+    ),
+    mutant_table.Mutant(
+        "withheld upstreams are never released",
+        "gateway/source/withdrawals",
+        "        if self._is_released or now < self.withheld_until:\n",
+        "        if True:\n",
+        "withdrawn upstreams stay out of use after a restore",
+    ),
+)
