Continue a rollout when its order is rewritten after a restore

Symptom: after the store is restored from a backup, a version on trial, or one that was already rolled back, may receive the share of requests of a whole new trial. A final status that was lost in the restore is never written again, and the operator waits for it.

Cause: an order is identified by the revision at which it was written. After a restore the operator writes it again at another revision, or it is missing for a moment. Either ends the run and discards its counts, phase and end time. A run with a final status is no longer decided on. Class: as with lists, a revision of one history is used in another.

Evidence: properties without processes. With orders compared by revision alone, as before (the mutant "an order rewritten after a restore starts a new run"), the property fails. Not shown with real gateways.

Why this works: an order carries the era in which it was read. An order of another era with the same service, target and time is the same order: its run continues at the new revision with its counts, phase and end time. A final status that the source lacks is written again by the gateway that decides on the order. Within an era, and where one side reports none, orders are compared by revision as before. Gateways of earlier releases ignore the field.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -54,6 +54,9 @@
       | changes of an earlier era do not alter a later list        |
       | a list without a position is compared by version           |
       | gossip advertises the position of a list                   |
+      | an order rewritten after a restore keeps its run           |
+      | an order not rewritten after a restore is dropped          |
+      | an order without an era is compared by revision            |
       | withdrawn upstreams stay out of use after a restore        |
       | withdrawn upstreams stay out of use after two restores     |
       | a reader reads everything again after a restore            |
--- a/features/steps/gateway_restored.py
+++ b/features/steps/gateway_restored.py
@@ -8,8 +8,9 @@
 from features.steps import kernel
 from features.support import reborn_reading, started_gateway, store_reading
 from spindlenotch import ids
+from spindlenotch.gateway.rollout import orders
 from spindlenotch.gateway.source import relay, sources, withdrawals
-from spindlenotch.peers import documents, messages
+from spindlenotch.peers import documents, messages, rollout_notes
 from spindlenotch_platform import store_client
 
 HOSTS = documents.DocumentKind.HOSTS
@@ -249,6 +250,111 @@
     assert "u0" in reading.in_use()
 
 
+SERVICE = store_reading.SERVICE
+TARGET = ids.SoftwareVersion("v2")
+
+
+def order(revision: int, **changes: typing.Any) -> sources.RolloutOrder:
+    """Return an order written at a revision, with some fields replaced."""
+    plain = sources.RolloutOrder(SERVICE, TARGET, 30.0, revision)
+    return msgspec.structs.replace(plain, **changes)
+
+
+def snapshot_with(
+    reading: store_reading.Reading,
+    era: int,
+    listed_order: sources.RolloutOrder | None,
+    status: sources.RolloutStatus | None = None,
+) -> sources.Snapshot:
+    """Return a snapshot of the current upstreams, with an order and its status."""
+    leases = reading.state.listing.lease_by_id.values()
+    return sources.Snapshot(
+        500,
+        None,
+        {one.listed.id: one.listed for one in leases},
+        order_by_service={} if listed_order is None else {SERVICE: listed_order},
+        status_by_service={} if status is None else {SERVICE: status},
+        era=era,
+    )
+
+
+@kernel.PROPERTIES.register("an order rewritten after a restore keeps its run")
+def rewritten_order_keeps_run() -> None:
+    state = sources.RolloutState
+    for first, rewritten in (
+        (order(310), order(310)),
+        (order(310), order(210)),
+        (order(900), order(501)),
+    ):
+        reading = store_reading.Reading()
+        rollouts = reading.state.rollouts
+        reading.state.apply_snapshot(snapshot_with(reading, 4, first))
+        run, end_at = rollouts.run_by_service[SERVICE], rollouts.end_at(SERVICE)
+        run.split.sent = 17
+        assert run.raise_phase(rollout_notes.Phase.ROLLED_BACK)
+        reading.clock.advance(3.0)
+        # The backup predates the order, which is rewritten later.
+        reading.state.apply_snapshot(snapshot_with(reading, 5, None))
+        reading.clock.advance(1.0)
+        reading.state.tick()
+        assert rollouts.run_by_service[SERVICE] is run
+        reading.state.apply_changes(
+            sources.Changes(501, order_by_service={SERVICE: rewritten}, era=5)
+        )
+        assert rollouts.run_by_service[SERVICE] is run
+        assert run.order == msgspec.structs.replace(rewritten, era=5)
+        assert run.split.sent == 17
+        assert run.phase is rollout_notes.Phase.ROLLED_BACK
+        assert rollouts.end_at(SERVICE) == end_at
+        reading.clock.advance(withdrawals.WITHHOLD_S)
+        reading.state.tick()
+        assert rollouts.run_by_service[SERVICE] is run
+        # A final status missing from the backup is reported as lost.
+        status = sources.RolloutStatus(SERVICE, TARGET, state.ROLLED_BACK, 502)
+        reading.state.rollout_status_written(status)
+        assert run.final is state.ROLLED_BACK and not rollouts.lacks_final_status(run)
+        reading.state.apply_snapshot(snapshot_with(reading, 6, rewritten))
+        assert rollouts.lacks_final_status(run)
+        assert run.final is state.ROLLED_BACK
+        # An equal order at another revision of the same era starts a new run.
+        reading.state.apply_changes(
+            sources.Changes(601, order_by_service={SERVICE: order(600)}, era=6)
+        )
+        assert rollouts.run_by_service[SERVICE] is not run
+
+
+@kernel.PROPERTIES.register("an order without an era is compared by revision")
+def order_without_era() -> None:
+    for known, received, is_same in (
+        (order(310, era=4), order(310), True),
+        (order(310), order(310, era=4), True),
+        (order(310), order(311), False),
+        (order(310, era=4), order(311), False),
+        (order(310, era=4), order(311, era=4), False),
+        (order(310, era=4), order(311, era=5), True),
+        (order(310, era=4), order(310, era=5, by_s=31.0), False),
+    ):
+        assert orders.is_same_order(known, received) is is_same, (known, received)
+
+
+@kernel.PROPERTIES.register("an order not rewritten after a restore is dropped")
+def missing_order_dropped() -> None:
+    reading = store_reading.Reading()
+    rollouts = reading.state.rollouts
+    reading.state.apply_snapshot(snapshot_with(reading, 4, order(310)))
+    reading.state.apply_snapshot(snapshot_with(reading, 5, None))
+    reading.clock.advance(withdrawals.WITHHOLD_S - 0.1)
+    reading.state.tick()
+    assert SERVICE in rollouts.orders.order_by_service
+    reading.clock.advance(0.2)
+    assert reading.state.tick()
+    assert SERVICE not in rollouts.orders.order_by_service
+    # Without a restore, a missing order is dropped at once.
+    reading.state.apply_snapshot(snapshot_with(reading, 5, order(510)))
+    reading.state.apply_snapshot(snapshot_with(reading, 5, None))
+    assert SERVICE not in rollouts.orders.order_by_service
+
+
 @kernel.PROPERTIES.register("gossip advertises the position of a list")
 def position_in_gossip() -> None:
     state, _ = started_gateway.gateway(started_gateway.SEED)
--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -35,6 +35,7 @@
     "LoadRecord.born": "gossip-added-2.msgpack.hex",
     "LoadRecord.limit_per_s": "gossip-added-6.msgpack.hex",
     "LoadRecord.limit_age_s": "gossip-added-6.msgpack.hex",
+    "RolloutOrder.era": "upstreams-added-3.json",
     "DocumentVersion.position": "gossip-added-7.msgpack.hex",
     "Document.position": "frame-added.msgpack.hex",
     "GatewaySettings.evacuate_s": "environment-gateway-added.json",
--- a/features/support/recorded_gateway.py
+++ b/features/support/recorded_gateway.py
@@ -148,6 +148,21 @@
     )
 
 
+#: The era of the source in the samples that contain one.
+ERA = 3
+
+
+def listed_with_era() -> tuple[sources.ListedUpstream, ...]:
+    """Return the latest list, with the era of the source in its order."""
+    mark = rollout_mark()
+    assert mark.order is not None
+    order = msgspec.structs.replace(mark.order, era=ERA)
+    with_era = msgspec.structs.replace(mark, order=order)
+    return tuple(
+        msgspec.structs.replace(one, rollout=with_era) for one in latest_listed()
+    )
+
+
 def rollout_mark() -> sources.RolloutMark:
     """Return what is told of an order to change the version of "core"."""
     core, target = ids.ServiceName("core"), ids.SoftwareVersion("v2")
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -50,7 +50,7 @@
     )
 
 
-def handed_out_last(kind: documents.DocumentKind) -> bytes:
+def handed_out_last(kind: documents.DocumentKind, era: int | None = None) -> bytes:
     """Return the same with what the earlier records do not hold."""
     by_id = {
         one.id: msgspec.structs.replace(plain, version=one.version, born=one.born)
@@ -70,6 +70,7 @@
             evacuated_zones=frozenset({first_zone}),
             order_by_service={mark.order.service: mark.order},
             status_by_service={mark.status.service: mark.status},
+            era=era,
         ),
     )
 
@@ -216,6 +217,14 @@
             lambda data: taken_in(hosts_kind, data),
             strangers="passed over",
         ),
+        Sample(
+            "upstreams-added-3.json",
+            "json",
+            recorded_gateway.listed_with_era(),
+            lambda: handed_out_last(hosts_kind, recorded_gateway.ERA),
+            lambda data: taken_in(hosts_kind, data),
+            strangers="passed over",
+        ),
         Sample(
             "configuration-added.json",
             "json",
--- a/spindlenotch/gateway/rollout/decider.py
+++ b/spindlenotch/gateway/rollout/decider.py
@@ -50,6 +50,7 @@
 
     def update(self, pool: upstream_pool.Pool, now: ids.Instant) -> None:
         """Promote, complete or roll back, and have the status written."""
+        self.writer.order = self.run.order
         is_settled = self.writer.unsettled is not sources.RolloutState.COMPLETED
         if self.run.phase is rollout_notes.Phase.RUNNING:
             self._promote(pool, now)
@@ -64,6 +65,12 @@
         if wanted is not None:
             self.writer.write(wanted, now)
 
+    def rewrite_final_status(self, now: ids.Instant) -> None:
+        """Have the final status written again after the source has lost it."""
+        self.writer.order = self.run.order
+        if self.run.final is not None:
+            self.writer.write(self.run.final, now)
+
     def _promote(self, pool: upstream_pool.Pool, now: ids.Instant) -> None:
         """Let all requests move to the target if it is time and nothing hinders."""
         if not self.run.had_others and any(map(self._is_target, pool.usable_order)):
--- a/spindlenotch/gateway/rollout/loop.py
+++ b/spindlenotch/gateway/rollout/loop.py
@@ -68,6 +68,8 @@
             one.measure()
             if one.final is None:
                 self._update_run(one, now)
+            elif self.state.rollouts.lacks_final_status(one):
+                self._rewrite_final_status(one, now)
         self._forget_old(every)
         self._publish(every)
 
@@ -107,6 +109,13 @@
                 self._announce()
         self._tell(one, pool, candidates, now)
 
+    def _rewrite_final_status(self, one: runs.Run, now: ids.Instant) -> None:
+        candidates = deciding.candidates(one.order.service, self.fleet.view())
+        local = self.state.gossip.local
+        self._note_duty(one, is_decider=candidates[:1] == [local.host])
+        if one.order.service in self._deciding:
+            self._decider(one).rewrite_final_status(now)
+
     def _judge(self, one: runs.Run) -> None:
         """Roll back at once where the evidence shows that the target is bad."""
         if one.final is not None or one.phase is rollout_notes.Phase.ROLLED_BACK:
--- a/spindlenotch/gateway/rollout/orders.py
+++ b/spindlenotch/gateway/rollout/orders.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from spindlenotch import ids
-from spindlenotch.gateway.source import sources
+from spindlenotch.gateway.source import sources, withdrawals
 
 
 class Orders:
@@ -26,6 +26,7 @@
         self.order_by_service: dict[ids.ServiceName, sources.RolloutOrder] = {}
         self.end_at_by_service: dict[ids.ServiceName, ids.Instant] = {}
         self.status_by_service: dict[ids.ServiceName, sources.RolloutStatus] = {}
+        self._drop_at_by_service: dict[ids.ServiceName, ids.Instant] = {}
 
     def services(self) -> set[ids.ServiceName]:
         """Return the services with an order or a status."""
@@ -45,13 +46,18 @@
         is known of changes since then stays.
         """
         orders = self.order_by_service
-        newer = _newer_than(snapshot.revision, orders) if is_overtaken else set()
+        newer = self._orders_after(snapshot.revision, snapshot.era)
+        newer = newer if is_overtaken else set()
         found = {n: o for n, o in snapshot.order_by_service.items() if n not in newer}
         for service in orders.keys() - found.keys() - newer:
-            if service not in snapshot.unreadable_orders:
+            if _is_later_era(snapshot.era, orders[service].era):
+                # The backup may predate the order: allow time to write it again.
+                drop_at = ids.later(now, withdrawals.WITHHOLD_S)
+                self._drop_at_by_service.setdefault(service, drop_at)
+            elif service not in snapshot.unreadable_orders:
                 self._set_order(service, None, now)
         for service, order in found.items():
-            self._set_order(service, order, now)
+            self._set_order(service, _with_era(order, snapshot.era), now)
         known = self.status_by_service
         newer = _newer_than(snapshot.revision, known) if is_overtaken else set()
         self.status_by_service = {
@@ -65,16 +71,24 @@
 
         A watch that lags behind a peer's list takes nothing newer back.
         """
-        newer = _newer_than(changes.revision, self.order_by_service)
+        newer = self._orders_after(changes.revision, changes.era)
         for service, order in changes.order_by_service.items():
             if service not in newer:
-                self._set_order(service, order, now)
+                changed = None if order is None else _with_era(order, changes.era)
+                self._set_order(service, changed, now)
         newer = _newer_than(changes.revision, self.status_by_service)
         for service, status in changes.status_by_service.items():
             if service not in newer:
                 self._set_status(service, status)
         return bool(changes.order_by_service or changes.status_by_service)
 
+    def drop_missing(self, now: ids.Instant) -> bool:
+        """Drop orders not rewritten in time after a restore; tell whether any were."""
+        due = [name for name, at in self._drop_at_by_service.items() if at <= now]
+        for service in due:
+            self._set_order(service, None, now)
+        return bool(due)
+
     def written(self, status: sources.RolloutStatus) -> None:
         """Take in a status that this gateway has written."""
         known = self.status_by_service.get(status.service)
@@ -152,14 +166,24 @@
         order: sources.RolloutOrder | None,
         now: ids.Instant,
     ) -> None:
+        self._drop_at_by_service.pop(service, None)
         if order is None:
             self.order_by_service.pop(service, None)
             self.end_at_by_service.pop(service, None)
             return
-        if self.order_by_service.get(service) != order:
-            self.order_by_service[service] = order
+        known = self.order_by_service.get(service)
+        self.order_by_service[service] = order
+        if known is None or not is_same_order(known, order):
             self.end_at_by_service[service] = ids.later(now, order.by_s)
 
+    def _orders_after(self, revision: int, era: int | None) -> set[ids.ServiceName]:
+        """Return the services whose order was written after a source position."""
+        return {
+            service
+            for service in _newer_than(revision, self.order_by_service)
+            if not _is_later_era(era, self.order_by_service[service].era)
+        }
+
     def _set_status(
         self, service: ids.ServiceName, status: sources.RolloutStatus | None
     ) -> None:
@@ -169,6 +193,28 @@
             self.status_by_service[service] = status
 
 
+def is_same_order(known: sources.RolloutOrder, received: sources.RolloutOrder) -> bool:
+    """
+    Tell whether a received order is the known one.
+
+    An order that is rewritten after a restore has another revision in another era.
+    """
+    if known.era is None or received.era is None or known.era == received.era:
+        return received.revision == known.revision
+    compared = msgspec.structs.replace(received, revision=known.revision, era=known.era)
+    return compared == known
+
+
+def _is_later_era(era: int | None, known: int | None) -> bool:
+    return era is not None and known is not None and era > known
+
+
+def _with_era(order: sources.RolloutOrder, era: int | None) -> sources.RolloutOrder:
+    if order.era == era:
+        return order
+    return msgspec.structs.replace(order, era=era)
+
+
 def _newer_than(
     revision: int,
     known_by_service: abc.Mapping[
--- a/spindlenotch/gateway/rollout/registry.py
+++ b/spindlenotch/gateway/rollout/registry.py
@@ -52,6 +52,15 @@
         """Return the status of a run's order as far as it is known."""
         return self.orders.status_of(one.order)
 
+    def lacks_final_status(self, one: runs.Run) -> bool:
+        """Tell whether the source has lost the final status of a run's order."""
+        if one.final is None:
+            return False
+        if self.orders.order_by_service.get(one.order.service) != one.order:
+            return False
+        status = self.orders.status_of(one.order)
+        return status is None or status.state is sources.RolloutState.RUNNING
+
     def take_note(self, note: rollout_notes.PhaseNote) -> runs.Run | None:
         """Take in a peer's phase; return the run where it is news."""
         one = self.run_by_service.get(note.service)
@@ -79,12 +88,14 @@
         is_final = (
             status is not None and status.state is not sources.RolloutState.RUNNING
         )
-        if known is None or known.order.revision != order.revision:
+        if known is None or not orders.is_same_order(known.order, order):
             known = self._begin(order, known)
             if not is_final:
                 self._report_begin(known)
         elif is_final and known.final is None:
             self._leave_replaced(known, status, pool)
+        # A rewritten order has another revision and era, but its run keeps its counts.
+        known.order = order
         if status is not None and known.finish(status.state):
             events.emit(
                 events.Event.ROLLOUT_ENDED,
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -46,18 +46,20 @@
 NO_TARGET = ids.SoftwareVersion("")
 
 
-class RolloutOrder(msgspec.Struct, frozen=True):
+class RolloutOrder(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     An operator's order: a service's requests are to move to a version, its target.
 
-    It must have ended ``by_s`` seconds after it was written. ``revision``, that of the
-    source at which it was written, identifies it.
+    It must have ended ``by_s`` seconds after it was written. ``revision`` is the
+    source's revision at which it was written and identifies it within ``era``. ``era``
+    is the source's era in which it was read, None where the source reports none.
     """
 
     service: ids.ServiceName
     target: ids.SoftwareVersion
     by_s: float
     revision: int
+    era: int | None = None
 
 
 class RolloutStatus(msgspec.Struct, frozen=True):
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -284,6 +284,7 @@
         now = self.clock.now()
         expired = self.listing.drop_expired(now)
         is_released = self.listing.withdrawals.release_due(now)
+        is_released |= self.rollouts.orders.drop_missing(now)
         if self.listing.leave_due(now) or expired or is_released:
             self._upstreams_in_use = self.listing.in_use(now)
             self._refresh_upstreams()
--- a/tools/restore_mutants.py
+++ b/tools/restore_mutants.py
@@ -35,4 +35,18 @@
         "        if True:\n",
         "withdrawn upstreams stay out of use after a restore",
     ),
+    mutant_table.Mutant(
+        "an order rewritten after a restore starts a new run",
+        "gateway/rollout/orders",
+        "    return compared == known\n",
+        "    return False\n",
+        "an order rewritten after a restore keeps its run",
+    ),
+    mutant_table.Mutant(
+        "a final status lost in a restore is not rewritten",
+        "gateway/rollout/registry",
+        "        if one.final is None:\n            return False\n",
+        "        if True:\n            return False\n",
+        "an order rewritten after a restore keeps its run",
+    ),
 )
