Soak: add a fault that restores the store from a backup

Add the fault "store-restored" to the soak of processes. The store loses at least 300 revisions, is down for up to a second and is restored from a backup. The operator and the upstreams write their latest values again up to 2 s later.

Add a mutant for it, a gateway that does not read Store-Era. It is caught by "nothing new to upstreams that are closed".

After a restore, the stand-in of the store no longer writes a lost value over a newer one, and it again removes keys that were removed since the backup.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -26,6 +26,11 @@
     Then the play has no violation
     And nothing that it started still runs
 
+  Scenario: A play with a store that is restored from backups is clean
+    When the store is restored from backups beside other faults
+    Then the play has no violation
+    And nothing that it started still runs
+
   Scenario: A play that is interrupted ends what it started
     When a play is interrupted while its gateways run
     Then nothing that it started still runs
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -40,6 +40,15 @@
     "4 2 gateway-paused 4",
     "4.5 3 upstreams-name-limits 5",
 )
+#: Restores of the store while upstreams drain or lose their entry and a gateway pauses.
+RESTORE_STEPS = (
+    "0.20 1.00 store-restored 1",
+    "3.50 2.00 upstream-drains 5",
+    "4.50 1.00 gateway-paused 3",
+    "7.00 3.00 upstream-vanishes 2",
+    "7.50 1.00 upstream-drains 4",
+    "9.00 1.00 store-restored 4",
+)
 #: How a log line of the event begins that tells of a suspension.
 HOST_SUSPENDED = '"event":109,'
 #: Longest time until a play that is interrupted has ended, in seconds.
@@ -84,6 +93,12 @@
     _play(context, settings, tuple(plans.read(step) for step in ASKING_STEPS))
 
 
+@behave.when("the store is restored from backups beside other faults")
+def restores_played(context: typing.Any) -> None:
+    settings, _ = drawn(1, 10.0)
+    _play(context, settings, tuple(plans.read(step) for step in RESTORE_STEPS))
+
+
 def _play(
     context: typing.Any, settings: plans.Settings, steps: tuple[plans.Step, ...]
 ) -> None:
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -94,6 +94,7 @@
         self.forgotten = 0
         self.revision = 0
         self.era = 1
+        self._written_since_restore: set[str] = set()
         self.calls_by_name: dict[str, int] = {}
         self.address = ""
         self.lease_ttl_s: dict[int, float] = {}
@@ -140,6 +141,7 @@
         """Write a key as the operator or a worker does; return the revision."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
+        self._written_since_restore.add(key)
         old = self.item_by_key.get(key)
         made = old.made if old else self.revision
         item = Item(key, data, self.revision, made, lease)
@@ -149,6 +151,7 @@
 
     def remove(self, key: str) -> None:
         """Take a key away."""
+        self._written_since_restore.add(key)
         if self.item_by_key.pop(key, None) is not None:
             self.revision += 1
             self._log({"key": key, "revision": self.revision, "gone": True})
@@ -168,18 +171,22 @@
             frozenset(self.lease_ttl_s),
         )
 
-    def restore(self, backup: Backup) -> dict[str, bytes]:
+    def restore(self, backup: Backup) -> dict[str, bytes | None]:
         """
         Restore the content of a backup and start a new era.
 
         Return the values, by key, that the operator and the workers have written since
-        the backup.
+        the backup; None for each key that they have removed.
         """
-        lost_value_by_key = {
+        lost_value_by_key: dict[str, bytes | None] = {
             key: item.value
             for key, item in self.item_by_key.items()
             if key.startswith(FOREIGN_PREFIXES) and backup.item_by_key.get(key) != item
         }
+        for key in backup.item_by_key.keys() - self.item_by_key.keys():
+            if key.startswith(FOREIGN_PREFIXES):
+                lost_value_by_key[key] = None
+        self._written_since_restore.clear()
         for lease in self.lease_ttl_s.keys() - backup.leases:
             self.lease_ttl_s.pop(lease)
             self._expiry_by_lease.pop(lease).cancel()
@@ -190,10 +197,15 @@
         self._wake()
         return lost_value_by_key
 
-    def rewrite(self, value_by_key: dict[str, bytes]) -> None:
-        """Write values again that a restore has lost, as their writers do."""
+    def rewrite(self, value_by_key: dict[str, bytes | None]) -> None:
+        """Reapply writes and removals that a restore lost, but not over newer ones."""
         for key, value in value_by_key.items():
-            self.put(key, value)
+            if key in self._written_since_restore:
+                continue
+            if value is None:
+                self.remove(key)
+            else:
+                self.put(key, value)
 
     def _log(self, event: dict[str, typing.Any]) -> None:
         self.log.append(event)
--- a/tools/soak_processes/faults.py
+++ b/tools/soak_processes/faults.py
@@ -21,6 +21,17 @@
 Fault = abc.Callable[
     [worlds.World, random.Random, float], abc.Coroutine[typing.Any, typing.Any, None]
 ]
+#: Longest time between a backup and the writes that its restore loses, in seconds.
+BACKUP_AGE_MAX_S = 3.0
+#: Minimum number of revisions that a restore loses.
+MIN_LOST_REVISIONS = 300
+#: Time allowed for gateways to publish a list to each other, in seconds.
+PUBLISH_WAIT_S = 0.3
+#: HTTP status of each call while the store is down.
+DOWN = 503
+#: A zone without upstreams; evacuating it makes gateways publish a new list.
+UNUSED_ZONE = "unused"
+UNRELATED_KEY = "status/unrelated"
 FAULTS: registry.Registry[Fault] = registry.Registry("fault")
 World = worlds.World
 Mode = worker_records.Mode
@@ -221,6 +232,30 @@
         world.fleet.store.forget_history()
 
 
+@FAULTS.register("store-restored")
+async def store_restored(world: World, rng: random.Random, for_s: float) -> None:
+    """The store is down for up to a second and is restored from a backup."""
+    store = world.fleet.store
+    evacuation_key = f"op/evacuate/{UNUSED_ZONE}"
+    with world.trouble("store-restored", ledger.STORE, of="state"):
+        backup = store.backup()
+        await asyncio.sleep(min(for_s, BACKUP_AGE_MAX_S))
+        for number in range(MIN_LOST_REVISIONS):
+            store.put(UNRELATED_KEY, {"number": number})
+        # Gateways publish a list whose revision is newer than the restored store's.
+        store.put(evacuation_key, {})
+        await asyncio.sleep(PUBLISH_WAIT_S)
+        store.trouble = dataclasses.replace(store.trouble, refuse=DOWN)
+        try:
+            await asyncio.sleep(rng.uniform(0.1, 1.0))
+            lost_value_by_key = store.restore(backup)
+        finally:
+            store.trouble = dataclasses.replace(store.trouble, refuse=0)
+        await asyncio.sleep(rng.uniform(0.1, 2.0))
+        store.rewrite(lost_value_by_key)
+    store.remove(evacuation_key)
+
+
 # Upstreams.
 
 
--- a/tools/soak_processes/mutants.py
+++ b/tools/soak_processes/mutants.py
@@ -62,6 +62,18 @@
         held_by="nothing new to upstreams that are closed",
         steps=("0.5 3 upstream-vanishes 1", "0.6 3 upstream-vanishes 2"),
     ),
+    mutant_table.Mutant(
+        "lists are ordered without the era of the store",
+        "../platform/spindlenotch_platform/store_client",
+        'ERA_HEADER = "Store-Era"',
+        'ERA_HEADER = "Store-Nobody"',
+        held_by="nothing new to upstreams that are closed",
+        steps=(
+            "0.2 1 store-restored 1",
+            "7 4 upstream-vanishes 2",
+            "7.5 4 upstream-vanishes 5",
+        ),
+    ),
     mutant_table.Mutant(
         "an evacuated zone is used on",
         "gateway/source/leases",
