Keep zones evacuated when a restored source lacks the evacuation

Symptom: after the store is restored from a backup that is older than the evacuation of a zone, requests are sent to the zone again until the operator's key is rewritten.

Cause: a zone that is missing from a full reading is treated as taken back immediately, even after a restore. Class of fault: an older state of a source is mistaken for a newer one.

Evidence: a property test without processes.

Not shown with real gateways.

Fix: evacuated zones that are missing from a restored source stay evacuated for the 6 s for which withdrawn upstreams are withheld, unless the operator takes the evacuation back earlier or a peer's list lacks it. After that, the source decides. Peers are told of these zones as before. Without a restore, nothing changes.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -56,6 +56,7 @@
       | gossip advertises the position of a list                   |
       | an order rewritten after a restore keeps its run           |
       | an order not rewritten after a restore is dropped          |
+      | an evacuation missing from a backup is kept temporarily    |
       | an order without an era is compared by revision            |
       | withdrawn upstreams stay out of use after a restore        |
       | withdrawn upstreams stay out of use after two restores     |
--- a/features/steps/gateway_restored.py
+++ b/features/steps/gateway_restored.py
@@ -337,6 +337,51 @@
         assert orders.is_same_order(known, received) is is_same, (known, received)
 
 
+@kernel.PROPERTIES.register("an evacuation missing from a backup is kept temporarily")
+def missing_evacuation_kept() -> None:
+    zone = ids.ZoneName(started_gateway.ZONE)
+    cases: tuple[tuple[sources.Changes | None, bool], ...] = (
+        # Changes written after the restore, and whether the zone stays evacuated.
+        (None, False),
+        (sources.Changes(501, evacuated_zones=frozenset({zone}), era=5), True),
+    )
+    for rewritten, stays_evacuated in cases:
+        reading = store_reading.Reading()
+        evacuated = msgspec.structs.replace(
+            snapshot_with(reading, 4, None), evacuated_zones=frozenset({zone})
+        )
+        reading.state.apply_snapshot(evacuated)
+        reading.clock.advance(10.0)
+        reading.state.tick()
+        assert not reading.in_use()
+        reading.state.apply_snapshot(snapshot_with(reading, 5, None))
+        reading.state.apply_snapshot(snapshot_with(reading, 5, None))
+        assert not reading.in_use()
+        if rewritten is not None:
+            reading.state.apply_changes(rewritten)
+        reading.clock.advance(withdrawals.WITHHOLD_S - 0.1)
+        reading.state.tick()
+        assert not reading.in_use()
+        reading.clock.advance(0.2)
+        assert reading.state.tick()
+        assert (not reading.in_use()) is stays_evacuated
+    # A peer's list of the new era may arrive before the gateway's own snapshot.
+    reading = store_reading.Reading()
+    reading.state.apply_snapshot(evacuated)
+    listed = reading.state.listing.listed(reading.clock.now())
+    reading.state.apply_listing(listed, 450, 5)
+    reading.state.apply_snapshot(snapshot_with(reading, 5, None))
+    assert not reading.in_use()
+    # The operator can take the evacuation back before the release.
+    reading = store_reading.Reading()
+    reading.state.apply_snapshot(evacuated)
+    reading.state.apply_snapshot(snapshot_with(reading, 5, None))
+    reading.state.apply_changes(
+        sources.Changes(501, restored_zones=frozenset({zone}), era=5)
+    )
+    assert reading.in_use() == set(store_reading.NAMES)
+
+
 @kernel.PROPERTIES.register("an order not rewritten after a restore is dropped")
 def missing_order_dropped() -> None:
     reading = store_reading.Reading()
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -39,6 +39,7 @@
     def __init__(self, evacuate_s: float = 0.0) -> None:
         self.evacuate_s = evacuate_s
         self.evacuated_zones: frozenset[ids.ZoneName] = frozenset()
+        self._retained_zones: frozenset[ids.ZoneName] = frozenset()
         self._next_leave_at = ids.NEVER
         self.lease_by_id: dict[ids.UpstreamId, leases.Lease] = {}
         self.fault_at = ids.Instant(float("-inf"))
@@ -87,6 +88,7 @@
             )
             for upstream in listed
         }
+        self._retained_zones = frozenset()
         evacuated = [one for one in listed_by_id.values() if one.is_evacuated]
         self.evacuate(frozenset(one.zone for one in evacuated), now)
         for one in evacuated:
@@ -122,6 +124,41 @@
                 )
         self._schedule_leaving(now)
 
+    def replace_evacuated_zones(
+        self, zones: frozenset[ids.ZoneName], now: ids.Instant
+    ) -> None:
+        """
+        Replace the evacuated zones by those of a snapshot of the source.
+
+        Evacuated zones that are missing after a restore are retained until withheld
+        upstreams are released, as the backup may be older than the evacuation.
+        """
+        is_withholding = self.withdrawals.is_withholding(now)
+        retained = self.evacuated_zones if is_withholding else frozenset()
+        self._retained_zones = retained - zones
+        self.evacuate(zones | self._retained_zones, now)
+
+    def update_evacuated_zones(
+        self,
+        evacuated: frozenset[ids.ZoneName],
+        restored: frozenset[ids.ZoneName],
+        now: ids.Instant,
+    ) -> bool:
+        """Apply changes to the evacuated zones; tell whether there was any."""
+        self._retained_zones -= evacuated | restored
+        zones = (self.evacuated_zones | evacuated) - restored
+        is_changed = zones != self.evacuated_zones
+        self.evacuate(zones, now)
+        return is_changed
+
+    def release_due(self, now: ids.Instant) -> bool:
+        """Release withheld upstreams and retained zones; tell whether they were due."""
+        if not self.withdrawals.release_due(now):
+            return False
+        released, self._retained_zones = self._retained_zones, frozenset()
+        self.evacuate(self.evacuated_zones - released, now)
+        return True
+
     def leave_due(self, now: ids.Instant) -> bool:
         """Tell whether upstreams have left for an evacuation since the last call."""
         if now < self._next_leave_at:
--- a/spindlenotch/gateway/source/withdrawals.py
+++ b/spindlenotch/gateway/source/withdrawals.py
@@ -70,12 +70,16 @@
         """Tell whether a listed upstream is withheld after a restore."""
         return now < self.withheld_until and start_of(listed) in self.withheld_starts
 
+    def is_withholding(self, now: ids.Instant) -> bool:
+        """Tell whether withdrawn upstreams are still withheld after a restore."""
+        return now < self.withheld_until
+
     def release_due(self, now: ids.Instant) -> bool:
         """Tell whether withheld upstreams were released since the last call."""
         if self._is_released or now < self.withheld_until:
             return False
         self._is_released = True
-        return bool(self.withheld_starts)
+        return True
 
     def _withhold(self, known: abc.Collection[leases.Lease], now: ids.Instant) -> None:
         self._forget_old(now)
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -194,7 +194,7 @@
             self.listing.evacuate(before | snapshot.evacuated_zones, now)
         else:
             self.listing.set_position(snapshot.revision, snapshot.era, now)
-            self.listing.evacuate(snapshot.evacuated_zones, now)
+            self.listing.replace_evacuated_zones(snapshot.evacuated_zones, now)
             self.listing.discard(snapshot.unusable, now)
             self.listing.replace(snapshot.upstream_by_id.values(), now)
         source_events.report_evacuations(before, self.listing.evacuated_zones)
@@ -243,12 +243,13 @@
         else:
             self.listing.set_position(changes.revision, changes.era, now)
         before = self.listing.evacuated_zones
-        zones = (before | changes.evacuated_zones) - changes.restored_zones
+        is_evacuation_changed = self.listing.update_evacuated_zones(
+            changes.evacuated_zones, changes.restored_zones, now
+        )
         # An entry that can't be used is written again and again: no news but once.
         is_dropped = self.listing.discard(changes.unusable, now)
-        if not (changes.listed or changes.gone or is_dropped or zones != before):
+        if not (changes.listed or changes.gone or is_dropped or is_evacuation_changed):
             return False
-        self.listing.evacuate(zones, now)
         self.listing.add(changes.listed, now)
         self.listing.remove(changes.gone, now)
         source_events.report_evacuations(before, self.listing.evacuated_zones)
@@ -283,7 +284,9 @@
         """
         now = self.clock.now()
         expired = self.listing.drop_expired(now)
-        is_released = self.listing.withdrawals.release_due(now)
+        before = self.listing.evacuated_zones
+        is_released = self.listing.release_due(now)
+        source_events.report_evacuations(before, self.listing.evacuated_zones)
         is_released |= self.rollouts.orders.drop_missing(now)
         if self.listing.leave_due(now) or expired or is_released:
             self._upstreams_in_use = self.listing.in_use(now)
--- a/tools/restore_mutants.py
+++ b/tools/restore_mutants.py
@@ -49,4 +49,11 @@
         "        if True:\n            return False\n",
         "an order rewritten after a restore keeps its run",
     ),
+    mutant_table.Mutant(
+        "an evacuation missing from a backup ends at the restore",
+        "gateway/source/listing",
+        "        self.evacuate(zones | self._retained_zones, now)\n",
+        "        self.evacuate(zones, now)\n",
+        "an evacuation missing from a backup is kept temporarily",
+    ),
 )
