Rewrite a discovery record that was lost in a restore

Symptom: after the store is restored from a backup older than a zone's discovery record, the record stays missing, and a gateway that knows no peer cannot find the fleet through it.

Cause: records no longer listed in a full reading stayed known, so the zone's reader took its own record for present.

Evidence: the property fails without the change (mutant "a discovery record lost in a restore counts as present"). Not shown with real gateways.

Why this works: a full reading replaces all known records; the reader writes its own record where it is missing, as it does at its start.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -54,6 +54,7 @@
       | changes of an earlier era do not alter a later list        |
       | a list without a position is compared by version           |
       | gossip advertises the position of a list                   |
+      | a discovery record lost in a restore is rewritten          |
       | an order rewritten after a restore keeps its run           |
       | an order not rewritten after a restore is dropped          |
       | an evacuation missing from a backup is kept temporarily    |
--- a/features/steps/gateway_restored.py
+++ b/features/steps/gateway_restored.py
@@ -9,7 +9,7 @@
 from features.support import reborn_reading, started_gateway, store_reading
 from spindlenotch import ids
 from spindlenotch.gateway.rollout import orders
-from spindlenotch.gateway.source import relay, sources, withdrawals
+from spindlenotch.gateway.source import discovery, relay, sources, withdrawals
 from spindlenotch.peers import documents, messages, rollout_notes
 from spindlenotch_platform import store_client
 
@@ -400,6 +400,30 @@
     assert SERVICE not in rollouts.orders.order_by_service
 
 
+@kernel.PROPERTIES.register("a discovery record lost in a restore is rewritten")
+def discovery_record_rewritten() -> None:
+    reading = store_reading.Reading()
+    state = reading.state
+    config = state.config
+    writer = discovery.DiscoveryWriter(
+        state, typing.cast(sources.Source, None), lambda: True
+    )
+    state.reads_source = True
+    own_record = sources.DiscoveryRecord(config.zone, config.peer_listen, 400)
+    state.apply_snapshot(
+        msgspec.structs.replace(
+            snapshot_with(reading, 4, None), discovery_records=(own_record,)
+        )
+    )
+    assert not writer.due(reading.clock.now())
+    # The backup predates the record.
+    state.apply_snapshot(snapshot_with(reading, 5, None))
+    assert not writer.due(reading.clock.now())
+    reading.clock.advance(discovery.SETTLE_S + 0.1)
+    assert writer.due(reading.clock.now())
+    assert config.zone not in state.discovery_record_by_zone
+
+
 @kernel.PROPERTIES.register("gossip advertises the position of a list")
 def position_in_gossip() -> None:
     state, _ = started_gateway.gateway(started_gateway.SEED)
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -182,6 +182,8 @@
         """
         self._source_events.report_bad(snapshot.bad, self.clock.now())
         self._note_era(snapshot)
+        # Records lost in a restore must not stay known, or nobody rewrites them.
+        self.discovery_record_by_zone.clear()
         self._store_discovery_records(snapshot.discovery_records)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration)
--- a/tools/restore_mutants.py
+++ b/tools/restore_mutants.py
@@ -56,4 +56,11 @@
         "        self.evacuate(zones, now)\n",
         "an evacuation missing from a backup is kept temporarily",
     ),
+    mutant_table.Mutant(
+        "a discovery record lost in a restore counts as present",
+        "gateway/state",
+        "        self.discovery_record_by_zone.clear()\n",
+        "",
+        "a discovery record lost in a restore is rewritten",
+    ),
 )
