--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -275,6 +275,32 @@
             Scenario("gateway", "entries that leave a sound store are dropped at once"),
         ),
     ),
+    Rule(
+        question="What counts after the source was restored from a backup",
+        functions=(
+            "peers/documents.is_newer",
+            "gateway/source/listing.Listing.is_newer_than",
+            "gateway/source/withdrawals.Withdrawals.is_withheld",
+            "gateway/rollout/orders.is_same_order",
+        ),
+        inputs="the era that the source reports, or none; the revision within it; which"
+        " upstreams were draining or had ended, and which zones were evacuated, before"
+        " the restore; service, target and time of orders.",
+        reason="A restore decreases the revisions and may undo what was learned. The"
+        " later era counts; what had left stays out of use until entries that nobody"
+        " renews have expired.",
+        constants=(
+            "gateway/source/withdrawals.WITHHOLD_S",
+            "gateway/source/withdrawals.ENDED_KEPT_S",
+        ),
+        events=("UPSTREAMS_WITHDRAWN", "SOURCE_RESTORED"),
+        tests=(
+            Scenario("gateway", "lists are ordered by era, then by version within it"),
+            Scenario("gateway", "withdrawn upstreams stay out of use after a restore"),
+            Scenario("gateway", "an order rewritten after a restore keeps its run"),
+            Scenario("store_restored", "Workers drain after the store is restored"),
+        ),
+    ),
     Rule(
         question="When an id of the list is another upstream than before",
         functions=(
