Add a scenario that kills store readers during a restore

Two workers drain before the restore, and the backup does not contain their drains. The three gateways that read the store are killed and started again around the restore, and two more workers drain afterwards. It guards what withheld upstreams and the order of lists rely on when the gateways that know of them change. Of the killed gateways only requests later than 3 s after their restart count.

--- a/features/steps/store_restored.py
+++ b/features/steps/store_restored.py
@@ -14,6 +14,9 @@
 #: Gateways that do not read the store: the first gateway of their zone does.
 NON_READER_NODES = ["node-6", "node-5"]
 
+#: Gateways that read the store while they run: the first gateway of each zone.
+READER_NODES = ["node-1", "node-2", "node-3"]
+
 run = platform_context.run
 fleet_of = platform_context.fleet_of
 
@@ -155,6 +158,32 @@
     run_play(context, trouble())
 
 
+@behave.when(
+    "{count:d} workers drain and readers are killed while the store is restored from a "
+    "backup {age_s:g} s old, then {later_count:d} more workers drain"
+)
+def drain_before_and_after_reader_kill(
+    context: typing.Any, count: int, age_s: float, later_count: int
+) -> None:
+    play = play_of(context)
+    names = first_workers(context, count + later_count)
+
+    async def trouble() -> None:
+        backup = await play.make_backup(age_s)
+        for name in names[:count]:
+            play.drain_worker(name, time.monotonic())
+        await asyncio.sleep(store_restore.DRAIN_INTERVAL_S)
+        restoring = asyncio.ensure_future(
+            play.restore_backup(backup, store_restore.REWRITE_DELAY_S)
+        )
+        await play.kill_gateways(READER_NODES)
+        await restoring
+        await play.drain_workers(names[count:])
+        await asyncio.sleep(store_restore.OBSERVATION_S)
+
+    run_play(context, trouble())
+
+
 @behave.then(
     "no request reaches a draining worker more than {seconds:g} s after the store "
     "acknowledged its draining"
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -26,3 +26,9 @@
   Scenario: The backup was made before workers left without draining
     When the entries of 2 workers are removed, then the store is restored from a backup 4 s old and the restored entries expire 4.5 s later
     Then no request reaches a draining worker more than 2.5 s after the store acknowledged its draining
+
+  # Guards against losing withheld upstreams or the order of lists when the gateways that
+  # know them are replaced.
+  Scenario: Readers of the store are killed while it is restored
+    When 2 workers drain and readers are killed while the store is restored from a backup 4 s old, then 2 more workers drain
+    Then no request reaches a draining worker more than 2.5 s after the store acknowledged its draining
--- a/features/support/store_restore.py
+++ b/features/support/store_restore.py
@@ -22,7 +22,7 @@
 #: afterwards.
 DRAIN_INTERVAL_S, OBSERVATION_S = 1.0, 5.0
 #: Seconds for which a gateway is frozen, and for which its requests are not counted
-#: after it resumes.
+#: after it resumes or starts again.
 FREEZE_S, FREEZE_GRACE_S = 3.0, 3.0
 UNRELATED_KEY = "status/other"
 DOWN = 503
@@ -111,6 +111,12 @@
             process.send_signal(signal.SIGCONT)
             self.ignored_until_by_node[node] = time.monotonic() + FREEZE_GRACE_S
 
+    async def kill_gateways(self, nodes: list[str]) -> None:
+        """Kill gateways, start them again and set their grace period."""
+        await self.kill(nodes)
+        for node in nodes:
+            self.ignored_until_by_node[node] = time.monotonic() + FREEZE_GRACE_S
+
     async def keep_writing_unrelated_key(self) -> None:
         """Write a key that gateways ignore, at a steady rate until cancelled."""
         while True:
