--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -12,6 +12,7 @@
 import json
 import time
 import typing
+import weakref
 
 from aiohttp import web
 
@@ -99,6 +100,8 @@
         self.address = ""
         self.lease_ttl_s: dict[int, float] = {}
         self._expiry_by_lease: dict[int, asyncio.TimerHandle] = {}
+        self._open: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
+        self._silenced: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -121,6 +124,16 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def silence_connections(self) -> list[asyncio.Transport]:
+        """
+        Answer nothing more on the connections that are open, and return these.
+
+        Connections that are made afterwards work.
+        """
+        silenced = [one for one in self._open if not one.is_closing()]
+        self._silenced.update(silenced)
+        return silenced
+
     def read(self, key: str) -> typing.Any:
         """Return a key's decoded value as the operator reads it; None: no such key."""
         item = self.item_by_key.get(key)
@@ -217,7 +230,13 @@
 
     @web.middleware
     async def _trouble(self, request: web.Request, handler: typing.Any) -> typing.Any:
+        transport = typing.cast(asyncio.Transport, request.transport)
+        self._open.add(transport)
+        if transport in self._silenced:
+            await asyncio.sleep(FOR_GOOD_S)
         answer = await self._answer(request, handler)
+        if transport in self._silenced:
+            await asyncio.sleep(FOR_GOOD_S)
         answer.headers["Store-Era"] = str(self.era)
         return answer
 
