Let the kernel end silent connections to the store

Callers got answers of an older configuration more than 2 s after a newer one had been acknowledged, up to 3.1 s on all eight gateways, where all open connections to the store went silent while new ones worked.

Cause: nothing but the limit of a call, 2.4 s of waiting and 1 s more for a watch, ended a call on a silent connection. Logs of readers: E204 3.4 s after the silence began, E209 of all other gateways after that.

The sockets of both store clients now have keep-alive probes after 1 s and a user timeout of 1.5 s: the kernel ends an idle connection 2 s after the last segment, and one with unacknowledged data after 1.5 s. The reader then reads on a new connection, well before 3 s are over. Shorter watches would do the same at the price of more calls to the store. A single lost probe ends a connection, which costs one call.

--- a/features/steps/silent_connections.py
+++ b/features/steps/silent_connections.py
@@ -9,7 +9,8 @@
 
 #: Timeout of a route, in seconds.
 TIMEOUT_S = 1.0
-#: Seconds before the first silence, which begins just after a change, and after each one.
+#: Seconds before the first silence, so that it begins just after a change, and after
+#: each silence.
 LEAD_S, OBSERVATION_S = 4.2, 6.0
 
 run = platform_context.run
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -6,6 +6,7 @@
 aiohttp; the timeouts of single calls are set where the calls are made.
 """
 
+import socket
 from collections import abc
 
 import aiohttp
@@ -14,6 +15,14 @@
 
 #: aiohttp's own default limit of connections per session.
 DEFAULT_CONNECTIONS = 100
+#: Seconds without a segment from the peer after which the kernel sends a keep-alive
+#: probe, and between two probes.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+#: Milliseconds without an acknowledgement after which the kernel ends the connection.
+#: Applies to sent data and, instead of a number of probes, to keep-alive: a silent
+#: connection ends at the second probe that is due.
+USER_TIMEOUT_MS = 1500
 
 
 def new_session(
@@ -23,6 +32,7 @@
     closes_connections: bool = False,
     retries_idempotent: bool = True,
     decompresses: bool = True,
+    detects_silence: bool = False,
     timeout: aiohttp.ClientTimeout | None = None,
     request_class: type[aiohttp.ClientRequest] = aiohttp.ClientRequest,
     traces: abc.Sequence[aiohttp.TraceConfig] = (),
@@ -35,7 +45,9 @@
     ``closes_connections`` no connection is reused. With ``retries_idempotent``
     aiohttp itself retries idempotent methods, PUT among them, if a keep-alive
     connection drops.
-    ``decompresses`` decodes compressed bodies. ``timeout`` None is aiohttp's
+    ``decompresses`` decodes compressed bodies. With ``detects_silence`` a connection
+    fails within 2 s if the peer's host no longer acknowledges anything, which long
+    polls would not notice until their timeout. ``timeout`` None is aiohttp's
     default, for sessions whose calls all set their own.
     """
     session = aiohttp.ClientSession(
@@ -43,6 +55,7 @@
             limit=connections,
             use_dns_cache=caches_addresses,
             force_close=closes_connections,
+            socket_factory=_new_keepalive_socket if detects_silence else None,
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=decompresses,
@@ -56,6 +69,20 @@
     return session
 
 
+def _new_keepalive_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Return a socket on which the kernel detects a peer that has gone silent."""
+    family, kind, protocol, _, _ = address
+    created = socket.socket(family, kind, protocol)
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        created.setsockopt(socket.IPPROTO_TCP, option, value)
+    return created
+
+
 class LazySession:
     """Opens its session at first use, as a session belongs to the running loop."""
 
--- a/spindlenotch/drivers/store_http.py
+++ b/spindlenotch/drivers/store_http.py
@@ -107,7 +107,9 @@
     # aiohttp may retry a write if a keep-alive connection drops. The expected
     # revision prevents it from taking effect twice, but the retry of a write that
     # did take effect is rejected as a conflict with the write itself.
-    return http_client.new_session(connections=CONNECTIONS, caches_addresses=False)
+    return http_client.new_session(
+        connections=CONNECTIONS, caches_addresses=False, detects_silence=True
+    )
 
 
 def _fault(status: int) -> ports.StoreFault:
