Close idle connections to the store when a call gets no answer

Callers got answers of an older configuration for longer than one call's limit after all connections to the store had gone silent: two of three readers read again only 3.8 and 4.0 s after their watch had failed.

Cause: the connection of an earlier write was idle in the pool and as silent as that of the watch, and the next call took it. Evidence: logs of those readers have E213 (their write) before the silence and E205 4 s after E204.

A call without an answer now closes the idle connections, so that the next one opens a new connection. The scenario 'Idle connections to the store are silent' failed before (each of two calls failed) and passes now.

--- a/features/steps/silent_connections.py
+++ b/features/steps/silent_connections.py
@@ -6,6 +6,8 @@
 import behave
 
 from features.support import configuration_changes, platform_context, steady_callers
+from spindlenotch.gateway.source import sources
+from spindlenotch_platform import store_client
 
 #: Timeout of a route, in seconds.
 TIMEOUT_S = 1.0
@@ -52,3 +54,28 @@
     nodes = sorted({one.node for one in late})
     latest_s = max((one.after_s for one in late), default=0.0)
     assert not late, (len(late), changes.request_count, nodes, latest_s)
+
+
+@behave.when("a client's {count:d} idle connections to the store go silent")
+def silence_idle_connections(context: typing.Any, count: int) -> None:
+    store = fleet_of(context).store
+    context.client = store_client.StoreClient(f"http://{store.address}")
+
+    async def silence() -> None:
+        # Calls at the same time take a connection each.
+        await asyncio.gather(*(context.client.read_page(None) for _ in range(count)))
+        assert len(store.silence_connections()) == count
+
+    run(context, silence())
+
+
+@behave.then("only its next call fails")
+def assert_one_call_fails(context: typing.Any) -> None:
+    async def read_twice() -> list[bool]:
+        try:
+            answers = [await context.client.read_page(None) for _ in range(2)]
+        finally:
+            await context.client.close()
+        return [isinstance(answer, sources.SourceFault) for answer in answers]
+
+    assert run(context, read_twice()) == [True, False]
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -96,14 +96,14 @@
             self._session = self._open_session()
         return self._session
 
-    def close_idle(self, address: ids.Address) -> None:
-        """Close the idle keep-alive connections to ``address``."""
+    def close_idle(self, address: ids.Address | None = None) -> None:
+        """Close the idle keep-alive connections to ``address``; None: all of them."""
         connector = None if self._session is None else self._session.connector
         if connector is None:
             return
         # aiohttp has no public access to these; it discards closed ones itself.
         for key, idle_connections in connector._conns.items():
-            if f"{key.host}:{key.port}" == address:
+            if address is None or f"{key.host}:{key.port}" == address:
                 for protocol, _ in idle_connections:
                     protocol.close()
 
--- a/spindlenotch/drivers/store_http.py
+++ b/spindlenotch/drivers/store_http.py
@@ -63,6 +63,7 @@
                 await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             # Whatever the cause, the write may have taken effect.
+            self.session.close_idle()
             return ports.StoreFault.UNAVAILABLE
         if response.status == OK:
             return ports.Stored(revision, value)
@@ -94,7 +95,9 @@
                 body = await response.read()
                 revision = int(response.headers.get(REVISION, "0"))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
-            # Callers treat every cause alike: they keep the value they have.
+            # Callers treat every cause alike: they keep the value they have. Idle
+            # connections may have gone silent together with this one.
+            self.session.close_idle()
             return ports.StoreFault.UNAVAILABLE
         if response.status == OK:
             return ports.Stored(revision, body)
