Reproduce refusals by gateways that are cut off from all upstreams

Callers of such gateways get 503 or 504 for the whole of the cut, while others are served. Workers of the stand-in tell gateways apart by the address that they connect from.

--- /dev/null
+++ b/features/isolated_gateways.feature
@@ -0,0 +1,31 @@
+# Guards against refusing the callers of gateways that have lost their links to all
+# upstreams while other gateways reach them.
+Feature: Gateways are cut off from all upstreams
+
+  Background:
+    Given a platform store with a configuration and 0 workers
+    And 20 workers and 8 gateways with addresses of their own
+
+  Scenario Outline: <who> are cut off, by <how>
+    When "<who>" are cut off from all workers, by "<how>"
+    Then callers of the gateways cut off are served nearly as often as others
+    And no booking ran twice, nor after it was refused as not run
+    And the directory was never empty
+
+    Examples:
+      | who                             | how   |
+      | two that serve and one other    | reset |
+      | two that serve and one other    | hang  |
+      | all that serve and three others | reset |
+      | all that serve and three others | hang  |
+
+  Scenario Outline: All gateways are cut off, by <how>
+    When "all" are cut off from all workers, by "<how>"
+    Then the directory was never empty
+    And no booking ran twice, nor after it was refused as not run
+    And requests are served again 1 s after the cut ended
+
+    Examples:
+      | how   |
+      | reset |
+      | hang  |
--- /dev/null
+++ b/features/steps/isolated_gateways.py
@@ -0,0 +1,116 @@
+"""Steps on gateways that are cut off from all workers."""
+
+import typing
+
+import behave
+
+from features.support import (
+    isolation_play,
+    platform_context,
+    platform_fleet,
+    steady_callers,
+    upstream_cuts,
+)
+
+#: Timeout of a route, in seconds.
+TIMEOUT_S = 1.0
+RATE = 180.0
+#: Seconds after a cut of all gateways within which requests are served again.
+RECOVERY_S = 3.0
+#: Share of requests that must be served then.
+RECOVERED_SHARE = 0.9
+
+run = platform_context.run
+fleet_of = platform_context.fleet_of
+
+
+def play_of(context: typing.Any) -> isolation_play.IsolationPlay:
+    """Return the scenario's play."""
+    return typing.cast(isolation_play.IsolationPlay, context.play)
+
+
+@behave.given(
+    "{workers:d} workers and {gateways:d} gateways with addresses of their own"
+)
+def start_fleet(context: typing.Any, workers: int, gateways: int) -> None:
+    fleet = fleet_of(context)
+    fleet.program_by_node = {
+        f"node-{number}": isolation_play.OWN_ADDRESS_PROGRAM
+        for number in range(1, gateways + 1)
+    }
+    context.play = isolation_play.IsolationPlay(fleet)
+    context.play.rate = RATE
+    run(context, steady_callers.start(fleet, workers, gateways, TIMEOUT_S))
+    routes = [
+        platform_fleet.route(name, f"/{name}/", kind, timeoutS=TIMEOUT_S)
+        for name, kind in (("read", "safe"), ("book", "unsafe"))
+    ]
+    changed = platform_fleet.configuration(5, routes, (steady_callers.SERVICE,))
+    fleet.store.put("op/config", changed)
+
+
+@behave.when('"{who}" are cut off from all workers, by "{how}"')
+def cut_off(context: typing.Any, who: str, how: str) -> None:
+    play = play_of(context)
+
+    async def trouble() -> None:
+        nodes = chosen(play, who)
+        await play.cut(nodes, upstream_cuts.How(how))
+
+    run(context, play.play(trouble()))
+
+
+def chosen(play: isolation_play.IsolationPlay, who: str) -> list[str]:
+    """Return the gateways to cut off."""
+    every = list(play.fleet.ip_by_node)
+    serving = play.serving()
+    others = [node for node in every if node not in serving]
+    zone_count = len(platform_fleet.ZONES)
+    assert len(serving) == zone_count, serving
+    match who:
+        case "two that serve and one other":
+            return [*serving[:2], others[0]]
+        case "all that serve and three others":
+            return [*serving, *others[:3]]
+        case "all":
+            return every
+    raise AssertionError(who)
+
+
+@behave.then("callers of the gateways cut off are served nearly as often as others")
+def assert_contained(context: typing.Any) -> None:
+    play = play_of(context)
+    span = (isolation_play.CONTAIN_S, isolation_play.CUT_S)
+    cut, others = play.served(*span, cut=True), play.served(*span, cut=False)
+    before = play.served(0.0, isolation_play.CONTAIN_S, cut=True)
+    print(f"served: before {before}, cut off {cut}, others {others}")
+    allowed = isolation_play.FAILED_ALLOWED
+    allowed += isolation_play.FAILED_SHARE_ALLOWED * (cut.sent + others.sent)
+    is_rare = cut.share < isolation_play.MIN_SERVED_RATIO * others.share
+    assert not (is_rare and cut.failed > allowed), (cut, others, before)
+    assert cut.sent > 0, "none was sent there"
+    assert others.sent == 0 or others.share >= RECOVERED_SHARE, (cut, others)
+
+
+@behave.then("no booking ran twice, nor after it was refused as not run")
+def assert_at_most_once(context: typing.Any) -> None:
+    play = play_of(context)
+    repeated, refused = play.repeated_bookings(), play.false_refusals()
+    assert not repeated and not refused, (repeated, refused)
+
+
+@behave.then("the directory was never empty")
+def assert_directory(context: typing.Any) -> None:
+    assert play_of(context).empty_directories == 0, play_of(context).empty_directories
+
+
+@behave.then("requests are served again {seconds:g} s after the cut ended")
+def assert_recovered(context: typing.Any, seconds: float) -> None:
+    play = play_of(context)
+    healed_s = play.healed_at - play.cut_at
+    every = [
+        play.served(healed_s + seconds, healed_s + seconds + 10.0, cut=cut)
+        for cut in (True, False)
+    ]
+    served, sent = sum(one.served for one in every), sum(one.sent for one in every)
+    assert sent and served >= RECOVERED_SHARE * sent, every
--- /dev/null
+++ b/features/support/isolation_play.py
@@ -0,0 +1,124 @@
+"""
+Requests while some gateways are cut off from all workers.
+
+Relies on a ``platform_fleet`` whose gateways connect from addresses of their own.
+"""
+
+import asyncio
+import collections
+import time
+
+import msgspec
+
+from features.support import platform_fleet, steady_callers, upstream_cuts
+
+#: Seconds that a cut lasts, and after which its effects must have been contained.
+CUT_S, CONTAIN_S = 8.0, 3.0
+#: Requests and share of all of them that may fail at the gateways cut off.
+FAILED_ALLOWED, FAILED_SHARE_ALLOWED = 10, 0.02
+#: Smallest ratio of the shares served at the gateways cut off and at the others.
+MIN_SERVED_RATIO = 2 / 3
+#: Part of the callers that keep an answer of the directory for longer than it is valid.
+STUBBORN_SHARE = 1 / 3
+BOOKING_PREFIX = "/book/"
+OWN_ADDRESS_PROGRAM = "features/support/own_address.py"
+
+
+class Served(msgspec.Struct, frozen=True):
+    """How many of a number of requests were served."""
+
+    served: int
+    sent: int
+
+    @property
+    def share(self) -> float:
+        """Return the share that was served, 1 if there were no requests."""
+        return self.served / self.sent if self.sent else 1.0
+
+    @property
+    def failed(self) -> int:
+        """Return how many were not served."""
+        return self.sent - self.served
+
+
+class IsolationPlay(steady_callers.SteadyCallers):
+    """
+    Callers of all gateways while some are cut off from all workers.
+
+    A part of the callers keeps to the gateways that were named before the cut.
+    """
+
+    def __init__(self, fleet: platform_fleet.PlatformFleet) -> None:
+        super().__init__(fleet)
+        self.cut_nodes: list[str] = []
+        self.cut_at = 0.0
+        self.healed_at = 0.0
+        self.served_at_cut: list[str] = []
+        self.empty_directories = 0
+        self._nodes_before_cut: list[str] = []
+
+    async def cut(self, nodes: list[str], how: upstream_cuts.How) -> None:
+        """Cut gateways off for ``CUT_S`` seconds."""
+        self.cut_nodes = nodes
+        self._nodes_before_cut = list(self._nodes)
+        self.fleet.cut_from_upstreams(nodes, how)
+        self.cut_at = time.monotonic()
+        await asyncio.sleep(CUT_S)
+        self.fleet.upstream_cuts.heal()
+        self.healed_at = time.monotonic()
+
+    def serving(self) -> list[str]:
+        """Return the gateways that the directory named last."""
+        return list(self._nodes)
+
+    def served(self, from_s: float, to_s: float, *, cut: bool) -> Served:
+        """
+        Return what was served of the requests sent in a span after the cut began.
+
+        ``cut``: at the gateways cut off, else at the others.
+        """
+        counted = [
+            one
+            for one in self.request_by_id.values()
+            if from_s <= one.sent_at - self.cut_at < to_s
+            and (one.node in self.cut_nodes) is cut
+        ]
+        ok = sum(one.status == steady_callers.OK for one in counted)
+        return Served(ok, len(counted))
+
+    def repeated_bookings(self) -> list[str]:
+        """Return the bookings that ran more often than once."""
+        return [one for one, count in self._run_counts().items() if count > 1]
+
+    def false_refusals(self) -> list[str]:
+        """Return the bookings that ran although they were refused as not run."""
+        return [
+            one
+            for one in self._run_counts()
+            if self.request_by_id[one].status == steady_callers.NOT_RUN
+        ]
+
+    def _run_counts(self) -> collections.Counter[str]:
+        """Return how often each booking ran."""
+        return collections.Counter(
+            run.request_id
+            for worker in self.fleet.worker_by_id.values()
+            for run in worker.runs
+            if run.target.startswith(BOOKING_PREFIX)
+        )
+
+    def _method_and_target(self, request_id: str) -> tuple[str, str]:
+        """Let every second request be one that may run only once."""
+        if len(self.request_by_id) % 2:
+            return "POST", f"{BOOKING_PREFIX}{request_id}"
+        return super()._method_and_target(request_id)
+
+    async def _resolve(self, node: str, zone: str) -> list[str]:
+        nodes = await super()._resolve(node, zone)
+        self.empty_directories += not nodes
+        return nodes
+
+    def _choose_node(self) -> str:
+        if self._nodes_before_cut and self._rng.random() < STUBBORN_SHARE:
+            return self._rng.choice(self._nodes_before_cut)
+        return super()._choose_node()
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -15,7 +15,13 @@
 
 import aiohttp
 
-from features.support import free_ports, platform_store, platform_worker, worker_records
+from features.support import (
+    free_ports,
+    platform_store,
+    platform_worker,
+    upstream_cuts,
+    worker_records,
+)
 
 ROOT = pathlib.Path(__file__).parents[2]
 #: Longest time that a scenario waits for one thing.
@@ -113,6 +119,7 @@
         self.worker_by_id: dict[str, platform_worker.PlatformWorker] = {}
         self.fault_by_version: worker_records.FaultByVersion = {}
         self.poisons: set[worker_records.Poison] = set()
+        self.upstream_cuts = upstream_cuts.UpstreamCuts()
         self.process_by_node: dict[str, asyncio.subprocess.Process] = {}
         self.ip_by_node: dict[str, str] = {}
         self.logs: dict[str, pathlib.Path] = {}
@@ -152,6 +159,7 @@
             version=version,
             fault_by_version=self.fault_by_version,
             poisons=self.poisons,
+            cuts=self.upstream_cuts,
         )
         await worker.start()
         self.worker_by_id[worker_id] = worker
@@ -269,6 +277,12 @@
             body = await response.read()
             return Answer(response.status, dict(response.headers), body)
 
+    def cut_from_upstreams(self, nodes: list[str], how: upstream_cuts.How) -> None:
+        """Cut gateways off from all workers; all else reaches them."""
+        self.upstream_cuts.cut([self.ip_by_node[node] for node in nodes], how)
+        for worker in self.worker_by_id.values():
+            worker.reset_cut_connections()
+
     def runs_of(self, request_id: str) -> list[str]:
         """Return the workers that ran a request, one for each run."""
         return [
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -14,7 +14,7 @@
 import time
 import typing
 
-from features.support import worker_records
+from features.support import upstream_cuts, worker_records
 
 LOOPBACK = "127.0.0.1"
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
@@ -52,12 +52,14 @@
         version: str = "v1",
         fault_by_version: worker_records.FaultByVersion | None = None,
         poisons: set[worker_records.Poison] | None = None,
+        cuts: upstream_cuts.UpstreamCuts | None = None,
     ) -> None:
         self.id = worker_id
         self.version = version
         self.work_s = work_s
         self.fault_by_version = {} if fault_by_version is None else fault_by_version
         self.poisons = set() if poisons is None else poisons
+        self.cuts = upstream_cuts.UpstreamCuts() if cuts is None else cuts
         #: Called when the worker has crashed under a request.
         self.on_crash: typing.Callable[[], None] = lambda: None
         self.has_crashed = False
@@ -91,6 +93,12 @@
         self._reads = asyncio.Event()
         self._reads.set()
 
+    def reset_cut_connections(self) -> None:
+        """Reset the open connections of gateways that are cut off in this way."""
+        for writer in list(self._writers):
+            if self.cuts.resets(_ip_of(writer)):
+                reset(writer)
+
     def stall(self) -> None:
         """
         Stand still, as a process does that is stopped: what comes waits unread.
@@ -173,6 +181,8 @@
     ) -> None:
         self._writers.add(writer)
         self.accepted += 1
+        if self.cuts.resets(_ip_of(writer)):
+            reset(writer)
         try:
             while await self._serve_one(reader, writer):
                 pass
@@ -188,6 +198,7 @@
     ) -> bool:
         data = await reader.readuntil(b"\r\n\r\n")
         await self._until_it_reads()
+        await self.cuts.until_it_passes(_ip_of(writer), reader)
         head = _parse(data)
         if head.target.startswith("/health"):
             self.probed_at.append(head.at)
@@ -267,6 +278,7 @@
                 # Never set: the connection stays as it is.
                 await self._reads.wait()
             return False
+        await self.cuts.until_it_passes(_ip_of(writer), reader)
         return self._reply(writer, run)
 
     async def _work(
@@ -361,6 +373,12 @@
         ).encode()
 
 
+def _ip_of(writer: asyncio.StreamWriter) -> str:
+    """Return the address that a connection comes from."""
+    peer = writer.get_extra_info("peername")
+    return "" if peer is None else str(peer[0])
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection so that its peer sees a reset and not an end."""
     if not writer.transport.is_closing():
--- a/features/support/steady_callers.py
+++ b/features/support/steady_callers.py
@@ -140,16 +140,23 @@
             self._sending.add(task)
             task.add_done_callback(self._sending.discard)
 
+    def _method_and_target(self, request_id: str) -> tuple[str, str]:
+        return "GET", f"/read/{request_id}"
+
+    def _choose_node(self) -> str:
+        return self._rng.choice(self._nodes)
+
     async def _send(self, request_id: str) -> None:
-        node = self._rng.choice(self._nodes)
+        node = self._choose_node()
         life = self.life_by_node.get(node, 0)
         request = Request(time.monotonic(), node, life)
         self.request_by_id[request_id] = request
         deadline_ms = int(1000 * CALLER_WAITS_S)
         # A gateway that is killed answers nothing.
         with contextlib.suppress(*UNANSWERED):
+            method, target = self._method_and_target(request_id)
             answer = await self.fleet.send(
-                node, f"/read/{request_id}", request_id, deadline_ms=deadline_ms
+                node, target, request_id, method, deadline_ms=deadline_ms
             )
             request.status = answer.status
             request.headers = answer.headers
