Leave gateways that reach no upstream out of the directory

Callers were sent to gateways whose links to all upstreams had failed, for as long as that lasted, while others were not named at all.

Cause: the directory names gateways that are ready, and ready means that they know routes and upstreams.

It then says so in its member record (a field that is omitted otherwise, and that earlier releases ignore), in E306, a metric and /state, and the others leave it out of the active set and of probing, unless no gateway reaches any upstream. It goes on reading the store. When its links are back, the ejections that they caused end.

--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -23,7 +23,15 @@
 DATA_MAPS = ("_by_name",)
 STRANGER = "aFieldThatNobodyKnows"
 #: End the names of files that hold what came after the first record, in turn.
-ADDED_ENDINGS = ("-added", "-added-2", "-added-3", "-added-4", "-added-5", "-added-6")
+ADDED_ENDINGS = (
+    "-added",
+    "-added-2",
+    "-added-3",
+    "-added-4",
+    "-added-5",
+    "-added-6",
+    "-added-7",
+)
 #: Fields that came after the first record, each with the sample that tells it: the
 #: samples recorded before can't hold them.
 ADDED_SAMPLE_BY_FIELD = {
@@ -53,6 +61,7 @@
     "Route.has_large_answers": "configuration-added-2.json",
     "Configuration.refused_routes": "configuration-added-2.json",
     "Configuration.remarks": "configuration-added-2.json",
+    "MemberRecord.is_isolated": "gossip-added-8.msgpack.hex",
     "Message.regions": "gossip-added-3.msgpack.hex",
 }
 
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -178,6 +178,12 @@
     return msgspec.structs.replace(added_message(), loads=(limited,))
 
 
+def isolated_message() -> messages.Message:
+    """Return a message of a gateway that reaches no upstream."""
+    sender = msgspec.structs.replace(added_message().sender, is_isolated=True)
+    return msgspec.structs.replace(added_message(), sender=sender)
+
+
 def frame(kind: documents.DocumentKind, body: bytes) -> messages.DocumentFrame:
     """Return a document frame."""
     return messages.DocumentFrame(
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -130,6 +130,7 @@
         _added_gossip("gossip-added-5", recorded_messages.crash_message()),
         _added_gossip("gossip-added-6", recorded_messages.limit_message()),
         _added_gossip("gossip-added-7", recorded_messages.positioned_message()),
+        _added_gossip("gossip-added-8", recorded_messages.isolated_message()),
         Sample(
             "frame.msgpack.hex",
             "msgpack",
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -219,6 +219,15 @@
     REGION_BACK = CatalogueRow(
         305, "INFO", "messages from another region arrive again", "none"
     )
+    UPSTREAMS_UNREACHABLE = CatalogueRow(
+        306,
+        "WARNING",
+        "no upstream responds to this gateway; callers are sent to others",
+        "check the links between this host and the upstreams",
+    )
+    UPSTREAMS_REACHED = CatalogueRow(
+        307, "INFO", "upstreams respond to this gateway again", "none"
+    )
     UPSTREAM_EJECTED = CatalogueRow(
         401, "WARNING", "an upstream was ejected", "check the upstream's host"
     )
--- a/spindlenotch/gateway/cluster/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -22,6 +22,9 @@
     """
     Snapshot of the gateways' roles; derived values are computed lazily.
 
+    ``isolated`` are the ready gateways that reach no upstream, empty if none reaches
+    any: then the cause is rarely their links, and callers must be sent somewhere.
+
     Compared by identity: as long as ``Fleet.view`` returns the same object, no
     gateway's role has changed.
     """
@@ -31,9 +34,11 @@
         ready: list[messages.MemberRecord],
         starting: list[messages.MemberRecord],
         active: list[active_set.Candidate],
+        isolated: frozenset[ids.HostId] = frozenset(),
     ) -> None:
         self.ready = ready
         self.starting = starting
+        self.isolated = isolated
         self.active_zones = {candidate.host: candidate.zone for candidate in active}
 
     @property
@@ -47,6 +52,16 @@
         members = [ownership.Member(record.zone, record.host) for record in self.ready]
         return duties.standby_hosts(members, self.active_zones)
 
+    @functools.cached_property
+    def probing_by_zone(self) -> duties.HostsByZone:
+        """Return the gateways of each zone that may probe upstreams."""
+        members = [
+            ownership.Member(record.zone, record.host)
+            for record in self.ready
+            if record.host not in self.isolated
+        ]
+        return duties.standby_hosts(members, self.active_zones)
+
     def readers(self, zone: ids.ZoneName) -> list[ids.HostId]:
         """
         Return the gateways that may read the source for a zone, most preferred first.
@@ -169,19 +184,23 @@
         starting = [
             record for record in records if record.status is messages.Status.STARTING
         ]
+        isolated = frozenset(record.host for record in ready if record.is_isolated)
+        if len(isolated) == len(ready):
+            isolated = frozenset()
         candidates = [
             active_set.Candidate(record.host, record.zone, record.capacity)
             for record in ready
+            if record.host not in isolated
         ]
         self._ranking = active_set.rank(candidates, min_per_zone)
-        self._set_view(View(ready, starting, self._active(ready)))
+        self._set_view(View(ready, starting, self._active(ready), isolated))
 
     def _update_demand(self) -> None:
         """Reselect the active gateways; keep the view if they are unchanged."""
         view = self._view
         active = self._active(view.ready)
         if {candidate.host for candidate in active} != view.active_zones.keys():
-            self._set_view(View(view.ready, view.starting, active))
+            self._set_view(View(view.ready, view.starting, active, view.isolated))
 
     def _set_view(self, view: View) -> None:
         self._view = view
--- /dev/null
+++ b/spindlenotch/gateway/cluster/isolation.py
@@ -0,0 +1,207 @@
+"""
+Detects that this gateway reaches no upstream, and tells its peers.
+
+``ObservedPort`` notes what requests and probes show; a check probes several upstreams
+before it counts. Peers leave an isolated gateway out of the directory and give it no
+probing duty, unless all are isolated (see ``fleet``). ``kernel.reachability`` has the
+rules.
+"""
+
+import asyncio
+from collections import abc
+
+from spindlenotch import clock, events, ids, ports
+from spindlenotch.gateway import state
+from spindlenotch.kernel import reachability, upstreams
+from spindlenotch.peers import peer_link
+
+#: Seconds between two looks at whether a check is due.
+PERIOD_S = 0.2
+#: Upstreams probed in a check, of different availability zones where possible.
+UPSTREAMS_PER_CHECK = 3
+#: Timeout of a check, in seconds.
+CHECK_TIMEOUT_S = 0.25
+#: Delay in seconds above which a check says nothing, as this process did not run.
+MAX_CHECK_DELAY_S = 0.15
+#: Peers that are told at once; gossip tells the others.
+ANNOUNCED_PEERS = 16
+
+#: Called when this gateway becomes isolated.
+IsolationListener = abc.Callable[[], None]
+
+
+class ObservedPort:
+    """Sends through another port, and notes which upstreams respond."""
+
+    def __init__(
+        self,
+        port: ports.UpstreamPort,
+        links: reachability.Reachability,
+        host_clock: clock.Clock,
+    ) -> None:
+        self.port = port
+        self.links = links
+        self.clock = host_clock
+        #: Called after each failure.
+        self.on_failure: abc.Callable[[], None] = lambda: None
+
+    async def send(
+        self, request: ports.UpstreamRequest
+    ) -> ports.UpstreamAnswer | ports.UpstreamFault:
+        """Send a request; see ``ports.UpstreamPort.send``."""
+        self.links.started(self.clock.now())
+        try:
+            answer = await self.port.send(request)
+        finally:
+            self.links.ended()
+        if answer in (
+            ports.UpstreamFault.CONNECT_FAILED,
+            ports.UpstreamFault.CONNECTION_LOST,
+        ):
+            self.links.failed(request.address)
+            self.on_failure()
+        elif answer not in (
+            ports.UpstreamFault.TOO_LATE,
+            ports.UpstreamFault.WITHDRAWN,
+        ):
+            self.links.heard(self.clock.now())
+        return answer
+
+    async def probe(
+        self, address: ids.Address, timeout_s: float, path: str | None = None
+    ) -> upstreams.LoadReport | ports.UpstreamFault:
+        """Query the load of an upstream; see ``ports.UpstreamPort.probe``."""
+        report = await self.port.probe(address, timeout_s, path)
+        if report is not ports.UpstreamFault.CONNECTION_LOST:
+            self.links.heard(self.clock.now())
+        return report
+
+    async def liveness(self, address: ids.Address, timeout_s: float) -> ports.Liveness:
+        """Check whether an upstream is alive; see ``ports.UpstreamPort.liveness``."""
+        found = await self.port.liveness(address, timeout_s)
+        if found is ports.Liveness.ALIVE:
+            self.links.heard(self.clock.now())
+        return found
+
+    def close_idle(self, address: ids.Address) -> None:
+        """Close the idle keep-alive connections to ``address``."""
+        self.port.close_idle(address)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.port.close()
+
+
+class Isolation:
+    """
+    Checks the links to the upstreams and publishes whether this gateway is isolated.
+
+    Invariant: at most one check is under way.
+    """
+
+    def __init__(
+        self,
+        gateway_state: state.GatewayState,
+        port: ObservedPort,
+        link: peer_link.PeerLink,
+    ) -> None:
+        self.state = gateway_state
+        self.port = port
+        self.links = port.links
+        self.link = link
+        self._check: asyncio.Task[None] | None = None
+        self._listeners: list[IsolationListener] = []
+        port.on_failure = self._failure_noted
+
+    def add_listener(self, listener: IsolationListener) -> None:
+        """Call ``listener`` whenever this gateway becomes isolated."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Check the links whenever that is due, until cancelled."""
+        while True:
+            if self.links.is_check_due(self.state.clock.now()):
+                await self._join_check()
+            await self.state.wakeups.sleep(PERIOD_S)
+
+    async def is_isolated_since(self, since: ids.Instant) -> bool:
+        """
+        Return whether no upstream is reached; check it unless that is known.
+
+        It is known that this gateway is not isolated if an upstream has responded after
+        ``since``.
+        """
+        if self.links.is_isolated:
+            return True
+        if self.links.heard_at > since:
+            return False
+        await self._join_check()
+        return self.links.is_isolated
+
+    def _failure_noted(self) -> None:
+        if self.links.is_suspect():
+            self._start_check()
+
+    def _start_check(self) -> asyncio.Task[None]:
+        if self._check is None or self._check.done():
+            self._check = asyncio.ensure_future(self._run_check())
+        return self._check
+
+    async def _join_check(self) -> None:
+        # A caller that disconnects must not cancel the check for the others.
+        await asyncio.shield(self._start_check())
+
+    async def _run_check(self) -> None:
+        targets = self._targets()
+        if not targets:
+            return
+        now = self.state.clock.now
+        began_at = now()
+        await asyncio.gather(*(self._probe(*target) for target in targets))
+        if now() - began_at > CHECK_TIMEOUT_S + MAX_CHECK_DELAY_S:
+            return
+        if self.links.checked(began_at, now()):
+            self._publish()
+
+    def _targets(self) -> list[tuple[ids.ServiceName, upstreams.Upstream]]:
+        """Return the upstreams to check, of different zones where possible."""
+        usable = [
+            (name, upstream)
+            for name, balancer in self.state.balancer_by_service.items()
+            for upstream in balancer.pool.usable_order
+        ]
+        self.state.rng.shuffle(usable)
+        first_by_zone: dict[ids.ZoneName, tuple[ids.ServiceName, upstreams.Upstream]]
+        first_by_zone = {}
+        for target in usable:
+            first_by_zone.setdefault(target[1].spec.zone, target)
+        chosen = list(first_by_zone.values())
+        chosen += [target for target in usable if target not in chosen]
+        return chosen[:UPSTREAMS_PER_CHECK]
+
+    async def _probe(
+        self, service: ids.ServiceName, upstream: upstreams.Upstream
+    ) -> None:
+        table = self.state.table
+        spec = None
+        if table is not None:
+            spec = table.configuration.service_by_name.get(service)
+        path = None if spec is None else spec.health_path
+        self.state.metrics.probes.labels(service).inc()
+        await self.port.probe(upstream.spec.address, CHECK_TIMEOUT_S, path)
+
+    def _publish(self) -> None:
+        """Tell peers, and undo what the isolation made this gateway believe."""
+        is_isolated = self.links.is_isolated
+        self.state.gossip.set_isolated(is_isolated=is_isolated)
+        targets = self.state.gossip.random_targets(ANNOUNCED_PEERS)
+        self.link.send(self.state.gossip.compose(), targets)
+        self.state.metrics.isolated.set(is_isolated)
+        host = self.state.config.host
+        if is_isolated:
+            events.emit(events.Event.UPSTREAMS_UNREACHABLE, host=host)
+            for listener in self._listeners:
+                listener()
+        else:
+            events.emit(events.Event.UPSTREAMS_REACHED, host=host)
+            self.state.services.end_ejections(self.state.clock.now())
--- a/spindlenotch/gateway/cluster/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -121,9 +121,9 @@
         """Return the upstreams that this gateway is to probe."""
         if self.state.config.probes_per_s <= 0 or not self.state.ready:
             return {}
-        standby_by_zone = self.fleet.view().standby_by_zone
+        hosts_by_zone = self.fleet.view().probing_by_zone
         local_host = self.state.local_member.host
-        if local_host not in standby_by_zone.get(self.state.local_member.zone, ()):
+        if local_host not in hosts_by_zone.get(self.state.local_member.zone, ()):
             return {}
         usable = [
             Target(name, service_balancer.pool, upstream)
@@ -132,7 +132,7 @@
             if not self.state.is_remote(upstream.spec.zone)
         ]
         specs = [target.upstream.spec for target in usable]
-        probers_by_zone = duties.probers(standby_by_zone, specs)
+        probers_by_zone = duties.probers(hosts_by_zone, specs)
         return {
             target.upstream.spec.id: target
             for target in usable
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -22,6 +22,7 @@
 )
 from spindlenotch.gateway.cluster import (
     fleet,
+    isolation,
     load_exchange,
     membership,
     prober,
@@ -32,6 +33,7 @@
 from spindlenotch.gateway.rollout import loop as rollout_loop
 from spindlenotch.gateway.serving import ingress, job_factory, request_processing
 from spindlenotch.gateway.source import discovery, relay, source_reader, sources
+from spindlenotch.kernel import reachability
 from spindlenotch.peers import background
 
 #: Seconds between ticks of the state. Not shorter, since even idle loops use CPU time.
@@ -60,7 +62,13 @@
     ) -> None:
         self.state = gateway_state
         self.source = source
+        links = reachability.Reachability(gateway_state.clock.now())
+        port = isolation.ObservedPort(port, links, gateway_state.clock)
         self.port = port
+        self.fleet = fleet.Fleet(gateway_state)
+        self.membership = membership.Membership(gateway_state)
+        link = self.membership.link
+        self.isolation = isolation.Isolation(gateway_state, port, link)
         gateway_state.add_end_listener(lambda ended: port.close_idle(ended.address))
         path = data_path.DataPath(
             gateway_state,
@@ -72,7 +80,6 @@
             gateway_state, path, gateway_dialect
         )
         self.ingress = ingress.Ingress(gateway_state, processor)
-        self.fleet = fleet.Fleet(gateway_state)
         self.rate_sharers = rate_sharers.RateSharers(gateway_state, self.fleet)
         self.region_loads = region_loads.RegionLoads(gateway_state)
         self.retry_budget_report = retry_budget_report.RetryBudgetReport(
@@ -82,8 +89,6 @@
         self.side_ports = side_ports.SidePorts(
             gateway_state, self.fleet, gateway_dialect
         )
-        self.membership = membership.Membership(gateway_state)
-        link = self.membership.link
         self.relay = relay.Relay(gateway_state, self.fleet, link, startup_s)
         self.source_reader = source_reader.SourceReader(
             gateway_state, source, self.relay
@@ -119,6 +124,7 @@
             self.source_reader.run,
             self.discovery.run,
             self.prober.run,
+            self.isolation.run,
             self.load_exchange.run,
             self.rollout.run,
             self.quarantine_sharing.run,
--- a/spindlenotch/gateway/services.py
+++ b/spindlenotch/gateway/services.py
@@ -76,6 +76,14 @@
             service.pool.tick(now)
             service.extra.set_reserve(reserve)
 
+    def end_ejections(self, now: ids.Instant) -> None:
+        """Let every ejected upstream be tried again at once."""
+        for service in self.balancer_by_service.values():
+            for upstream in service.pool.ejected:
+                upstream.end_ejection(now)
+            service.pool.tick(now)
+        self.report_changes()
+
     def leave(
         self, service: ids.ServiceName, spec: upstreams.UpstreamSpec, reason: str
     ) -> bool:
--- a/spindlenotch/gateway/state_dump.py
+++ b/spindlenotch/gateway/state_dump.py
@@ -94,7 +94,8 @@
     ``refused_routes`` holds the reasons why routes are not served, by host and prefix;
     ``not_ready`` the reason why the gateway is not ready, empty if it is; ``regions``
     the last known state of the other regions; ``rollouts`` the services with a rollout;
-    ``quarantined`` the requests that crash upstreams, by fingerprint.
+    ``quarantined`` the requests that crash upstreams, by fingerprint; ``isolated`` the
+    gateways that get no callers as they reach no upstream.
     """
 
     host: ids.HostId
@@ -109,6 +110,7 @@
     rollouts: dict[ids.ServiceName, dump.RolloutDump]
     regions: dict[ids.RegionName, RegionDump] = {}
     quarantined: dict[ids.Fingerprint, QuarantineDump] = {}
+    isolated: list[ids.HostId] = []
 
 
 def create(
@@ -135,6 +137,7 @@
         rollouts=dump.create(gateway_state, gateway_fleet),
         regions=_regions(gateway_state, now),
         quarantined=_quarantined(gateway_state, now),
+        isolated=sorted(gateway_fleet.view().isolated),
     )
 
 
--- a/spindlenotch/kernel/upstreams.py
+++ b/spindlenotch/kernel/upstreams.py
@@ -262,6 +262,13 @@
         self._awaits_report = reason == ejection.SILENT and self.liveness.was_probed()
         self._set_state(State.EJECTED, reason, ids.later(now, ejection_s))
 
+    def end_ejection(self, now: ids.Instant) -> None:
+        """End an ejection that had its cause elsewhere; does nothing otherwise."""
+        if self.state is State.EJECTED:
+            self.ejections_in_row = 0
+            self._awaits_report = False
+            self.state_until = now
+
     def leave(self, reason: str) -> None:
         """Send it no new requests until a higher generation is listed."""
         self._set_state(State.LEAVING, reason, ids.NEVER)
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -146,6 +146,11 @@
             ("service",),
             registry=self.registry,
         )
+        self.isolated = prometheus_client.Gauge(
+            "spindlenotch_isolated",
+            "1 while no upstream responds to this gateway",
+            registry=self.registry,
+        )
         self.quarantined_requests = prometheus_client.Gauge(
             "spindlenotch_quarantined_requests",
             "Requests that end the upstreams that run them and are not sent any more",
--- a/spindlenotch/peers/gossip.py
+++ b/spindlenotch/peers/gossip.py
@@ -127,6 +127,10 @@
         """Publish the callers' demand on this member."""
         self.membership.set_demand(demand)
 
+    def set_isolated(self, *, is_isolated: bool) -> None:
+        """Publish whether this member reaches no upstream."""
+        self.membership.set_isolated(is_isolated=is_isolated)
+
     def set_addresses(self, address: ids.Address, peer_address: ids.Address) -> None:
         """Set this member's addresses, before the first message is sent."""
         self.membership.set_addresses(address, peer_address)
--- a/spindlenotch/peers/membership.py
+++ b/spindlenotch/peers/membership.py
@@ -77,6 +77,15 @@
             self.local, demand=demand, heartbeat=self.local.heartbeat + 1
         )
 
+    def set_isolated(self, *, is_isolated: bool) -> None:
+        """Publish whether this member reaches no upstream."""
+        self.revision += 1
+        self.local = msgspec.structs.replace(
+            self.local,
+            is_isolated=True if is_isolated else msgspec.UNSET,
+            heartbeat=self.local.heartbeat + 1,
+        )
+
     def set_addresses(self, address: ids.Address, peer_address: ids.Address) -> None:
         """Set this member's addresses, before the first message is sent."""
         self.revision += 1
@@ -104,7 +113,7 @@
         self, record: messages.MemberRecord, now: ids.Instant, *, direct: bool
     ) -> bool:
         """
-        Apply a record; return whether the member is new, restarted or changed status.
+        Apply a record; return whether the member is new, restarted or changed state.
 
         ``direct``: it comes from the member itself.
         """
@@ -229,7 +238,11 @@
         peer.record = record
         peer.updated_at = now
         restarted = record.incarnation != old.incarnation
-        changed = restarted or record.status is not old.status
+        changed = (
+            restarted
+            or record.status is not old.status
+            or record.is_isolated is not old.is_isolated
+        )
         if changed:
             self.revision += 1
         if record.demand != old.demand:
--- a/spindlenotch/peers/messages.py
+++ b/spindlenotch/peers/messages.py
@@ -74,8 +74,9 @@
 
     ``configuration_version`` is the version in force there: of the bundle in an
     entry, of the route configuration in a gateway; on the wire both are
-    ``bundle_version``. ``capacity`` is the work that the host can handle, ``demand``
-    the work that callers request of it.
+    ``bundle_version``. ``is_isolated`` is set to True while the member reaches no
+    upstream, and omitted otherwise. ``capacity`` is the work that the host can
+    handle, ``demand`` the work that callers request of it.
     """
 
     host: ids.HostId
@@ -89,6 +90,7 @@
     configuration_version: int
     capacity: workload.Work = workload.NO_WORK
     demand: workload.Work = workload.NO_WORK
+    is_isolated: bool | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def record_version(self) -> RecordVersion:
