Hand requests of isolated gateways to gateways that reach upstreams

Callers of a gateway that reaches no upstream were refused with 503, or with 504 where connections hang, also once the directory named others.

Cause: callers keep an answer of the directory for its time, some for three times as long, and connections for longer, so that a part of them keeps to such a gateway for the whole of a cut.

An isolated gateway now passes requests to an active one that reaches upstreams, which handles them as those of a caller; its response is final. What may run once is passed on only if it was not sent; what may have run takes a retry from the budget. A request is passed on twice at most. The other gateway leaves it out of its demand, as the first one counts it.

--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -31,6 +31,7 @@
     "-added-5",
     "-added-6",
     "-added-7",
+    "-added-8",
 )
 #: Fields that came after the first record, each with the sample that tells it: the
 #: samples recorded before can't hold them.
--- a/features/support/recorded_names.py
+++ b/features/support/recorded_names.py
@@ -22,8 +22,8 @@
 def name_samples() -> list[Sample]:
     """Return the samples of names in logs, metrics, answers and registries."""
     return [
-        *recorded.grown_table("events", recorded_logs.event_rows, 7),
-        *recorded.grown_table("log-fields", recorded_logs.line_fields, 7),
+        *recorded.grown_table("events", recorded_logs.event_rows, 8),
+        *recorded.grown_table("log-fields", recorded_logs.line_fields, 8),
         Sample(
             "log-lines.jsonl",
             "lines",
@@ -31,7 +31,7 @@
             recorded_logs.log_lines,
             look=recorded_logs.lines_of,
         ),
-        *recorded.grown_table("metrics", recorded_words.metric_rows, 4),
+        *recorded.grown_table("metrics", recorded_words.metric_rows, 5),
         *recorded.grown_table("gateway-state", recorded_state.gateway_dump, 4),
         recorded.table("entry-state", recorded_state.entry_dump),
         *recorded.grown_table("words", recorded_words.word_lists, 3),
--- a/features/support/served_gateway.py
+++ b/features/support/served_gateway.py
@@ -17,7 +17,12 @@
 from spindlenotch import clock, ids, ports
 from spindlenotch.forwarding import data_path
 from spindlenotch.gateway import dialect, gateway
-from spindlenotch.gateway.serving import ingress, job_factory, request_processing
+from spindlenotch.gateway.serving import (
+    handover,
+    ingress,
+    job_factory,
+    request_processing,
+)
 from spindlenotch.gateway.source import routing, sources
 from spindlenotch.kernel import backpressure, upstreams
 
@@ -135,6 +140,14 @@
         """Do nothing."""
 
 
+class NoChecks:
+    """Links to upstreams that are never lost."""
+
+    async def is_isolated_since(self, since: ids.Instant) -> bool:
+        """Return that this gateway reaches its upstreams."""
+        return False
+
+
 class ServedGateway:
     """
     One gateway with a route without time limits, and two upstreams.
@@ -157,7 +170,10 @@
             self.learn()
         native = dialect.DIALECTS.get("native")()
         path = data_path.DataPath(state, self.port, job_factory.labels(native))
-        processor = request_processing.RequestProcessor(state, path, native)
+        handing_over = handover.Handover(state, native, self.port, NoChecks(), list)
+        processor = request_processing.RequestProcessor(
+            state, path, native, handing_over
+        )
         self.ingress = ingress.Ingress(state, processor)
 
     def use_clock(self, host_clock: clock.Clock) -> None:
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -30,6 +30,8 @@
 #: Upper bound of a chunk of a body, in bytes.
 CHUNK_BYTES = 64 * 1024
 OK = 200
+#: Statuses from here on are no success.
+FIRST_REDIRECT_STATUS = 300
 #: Headers that aiohttp would add to those of the caller.
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -234,6 +236,21 @@
         return (self._single_use if new_connection else self._reusing).get()
 
 
+class HttpPeerPort(HttpUpstreamPort):
+    """
+    Sends requests to other gateways, which pass an upstream's response on or refuse.
+
+    A gateway's own response echoes no request id, and is never a success.
+    """
+
+    def _is_answer_to(
+        self, request: ports.UpstreamRequest, response: aiohttp.ClientResponse
+    ) -> bool:
+        if self.dialect.request_id in response.headers:
+            return super()._is_answer_to(request, response)
+        return response.status >= FIRST_REDIRECT_STATUS
+
+
 def _close_delimited_end(
     response: aiohttp.ClientResponse,
 ) -> "asyncio.Future[None] | None":
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -222,7 +222,7 @@
     UPSTREAMS_UNREACHABLE = CatalogueRow(
         306,
         "WARNING",
-        "no upstream responds to this gateway; callers are sent to others",
+        "no upstream responds to this gateway; it hands requests to other gateways",
         "check the links between this host and the upstreams",
     )
     UPSTREAMS_REACHED = CatalogueRow(
@@ -351,6 +351,12 @@
         "requests that this process sent to an upstream that advertises a limit",
         "add up the lines of all processes to compare them with the limit",
     )
+    REQUEST_HANDED_OVER = CatalogueRow(
+        614,
+        "INFO",
+        "a request was handed to another gateway, whose response was passed on",
+        "see the lines of that gateway",
+    )
 
 
 def emit(event: Event, **fields: object) -> None:
--- a/spindlenotch/forwarding/jobs.py
+++ b/spindlenotch/forwarding/jobs.py
@@ -36,7 +36,7 @@
     chain, including the one to the upstream; it stays 0 if the upstreams' protocol does
     not count them. ``caller`` identifies the sender as far as this process knows it,
     and is empty otherwise; ``streamed_bytes`` is the declared length of a streamed
-    body.
+    body. ``handovers`` is how often gateways have handed the request to each other.
     """
 
     balancer: balancer.Balancer
@@ -49,6 +49,7 @@
     hop_count: int = 0
     caller: str = ""
     streamed_bytes: int = 0
+    handovers: int = 0
 
     def fingerprints(self) -> fingerprints.Fingerprints:
         """Return the fingerprints by which identical requests are recognised."""
--- a/spindlenotch/gateway/cluster/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -140,6 +140,14 @@
             if record.host in view.active_zones
         }
 
+    def handover_addresses(self) -> list[ids.Address]:
+        """Return the active gateways that can serve requests for this one."""
+        view = self.view()
+        local_host = self.state.config.host
+        if local_host not in view.isolated:
+            return []
+        return list(self.active_addresses().values())
+
     def addresses_for(
         self,
         region: ids.RegionName,
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -31,7 +31,12 @@
 )
 from spindlenotch.gateway.quarantine import sharing, writer
 from spindlenotch.gateway.rollout import loop as rollout_loop
-from spindlenotch.gateway.serving import ingress, job_factory, request_processing
+from spindlenotch.gateway.serving import (
+    handover,
+    ingress,
+    job_factory,
+    request_processing,
+)
 from spindlenotch.gateway.source import discovery, relay, source_reader, sources
 from spindlenotch.kernel import reachability
 from spindlenotch.peers import background
@@ -65,6 +70,7 @@
         links = reachability.Reachability(gateway_state.clock.now())
         port = isolation.ObservedPort(port, links, gateway_state.clock)
         self.port = port
+        self.peer_port = upstream_http.HttpPeerPort(gateway_dialect.upstream)
         self.fleet = fleet.Fleet(gateway_state)
         self.membership = membership.Membership(gateway_state)
         link = self.membership.link
@@ -76,8 +82,16 @@
             job_factory.labels(gateway_dialect),
             known=gateway_state.quarantines.known,
         )
+        self.handover = handover.Handover(
+            gateway_state,
+            gateway_dialect,
+            self.peer_port,
+            self.isolation,
+            self.fleet.handover_addresses,
+        )
+        self.isolation.add_listener(self.handover.interrupt)
         processor = request_processing.RequestProcessor(
-            gateway_state, path, gateway_dialect
+            gateway_state, path, gateway_dialect, self.handover
         )
         self.ingress = ingress.Ingress(gateway_state, processor)
         self.rate_sharers = rate_sharers.RateSharers(gateway_state, self.fleet)
@@ -171,6 +185,7 @@
         await self.side_ports.stop()
         await self.membership.stop()
         await self.port.close()
+        await self.peer_port.close()
         await self.source.close()
         events.emit(events.Event.STOPPED, host=self.state.config.host)
 
--- a/spindlenotch/gateway/serving/answer_stream.py
+++ b/spindlenotch/gateway/serving/answer_stream.py
@@ -6,12 +6,13 @@
 take a truncated body for a complete one. Holds no state.
 """
 
+from collections import abc
+
 import msgspec
 import multidict
 from aiohttp import web_request, web_response
 
 from spindlenotch import ids, ports
-from spindlenotch.forwarding import exchanges
 from spindlenotch.gateway.serving import answers
 from spindlenotch.kernel import upstreams
 
@@ -25,16 +26,14 @@
     A response to stream to the caller, of which nothing has been sent yet.
 
     ``received`` is the part of the body read so far; the rest is read from
-    ``exchange``, which is still open.
+    ``exchange``, which is still open. ``deadline`` is when the response must have been
+    sent completely; ``on_sent`` is called when it has.
     """
 
-    exchange: exchanges.Exchange
+    exchange: answers.OpenResponse
     received: bytes
-
-    @property
-    def deadline(self) -> ids.Instant:
-        """Return when the response must have been sent completely."""
-        return self.exchange.job.call.deadline
+    deadline: ids.Instant
+    on_sent: abc.Callable[[], None]
 
     def discard(self) -> None:
         """End the exchange without sending anything."""
@@ -70,7 +69,7 @@
     return response
 
 
-def _prepare_head(exchange: exchanges.Exchange) -> web_response.StreamResponse:
+def _prepare_head(exchange: answers.OpenResponse) -> web_response.StreamResponse:
     response = web_response.StreamResponse(
         status=exchange.answer.status,
         headers=multidict.CIMultiDict(answers.end_to_end_headers(exchange)),
@@ -81,7 +80,7 @@
 
 
 async def _copy_remaining(
-    exchange: exchanges.Exchange, response: web_response.StreamResponse
+    exchange: answers.OpenResponse, response: web_response.StreamResponse
 ) -> None:
     while True:
         chunk = await exchange.chunk()
--- a/spindlenotch/gateway/serving/answers.py
+++ b/spindlenotch/gateway/serving/answers.py
@@ -7,10 +7,13 @@
 exchange and on the driver to distinguish the end of a body from a lost connection.
 """
 
+import typing
+
 import msgspec
 
 from spindlenotch import headers, ports
 from spindlenotch.forwarding import exchanges
+from spindlenotch.kernel import upstreams
 
 #: Size in bytes above which a response is streamed instead of buffered; bounds the
 #: memory per request.
@@ -20,6 +23,18 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+class OpenResponse(typing.Protocol):
+    """A response whose body is being read; see ``exchanges.Exchange``."""
+
+    answer: ports.UpstreamAnswer
+
+    async def chunk(self) -> bytes | ports.UpstreamFault:
+        """Return the next chunk of the body; empty only at the end of a whole body."""
+
+    def end(self, result: upstreams.Result) -> None:
+        """Stop reading the body; calls after the first do nothing."""
+
+
 class BufferedResponse(msgspec.Struct, frozen=True):
     """A response whose body was received completely."""
 
@@ -39,7 +54,7 @@
 
 
 async def read(
-    exchange: exchanges.Exchange,
+    exchange: OpenResponse,
 ) -> BufferedResponse | PartialResponse | TruncatedResponse:
     """
     Read a response completely, or up to the size above which it is streamed.
@@ -60,7 +75,7 @@
     return PartialResponse(b"".join(chunks))
 
 
-def end_to_end_headers(exchange: exchanges.Exchange) -> list[tuple[str, str]]:
+def end_to_end_headers(exchange: OpenResponse) -> list[tuple[str, str]]:
     """Return the end-to-end headers of the response, without Content-Length."""
     return headers.end_to_end(exchange.answer.headers, {"content-length"})
 
@@ -76,5 +91,5 @@
     return exchange.answer.status in NOT_RUN_STATUSES
 
 
-def _buffered(exchange: exchanges.Exchange, body: bytes) -> BufferedResponse:
+def _buffered(exchange: OpenResponse, body: bytes) -> BufferedResponse:
     return BufferedResponse(exchange.answer.status, end_to_end_headers(exchange), body)
--- a/spindlenotch/gateway/serving/ingress.py
+++ b/spindlenotch/gateway/serving/ingress.py
@@ -14,6 +14,7 @@
 from spindlenotch.gateway.serving import (
     answer_stream,
     caller_listener,
+    job_factory,
     pipelining,
     refusals,
     request_processing,
@@ -80,7 +81,9 @@
         try:
             pending = await self._await_response(request)
             response = await self._deliver(request, pending)
-            self.state.demand.count(_declared_body_bytes(request, response))
+            if not job_factory.handover_count(request.headers):
+                # The gateway that handed it over counts it.
+                self.state.demand.count(_declared_body_bytes(request, response))
             return response
         finally:
             self.in_flight -= 1
@@ -165,7 +168,7 @@
             if request.transport is not None:
                 request.transport.abort()
             raise asyncio.CancelledError from None
-        self.processor.record_streamed(request, pending.exchange)
+        pending.on_sent()
         return response
 
 
--- a/spindlenotch/gateway/serving/job_factory.py
+++ b/spindlenotch/gateway/serving/job_factory.py
@@ -20,6 +20,8 @@
 from spindlenotch.gateway.source import routing
 from spindlenotch.kernel import wait_queue
 
+#: Header between gateways: how often they have handed the request to each other.
+HANDOVERS = "Spindlenotch-Handovers"
 #: Timeout in seconds of a request that states none.
 DEFAULT_TIMEOUT_S = 60.0
 #: Longest timeout in seconds that a caller can state, one day; a longer one is
@@ -37,6 +39,9 @@
 MAX_CROSS_ZONE_S = 0.03
 #: Seconds added to the cross-zone cost per byte of the request body.
 CROSS_ZONE_S_PER_BYTE = 2.5e-6
+#: Times that a request may be handed to another gateway: the one that gets it may turn
+#: out to be isolated too.
+MAX_HANDOVERS = 2
 #: Minimum remaining time in milliseconds that is sent to an upstream.
 MIN_REMAINING_MS = 1
 
@@ -57,7 +62,10 @@
         self.state = gateway_state
         self.traffic = traffic
         self.dialect = gateway_dialect
-        self._removed_headers = gateway_dialect.replaced | {"content-length"}
+        self._removed_headers = gateway_dialect.replaced | {
+            "content-length",
+            HANDOVERS.lower(),
+        }
         self._call_numbers = itertools.count()
         self._request_ages = caller_age.RequestAges()
         self._table: routing.RouteTable | None = None
@@ -88,6 +96,7 @@
             needs_new_connection=needs_new_connection(route, body),
             caller=request.remote or "",
             streamed_bytes=_streamed_bytes(body),
+            handovers=handover_count(request.headers),
         )
 
     def _call(
@@ -151,6 +160,13 @@
     return body.known_bytes if isinstance(body, request_body.StreamedBody) else 0
 
 
+def handover_count(fields: abc.Mapping[str, str]) -> int:
+    """Return how often a request was handed over before; 0 if that can't be read."""
+    text = fields.get(HANDOVERS, "")
+    is_number = text.isascii() and text.isdecimal()
+    return min(MAX_HANDOVERS, int(text[:2])) if is_number else 0
+
+
 def read_timeout_s(text: str | None) -> float:
     """
     Parse the caller's timeout in milliseconds; return it in seconds.
--- a/spindlenotch/gateway/serving/request_processing.py
+++ b/spindlenotch/gateway/serving/request_processing.py
@@ -17,6 +17,7 @@
     answer_stream,
     answers,
     body_traffic,
+    handover,
     job_factory,
     pipelining,
     refusals,
@@ -35,9 +36,11 @@
         gateway_state: state.GatewayState,
         path: data_path.DataPath,
         gateway_dialect: dialect.Dialect,
+        handing_over: handover.Handover,
     ) -> None:
         self.state = gateway_state
         self.path = path
+        self.handover = handing_over
         self.dialect = gateway_dialect
         self.log = request_log.RequestLog(gateway_state)
         self._traffic = body_traffic.BodyTraffic(gateway_state)
@@ -101,7 +104,7 @@
         job = self._jobs.create(request, route, body, startup_wait_s)
         try:
             async with self.state.deadlines.until(job.call.deadline):
-                response = await self._try_upstreams(request, job)
+                response = await self._respond(request, job)
         except TimeoutError:
             return self._fail(request, job, outcomes.Reason.DEADLINE_PASSED)
         finally:
@@ -110,6 +113,43 @@
             return self._refuse(request, job, response)
         return response
 
+    async def _respond(
+        self, request: web_request.BaseRequest, job: jobs.Job
+    ) -> pipelining.PendingResponse | outcomes.Refusal:
+        """Return the response of an upstream, or else that of another gateway."""
+        if self.handover.is_possible(job):
+            response = await self._hand_over(job)
+            if response is not None:
+                return response
+        try:
+            async with self.handover.interruptible(job):
+                response = await self._try_upstreams(request, job)
+        except handover.WithdrawnError:
+            response = outcomes.not_run(outcomes.Reason.NO_UPSTREAM)
+            if job.call.repeatable:
+                response = outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
+        if isinstance(response, outcomes.Refusal) and await self.handover.is_due(
+            job, response
+        ):
+            return await self._hand_over(job) or response
+        return response
+
+    async def _hand_over(
+        self, job: jobs.Job
+    ) -> pipelining.PendingResponse | outcomes.Refusal | None:
+        """Return the response of another gateway; None if none was reached."""
+        exchange = await self.handover.send(job)
+        if not isinstance(exchange, handover.PeerExchange):
+            return exchange
+        response = await answers.read(exchange)
+        if isinstance(response, answers.TruncatedResponse):
+            return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
+        if isinstance(response, answers.PartialResponse):
+            return answer_stream.StreamedResponse(
+                exchange, response.received, job.call.deadline, on_sent=lambda: None
+            )
+        return _to_response(response)
+
     async def _try_upstreams(
         self, request: web_request.BaseRequest, job: jobs.Job
     ) -> pipelining.PendingResponse | outcomes.Refusal:
@@ -141,20 +181,21 @@
             exchange.end(upstreams.Result.FAILED)
             return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
         if isinstance(response, answers.PartialResponse):
-            return answer_stream.StreamedResponse(exchange, response.received)
+            return answer_stream.StreamedResponse(
+                exchange,
+                response.received,
+                exchange.job.call.deadline,
+                on_sent=lambda: self._record_streamed(request, exchange),
+            )
         job = exchange.job
         self._traffic.record_response(exchange, len(response.body))
         self.log.count(job, outcomes.Outcome.RAN, outcomes.Reason.SERVED)
         if response.status >= outcomes.MIN_FAILED_STATUS:
             self.log.upstream_failed(self._request_id(request), job, exchange)
         self.log.served(self._request_id(request), job, exchange)
-        return web_response.Response(
-            status=response.status,
-            headers=multidict.CIMultiDict(response.headers),
-            body=response.body,
-        )
+        return _to_response(response)
 
-    def record_streamed(
+    def _record_streamed(
         self, request: web_request.BaseRequest, exchange: exchanges.Exchange
     ) -> None:
         """Count and log a response that was streamed completely."""
@@ -187,3 +228,11 @@
         status = refusals.failure_status(reason)
         self.log.failed(self._request_id(request), job, status, reason)
         return refusals.failed(reason)
+
+
+def _to_response(response: answers.BufferedResponse) -> web_response.Response:
+    return web_response.Response(
+        status=response.status,
+        headers=multidict.CIMultiDict(response.headers),
+        body=response.body,
+    )
--- a/spindlenotch/metrics.py
+++ b/spindlenotch/metrics.py
@@ -146,6 +146,11 @@
             ("service",),
             registry=self.registry,
         )
+        self.handed_over = prometheus_client.Counter(
+            "spindlenotch_requests_handed_over_total",
+            "Requests handed to another gateway, as this one reached no upstream",
+            registry=self.registry,
+        )
         self.isolated = prometheus_client.Gauge(
             "spindlenotch_isolated",
             "1 while no upstream responds to this gateway",
