Do not take lost links of a gateway for crashes of upstreams

Cause: a reset connection and a refused new one were taken for the end of the process, which lost links of this host look like as well.

Before it records a crash, a gateway that has heard of no other upstream since the connection broke checks its links now; if no upstream responds, nothing is recorded.

--- a/features/isolated_gateways.feature
+++ b/features/isolated_gateways.feature
@@ -10,6 +10,7 @@
     When "<who>" are cut off from all workers, by "<how>"
     Then callers of the gateways cut off are served nearly as often as others
     And no booking ran twice, nor after it was refused as not run
+    And no upstream is reported as crashed
     And the directory was never empty
 
     Examples:
--- a/features/steps/isolated_gateways.py
+++ b/features/steps/isolated_gateways.py
@@ -99,6 +99,15 @@
     assert not repeated and not refused, (repeated, refused)
 
 
+@behave.then("no upstream is reported as crashed")
+def assert_no_crash(context: typing.Any) -> None:
+    fleet = fleet_of(context)
+    crashed = {
+        node: path.read_text().count('"event":606') for node, path in fleet.logs.items()
+    }
+    assert not any(crashed.values()), crashed
+
+
 @behave.then("the directory was never empty")
 def assert_directory(context: typing.Any) -> None:
     assert play_of(context).empty_directories == 0, play_of(context).empty_directories
--- a/spindlenotch/forwarding/crash_watch.py
+++ b/spindlenotch/forwarding/crash_watch.py
@@ -43,6 +43,13 @@
     metrics: metrics.Metrics
 
 
+class Links(typing.Protocol):
+    """What is known of the links between this host and the upstreams."""
+
+    async def is_isolated_since(self, since: ids.Instant) -> bool:
+        """Return whether no upstream is reached and none has responded since."""
+
+
 class LostRequest(msgspec.Struct, frozen=True):
     """
     A request whose connection to an upstream broke while it ran there.
@@ -81,9 +88,11 @@
         state: DetectorState,
         port: ports.UpstreamPort,
         known: quarantine.Quarantine,
+        links: Links | None = None,
     ) -> None:
         self.state = state
         self.port = port
+        self.links = links
         self.quarantine = known
         self.snapshots = try_marks.AttemptSnapshots(known)
         self._lost_requests_by_upstream: dict[ids.UpstreamId, list[LostRequest]] = {}
@@ -162,6 +171,9 @@
         liveness = ports.Liveness.SILENT
         try:
             liveness = await self.port.liveness(spec.address, LIVENESS_TIMEOUT_S)
+            if liveness is ports.Liveness.GONE and await self._is_isolated(spec.id):
+                # The connection broke with the links of this host.
+                liveness = ports.Liveness.SILENT
         finally:
             lost_requests = self._lost_requests_by_upstream.pop(spec.id)
             for lost_request in lost_requests:
@@ -170,6 +182,12 @@
         if liveness is ports.Liveness.GONE:
             self._handle_crash(lost_requests)
 
+    async def _is_isolated(self, upstream: ids.UpstreamId) -> bool:
+        if self.links is None:
+            return False
+        first = self._lost_requests_by_upstream[upstream][0]
+        return await self.links.is_isolated_since(first.at)
+
     def _handle_crash(self, lost_requests: list[LostRequest]) -> None:
         self.state.metrics.upstreams_ended.labels(lost_requests[0].service).inc()
         self._eject(lost_requests[0])
--- a/spindlenotch/forwarding/data_path.py
+++ b/spindlenotch/forwarding/data_path.py
@@ -41,7 +41,8 @@
     ``on_drain_notice`` is called when an answer shows that an upstream is draining and
     this process did not know; None if the process announces that itself. ``known``
     holds the requests that are suspected of crashing upstreams; without it, this data
-    path keeps a set of its own.
+    path keeps a set of its own. ``links`` tells a crash from lost links of this host;
+    without it, every broken connection may be a crash.
 
     Invariant: every grant that is acquired from a balancer is finished exactly
     once, however the request ends.
@@ -54,12 +55,13 @@
         make_headers: jobs.AttemptHeadersFactory = jobs.native_attempt_headers,
         on_drain_notice: abc.Callable[[], None] | None = None,
         known: quarantine.Quarantine | None = None,
+        links: crash_watch.Links | None = None,
     ) -> None:
         self.state = state
         self.port = port
         self._on_drain_notice = on_drain_notice
         known = quarantine.Quarantine() if known is None else known
-        self.crash_detector = crash_watch.CrashDetector(state, port, known)
+        self.crash_detector = crash_watch.CrashDetector(state, port, known, links)
         self._trials = trials.Trials(state, self.crash_detector)
         self._grants = granting.Grants(state, self.crash_detector)
         self._sender = sending.Sender(state, port, make_headers)
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -81,6 +81,7 @@
             port,
             job_factory.labels(gateway_dialect),
             known=gateway_state.quarantines.known,
+            links=self.isolation,
         )
         self.handover = handover.Handover(
             gateway_state,
