Give the stand-in of aiohttp's session its connector

The client of the platform's store closes idle connections after a call that got no answer, and asks the session for its connector. The property 'a failed call of the platform's store says why' failed on the stand-in since then, not on what it checks.

--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -397,6 +397,9 @@
 class Session:
     """Stands in for aiohttp's session: notes calls, gives answers in turn."""
 
+    #: As in a session that is closed; it has no connections.
+    connector = None
+
     def __init__(self, *answers: Answer) -> None:
         self.answers = list(answers)
         self.calls: list[dict[str, typing.Any]] = []
