Let a single keep-alive probe end a silent connection to the store

Silent connections to the store were still noticed after 3.4 s only where the kernel counts keep-alive probes and does not apply TCP_USER_TIMEOUT to them: with the default of nine probes they would have ended after 10 s.

--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -19,9 +19,12 @@
 #: probe, and between two probes.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-#: Milliseconds without an acknowledgement after which the kernel ends the connection.
-#: Applies to sent data and, instead of a number of probes, to keep-alive: a silent
-#: connection ends at the second probe that is due.
+#: Unanswered keep-alive probes after which the kernel ends the connection.
+KEEPALIVE_PROBES = 1
+#: Milliseconds without an acknowledgement of sent data after which it does so. Linux
+#: applies it to keep-alive too, whatever the number of probes; it is longer than
+#: ``KEEPALIVE_IDLE_S`` and shorter than the time of all probes, so that it changes
+#: nothing there.
 USER_TIMEOUT_MS = 1500
 
 
@@ -77,6 +80,7 @@
     for option, value in (
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
     ):
         created.setsockopt(socket.IPPROTO_TCP, option, value)
