Check the links of idle gateways with one probe, and sooner beside isolated ones

Most gateways are idle, and three probes every 2 s were more than they need: one suffices while it gets a response, three confirm that none does. While another gateway is isolated, an idle one may be the next to get its callers, and checks its links after 0.6 s.

--- a/spindlenotch/gateway/cluster/isolation.py
+++ b/spindlenotch/gateway/cluster/isolation.py
@@ -111,6 +111,8 @@
         self.link = link
         self._check: asyncio.Task[None] | None = None
         self._listeners: list[IsolationListener] = []
+        self._members_revision: int | None = None
+        self._isolated_peer = False
         port.on_failure = self._failure_noted
 
     def add_listener(self, listener: IsolationListener) -> None:
@@ -120,7 +122,9 @@
     async def run(self) -> None:
         """Check the links whenever that is due, until cancelled."""
         while True:
-            if self.links.is_check_due(self.state.clock.now()):
+            now = self.state.clock.now()
+            others_isolated = self._has_isolated_peer()
+            if self.links.is_check_due(now, others_isolated=others_isolated):
                 await self._join_check()
             await self.state.wakeups.sleep(PERIOD_S)
 
@@ -138,6 +142,15 @@
         await self._join_check()
         return self.links.is_isolated
 
+    def _has_isolated_peer(self) -> bool:
+        gossip = self.state.gossip
+        if gossip.members_revision != self._members_revision:
+            self._members_revision = gossip.members_revision
+            self._isolated_peer = any(
+                peer.record.is_isolated for peer in gossip.known_by_host.values()
+            )
+        return self._isolated_peer
+
     def _failure_noted(self) -> None:
         if self.links.is_suspect():
             self._start_check()
@@ -157,6 +170,13 @@
             return
         now = self.state.clock.now
         began_at = now()
+        if self.links.is_idle():
+            # One probe nearly always suffices, and most gateways are idle.
+            await self._probe(*targets[0])
+            if self.links.heard_at >= began_at:
+                self.links.checked(began_at, now())
+                return
+            began_at = now()
         await asyncio.gather(*(self._probe(*target) for target in targets))
         if now() - began_at > CHECK_TIMEOUT_S + MAX_CHECK_DELAY_S:
             return
--- a/spindlenotch/kernel/reachability.py
+++ b/spindlenotch/kernel/reachability.py
@@ -19,6 +19,8 @@
 SILENCE_CHECK_PERIOD_S = 1.0
 #: Seconds without any response after which an idle process checks its links.
 MAX_IDLE_S = 2.0
+#: The same while another process is isolated: this one may get its requests next.
+MAX_IDLE_NEAR_ISOLATED_S = 0.6
 #: Seconds between two checks while no upstream is reached.
 ISOLATED_CHECK_PERIOD_S = 0.4
 #: Successful checks in a row that end the isolation: links may come and go.
@@ -70,14 +72,23 @@
         """Return whether failures suggest that the links of this host are lost."""
         return not self.is_isolated and len(self._failed) >= MIN_FAILED_UPSTREAMS
 
-    def is_check_due(self, now: ids.Instant) -> bool:
-        """Return whether the links must be checked now."""
+    def is_idle(self) -> bool:
+        """Return whether nothing is in flight and nothing has failed."""
+        return not (self.is_isolated or self._in_flight or self._failed)
+
+    def is_check_due(self, now: ids.Instant, *, others_isolated: bool) -> bool:
+        """
+        Return whether the links must be checked now.
+
+        ``others_isolated``: another process that serves the same callers is isolated.
+        """
         since_check_s = now - self._checked_at
         if self.is_isolated:
             return since_check_s >= ISOLATED_CHECK_PERIOD_S
         if self.is_suspect():
             return True
-        if now - self.heard_at >= MAX_IDLE_S and since_check_s >= MAX_IDLE_S:
+        max_idle_s = MAX_IDLE_NEAR_ISOLATED_S if others_isolated else MAX_IDLE_S
+        if min(now - self.heard_at, since_check_s) >= max_idle_s:
             return True
         is_silent = self._in_flight > 0 and (
             now - max(self.heard_at, self._awaiting_since) >= MAX_SILENCE_S
