--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -39,6 +39,13 @@
       | the last slots stay empty where filling them slows work    |
       | callers are sent to the strongest gateways of each zone    |
       | callers are not told of a gateway that died                |
+      | callers are not told of a gateway without upstreams        |
+      | callers are told of some where none reaches an upstream    |
+      | a gateway without upstreams probes none for others         |
+      | failures of several upstreams call for a check of links    |
+      | silence calls for a check only while a response is due     |
+      | links that come and go end an isolation late               |
+      | a gateway that knows no upstream is not isolated           |
       | each gateway is weighed once where all are too few         |
       | more gateways step in where the weakest is overloaded      |
       | what callers ask rises at once and falls late              |
--- /dev/null
+++ b/features/steps/gateway_isolation.py
@@ -0,0 +1,165 @@
+"""Properties of gateways that reach no upstream, without processes."""
+
+import asyncio
+
+import msgspec
+
+from features.steps import kernel
+from features.support import started_gateway
+from spindlenotch import clock, ids, ports
+from spindlenotch.gateway import state as states
+from spindlenotch.gateway.cluster import fleet as fleets, isolation
+from spindlenotch.kernel import reachability
+from spindlenotch.peers import messages
+
+START = ids.Instant(100.0)
+UPSTREAMS = [ids.Address(f"127.0.0.1:{number}") for number in range(1, 5)]
+PEERS = ("p1", "p2")
+
+
+def ready_fleet() -> tuple[states.GatewayState, fleets.Fleet]:
+    """Return a gateway that is ready, with two ready peers of its zone."""
+    state, relay = started_gateway.gateway(started_gateway.SEED)
+    for name in PEERS:
+        started_gateway.peer(state, name, messages.Status.READY)
+    state.gossip.set_status(messages.Status.READY, 1)
+    return state, relay.fleet
+
+
+def hear_isolated(state: states.GatewayState, host: str) -> None:
+    """Let the gateway hear that a peer reaches no upstream."""
+    record = state.gossip.known_by_host[ids.HostId(host)].record
+    later = msgspec.structs.replace(
+        record, heartbeat=record.heartbeat + 1, is_isolated=True
+    )
+    state.gossip.handle(messages.Message(later, 2), state.clock.now())
+
+
+def isolated_links() -> reachability.Reachability:
+    """Return the links of a process that has just become isolated."""
+    links = reachability.Reachability(START)
+    assert links.checked(ids.later(START, 0.1), ids.later(START, 0.35))
+    return links
+
+
+@kernel.PROPERTIES.register("callers are not told of a gateway without upstreams")
+def not_named() -> None:
+    state, fleet = ready_fleet()
+    (first,) = fleet.active_zones()
+    if first in PEERS:
+        hear_isolated(state, first)
+    else:
+        state.gossip.set_isolated(is_isolated=True)
+    assert first not in fleet.active_zones()
+    assert len(fleet.active_addresses()) == 1
+
+
+@kernel.PROPERTIES.register("callers are told of some where none reaches an upstream")
+def still_named() -> None:
+    state, fleet = ready_fleet()
+    before = fleet.active_zones()
+    for name in PEERS:
+        hear_isolated(state, name)
+    state.gossip.set_isolated(is_isolated=True)
+    assert fleet.active_zones() == before
+    assert not fleet.view().isolated
+    assert not fleet.handover_addresses()
+
+
+@kernel.PROPERTIES.register("a gateway without upstreams probes none for others")
+def probes_none() -> None:
+    state, fleet = ready_fleet()
+    state.gossip.set_isolated(is_isolated=True)
+    local = state.local_member
+    assert local.host not in fleet.view().probing_by_zone[local.zone]
+    # It reaches the source, and may go on reading it.
+    assert local.host in fleet.view().standby_by_zone[local.zone]
+    assert fleet.handover_addresses()
+
+
+@kernel.PROPERTIES.register("failures of several upstreams call for a check of links")
+def failures_suspect() -> None:
+    links = reachability.Reachability(START)
+    for address in UPSTREAMS[:2] * 3:
+        links.failed(address)
+    assert not links.is_suspect()
+    links.failed(UPSTREAMS[2])
+    assert links.is_suspect()
+    assert links.is_check_due(START, others_isolated=False)
+    links.heard(START)
+    assert not links.is_suspect()
+
+
+@kernel.PROPERTIES.register("silence calls for a check only while a response is due")
+def silence_suspect() -> None:
+    links = reachability.Reachability(START)
+    later = ids.later(START, 1.0)
+    assert not links.is_check_due(later, others_isolated=False)
+    links.started(later)
+    in_time = ids.later(later, reachability.MAX_SILENCE_S - 0.01)
+    assert not links.is_check_due(in_time, others_isolated=False)
+    overdue = ids.later(later, reachability.MAX_SILENCE_S + 0.01)
+    assert links.is_check_due(overdue, others_isolated=False)
+    links.ended()
+    assert not links.is_check_due(overdue, others_isolated=False)
+    idle = ids.later(START, reachability.MAX_IDLE_NEAR_ISOLATED_S + 0.01)
+    assert links.is_check_due(idle, others_isolated=True)
+
+
+@kernel.PROPERTIES.register("links that come and go end an isolation late")
+def ends_late() -> None:
+    links = isolated_links()
+    now = ids.later(START, 1.0)
+    for is_good in (True, False, True):
+        if is_good:
+            links.heard(now)
+        assert not links.checked(now, now) and links.is_isolated
+        now = ids.later(now, 0.5)
+    links.heard(now)
+    assert links.checked(now, now) and not links.is_isolated
+
+
+class SilentPort:
+    """Upstreams that never respond, whatever is asked."""
+
+    def __init__(self) -> None:
+        self.probes = 0
+
+    async def send(
+        self, request: ports.UpstreamRequest
+    ) -> ports.UpstreamAnswer | ports.UpstreamFault:
+        """Fail as a connection that is refused."""
+        return ports.UpstreamFault.CONNECT_FAILED
+
+    async def probe(
+        self, address: ids.Address, timeout_s: float, path: str | None = None
+    ) -> ports.UpstreamFault:
+        """Fail after a while, during which the process stood still."""
+        self.probes += 1
+        return ports.UpstreamFault.CONNECTION_LOST
+
+    async def liveness(self, address: ids.Address, timeout_s: float) -> ports.Liveness:
+        """Find no process."""
+        return ports.Liveness.GONE
+
+    def close_idle(self, address: ids.Address) -> None:
+        """Keep none."""
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+@kernel.PROPERTIES.register("a gateway that knows no upstream is not isolated")
+def knows_none() -> None:
+    state, relay = started_gateway.gateway(started_gateway.SEED)
+    assert isinstance(state.clock, clock.ManualClock)
+    links = reachability.Reachability(state.clock.now())
+    silent = SilentPort()
+    observed = isolation.ObservedPort(silent, links, state.clock)
+    watched = isolation.Isolation(state, observed, relay.link)
+
+    async def is_isolated() -> bool:
+        return await watched.is_isolated_since(state.clock.now())
+
+    assert not asyncio.run(is_isolated())
+    assert silent.probes == 0
--- /dev/null
+++ b/tools/isolation_mutants.py
@@ -0,0 +1,52 @@
+"""
+Mutants of the handling of gateways that reach no upstream.
+
+Part of the table of ``mutant_table``; ``tools/mutants.py`` tries them.
+"""
+
+from tools import mutant_table
+
+MUTANTS = (
+    mutant_table.Mutant(
+        "isolated gateways stay in the directory",
+        "gateway/cluster/fleet",
+        "            if record.host not in isolated\n",
+        "            if True\n",
+        "callers are not told of a gateway without upstreams",
+    ),
+    mutant_table.Mutant(
+        "the directory is empty where all gateways are isolated",
+        "gateway/cluster/fleet",
+        "if len(isolated) == len(ready):",
+        "if False:",
+        "callers are told of some where none reaches an upstream",
+    ),
+    mutant_table.Mutant(
+        "isolated gateways probe for others",
+        "gateway/cluster/fleet",
+        "            if record.host not in self.isolated\n",
+        "            if True\n",
+        "a gateway without upstreams probes none for others",
+    ),
+    mutant_table.Mutant(
+        "a response does not clear the failures before it",
+        "kernel/reachability",
+        "        self.heard_at = now\n        self._failed.clear()\n",
+        "        self.heard_at = now\n",
+        "failures of several upstreams call for a check of links",
+    ),
+    mutant_table.Mutant(
+        "silence is suspect while no response is due",
+        "kernel/reachability",
+        "is_silent = self._in_flight > 0 and (",
+        "is_silent = (",
+        "silence calls for a check only while a response is due",
+    ),
+    mutant_table.Mutant(
+        "one good check ends an isolation",
+        "kernel/reachability",
+        "        self.is_isolated = self._good_checks < CHECKS_TO_RECOVER\n",
+        "        self.is_isolated = False\n",
+        "links that come and go end an isolation late",
+    ),
+)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -15,6 +15,7 @@
 from collections import abc
 
 from tools import (
+    isolation_mutants,
     late_mutants,
     limit_mutants,
     mutant_table,
@@ -35,6 +36,7 @@
     *late_mutants.MUTANTS,
     *limit_mutants.MUTANTS,
     *restore_mutants.MUTANTS,
+    *isolation_mutants.MUTANTS,
 )
 #: Program that plays the machines in the scratch copy.
 PLAY_PROGRAM = """
@@ -51,6 +53,7 @@
 loguru.logger.remove()
 from features.steps import gateway_allowed, gateway_bad_entries, gateway_budget
 from features.steps import gateway_cold, gateway_directory, gateway_evacuation
+from features.steps import gateway_isolation
 from features.steps import gateway_limits, gateway_overflow, gateway_reborn
 from features.steps import gateway_regions, gateway_rests, gateway_turns
 from features.steps import gateway_reborn_peers, gateway_restored, gateway_rollout
