--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,6 +31,11 @@
     Then the play has no violation
     And nothing that it started still runs
 
+  Scenario: A play with gateways that are cut off from all upstreams is clean
+    When gateways lose their links to all upstreams beside other faults
+    Then the play has no violation
+    And nothing that it started still runs
+
   Scenario: A play that is interrupted ends what it started
     When a play is interrupted while its gateways run
     Then nothing that it started still runs
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -16,7 +16,7 @@
 assert versions.version_ordered in faults.FAULTS.factory_by_name.values()
 #: Faults that came after the seed of the short play was chosen, or take longer than it.
 LATER_FAULTS = ("version-ordered", "poison-request", "gateway-suspended")
-LATER_FAULTS += ("upstreams-stand-still",)
+LATER_FAULTS += ("upstreams-stand-still", "gateways-cut-off")
 #: A request that ends upstreams, while hosts are suspended and gateways start again.
 POISON_STEPS = (
     "0.5 3 poison-request 11",
@@ -49,6 +49,13 @@
     "7.50 1.00 upstream-drains 4",
     "9.00 1.00 store-restored 4",
 )
+#: Gateways lose their links to all upstreams while others end and load jumps.
+CUT_STEPS = (
+    "0.50 1.50 gateways-cut-off 6",
+    "2.00 2.00 burst 1",
+    "5.50 1.50 gateways-cut-off 4",
+    "6.00 1.00 gateways-killed 3",
+)
 #: How a log line of the event begins that tells of a suspension.
 HOST_SUSPENDED = '"event":109,'
 #: Longest time until a play that is interrupted has ended, in seconds.
@@ -99,6 +106,12 @@
     _play(context, settings, tuple(plans.read(step) for step in RESTORE_STEPS))
 
 
+@behave.when("gateways lose their links to all upstreams beside other faults")
+def cuts_played(context: typing.Any) -> None:
+    settings, _ = drawn(1, 10.0)
+    _play(context, settings, tuple(plans.read(step) for step in CUT_STEPS))
+
+
 def _play(
     context: typing.Any, settings: plans.Settings, steps: tuple[plans.Step, ...]
 ) -> None:
--- a/features/support/link.py
+++ b/features/support/link.py
@@ -9,7 +9,7 @@
 import asyncio
 import enum
 
-from features.support import platform_worker
+from features.support import platform_worker, upstream_cuts
 
 CHUNK_BYTES = 65536
 
@@ -25,10 +25,17 @@
     """
     A path to ``target``, which may change.
 
-    Connections to it come from ``source_ip``; None: from any address.
+    Connections to it come from ``source_ip``; None: from any address. ``cuts`` tells
+    who connects in vain, by address.
     """
 
-    def __init__(self, target: str, source_ip: str | None = None) -> None:
+    def __init__(
+        self,
+        target: str,
+        source_ip: str | None = None,
+        cuts: upstream_cuts.UpstreamCuts | None = None,
+    ) -> None:
+        self.cuts = upstream_cuts.UpstreamCuts() if cuts is None else cuts
         self.target = target
         self.source_ip = source_ip
         self.delay_s = 0.0
@@ -37,6 +44,7 @@
         self._whole_by_way = {way: asyncio.Event() for way in Way}
         self._speaks = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._ip_by_writer: dict[asyncio.StreamWriter, str] = {}
         self._pumps: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._speaks.set()
@@ -71,6 +79,12 @@
         for writer in list(self._writers):
             platform_worker.reset(writer)
 
+    def reset_cut_connections(self) -> None:
+        """Reset the open connections of those that are cut off in this way."""
+        for writer, ip in list(self._ip_by_writer.items()):
+            if self.cuts.resets(ip):
+                platform_worker.reset(writer)
+
     async def close(self) -> None:
         """Take nothing more and drop everything."""
         if self._server is not None:
@@ -84,7 +98,8 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if not self.takes_new:
+        ip = str(writer.get_extra_info("peername", ("",))[0])
+        if not self.takes_new or self.cuts.resets(ip):
             platform_worker.reset(writer)
             return
         host, _, port = self.target.rpartition(":")
@@ -96,14 +111,16 @@
             return
         speaks = self._speaks
         self._writers |= {writer, there[1]}
+        self._ip_by_writer[writer] = ip
         pumps = {
-            asyncio.ensure_future(self._pump(reader, there[1], Way.TO, speaks)),
-            asyncio.ensure_future(self._pump(there[0], writer, Way.FROM, speaks)),
+            asyncio.ensure_future(self._pump(reader, there[1], Way.TO, speaks, ip)),
+            asyncio.ensure_future(self._pump(there[0], writer, Way.FROM, speaks, ip)),
         }
         self._pumps |= pumps
         await asyncio.wait(pumps)
         self._pumps -= pumps
         self._writers -= {writer, there[1]}
+        del self._ip_by_writer[writer]
         writer.close()
         there[1].close()
 
@@ -113,11 +130,13 @@
         writer: asyncio.StreamWriter,
         way: Way,
         speaks: asyncio.Event,
+        ip: str,
     ) -> None:
         """Pass bytes on until the connection's end, and its end as it came."""
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await self._passes(way, speaks)
+                await self.cuts.until_it_passes(ip, reader)
                 writer.write(data)
                 await writer.drain()
             await self._passes(way, speaks)
--- a/tools/soak_processes/checks.py
+++ b/tools/soak_processes/checks.py
@@ -28,6 +28,9 @@
 #: Bad answers that tell a version to be bad.
 TELLING_ANSWERS = 50
 RECOVERY_S = 15.0
+#: Smallest ratio of the shares served at gateways cut off from all upstreams and at
+#: others, and how many, and what part of all, may fail there whatever the ratio.
+MIN_CUT_SERVED_RATIO, CUT_FAILED, CUT_FAILED_SHARE = 2 / 3, 10, 0.02
 MISSING = 404
 #: Ways of upstreams that give whole answers.
 WHOLE_MODES = (worker_records.Mode.GOOD, worker_records.Mode.SLOW)
@@ -264,6 +267,35 @@
             yield f"{request}; ran {runs_text(ledger, request)}"
 
 
+@CHECKS.register("callers of gateways cut off are served")
+def served_beside(ledger: Ledger) -> abc.Iterator[str]:
+    """Callers of gateways cut off from all upstreams are served as those of others."""
+    for trouble in ledger.troubles:
+        if not trouble.kind.startswith(ledgers.CUT_OFF):
+            continue
+        since = trouble.began_at + TOUCH_S
+        cut, others = (
+            [
+                request
+                for request in ledger.request_by_id.values()
+                if since <= request.sent_at < trouble.ended_at
+                and (request.node in trouble.subjects) is is_cut
+                and not ledger.troubled({request.node}, since, request.sent_at)
+            ]
+            for is_cut in (True, False)
+        )
+        failed = [request for request in cut if not request.is_served]
+        ratio = _served_share(cut) / max(1e-9, _served_share(others))
+        most = CUT_FAILED + CUT_FAILED_SHARE * (len(cut) + len(others))
+        if ratio < MIN_CUT_SERVED_RATIO and len(failed) > most:
+            yield f"{len(failed)} of {len(cut)} failed, as {failed[0]}"
+
+
+def _served_share(requests: list[ledgers.Request]) -> float:
+    served = sum(request.is_served for request in requests)
+    return served / len(requests) if requests else 1.0
+
+
 @CHECKS.register("recovery")
 def recovery(ledger: Ledger) -> abc.Iterator[str]:
     """Most requests are served again soon after the last fault."""
--- a/tools/soak_processes/faults.py
+++ b/tools/soak_processes/faults.py
@@ -14,7 +14,7 @@
 import typing
 from collections import abc
 
-from features.support import link, platform_store, worker_records
+from features.support import link, platform_store, upstream_cuts, worker_records
 from spindlenotch import registry
 from tools.soak_processes import ledger, world as worlds
 
@@ -180,6 +180,21 @@
                 path.restore()
 
 
+@FAULTS.register("gateways-cut-off")
+async def gateways_cut_off(world: World, rng: random.Random, for_s: float) -> None:
+    """Some gateways lose their links to all upstreams."""
+    able = world.with_own_addresses
+    nodes = rng.sample(able, rng.randint(1, len(able)))
+    how = rng.choice(tuple(upstream_cuts.How))
+    kind = f"{ledger.CUT_OFF} {how.value}"
+    with world.trouble(kind, *nodes, of="links", excuses=False):
+        world.cut_from_upstreams(nodes, how)
+        try:
+            await asyncio.sleep(worlds.BOUNDS["touchS"] + for_s)
+        finally:
+            world.fleet.upstream_cuts.heal()
+
+
 # The store.
 
 
--- a/tools/soak_processes/ledger.py
+++ b/tools/soak_processes/ledger.py
@@ -17,6 +17,8 @@
 STORE = "store"
 #: Kind of the trouble of who gets too little of a busy machine.
 STARVED = "starved"
+#: Kind of a trouble in which gateways have lost their links to all upstreams.
+CUT_OFF = "gateways-cut-off"
 #: Statuses that promise that a request has not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
 
--- a/tools/soak_processes/mutants.py
+++ b/tools/soak_processes/mutants.py
@@ -46,6 +46,14 @@
         held_by="unchanged, to its own service",
         steps=("0.2 6 store-fails 0", "0.5 5 upstream-address-reused 1"),
     ),
+    mutant_table.Mutant(
+        "a gateway does not notice that it is isolated",
+        "kernel/reachability",
+        "            self.is_isolated = True\n",
+        "            self.is_isolated = False\n",
+        held_by="callers of gateways cut off are served",
+        steps=("0.5 4 gateways-cut-off 6",),
+    ),
     mutant_table.Mutant(
         "an upstream that drains is used on",
         "gateway/source/leases",
--- a/tools/soak_processes/world.py
+++ b/tools/soak_processes/world.py
@@ -15,7 +15,14 @@
 
 import loguru
 
-from features.support import link, platform_fleet, platform_worker, worker_records
+from features.support import (
+    isolation_play,
+    link,
+    platform_fleet,
+    platform_worker,
+    upstream_cuts,
+    worker_records,
+)
 from tools.soak_processes import ledger as ledgers, plan as plans
 
 SERVICES = ("core", "side")
@@ -102,6 +109,11 @@
         """Return the gateways whose hosts can be suspended: the last two."""
         return self.nodes[-2:]
 
+    @property
+    def with_own_addresses(self) -> list[str]:
+        """Return the gateways that can be cut off from upstreams: all but the last."""
+        return self.nodes[:-2]
+
     @property
     def upstreams(self) -> list[str]:
         """Return the ids of the upstreams that are there from the start."""
@@ -120,6 +132,8 @@
             await path.start()
             self.link_by_node[node] = path
             self.fleet.store_by_node[node] = path.address
+        for node in self.nodes:
+            self.fleet.program_by_node[node] = isolation_play.OWN_ADDRESS_PROGRAM
         for node in self.suspendable:
             self.fleet.program_by_node[node] = SUSPENDABLE
         await asyncio.gather(*(self.start_gateway(node) for node in self.nodes))
@@ -198,6 +212,12 @@
         self.signal_gateway(node, signal.SIGKILL)
         await self.fleet.process_by_node[node].wait()
 
+    def cut_from_upstreams(self, nodes: list[str], how: upstream_cuts.How) -> None:
+        """Cut gateways off from all upstreams."""
+        self.fleet.cut_from_upstreams(nodes, how)
+        for path in self.link_by_upstream.values():
+            path.reset_cut_connections()
+
     # Upstreams.
 
     async def add_upstream(
@@ -216,7 +236,9 @@
         self.zone_by_upstream[upstream] = zone
         await worker.start()
         worker.born = _unix_ms()
-        path = self.link_by_upstream[upstream] = link.Link(worker.address)
+        path = self.link_by_upstream[upstream] = link.Link(
+            worker.address, cuts=self.fleet.upstream_cuts
+        )
         await path.start()
         worker.listed_address = path.address
         self.list_upstream(upstream)
