Release requests that were handed over when their caller leaves

A response of another gateway was left open where the caller disconnected while its body was read, so that the other gateway and the upstream went on working for nobody. Found by reading; the exchange now closes its connection when it is cancelled, as that of an upstream does.

--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -30,8 +30,8 @@
 #: Upper bound of a chunk of a body, in bytes.
 CHUNK_BYTES = 64 * 1024
 OK = 200
-#: Statuses from here on are no success.
-FIRST_REDIRECT_STATUS = 300
+#: Smallest status above those of a success.
+MIN_NON_SUCCESS_STATUS = 300
 #: Headers that aiohttp would add to those of the caller.
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -248,7 +248,7 @@
     ) -> bool:
         if self.dialect.request_id in response.headers:
             return super()._is_answer_to(request, response)
-        return response.status >= FIRST_REDIRECT_STATUS
+        return response.status >= MIN_NON_SUCCESS_STATUS
 
 
 def _close_delimited_end(
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -68,17 +68,18 @@
         self.state = gateway_state
         self.source = source
         links = reachability.Reachability(gateway_state.clock.now())
-        port = isolation.ObservedPort(port, links, gateway_state.clock)
-        self.port = port
+        self.port = isolation.ObservedPort(port, links, gateway_state.clock)
         self.peer_port = upstream_http.HttpPeerPort(gateway_dialect.upstream)
         self.fleet = fleet.Fleet(gateway_state)
         self.membership = membership.Membership(gateway_state)
         link = self.membership.link
-        self.isolation = isolation.Isolation(gateway_state, port, link)
-        gateway_state.add_end_listener(lambda ended: port.close_idle(ended.address))
+        self.isolation = isolation.Isolation(gateway_state, self.port, link)
+        gateway_state.add_end_listener(
+            lambda ended: self.port.close_idle(ended.address)
+        )
         path = data_path.DataPath(
             gateway_state,
-            port,
+            self.port,
             job_factory.labels(gateway_dialect),
             known=gateway_state.quarantines.known,
             links=self.isolation,
@@ -111,7 +112,7 @@
         self.discovery = discovery.DiscoveryWriter(
             gateway_state, source, self.relay.is_reader
         )
-        self.prober = prober.Prober(gateway_state, self.fleet, port)
+        self.prober = prober.Prober(gateway_state, self.fleet, self.port)
         self.load_exchange = load_exchange.LoadExchange(
             gateway_state, self.fleet, link, self.prober.task_by_id.keys()
         )
--- a/spindlenotch/gateway/serving/handover.py
+++ b/spindlenotch/gateway/serving/handover.py
@@ -9,13 +9,12 @@
 
 import asyncio
 import contextlib
-import typing
 from collections import abc
 
 import msgspec
 
 from spindlenotch import events, ids, ports
-from spindlenotch.forwarding import jobs, sending
+from spindlenotch.forwarding import crash_watch, jobs, sending
 from spindlenotch.gateway import dialect, state
 from spindlenotch.gateway.serving import job_factory
 from spindlenotch.kernel import outcomes, upstreams
@@ -31,14 +30,15 @@
 
 
 class WithdrawnError(Exception):
-    """Raised where a request was withdrawn from this gateway's own upstreams."""
-
+    """
+    Raised where a request was withdrawn from this gateway's own upstreams.
 
-class Links(typing.Protocol):
-    """What is known of the links between this gateway and the upstreams."""
+    ``refusal`` is what its caller gets unless another gateway takes it.
+    """
 
-    async def is_isolated_since(self, since: ids.Instant) -> bool:
-        """Return whether no upstream is reached and none has responded since."""
+    def __init__(self, refusal: outcomes.Refusal) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
 
 
 class PeerExchange(msgspec.Struct):
@@ -49,7 +49,12 @@
 
     async def chunk(self) -> bytes | ports.UpstreamFault:
         """Return the next chunk of the body; empty at its end."""
-        chunk = await self.answer.chunk()
+        try:
+            chunk = await self.answer.chunk()
+        except asyncio.CancelledError:
+            # The other gateway withdraws the request when its connection closes.
+            self.end(upstreams.Result.CANCELLED)
+            raise
         self.ended |= not chunk
         return chunk
 
@@ -74,7 +79,7 @@
         gateway_state: state.GatewayState,
         gateway_dialect: dialect.Dialect,
         port: ports.UpstreamPort,
-        links: Links,
+        links: crash_watch.Links,
         addresses: abc.Callable[[], list[ids.Address]],
     ) -> None:
         self.state = gateway_state
@@ -119,7 +124,7 @@
         except TimeoutError:
             if not timeout.expired():
                 raise
-            raise WithdrawnError from None
+            raise WithdrawnError(_refusal_of_withdrawn(job)) from None
 
     def interrupt(self) -> None:
         """
@@ -130,8 +135,7 @@
         for timeout, job in self._job_by_timeout.items():
             if not job.is_body_buffered or not self.is_possible(job):
                 continue
-            was_sent = job.call.id in job.balancer.attempted_by_call
-            if job.call.repeatable or not was_sent:
+            if job.call.repeatable or not _was_sent(job):
                 timeout.reschedule(asyncio.get_running_loop().time())
 
     async def send(self, job: jobs.Job) -> PeerExchange | outcomes.Refusal | None:
@@ -192,3 +196,13 @@
             needs_new_connection=job.needs_new_connection,
             may_send=lambda: clock.now() < deadline,
         )
+
+
+def _was_sent(job: jobs.Job) -> bool:
+    return job.call.id in job.balancer.attempted_by_call
+
+
+def _refusal_of_withdrawn(job: jobs.Job) -> outcomes.Refusal:
+    if _was_sent(job):
+        return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
+    return outcomes.not_run(outcomes.Reason.NO_UPSTREAM)
--- a/spindlenotch/gateway/serving/request_processing.py
+++ b/spindlenotch/gateway/serving/request_processing.py
@@ -124,10 +124,8 @@
         try:
             async with self.handover.interruptible(job):
                 response = await self._try_upstreams(request, job)
-        except handover.WithdrawnError:
-            response = outcomes.not_run(outcomes.Reason.NO_UPSTREAM)
-            if job.call.repeatable:
-                response = outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
+        except handover.WithdrawnError as withdrawn:
+            response = withdrawn.refusal
         if isinstance(response, outcomes.Refusal) and await self.handover.is_due(
             job, response
         ):
