--- a/features/isolated_gateways.feature
+++ b/features/isolated_gateways.feature
@@ -20,6 +20,11 @@
       | all that serve and three others | reset |
       | all that serve and three others | hang  |
 
+  Scenario: A caller leaves while its request is with another gateway
+    Given each request takes workers 5 s
+    When "two that serve and one other" are cut off, and a caller of the first leaves after 0.3 s
+    Then its request was with a worker, which stopped working on it within 0.5 s
+
   Scenario Outline: All gateways are cut off, by <how>
     When "all" are cut off from all workers, by "<how>"
     Then the directory was never empty
--- a/features/steps/isolated_gateways.py
+++ b/features/steps/isolated_gateways.py
@@ -1,5 +1,6 @@
 """Steps on gateways that are cut off from all workers."""
 
+import asyncio
 import typing
 
 import behave
@@ -15,8 +16,10 @@
 #: Timeout of a route, in seconds.
 TIMEOUT_S = 1.0
 RATE = 180.0
-#: Seconds after a cut of all gateways within which requests are served again.
-RECOVERY_S = 3.0
+#: Seconds until a gateway has noticed that it is cut off, and after which a worker must
+#: have stopped working for a caller that has left.
+SETTLE_S, STOPPED_WITHIN_S = 3.0, 0.5
+LEFT_ID = "left"
 #: Share of requests that must be served then.
 RECOVERED_SHARE = 0.9
 
@@ -60,6 +63,46 @@
     run(context, play.play(trouble()))
 
 
+@behave.given("each request takes workers {seconds:g} s")
+def slow_workers(context: typing.Any, seconds: float) -> None:
+    for worker in fleet_of(context).worker_by_id.values():
+        worker.work_s = seconds
+
+
+@behave.when(
+    '"{who}" are cut off, and a caller of the first leaves after {seconds:g} s'
+)
+def caller_leaves(context: typing.Any, who: str, seconds: float) -> None:
+    play, fleet = play_of(context), fleet_of(context)
+
+    async def leave() -> None:
+        await play.ask_directory()
+        nodes = chosen(play, who)
+        fleet.cut_from_upstreams(nodes, upstream_cuts.How.RESET)
+        # Until the gateway has noticed.
+        await asyncio.sleep(SETTLE_S)
+        sending = asyncio.ensure_future(fleet.send(nodes[0], "/read/left", LEFT_ID))
+        await asyncio.sleep(seconds)
+        context.ran_before_leaving = fleet.runs_of(LEFT_ID)
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        await asyncio.sleep(STOPPED_WITHIN_S)
+        context.running_after = sum(
+            worker.running for worker in fleet.worker_by_id.values()
+        )
+
+    run(context, leave())
+
+
+@behave.then(
+    "its request was with a worker, which stopped working on it within {seconds:g} s"
+)
+def assert_stopped(context: typing.Any, seconds: float) -> None:
+    assert seconds == STOPPED_WITHIN_S
+    assert len(context.ran_before_leaving) == 1, context.ran_before_leaving
+    assert context.running_after == 0, context.running_after
+
+
 def chosen(play: isolation_play.IsolationPlay, who: str) -> list[str]:
     """Return the gateways to cut off."""
     every = list(play.fleet.ip_by_node)
--- a/features/support/isolation_play.py
+++ b/features/support/isolation_play.py
@@ -67,6 +67,11 @@
         self.fleet.upstream_cuts.heal()
         self.healed_at = time.monotonic()
 
+    async def ask_directory(self) -> None:
+        """Learn which gateways serve, without sending requests."""
+        first = next(iter(self.fleet.ip_by_node))
+        self._nodes = await self._resolve(first, platform_fleet.ZONES[0])
+
     def serving(self) -> list[str]:
         """Return the gateways that the directory named last."""
         return list(self._nodes)
