Refuse a request as unknown where another gateway may have run it

Where the connection to another gateway was lost and no further one was reached, a request that may be repeated was refused with 503, as if it had certainly not run. Found by reading.

--- a/spindlenotch/gateway/serving/handover.py
+++ b/spindlenotch/gateway/serving/handover.py
@@ -140,10 +140,11 @@
 
     async def send(self, job: jobs.Job) -> PeerExchange | outcomes.Refusal | None:
         """
-        Offer a request to other gateways; return the response of the first it reaches.
+        Offer a request to other gateways; return the first response.
 
         Return None if no gateway was reached, so that the request has not run.
         """
+        may_have_run = False
         targets = self.addresses()
         self.state.rng.shuffle(targets)
         for address in targets[:MAX_TARGETS]:
@@ -157,11 +158,15 @@
                     status=answer.status,
                 )
                 return PeerExchange(answer)
+            if answer is ports.UpstreamFault.CONNECT_FAILED:
+                continue
             if answer is ports.UpstreamFault.TOO_LATE:
-                return outcomes.not_run(outcomes.Reason.DEADLINE_PASSED)
-            may_have_run = answer is not ports.UpstreamFault.CONNECT_FAILED
-            if may_have_run and not self._take_retry(job):
-                return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
+                break
+            may_have_run = True
+            if not self._take_retry(job):
+                break
+        if may_have_run:
+            return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
         return None
 
     def _take_retry(self, job: jobs.Job) -> bool:
--- a/tools/decisions.py
+++ b/tools/decisions.py
@@ -16,6 +16,7 @@
     decision_table,
     docs_check,
     fleet_decision_table,
+    isolation_decision_table,
     limit_decision_table,
     rollout_decision_table,
 )
@@ -23,6 +24,7 @@
 RULES = (
     decision_table.RULES
     + fleet_decision_table.RULES
+    + isolation_decision_table.RULES
     + limit_decision_table.RULES
     + rollout_decision_table.RULES
 )
