Wait until the directory names each zone before gateways are cut off

Traced by the gateways' logs: all were ready at 79.92, and the one that was asked heard of those of zone z2 only later; no E306. The other scenarios wait 2 s before they ask.

--- a/features/support/isolation_play.py
+++ b/features/support/isolation_play.py
@@ -68,9 +68,13 @@
         self.healed_at = time.monotonic()
 
     async def ask_directory(self) -> None:
-        """Learn which gateways serve, without sending requests."""
+        """Wait until the directory names a gateway of each zone."""
+        await self.fleet.until(self._names_each_zone)
+
+    async def _names_each_zone(self) -> bool:
         first = next(iter(self.fleet.ip_by_node))
         self._nodes = await self._resolve(first, platform_fleet.ZONES[0])
+        return len(self._nodes) == len(platform_fleet.ZONES)
 
     def serving(self) -> list[str]:
         """Return the gateways that the directory named last."""
