--- a/features/support/isolation_play.py
+++ b/features/support/isolation_play.py
@@ -19,7 +19,7 @@
 #: Smallest ratio of the shares served at the gateways cut off and at the others.
 MIN_SERVED_RATIO = 2 / 3
 #: Part of the callers that keep an answer of the directory for longer than it is valid.
-STUBBORN_SHARE = 1 / 3
+STALE_DIRECTORY_SHARE = 1 / 3
 BOOKING_PREFIX = "/book/"
 OWN_ADDRESS_PROGRAM = "features/support/own_address.py"
 
@@ -53,7 +53,6 @@
         self.cut_nodes: list[str] = []
         self.cut_at = 0.0
         self.healed_at = 0.0
-        self.served_at_cut: list[str] = []
         self.empty_directories = 0
         self._nodes_before_cut: list[str] = []
 
@@ -128,6 +127,6 @@
         return nodes
 
     def _choose_node(self) -> str:
-        if self._nodes_before_cut and self._rng.random() < STUBBORN_SHARE:
+        if self._nodes_before_cut and self._rng.random() < STALE_DIRECTORY_SHARE:
             return self._rng.choice(self._nodes_before_cut)
         return super()._choose_node()
