Keep the check for handover off the path of requests; reuse what exists

* Each request asked for the fleet's view to learn that this gateway is not isolated, which compares the inputs of the view.
Its own record, a field, is asked first now.
* The path by which a service is probed was looked up in two places, and an instant in the far past defined anew: both have one home now.
* The port that notes which upstreams respond has a module of its own.

--- a/features/steps/gateway_isolation.py
+++ b/features/steps/gateway_isolation.py
@@ -8,7 +8,7 @@
 from features.support import started_gateway
 from spindlenotch import clock, ids, ports
 from spindlenotch.gateway import state as states
-from spindlenotch.gateway.cluster import fleet as fleets, isolation
+from spindlenotch.gateway.cluster import fleet as fleets, isolation, observed_port
 from spindlenotch.kernel import reachability
 from spindlenotch.peers import messages
 
@@ -155,7 +155,7 @@
     assert isinstance(state.clock, clock.ManualClock)
     links = reachability.Reachability(state.clock.now())
     silent = SilentPort()
-    observed = isolation.ObservedPort(silent, links, state.clock)
+    observed = observed_port.ObservedPort(silent, links, state.clock)
     watched = isolation.Isolation(state, observed, relay.link)
 
     async def is_isolated() -> bool:
--- a/spindlenotch/gateway/cluster/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -142,9 +142,10 @@
 
     def handover_addresses(self) -> list[ids.Address]:
         """Return the active gateways that can serve requests for this one."""
-        view = self.view()
-        local_host = self.state.config.host
-        if local_host not in view.isolated:
+        # Called for each request, and nearly always on a gateway that is not isolated.
+        if not self.state.gossip.local.is_isolated:
+            return []
+        if self.state.config.host not in self.view().isolated:
             return []
         return list(self.active_addresses().values())
 
--- a/spindlenotch/gateway/cluster/isolation.py
+++ b/spindlenotch/gateway/cluster/isolation.py
@@ -1,7 +1,7 @@
 """
 Detects that this gateway reaches no upstream, and tells its peers.
 
-``ObservedPort`` notes what requests and probes show; a check probes several upstreams
+``observed_port`` notes what requests and probes show; a check probes several upstreams
 before it counts. Peers leave an isolated gateway out of the directory and give it no
 probing duty, unless all are isolated (see ``fleet``). ``kernel.reachability`` has the
 rules.
@@ -10,9 +10,10 @@
 import asyncio
 from collections import abc
 
-from spindlenotch import clock, events, ids, ports
+from spindlenotch import events, ids
 from spindlenotch.gateway import state
-from spindlenotch.kernel import reachability, upstreams
+from spindlenotch.gateway.cluster import observed_port
+from spindlenotch.kernel import upstreams
 from spindlenotch.peers import peer_link
 
 #: Seconds between two looks at whether a check is due.
@@ -30,68 +31,6 @@
 IsolationListener = abc.Callable[[], None]
 
 
-class ObservedPort:
-    """Sends through another port, and notes which upstreams respond."""
-
-    def __init__(
-        self,
-        port: ports.UpstreamPort,
-        links: reachability.Reachability,
-        host_clock: clock.Clock,
-    ) -> None:
-        self.port = port
-        self.links = links
-        self.clock = host_clock
-        #: Called after each failure.
-        self.on_failure: abc.Callable[[], None] = lambda: None
-
-    async def send(
-        self, request: ports.UpstreamRequest
-    ) -> ports.UpstreamAnswer | ports.UpstreamFault:
-        """Send a request; see ``ports.UpstreamPort.send``."""
-        self.links.started(self.clock.now())
-        try:
-            answer = await self.port.send(request)
-        finally:
-            self.links.ended()
-        if answer in (
-            ports.UpstreamFault.CONNECT_FAILED,
-            ports.UpstreamFault.CONNECTION_LOST,
-        ):
-            self.links.failed(request.address)
-            self.on_failure()
-        elif answer not in (
-            ports.UpstreamFault.TOO_LATE,
-            ports.UpstreamFault.WITHDRAWN,
-        ):
-            self.links.heard(self.clock.now())
-        return answer
-
-    async def probe(
-        self, address: ids.Address, timeout_s: float, path: str | None = None
-    ) -> upstreams.LoadReport | ports.UpstreamFault:
-        """Query the load of an upstream; see ``ports.UpstreamPort.probe``."""
-        report = await self.port.probe(address, timeout_s, path)
-        if report is not ports.UpstreamFault.CONNECTION_LOST:
-            self.links.heard(self.clock.now())
-        return report
-
-    async def liveness(self, address: ids.Address, timeout_s: float) -> ports.Liveness:
-        """Check whether an upstream is alive; see ``ports.UpstreamPort.liveness``."""
-        found = await self.port.liveness(address, timeout_s)
-        if found is ports.Liveness.ALIVE:
-            self.links.heard(self.clock.now())
-        return found
-
-    def close_idle(self, address: ids.Address) -> None:
-        """Close the idle keep-alive connections to ``address``."""
-        self.port.close_idle(address)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.port.close()
-
-
 class Isolation:
     """
     Checks the links to the upstreams and publishes whether this gateway is isolated.
@@ -102,7 +41,7 @@
     def __init__(
         self,
         gateway_state: state.GatewayState,
-        port: ObservedPort,
+        port: observed_port.ObservedPort,
         link: peer_link.PeerLink,
     ) -> None:
         self.state = gateway_state
@@ -203,10 +142,7 @@
         self, service: ids.ServiceName, upstream: upstreams.Upstream
     ) -> None:
         table = self.state.table
-        spec = None
-        if table is not None:
-            spec = table.configuration.service_by_name.get(service)
-        path = None if spec is None else spec.health_path
+        path = None if table is None else table.configuration.health_path(service)
         self.state.metrics.probes.labels(service).inc()
         await self.port.probe(upstream.spec.address, CHECK_TIMEOUT_S, path)
 
--- a/spindlenotch/gateway/cluster/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -161,8 +161,7 @@
             return
         period_s = self._period_s(table.configuration, target)
         await asyncio.sleep(rng.uniform(0, period_s))
-        spec = table.configuration.service_by_name.get(target.service)
-        health_path = None if spec is None else spec.health_path
+        health_path = table.configuration.health_path(target.service)
         address = target.upstream.spec.address
         for _ in range(max(1, int(TASK_LIFETIME_S / period_s))):
             self.state.metrics.probes.labels(target.service).inc()
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -25,6 +25,7 @@
     isolation,
     load_exchange,
     membership,
+    observed_port,
     prober,
     rate_sharers,
     region_loads,
@@ -68,7 +69,7 @@
         self.state = gateway_state
         self.source = source
         links = reachability.Reachability(gateway_state.clock.now())
-        self.port = isolation.ObservedPort(port, links, gateway_state.clock)
+        self.port = observed_port.ObservedPort(port, links, gateway_state.clock)
         self.peer_port = upstream_http.HttpPeerPort(gateway_dialect.upstream)
         self.fleet = fleet.Fleet(gateway_state)
         self.membership = membership.Membership(gateway_state)
--- a/spindlenotch/gateway/source/routing.py
+++ b/spindlenotch/gateway/source/routing.py
@@ -126,6 +126,11 @@
     refused_routes: tuple[RefusedRoute, ...] = ()
     remarks: tuple[str, ...] = ()
 
+    def health_path(self, service: ids.ServiceName) -> str | None:
+        """Return the path by which a service is probed; None: the dialect's."""
+        spec = self.service_by_name.get(service)
+        return None if spec is None else spec.health_path
+
 
 class RouteTable:
     """
--- a/spindlenotch/kernel/reachability.py
+++ b/spindlenotch/kernel/reachability.py
@@ -8,6 +8,7 @@
 """
 
 from spindlenotch import ids
+from spindlenotch.kernel import shared_rate
 
 #: Distinct upstreams that must fail in a row, without a response of any, before this
 #: process suspects its own links.
@@ -26,8 +27,6 @@
 #: Successful checks in a row that end the isolation: links may come and go.
 CHECKS_TO_RECOVER = 2
 
-LONG_AGO = ids.Instant(float("-inf"))
-
 
 class Reachability:
     """
@@ -39,7 +38,7 @@
     def __init__(self, now: ids.Instant) -> None:
         self.is_isolated = False
         self.heard_at = now
-        self._checked_at = LONG_AGO
+        self._checked_at = shared_rate.LONG_AGO
         self._in_flight = 0
         self._awaiting_since = now
         self._failed: set[ids.Address] = set()
