Do not reuse connections with data that the event loop has not read

Callers: a request sent over such a connection got the surplus bytes of the answer before. The request id tells them apart, so the caller got no foreign answer, but a healthy upstream was blamed, the request ran twice and a retry was spent. A call to the store took them for its own answer.

Cause: the check before a connection is reused looked at what the event loop had read. A loop that was busy or paused has read nothing yet; what waits to be sent goes first.

Now the kernel is asked whether it holds data or the end of the connection; such a connection is closed and another one is used, as nothing was sent yet.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -66,6 +66,21 @@
     When its surplus answers lie unread before each of 6 requests to it
     Then each of these requests gets the worker's own answer
 
+  # The bytes lay in the kernel's buffer: a busy event loop had not read them yet.
+  Scenario: Surplus bytes that a busy gateway has not read are not taken for an answer
+    Given one worker is "late-surplus"
+    When its surplus answers come while the event loop stands still, before each of 6 requests to it
+    Then each of these requests gets the worker's own answer
+
+  Scenario: Surplus bytes that a busy gateway has not read fail no health check
+    Given one worker is "late-surplus"
+    When a health check follows surplus answers that came while the event loop stood still
+    Then the health check tells the worker's load
+
+  Scenario: Surplus bytes that a busy gateway has not read are not taken for the store's answer
+    When the store's surplus answers come while the event loop stands still
+    Then each call to the store gets its own answer
+
   Scenario: An answer that comes before the whole body was read does not spoil the next
     Given all workers are "early"
     When a client uploads 900000 bytes as "photos"
--- a/features/steps/platform_connections.py
+++ b/features/steps/platform_connections.py
@@ -1,6 +1,7 @@
 """Steps on single connections between a gateway, its callers and its workers."""
 
 import asyncio
+import contextlib
 import time
 import typing
 
@@ -9,34 +10,122 @@
 from features.support import platform_context, platform_fleet
 from spindlenotch import ids, ports
 from spindlenotch.drivers import upstream_http
-from spindlenotch_platform import http_dialect
+from spindlenotch.kernel import upstreams
+from spindlenotch_platform import http_dialect, store_client
 
 fleet_of = platform_context.fleet_of
 run = platform_context.run
 #: Longer than the worker takes to send its surplus answer.
 SURPLUS_IS_THERE_S = 0.15
+#: Shorter than that.
+BEFORE_SURPLUS_S = 0.03
+STORE_CALLS = 4
 
 
 @behave.when("its surplus answers lie unread before each of {count:d} requests to it")
 def surplus_before(context: typing.Any, count: int) -> None:
+    context.answers = run(context, _answers_behind_surplus(context, count))
+
+
+@behave.when(
+    "its surplus answers come while the event loop stands still, before each of "
+    "{count:d} requests to it"
+)
+def surplus_in_standstill(context: typing.Any, count: int) -> None:
+    context.answers = run(
+        context, _answers_behind_surplus(context, count, stands_still=True)
+    )
+
+
+async def _answers_behind_surplus(
+    context: typing.Any, count: int, *, stands_still: bool = False
+) -> list[typing.Any]:
     worker = fleet_of(context).worker_by_id["i-0"]
+    loop = asyncio.get_running_loop()
+    port = upstream_http.HttpUpstreamPort(http_dialect.platform().upstream)
+    found = []
+    try:
+        for number in range(count):
+            answer = await port.send(_request(worker.address, f"s{number}"))
+            found.append(answer)
+            while not isinstance(answer, ports.UpstreamFault):
+                if not await answer.chunk():
+                    break
+            if stands_still:
+                # The worker sends and this step goes on at the same turn of the loop.
+                loop.call_later(BEFORE_SURPLUS_S, time.sleep, SURPLUS_IS_THERE_S)
+            await asyncio.sleep(SURPLUS_IS_THERE_S)
+    finally:
+        await port.close()
+    return found
 
-    async def send() -> list[typing.Any]:
+
+@behave.when(
+    "a health check follows surplus answers that came while the event loop stood still"
+)
+def probed_behind_surplus(context: typing.Any) -> None:
+    worker = fleet_of(context).worker_by_id["i-0"]
+
+    async def probe() -> typing.Any:
         port = upstream_http.HttpUpstreamPort(http_dialect.platform().upstream)
+        try:
+            answer = await port.send(_request(worker.address, "s0"))
+            assert not isinstance(answer, ports.UpstreamFault)
+            while await answer.chunk():
+                pass
+            loop = asyncio.get_running_loop()
+            loop.call_later(BEFORE_SURPLUS_S, time.sleep, SURPLUS_IS_THERE_S)
+            await asyncio.sleep(SURPLUS_IS_THERE_S)
+            return await port.probe(ids.Address(worker.address), 1.0, "/health")
+        finally:
+            await port.close()
+
+    context.report = run(context, probe())
+
+
+@behave.then("the health check tells the worker's load")
+def tells_load(context: typing.Any) -> None:
+    assert isinstance(context.report, upstreams.LoadReport), context.report
+
+
+@behave.when("the store's surplus answers come while the event loop stands still")
+def store_surplus(context: typing.Any) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(_watched(1))
+                loop.call_later(2 * BEFORE_SURPLUS_S, writer.write, _watched(99))
+
+    async def watch() -> list[typing.Any]:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        client = store_client.StoreClient(f"http://{host}:{port}")
         found = []
         try:
-            for number in range(count):
-                answer = await port.send(_request(worker.address, f"s{number}"))
-                found.append(answer)
-                while not isinstance(answer, ports.UpstreamFault):
-                    if not await answer.chunk():
-                        break
+            for _ in range(STORE_CALLS):
+                found.append(await client.watch(0, 1.0))
+                loop = asyncio.get_running_loop()
+                loop.call_later(BEFORE_SURPLUS_S, time.sleep, SURPLUS_IS_THERE_S)
                 await asyncio.sleep(SURPLUS_IS_THERE_S)
         finally:
-            await port.close()
+            await client.close()
+            server.close()
         return found
 
-    context.answers = run(context, send())
+    context.answers = run(context, watch())
+
+
+def _watched(revision: int) -> bytes:
+    body = b'{"events":[],"at":%d}' % revision
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+@behave.then("each call to the store gets its own answer")
+def own_store_answers(context: typing.Any) -> None:
+    expected = [store_client.Watched([], 1)] * STORE_CALLS
+    assert context.answers == expected, context.answers
 
 
 def _request(address: str, request_id: str) -> ports.UpstreamRequest:
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -6,7 +6,10 @@
 aiohttp; the timeouts of single calls are set where the calls are made.
 """
 
+import asyncio
+import select
 import socket
+import typing
 from collections import abc
 
 import aiohttp
@@ -28,6 +31,38 @@
 USER_TIMEOUT_MS = 1500
 
 
+class StaleConnectionError(Exception):
+    """Raised before the first byte if a keep-alive connection is unusable."""
+
+
+class CheckedRequest(aiohttp.ClientRequest):
+    """
+    A request that is sent only over a connection without unread data.
+
+    Data that arrived while a connection was idle belongs to no request; it would be
+    read as the response to the next one.
+    """
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Send the request, or raise ``StaleConnectionError``."""
+        if conn.protocol is None or conn.protocol.should_close:
+            raise StaleConnectionError
+        if conn.transport is None or _has_unread(conn.transport):
+            raise StaleConnectionError
+        return await super().send(conn)
+
+
+def _has_unread(transport: asyncio.Transport) -> bool:
+    """
+    Return whether the kernel holds data, or the end of the connection, for a socket.
+
+    While this process is busy or paused, the event loop has not read them yet.
+    """
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def new_session(
     *,
     connections: int = DEFAULT_CONNECTIONS,
@@ -87,6 +122,24 @@
     return created
 
 
+async def read_response(
+    session: aiohttp.ClientSession, method: str, url: str, **options: typing.Any
+) -> tuple[aiohttp.ClientResponse, bytes]:
+    """
+    Return the response to a request and its body, over a usable connection.
+
+    For sessions of ``CheckedRequest``; ``options`` are those of aiohttp's ``request``,
+    whose errors are raised.
+    """
+    while True:
+        try:
+            async with session.request(method, url, **options) as response:
+                return response, await response.read()
+        except StaleConnectionError:
+            # aiohttp has closed the connection, and nothing was sent.
+            continue
+
+
 class LazySession:
     """Opens its session at first use, as a session belongs to the running loop."""
 
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -40,25 +40,6 @@
     """Raised inside aiohttp's hooks when the first byte may not be sent."""
 
 
-class _StaleConnectionError(Exception):
-    """Raised before the first byte if a keep-alive connection is unusable."""
-
-
-class _CheckedRequest(aiohttp.ClientRequest):
-    """
-    A request that is sent only over a connection without unread data.
-
-    Data that arrived while a connection was idle belongs to no request; it would be
-    read as the response to the next one.
-    """
-
-    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
-        """Send the request, or raise if the connection is unusable."""
-        if conn.protocol is None or conn.protocol.should_close:
-            raise _StaleConnectionError
-        return await super().send(conn)
-
-
 class HttpAnswer:
     """
     A response whose header section has arrived.
@@ -168,7 +149,7 @@
                     skip_auto_headers=SKIPPED_HEADERS,
                     trace_request_ctx=types.SimpleNamespace(may_send=request.may_send),
                 )
-            except _StaleConnectionError:
+            except http_client.StaleConnectionError:
                 # aiohttp has closed the connection, and nothing was sent.
                 continue
             except aiohttp.ConnectionTimeoutError:
@@ -186,15 +167,16 @@
         session = self._session(new_connection=False)
         target = path or self.dialect.probe_path
         try:
-            async with session.get(
+            response, _ = await http_client.read_response(
+                session,
+                "GET",
                 f"http://{address}{target}",
                 skip_auto_headers=SKIPPED_HEADERS,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
                 allow_redirects=False,
                 trace_request_ctx=types.SimpleNamespace(may_send=lambda: True),
-            ) as response:
-                await response.read()
-        except (_StaleConnectionError, aiohttp.ClientError, OSError, TimeoutError):
+            )
+        except (aiohttp.ClientError, OSError, TimeoutError):
             # Callers count every cause as a failed probe.
             return ports.UpstreamFault.CONNECTION_LOST
         if self.dialect.is_draining(response.status, response.headers):
@@ -219,7 +201,7 @@
                 return ports.Liveness.ALIVE
         except TimeoutError:
             return ports.Liveness.SILENT
-        except (_StaleConnectionError, aiohttp.ClientError, OSError):
+        except (http_client.StaleConnectionError, aiohttp.ClientError, OSError):
             # Refused, reset or closed: no process is there to respond.
             return ports.Liveness.GONE
 
@@ -284,7 +266,7 @@
         retries_idempotent=False,
         decompresses=False,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-        request_class=_CheckedRequest,
+        request_class=http_client.CheckedRequest,
         traces=[trace],
     )
 
