Apply signals received before a restart is listed to the new start

Callers: requests went to upstreams that had said that they leave, and were lost when those ended.

Cause: backpressure signals are kept by upstream and start. What a new process says before the list tells of its start was recorded for the earlier start and dropped with it; likewise what an answer says that arrives after the list, to a request sent before. Limits and backoffs were lost in the same way.

Signals of the earlier start now apply to the new one. Which process sent them is not known, so leaving is undone by a later health check that says that the new one is well, or after 15 s; gateways pass such checks on in a field of load records that is omitted otherwise. Limits and backoffs end by themselves.

--- a/features/answers_that_say.feature
+++ b/features/answers_that_say.feature
@@ -27,6 +27,12 @@
     Then none of them gets a request sent 2 s after its gateway was told
     And of all callers all but 1 in 100 are served
 
+  # What the new process said was taken for the earlier one's and forgotten with it.
+  Scenario: Workers start again and leave before the store tells of their start
+    When 3 workers start again and say that they leave, and the store tells of their start 4 s later
+    Then none of them gets a request sent 2 s after its gateway was told
+    And of all callers all but 1 in 100 are served
+
   Scenario: All workers leave
     When 12 workers say that they leave while the store is down for 6 s
     Then none of them gets a request sent 2 s after its gateway was told
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -112,6 +112,7 @@
       | where all rest calls are refused with the end of the first |
       | a try that waits for its connection is not sent into a rest |
       | an upstream that said it leaves stays out whatever is listed |
+      | what an upstream said before its new start is listed holds for that start |
       | rests and leaving are read where they mean something       |
       | a probed upstream has one prober with equal views          |
       | hostile bytes of gateways are refused and bounded          |
--- a/features/steps/answers_that_say.py
+++ b/features/steps/answers_that_say.py
@@ -25,6 +25,10 @@
 KNOWN_S, MAY_WAIT_S = 1.0, 0.5
 #: Seconds between two changes of an entry.
 ENTRY_S = 1.0
+#: Unix time of a worker's first start, in milliseconds.
+FIRST_START = 1_700_000_000_000
+#: Seconds for which a worker is watched after the store told of its start.
+AFTER_LISTED_S = 5.0
 DOWN = 503
 
 run = platform_context.run
@@ -84,6 +88,33 @@
     run(context, callers_of(context).play(leave()))
 
 
+@behave.when(
+    "{count:d} workers start again and say that they leave, and the store tells of "
+    "their start {seconds:g} s later"
+)
+def leave_before_listed(context: typing.Any, count: int, seconds: float) -> None:
+    fleet = fleet_of(context)
+    workers = first_workers(context, count)
+
+    async def start_again() -> None:
+        for worker in workers:
+            worker.born = FIRST_START
+            fleet.list_worker(worker)
+        await asyncio.sleep(ENTRY_S)
+        store = fleet.store
+        store.trouble = dataclasses.replace(store.trouble, refuse=DOWN)
+        for worker in workers:
+            worker.start_again(FIRST_START + 1)
+            worker.says_leaving = "1"
+        await asyncio.sleep(seconds)
+        store.trouble = dataclasses.replace(store.trouble, refuse=0)
+        for worker in workers:
+            fleet.list_worker(worker)
+        await asyncio.sleep(AFTER_LISTED_S)
+
+    run(context, callers_of(context).play(start_again()))
+
+
 @behave.when("{count:d} workers ask for {rest_s:g} s of rest for {seconds:g} s")
 def ask_for_rest(
     context: typing.Any, count: int, rest_s: float, seconds: float
--- a/features/steps/gateway_rests.py
+++ b/features/steps/gateway_rests.py
@@ -128,6 +128,38 @@
     assert len(made.pool.usable_order) == 2
 
 
+@kernel.PROPERTIES.register(
+    "what an upstream said before its new start is listed holds for that start"
+)
+def said_before_listed() -> None:
+    """The new process answers while the list still has the earlier one."""
+    for is_answered_late in (False, True):
+        made = rate_pools.balancer_of(2)
+        earlier = made.pool.usable_order[0]
+        specs = [upstream.spec for upstream in made.pool.usable_order]
+        reborn = msgspec.structs.replace(specs[0], born=5, generation=8)
+        said = backpressure.Signals(is_leaving=True, backoff_s=REST_S, limit_per_s=4.0)
+        if not is_answered_late:
+            taken(earlier, said)
+        made.pool.set_listed([reborn, specs[1]], NOW)
+        if is_answered_late:
+            taken(earlier, said)
+            made.pool.pass_on_signals(earlier, NOW)
+        current = made.pool.upstream_by_id[reborn.id]
+        assert current is not earlier and current.spec == reborn
+        assert current.backpressure.limit.per_s == 4.0
+        after_rest = ids.later(NOW, REST_S)
+        assert not current.may_take(after_rest)
+        # A check from before it said so proves nothing.
+        current.backpressure.record_well(ids.later(NOW, -0.1))
+        assert not current.may_take(after_rest)
+        current.backpressure.record_well(ids.later(NOW, 0.1))
+        assert not current.backpressure.in_backoff(after_rest)
+        # An answer of the earlier process that comes even later changes nothing.
+        made.pool.pass_on_signals(earlier, after_rest)
+        assert not current.backpressure.in_backoff(after_rest)
+
+
 @kernel.PROPERTIES.register("rests and leaving are read where they mean something")
 def read() -> None:
     for status, text, expected in (
--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -62,6 +62,7 @@
     "Route.has_large_answers": "configuration-added-2.json",
     "Configuration.refused_routes": "configuration-added-2.json",
     "Configuration.remarks": "configuration-added-2.json",
+    "LoadRecord.well_age_s": "gossip-added-9.msgpack.hex",
     "MemberRecord.is_isolated": "gossip-added-8.msgpack.hex",
     "Message.regions": "gossip-added-3.msgpack.hex",
 }
--- a/features/support/recorded_messages.py
+++ b/features/support/recorded_messages.py
@@ -178,6 +178,13 @@
     return msgspec.structs.replace(added_message(), loads=(limited,))
 
 
+def well_message() -> messages.Message:
+    """Return a message of a gateway whose health check found an upstream well."""
+    (load,) = added_message().loads
+    well = msgspec.structs.replace(load, well_age_s=0.125)
+    return msgspec.structs.replace(added_message(), loads=(well,))
+
+
 def isolated_message() -> messages.Message:
     """Return a message of a gateway that reaches no upstream."""
     sender = msgspec.structs.replace(added_message().sender, is_isolated=True)
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -131,6 +131,7 @@
         _added_gossip("gossip-added-6", recorded_messages.limit_message()),
         _added_gossip("gossip-added-7", recorded_messages.positioned_message()),
         _added_gossip("gossip-added-8", recorded_messages.isolated_message()),
+        _added_gossip("gossip-added-9", recorded_messages.well_message()),
         Sample(
             "frame.msgpack.hex",
             "msgpack",
--- a/spindlenotch/forwarding/attempts.py
+++ b/spindlenotch/forwarding/attempts.py
@@ -262,12 +262,14 @@
         end: classification.AttemptOutcome,
     ) -> None:
         """Apply the backpressure signals of an answer to its upstream."""
+        now = self.state.clock.now()
         changes = grant.upstream.backpressure.record_signals(
             answer.signals,
             sent_at=grant.sent_at,
             is_whole=end is classification.GOOD_ANSWER,
-            now=self.state.clock.now(),
+            now=now,
         )
+        self.job.balancer.pool.pass_on_signals(grant.upstream, now)
         service = self.job.balancer.service.name
         backpressure_events.report(service, grant.upstream.spec.id, changes)
         if answer.signals.is_leaving:
--- a/spindlenotch/gateway/cluster/load_exchange.py
+++ b/spindlenotch/gateway/cluster/load_exchange.py
@@ -18,7 +18,7 @@
 from spindlenotch import ids
 from spindlenotch.gateway import state
 from spindlenotch.gateway.cluster import fleet, limit_news, report_filter
-from spindlenotch.kernel import shared_rate, upstreams
+from spindlenotch.kernel import backpressure, shared_rate, upstreams
 from spindlenotch.peers import gossip, messages, peer_link, workload
 
 #: Seconds between two rounds of sending.
@@ -82,6 +82,7 @@
                     continue
                 _apply_cold_state(upstream, load, now)
                 _apply_limit(upstream, load, now)
+                _apply_health(upstream, load, now)
                 report_at = ids.Instant(now - load.age_s)
                 if not _is_of_current_start(load, report_at, upstream):
                     continue
@@ -197,6 +198,17 @@
         upstream.backpressure.limit.update(load.limit_per_s, reported_at, now)
 
 
+def _apply_health(
+    upstream: upstreams.Upstream, load: workload.LoadRecord, now: ids.Instant
+) -> None:
+    """Apply a health check by a peer that found an upstream well."""
+    if load.well_age_s is None:
+        return
+    checked_at = ids.Instant(now - load.well_age_s)
+    if _is_of_current_start(load, checked_at, upstream):
+        upstream.backpressure.record_well(checked_at)
+
+
 def _with_limit(
     record: workload.LoadRecord, upstream: upstreams.Upstream, now: ids.Instant
 ) -> workload.LoadRecord:
@@ -225,7 +237,9 @@
 
 
 def _load_record(upstream: upstreams.Upstream, now: ids.Instant) -> workload.LoadRecord:
-    report = upstream.report
+    report, well_at = upstream.report, upstream.backpressure.well_at
+    is_new = now < ids.later(upstream.known_since, backpressure.MAX_WITHHELD_S)
+    was_checked = well_at >= upstream.known_since
     return workload.LoadRecord(
         upstream=upstream.spec.id,
         running=report.running,
@@ -233,4 +247,5 @@
         slowdown=round(report.slowdown, SLOWDOWN_DIGITS),
         age_s=round(now - upstream.report_at, AGE_DIGITS),
         born=upstream.spec.born,
+        well_age_s=round(now - well_at, AGE_DIGITS) if is_new and was_checked else None,
     )
--- a/spindlenotch/gateway/cluster/prober.py
+++ b/spindlenotch/gateway/cluster/prober.py
@@ -172,6 +172,7 @@
                 now = self.state.clock.now()
                 effective_report = with_default_cold_s(report, target.pool.service)
                 target.pool.probe_reported(target.upstream, effective_report, now)
+                target.upstream.backpressure.record_well(now)
             await asyncio.sleep(jitter.jittered(period_s, rng))
 
 
--- a/spindlenotch/kernel/backpressure.py
+++ b/spindlenotch/kernel/backpressure.py
@@ -15,6 +15,10 @@
 
 #: Shortest time between two log lines about a limit that changes, in seconds.
 MIN_LOG_INTERVAL_S = 4.0
+#: Seconds for which an upstream is sent nothing after its id was heard to be leaving by
+#: another start, if no health check says that it is well: one that leaves has mostly
+#: ended by then.
+MAX_WITHHELD_S = 15.0
 
 
 class InvalidHeader(msgspec.Struct, frozen=True):
@@ -62,20 +66,47 @@
     """
     The backpressure of one upstream as one process knows it.
 
-    Once set, ``is_leaving`` holds for the rest of this incarnation of the upstream.
-    ``backoff_until`` is when it may be sent requests again.
+    Once set, ``is_leaving`` holds for the rest of this incarnation of the upstream;
+    ``leaving_at`` is when it was last signalled. ``backoff_until`` is when it may be
+    sent requests again. Until ``withheld_until`` it is sent nothing because it may be
+    the process that signalled that it leaves before this incarnation was listed;
+    ``well_at`` is when a health check last said that it is well.
     """
 
     def __init__(self, participant: shared_rate.Participant) -> None:
         self.limit = named_limit.AdvertisedLimit(participant)
         self._limit_logged_at = shared_rate.LONG_AGO
         self.is_leaving = False
+        self.leaving_at = shared_rate.LONG_AGO
         self.backoff_until = shared_rate.LONG_AGO
+        self.withheld_until = shared_rate.LONG_AGO
+        self._withheld_since = shared_rate.LONG_AGO
+        self.well_at = shared_rate.LONG_AGO
         self._unreadable_names: set[str] = set()
 
     def in_backoff(self, now: ids.Instant) -> bool:
-        """Return whether it has asked this process to send nothing for now."""
-        return now < self.backoff_until
+        """Return whether this process is to send it nothing for now."""
+        return now < self.backoff_until or now < self.withheld_until
+
+    def inherit(self, earlier: "Backpressure", now: ids.Instant) -> None:
+        """
+        Apply the signals received as those of an earlier incarnation.
+
+        The list tells of a restart late: what the new process signalled before that
+        was recorded for the earlier one. Limits and backoffs end by themselves if they
+        were the earlier one's; leaving is undone by a health check.
+        """
+        self.limit.update(earlier.limit.per_s, earlier.limit.reported_at, now)
+        self.backoff_until = max(self.backoff_until, earlier.backoff_until)
+        if earlier.leaving_at > self.well_at:
+            self._withheld_since = earlier.leaving_at
+            self.withheld_until = ids.later(earlier.leaving_at, MAX_WITHHELD_S)
+
+    def record_well(self, at: ids.Instant) -> None:
+        """Record that a health check at ``at`` said that this incarnation is well."""
+        self.well_at = max(self.well_at, at)
+        if at > self._withheld_since:
+            self.withheld_until = shared_rate.LONG_AGO
 
     def may_send(self, now: ids.Instant, read_until: ids.Instant) -> bool:
         """
@@ -110,7 +141,9 @@
         rejections may leave the limit out.
         """
         events = self._invalid_header_events(signals.unreadable)
-        self.is_leaving |= signals.is_leaving
+        if signals.is_leaving:
+            self.is_leaving = True
+            self.leaving_at = now
         if signals.backoff_s is not None:
             events += self._backoff_events(signals.backoff_s, now)
         before = self.limit.per_s
--- a/spindlenotch/kernel/said.py
+++ b/spindlenotch/kernel/said.py
@@ -33,12 +33,21 @@
         self.local_host = local_host
         self._entry_by_id: dict[ids.UpstreamId, _Entry] = {}
 
-    def get(self, spec: upstreams.UpstreamSpec) -> backpressure.Backpressure:
-        """Return the signals of this incarnation of an upstream; none if it is new."""
+    def get(
+        self, spec: upstreams.UpstreamSpec, now: ids.Instant
+    ) -> backpressure.Backpressure:
+        """
+        Return the signals of this incarnation of an upstream.
+
+        A new one may have sent those that were recorded for the earlier one.
+        """
         entry = self._entry_by_id.get(spec.id)
         if entry is None or entry.born != spec.born:
             participant = shared_rate.Participant(spec.id, spec.zone, self.local_host)
-            entry = _Entry(spec.born, backpressure.Backpressure(participant))
+            pressure = backpressure.Backpressure(participant)
+            if entry is not None:
+                pressure.inherit(entry.pressure, now)
+            entry = _Entry(spec.born, pressure)
             self._entry_by_id[spec.id] = entry
         return entry.pressure
 
--- a/spindlenotch/kernel/upstream_set.py
+++ b/spindlenotch/kernel/upstream_set.py
@@ -133,6 +133,16 @@
         self.refresh()
         return True
 
+    def pass_on_signals(self, upstream: upstreams.Upstream, now: ids.Instant) -> None:
+        """
+        Apply the signals of an upstream to the one that has replaced it, if any.
+
+        A request that was sent before the replacement may have been answered by it.
+        """
+        current = self.upstream_by_id.get(upstream.spec.id)
+        if current is not None and current.backpressure is not upstream.backpressure:
+            current.backpressure.inherit(upstream.backpressure, now)
+
     def is_remote(self, upstream: upstreams.Upstream) -> bool:
         """Return whether an upstream is in another region."""
         known = self.service.region_map
@@ -188,7 +198,7 @@
             now,
             self._state_changed,
             self.probing,
-            self._backpressures.get(spec),
+            self._backpressures.get(spec, now),
         )
         if upstream.backpressure.is_leaving:
             # It signalled so itself; its entry is outdated, or has another writer.
--- a/spindlenotch/peers/workload.py
+++ b/spindlenotch/peers/workload.py
@@ -34,6 +34,8 @@
     None if it is not known. ``limit_per_s`` is the rate of requests per second that
     it accepts from all processes together, as reported ``limit_age_s`` seconds
     before; ``limit_age_s`` alone reports that it no longer names a limit.
+    ``well_age_s`` is how many seconds before it last answered a health check as one
+    that is well; sent for upstreams that have started recently.
     """
 
     upstream: ids.UpstreamId
@@ -46,3 +48,4 @@
     born: int | None = None
     limit_per_s: float | None = None
     limit_age_s: float | None = None
+    well_age_s: float | None = None
