Log when the event loop was late, and whether the process ran then

Refusals that come late beside load have two possible causes that no log told apart: a long step of the gateway's event loop, or a host that does not run the process. E110 tells how late the loop was and how much processor time the process used meanwhile.

--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -32,6 +32,7 @@
     "-added-6",
     "-added-7",
     "-added-8",
+    "-added-9",
 )
 #: Fields that came after the first record, each with the sample that tells it: the
 #: samples recorded before can't hold them.
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -61,6 +61,12 @@
         "the host was suspended; requests whose deadlines passed meanwhile are ended",
         "find out what suspends the host",
     )
+    LOOP_LATE = CatalogueRow(
+        110,
+        "WARNING",
+        "the event loop was late; ran_s is the processor time used meanwhile",
+        "if it used little of that time, find out what keeps it from running",
+    )
     BUNDLE_APPLIED = CatalogueRow(201, "INFO", "a new bundle is in force", "none")
     BUNDLE_REFUSED = CatalogueRow(
         202,
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -15,6 +15,7 @@
     dialect,
     lifecycle,
     limit_report,
+    loop_lateness,
     retry_budget_report,
     settings,
     side_ports,
@@ -103,6 +104,7 @@
             gateway_state.metrics
         )
         self.limit_report = limit_report.LimitReport()
+        self.loop_lateness = loop_lateness.LoopLateness()
         self.side_ports = side_ports.SidePorts(
             gateway_state, self.fleet, gateway_dialect
         )
@@ -203,7 +205,9 @@
             services = self.state.balancer_by_service.values()
             self.retry_budget_report.update(services, self.state.clock.now())
             self.limit_report.update(services, self.state.clock.now())
+            self.loop_lateness.will_sleep(TICK_S)
             await self.state.wakeups.sleep(TICK_S)
+            self.loop_lateness.woke()
 
     def _log_suspension(self) -> None:
         suspended_s = self.state.deadlines.check()
