Check only reused connections for unread data

Callers: while an upstream reset each new connection, a request opened one connection after the other without end, as each was taken for a stale one.

A new connection can hold no bytes of an earlier answer, so only reused ones are checked.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -81,6 +81,11 @@
     When the store's surplus answers come while the event loop stands still
     Then each call to the store gets its own answer
 
+  # Each new connection was taken for a stale one, and another one opened, without end.
+  Scenario: A request to an upstream that resets each new connection fails at once
+    When a request is sent to an upstream that resets each new connection
+    Then it fails and at most 1 connection was opened
+
   Scenario: An answer that comes before the whole body was read does not spoil the next
     Given all workers are "early"
     When a client uploads 900000 bytes as "photos"
--- a/features/steps/platform_connections.py
+++ b/features/steps/platform_connections.py
@@ -7,7 +7,7 @@
 
 import behave
 
-from features.support import platform_context, platform_fleet
+from features.support import platform_context, platform_fleet, platform_worker
 from spindlenotch import ids, ports
 from spindlenotch.drivers import upstream_http
 from spindlenotch.kernel import upstreams
@@ -128,6 +128,36 @@
     assert context.answers == expected, context.answers
 
 
+@behave.when("a request is sent to an upstream that resets each new connection")
+def sent_to_resetting(context: typing.Any) -> None:
+    async def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        context.accepted += 1
+        platform_worker.reset(writer)
+
+    async def send() -> typing.Any:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, number = server.sockets[0].getsockname()[:2]
+        port = upstream_http.HttpUpstreamPort(http_dialect.platform().upstream)
+        loop = asyncio.get_running_loop()
+        # The reset is there before the request is sent.
+        loop.call_soon(loop.call_soon, time.sleep, BEFORE_SURPLUS_S)
+        try:
+            async with asyncio.timeout(platform_fleet.LIMIT_S):
+                return await port.send(_request(f"{host}:{number}", "s0"))
+        finally:
+            await port.close()
+            server.close()
+
+    context.accepted = 0
+    context.answer = run(context, send())
+
+
+@behave.then("it fails and at most {count:d} connection was opened")
+def fails_at_once(context: typing.Any, count: int) -> None:
+    assert isinstance(context.answer, ports.UpstreamFault), context.answer
+    assert context.accepted <= count, context.accepted
+
+
 def _request(address: str, request_id: str) -> ports.UpstreamRequest:
     return ports.UpstreamRequest(
         address=ids.Address(address),
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -10,9 +10,11 @@
 import select
 import socket
 import typing
+import weakref
 from collections import abc
 
 import aiohttp
+import aiohttp.client_proto
 
 from spindlenotch import ids
 
@@ -35,19 +37,28 @@
     """Raised before the first byte if a keep-alive connection is unusable."""
 
 
+#: Connections over which a request was sent: only those can be stale.
+_used_connections: weakref.WeakSet[aiohttp.client_proto.ResponseHandler] = (
+    weakref.WeakSet()
+)
+
+
 class CheckedRequest(aiohttp.ClientRequest):
     """
     A request that is sent only over a connection without unread data.
 
     Data that arrived while a connection was idle belongs to no request; it would be
-    read as the response to the next one.
+    read as the response to the next one. A new connection is not checked: if the peer
+    resets each of them, the request must fail and not try one after the other.
     """
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         """Send the request, or raise ``StaleConnectionError``."""
         if conn.protocol is None or conn.protocol.should_close:
             raise StaleConnectionError
-        if conn.transport is None or _has_unread(conn.transport):
+        if conn.protocol not in _used_connections:
+            _used_connections.add(conn.protocol)
+        elif conn.transport is None or _has_unread(conn.transport):
             raise StaleConnectionError
         return await super().send(conn)
 
