--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -30,7 +30,7 @@
 LIMIT_S = 20.0
 #: Lines of each log that are shown when a scenario failed.
 LOG_TAIL = 30
-MOST_GATEWAYS = 8
+MOST_GATEWAYS = 18
 ZONES = ("z1", "z2", "z3")
 HOST = "shop.example"
 FIRST_IP = "127.0.1.1"
@@ -134,6 +134,11 @@
         self.region_by_zone: dict[str, str] = {}
         #: What is started for gateways that are not started as on the platform.
         self.program_by_node: dict[str, str] = {}
+        #: Options of the interpreter of gateways, and variables added for them.
+        self.interpreter_options: tuple[str, ...] = ()
+        self.more_variables: dict[str, str] = {}
+        #: Processors that gateways may use; empty: all.
+        self.gateway_cores: frozenset[int] = frozenset()
         self.more_bounds: tuple[str, ...] = ()
         self.folder = tempfile.TemporaryDirectory()
         names = ("front", "ready", "control", "directory", "peer")
@@ -228,12 +233,19 @@
         with self.logs[node].open("ab") as log:
             self.process_by_node[node] = await asyncio.create_subprocess_exec(
                 sys.executable,
+                *self.interpreter_options,
                 self.program_by_node.get(node, PROGRAM),
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "SPINDLENOTCH_SETTINGS": str(path)},
+                env={
+                    **os.environ,
+                    **self.more_variables,
+                    "SPINDLENOTCH_SETTINGS": str(path),
+                },
             )
+        if self.gateway_cores:
+            os.sched_setaffinity(self.process_by_node[node].pid, self.gateway_cores)
         return node
 
     async def until_ready(self, node: str) -> None:
