--- a/tools/recovery/__main__.py
+++ b/tools/recovery/__main__.py
@@ -36,6 +36,7 @@
     cores: tuple[int, ...] = (),
     other_cores: tuple[int, ...] = (),
     deployed: bool = False,
+    logs: str = "",
 ) -> int:
     """
     Play one loss and return.
@@ -54,6 +55,7 @@
     cores: processors that all gateways share; all where none is given.
     other_cores: processors of everything else.
     deployed: start gateways as ``deploy/system.toml`` does, after its build.
+    logs: folder for the gateways' logs; not kept where it is not given.
     """
     settings = play.Settings(
         loss=loss,
@@ -68,6 +70,7 @@
         cores=frozenset(cores),
         other_cores=frozenset(other_cores),
         deployed=deployed,
+        logs=logs,
     )
     result = uvloop.run(play.Play(settings).run())
     print(
--- a/tools/recovery/play.py
+++ b/tools/recovery/play.py
@@ -7,6 +7,8 @@
 import asyncio
 import enum
 import os
+import pathlib
+import shutil
 import signal
 import sys
 import time
@@ -68,7 +70,8 @@
     What is played.
 
     ``cores`` are the processors that all gateways share, empty: all. ``factor`` is the
-    rate of callers from the loss on, relative to before.
+    rate of callers from the loss on, relative to before. ``logs`` is a folder for the
+    gateways' logs, empty: not kept.
     """
 
     loss: Loss = Loss.KILLED
@@ -84,6 +87,7 @@
     cores: frozenset[int] = frozenset()
     other_cores: frozenset[int] = frozenset()
     deployed: bool = False
+    logs: str = ""
 
 
 class Result(msgspec.Struct, frozen=True, kw_only=True):
@@ -135,12 +139,19 @@
             async with asyncio.timeout(LIMIT_S):
                 return await self._run()
         finally:
+            if self.settings.logs:
+                self._keep_logs(pathlib.Path(self.settings.logs))
             for child in self._children:
                 if child.returncode is None:
                     child.kill()
                     await child.wait()
             await self.fleet.close()
 
+    def _keep_logs(self, folder: pathlib.Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        for path in self.fleet.logs.values():
+            shutil.copy(path, folder)
+
     async def _run(self) -> Result:
         await self._start()
         await asyncio.sleep(BEFORE_S)
