Accept all waiting connections in each iteration of the event loop

What callers saw: 18 gateways on one core, all killed and returned, five times the rate: from 9 s after the return on nothing was served and nothing refused (0 of 8,101 calls).

Cause: libuv accepts one connection in an iteration of its loop. As iterations became longer, fewer connections were accepted than arrived; the kernel's queue filled up.

What was accepted had waited for longer than its deadline. create_server accepts 2 of 50 waiting connections in 3 iterations, 9 in 10, 39 in 40; the new test fails with it.

The listener now accepts whatever waits, up to 256 connections an iteration, so requests wait where their number can be observed. The ports for the directory, readiness, metrics and state had the same fault and use it too; the peers' TCP port has few connections and keeps create_server.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -81,6 +81,7 @@
       | that an upstream is full or slowed is sent each time       |
       | nothing is kept of the reports of upstreams that are gone  |
       | the loops of a standby gateway wake it together            |
+      | all waiting connections are accepted in one iteration      |
       | most gossip of a gateway stays in its zone                 |
       | a fleet that starts soon knows who is in its zone          |
       | an outage of the source is not met by the whole zone       |
--- a/spindlenotch/gateway/serving/caller_listener.py
+++ b/spindlenotch/gateway/serving/caller_listener.py
@@ -13,8 +13,8 @@
 from aiohttp import web_request, web_response, web_server
 
 from spindlenotch import ids
+from spindlenotch.drivers import listener
 from spindlenotch.gateway.serving import pipelining
-from spindlenotch.peers import peer_link
 
 Handler = abc.Callable[
     [web_request.BaseRequest], abc.Awaitable[web_response.StreamResponse]
@@ -50,15 +50,11 @@
         self._start_early = start_early
         self._idle_timeout_s = idle_timeout_s
         self._server_by_idle_timeout_s: dict[float, web_server.Server] = {}
-        self._listener: asyncio.Server | None = None
+        self._listener: listener.Listener | None = None
 
-    async def start(self, address: ids.Address) -> None:
+    def start(self, address: ids.Address) -> None:
         """Listen on ``address``; raises ``OSError`` if it can't be bound."""
-        host, port = peer_link.split_host_port(address)
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._accept, host, port, backlog=BACKLOG
-        )
+        self._listener = listener.create(lambda _: self._accept(), address, BACKLOG)
 
     def stop_accepting(self) -> None:
         """Stop accepting connections; open ones stay open."""
--- a/spindlenotch/gateway/serving/ingress.py
+++ b/spindlenotch/gateway/serving/ingress.py
@@ -46,7 +46,7 @@
 
     async def start(self) -> None:
         """Listen for callers; raises ``OSError`` if the address can't be bound."""
-        await self._listener.start(self.state.config.listen)
+        self._listener.start(self.state.config.listen)
 
     def stop_listening(self) -> None:
         """Stop accepting connections; refuse new requests on open ones."""
--- a/spindlenotch/gateway/side_ports.py
+++ b/spindlenotch/gateway/side_ports.py
@@ -6,22 +6,23 @@
 ``state_dump`` defines the format of ``/state``.
 """
 
-import asyncio
 from collections import abc
 
 import msgspec
 from aiohttp import web_request, web_response, web_server
 
 from spindlenotch import ids
+from spindlenotch.drivers import listener
 from spindlenotch.gateway import dialect, state, state_dump
 from spindlenotch.gateway.cluster import fleet
 from spindlenotch.gateway.source import region_rules
-from spindlenotch.peers import peer_link
 
 Responder = abc.Callable[[], web_response.Response]
 
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
+#: Maximum number of connections waiting to be accepted.
+BACKLOG = 100
 #: Seconds for open requests to complete when the ports close.
 SHUTDOWN_TIMEOUT_S = 0.1
 
@@ -39,7 +40,7 @@
         self.fleet = gateway_fleet
         self.dialect = gateway_dialect
         self._server = web_server.Server(self._handle, access_log=None)
-        self._listeners: list[asyncio.Server] = []
+        self._listeners: list[listener.Listener] = []
         self._responder_by_path: dict[str, Responder] = {
             gateway_dialect.ready_path: self._ready,
             gateway_dialect.directory_path: self._directory,
@@ -50,21 +51,20 @@
     async def start(self) -> None:
         """Listen on all addresses; raise ``OSError`` if one is already in use."""
         config = self.state.config
-        loop = asyncio.get_running_loop()
         addresses = {
             config.ready_listen,
             config.directory_listen,
             config.operator_listen,
         }
         for address in sorted(addresses):
-            host, port = peer_link.split_host_port(address)
-            listener = await loop.create_server(self._server, host, port)
-            self._listeners.append(listener)
+            self._listeners.append(
+                listener.create(lambda _: self._server(), address, BACKLOG)
+            )
 
     async def stop(self) -> None:
         """Close all ports and connections."""
-        for listener in self._listeners:
-            listener.close()
+        for one in self._listeners:
+            one.close()
         await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
 
     async def _handle(
