Refuse at once what a gateway lacks processor time for

What callers saw: after a return of all gateways on hosts short of processor time, or with no fault at all at five times the rate, hardly anything was served for as long as the callers kept on, and nothing was refused; every request ran into its deadline.

Cause: nothing bounded the requests in progress. Each of them takes several iterations of the event loop, so with their number grows the time of all of them, until every one misses its deadline and the work done for it is lost. What refusing there was depended on the upstreams' queues, which are empty in this state.

A limit of the requests in progress now follows the duration of the loop's iterations: it falls when three in a row take more than a share of the callers' timeouts, and rises steadily otherwise. It does not follow the time of requests, so slow upstreams do not lower it, and one standstill does not either. What is beyond it gets 503 with a Retry-After that is as long as the overload has lasted, up to a second, drawn apart.

Events E111 and E112 tell when an overload begins and ends, E601 names the reason "overloaded" (20 lines a second; all are counted).

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -82,6 +82,11 @@
       | nothing is kept of the reports of upstreams that are gone  |
       | the loops of a standby gateway wake it together            |
       | all waiting connections are accepted in one iteration      |
+      | the limit falls while iterations are long, then is lifted  |
+      | slow upstreams and standstills do not lower the limit      |
+      | short timeouts allow only short iterations                 |
+      | who is refused while it sends its body gets the response   |
+      | an admitted request is handed over as it was received      |
       | most gossip of a gateway stays in its zone                 |
       | a fleet that starts soon knows who is in its zone          |
       | an outage of the source is not met by the whole zone       |
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -67,6 +67,15 @@
         "the event loop was late; ran_s is the processor time used meanwhile",
         "if it used little of that time, find out what keeps it from running",
     )
+    OVERLOADED = CatalogueRow(
+        111,
+        "WARNING",
+        "too little processor time for all callers; some requests are refused",
+        "if it lasts, find out what else uses the processors, or add hosts",
+    )
+    OVERLOAD_OVER = CatalogueRow(
+        112, "INFO", "processor time suffices again; refused: requests", "none"
+    )
     BUNDLE_APPLIED = CatalogueRow(201, "INFO", "a new bundle is in force", "none")
     BUNDLE_REFUSED = CatalogueRow(
         202,
--- a/spindlenotch/gateway/serving/caller_listener.py
+++ b/spindlenotch/gateway/serving/caller_listener.py
@@ -8,13 +8,14 @@
 """
 
 import asyncio
+import socket
 from collections import abc
 
 from aiohttp import web_request, web_response, web_server
 
 from spindlenotch import ids
 from spindlenotch.drivers import listener
-from spindlenotch.gateway.serving import pipelining
+from spindlenotch.gateway.serving import gated_connection, overload_gate, pipelining
 
 Handler = abc.Callable[
     [web_request.BaseRequest], abc.Awaitable[web_response.StreamResponse]
@@ -37,7 +38,8 @@
 
     ``idle_timeout_s`` returns the current idle timeout in seconds. aiohttp sets the
     timeout of a server at construction, so there is one server for each timeout
-    under which an open connection was accepted.
+    under which an open connection was accepted. ``gate`` decides on connections that
+    are accepted while processor time is lacking.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         handler: Handler,
         start_early: pipelining.EarlyStarter,
         idle_timeout_s: abc.Callable[[], float],
+        gate: overload_gate.OverloadGate,
     ) -> None:
+        self._gate = gate
         self._handler = handler
         self._start_early = start_early
         self._idle_timeout_s = idle_timeout_s
@@ -54,7 +58,7 @@
 
     def start(self, address: ids.Address) -> None:
         """Listen on ``address``; raises ``OSError`` if it can't be bound."""
-        self._listener = listener.create(lambda _: self._accept(), address, BACKLOG)
+        self._listener = listener.create(self._accept_gated, address, BACKLOG)
 
     def stop_accepting(self) -> None:
         """Stop accepting connections; open ones stay open."""
@@ -77,6 +81,17 @@
                 connection.close()
         await asyncio.gather(*(server.shutdown(limit_s) for server in servers))
 
+    def _accept_gated(self, connection: socket.socket) -> asyncio.BaseProtocol | None:
+        """Create the protocol of a new connection; None if its request is refused."""
+        if not self._gate.check():
+            return self._accept()
+        match self._gate.judge(connection):
+            case overload_gate.Verdict.ADMITTED:
+                return self._accept()
+            case overload_gate.Verdict.UNKNOWN:
+                return gated_connection.GatedConnection(self._gate, self._accept)
+        return None
+
     def _accept(self) -> asyncio.BaseProtocol:
         """Create the protocol of a new connection, with the current idle timeout."""
         timeout_s = self._idle_timeout_s()
--- a/spindlenotch/gateway/serving/ingress.py
+++ b/spindlenotch/gateway/serving/ingress.py
@@ -41,7 +41,10 @@
         self.in_flight = 0
         self.closing = False
         self._listener = caller_listener.CallerListener(
-            self.handle, self.start_early, self._idle_timeout_s
+            self.handle,
+            self.start_early,
+            self._idle_timeout_s,
+            processor.overload_gate,
         )
 
     async def start(self) -> None:
--- a/spindlenotch/gateway/serving/request_log.py
+++ b/spindlenotch/gateway/serving/request_log.py
@@ -89,6 +89,20 @@
             retry_after_s=round(wait_s, 3),
         )
 
+    def overloaded(self, request_id: str, wait_s: float, *, is_logged: bool) -> None:
+        """Count a request refused for lack of processor time; log it if so told."""
+        reason = outcomes.Reason.OVERLOADED
+        self._count_without_service(reason)
+        if not is_logged:
+            return
+        events.emit(
+            events.Event.REQUEST_REFUSED,
+            request=request_id,
+            reason=reason.value,
+            version=self.state.version,
+            retry_after_s=round(wait_s, 3),
+        )
+
     def route_refused(self, request_id: str, route: str) -> None:
         """Count and log a request whose route can't be served as configured."""
         reason = outcomes.Reason.ROUTE_REFUSED
--- a/spindlenotch/gateway/serving/request_processing.py
+++ b/spindlenotch/gateway/serving/request_processing.py
@@ -19,6 +19,8 @@
     body_traffic,
     handover,
     job_factory,
+    overload_gate,
+    overload_guard,
     peer_offers,
     pipelining,
     refusals,
@@ -40,10 +42,16 @@
         handing_over: handover.Handover,
     ) -> None:
         self.state = gateway_state
+        self.overload = overload_guard.OverloadGuard(
+            gateway_state.clock, gateway_state.rng
+        )
         self.path = path
         self.handover = handing_over
         self.dialect = gateway_dialect
         self.log = request_log.RequestLog(gateway_state)
+        self.overload_gate = overload_gate.OverloadGate(
+            gateway_state, gateway_dialect, self.overload, self.log
+        )
         self._traffic = body_traffic.BodyTraffic(gateway_state)
         self._jobs = job_factory.JobFactory(
             gateway_state, gateway_dialect, self._traffic
@@ -57,6 +65,14 @@
 
         Raises ``asyncio.CancelledError`` if the caller disconnects.
         """
+        if not self.overload.admits():
+            return self._refuse_overload(request)
+        with self.overload.in_progress():
+            return await self._process_admitted(request)
+
+    async def _process_admitted(
+        self, request: web_request.BaseRequest
+    ) -> pipelining.PendingResponse:
         startup_wait_s = 0.0
         if not self.state.can_serve:
             startup_wait_s = await self._wait_until_ready()
@@ -76,6 +92,15 @@
             return refusals.body_too_long()
         return await self._forward(request, route, body, startup_wait_s)
 
+    def _refuse_overload(
+        self, request: web_request.BaseRequest
+    ) -> web_response.Response:
+        wait_s = self.overload.retry_after_s()
+        self.log.overloaded(
+            self._request_id(request), wait_s, is_logged=self.overload.may_log()
+        )
+        return refusals.not_run(outcomes.Reason.OVERLOADED, wait_s)
+
     def _refuse_route(
         self, request: web_request.BaseRequest, route: routing.RefusedRoute
     ) -> web_response.Response:
@@ -103,6 +128,7 @@
         startup_wait_s: float,
     ) -> pipelining.PendingResponse:
         job = self._jobs.create(request, route, body, startup_wait_s)
+        self.overload.limit.add_timeout(job.call.deadline - job.call.arrived_at)
         try:
             async with self.state.deadlines.until(job.call.deadline):
                 response = await self._respond(request, job)
--- a/spindlenotch/kernel/outcomes.py
+++ b/spindlenotch/kernel/outcomes.py
@@ -59,6 +59,8 @@
     CALLER_GONE = "caller-gone"
     ROUTE_REFUSED = "route-refused"
     REGION_NOT_ALLOWED = "region-not-allowed"
+    #: The gateway lacks processor time.
+    OVERLOADED = "overloaded"
     #: Upstreams crash when they run the request.
     QUARANTINED = "quarantined"
     #: An upstream crashed on the request, and another call of it is on trial.
