Count what a request costs an overloaded host in the demand on the fleet

What callers saw: on hosts that are slower than their settings say, the directory named one gateway of each zone however many callers these had to refuse, while the others were idle.

Cause: how many gateways are active follows from the demand and the cores that the settings declare. A host that serves a tenth of what these let expect has a low demand by that.

The new property fails before: one gateway was chosen, two are needed.

While a gateway refuses for lack of processor time, it states its demand in requests of a host that keeps to its settings: the expected rate by the rate that it served. Records, wire and the order of gateways are unchanged, so an earlier release in the fleet counts it as it counts any demand.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -85,6 +85,7 @@
       | the limit falls while iterations are long, then is lifted  |
       | slow upstreams and standstills do not lower the limit      |
       | short timeouts allow only short iterations                 |
+      | more gateways step in where some refuse for lack of time   |
       | who is refused while it sends its body gets the response   |
       | an admitted request is handed over as it was received      |
       | most gossip of a gateway stays in its zone                 |
--- a/features/steps/gateway_entries.py
+++ b/features/steps/gateway_entries.py
@@ -98,6 +98,29 @@
     assert math.isclose(meter.reported.requests_per_s, 0.0)
 
 
+@kernel.PROPERTIES.register("more gateways step in where some refuse for lack of time")
+def refusals_make_more_active() -> None:
+    fleet = [candidate(n, STRONG) for n in range(9)]
+    expected_per_s = STRONG.requests_per_s
+    served = int(expected_per_s / 10)
+    meter = demand_meter.DemandMeter(expected_per_s)
+    now = kernel.NOW
+    meter.update(now)
+    for number in range(2 * served):
+        meter.count(0)
+        if number >= served:
+            meter.count_refused()
+    now = ids.later(now, demand_meter.INTERVAL_S)
+    assert meter.update(now)
+    assert len(active_set.choose(fleet, meter.reported, 1)) >= 2
+    for _ in range(60):
+        for _ in range(served):
+            meter.count(0)
+        now = ids.later(now, demand_meter.INTERVAL_S)
+        meter.update(now)
+    assert meter.reported.requests_per_s <= 1.3 * served
+
+
 @kernel.PROPERTIES.register("each gateway is weighed once where all are too few")
 def weighed_once() -> None:
     looks: list[active_set.Candidate] = []
--- a/spindlenotch/gateway/serving/overload_gate.py
+++ b/spindlenotch/gateway/serving/overload_gate.py
@@ -89,6 +89,7 @@
             self._request_id(head), wait_s, is_logged=self._guard.may_log()
         )
         self.state.demand.count(0)
+        self.state.demand.count_refused()
         response = RESPONSE.format(
             status=refusals.NOT_RUN_STATUS,
             wait_s=wait_s,
--- a/spindlenotch/gateway/serving/request_processing.py
+++ b/spindlenotch/gateway/serving/request_processing.py
@@ -96,6 +96,7 @@
         self, request: web_request.BaseRequest
     ) -> web_response.Response:
         wait_s = self.overload.retry_after_s()
+        self.state.demand.count_refused()
         self.log.overloaded(
             self._request_id(request), wait_s, is_logged=self.overload.may_log()
         )
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -22,7 +22,12 @@
     settings,
     wakeups,
 )
-from spindlenotch.gateway.cluster import demand_meter, fleet_size, own_record
+from spindlenotch.gateway.cluster import (
+    active_set,
+    demand_meter,
+    fleet_size,
+    own_record,
+)
 from spindlenotch.gateway.quarantine import registry as quarantine_registry
 from spindlenotch.gateway.rollout import registry
 from spindlenotch.gateway.source import listing, routing, source_events, sources
@@ -77,7 +82,9 @@
         self.gossip = regional_gossip.create(
             record, self.rng, GOSSIP_TIMING, self.regions
         )
-        self.demand = demand_meter.DemandMeter()
+        self.demand = demand_meter.DemandMeter(
+            active_set.capacity_of(config.cores, config.link_mbps).requests_per_s
+        )
         self.region_size = fleet_size.FleetSize()
         self.services = services.Services(self.local_member, self.region_size, self.rng)
         self.balancer_by_service = self.services.balancer_by_service
