--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -89,6 +89,7 @@
       | rounds of load reports take a bounded share of the time    |
       | who is refused while it sends its body gets the response   |
       | an admitted request is handed over as it was received      |
+      | a copy of the built tree starts without compiling it       |
       | most gossip of a gateway stays in its zone                 |
       | a fleet that starts soon knows who is in its zone          |
       | an outage of the source is not met by the whole zone       |
--- a/features/steps/gateway_overload.py
+++ b/features/steps/gateway_overload.py
@@ -2,13 +2,21 @@
 
 import asyncio
 import math
+import os
+import pathlib
+import re
+import shutil
 import socket
+import subprocess
+import sys
+import tempfile
+import tomllib
 import typing
 
 import uvloop
 
 from features.steps import kernel
-from features.support import free_ports
+from features.support import free_ports, processes
 from spindlenotch import ids
 from spindlenotch.drivers import listener
 from spindlenotch.gateway.cluster import load_exchange
@@ -174,3 +182,31 @@
     listener.create(create, ids.Address(f"{HOST}:{port}"), WAITING)
     reader, writer = await asyncio.open_connection(HOST, port)
     return reader, writer, taken
+
+
+@kernel.PROPERTIES.register("a copy of the built tree starts without compiling it")
+def copy_is_compiled() -> None:
+    deploy = tomllib.loads((processes.ROOT / "deploy/system.toml").read_text())
+    (options,) = re.findall(r"python3 (-OO -m compileall [^|;]*)", deploy["build"])
+    names = ("target/deps", "spindlenotch", "platform")
+    compiles = [one for one in options.split() if one not in names]
+    with tempfile.TemporaryDirectory() as folder:
+        tree = pathlib.Path(folder)
+        shutil.copytree(
+            processes.ROOT / "spindlenotch/kernel",
+            tree / "copied",
+            ignore=shutil.ignore_patterns("__pycache__"),
+        )
+        subprocess.run([sys.executable, *compiles, "copied"], cwd=tree, check=True)
+        for path in tree.glob("copied/*.py"):
+            # As if copied or checked out later than it was built.
+            os.utime(path)
+        loaded = subprocess.run(
+            [sys.executable, "-OO", "-v", "-c", "import copied.shared_rate"],
+            env={**os.environ, "PYTHONPATH": f"{tree}:{processes.ROOT}"},
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+    compiled = re.findall(rf"code object from '?{folder}\S*\.py\b", loaded.stderr)
+    assert not compiled, compiled
