Tests of slow hosts: quota of processor time that does not depend on other load

The first form let gateways run for a part of each tenth of a second and measured the time of a request without what an idle gateway uses. Beside load 13 one second of the first scenario served 56 of 300 with the limit in place, as the host did not run the gateways for the whole of their part; and the time of a request was 1.1 to 2.1 ms from run to run. Now a process keeps what it was not given, and the shares follow from the time with and without callers: a third of the requests, no longer a half. The bounds are as before.

--- a/features/steps/slow_hosts.py
+++ b/features/steps/slow_hosts.py
@@ -15,14 +15,14 @@
 
 #: Timeout of the route, in seconds.
 TIMEOUT_S = 2.0
-#: Requests a second, and for how long the processor time of one is measured.
+#: Requests a second, and for how many seconds processor time is measured.
 RATE, MEASURED_S = 300.0, 4.0
 #: Seconds of overload before requests count, and while they do.
 SETTLE_S, COUNTED_S = 4.0, 8.0
 #: Seconds after the return of all gateways from which requests count.
 RECOVERY_S = 15.0
-#: Share of the requests that must be served by then.
-SERVED_SHARE = 0.25
+#: Share of the requests that gateways have processor time for, and that must be served.
+A_THIRD, SERVED_SHARE = 1 / 3, 0.25
 #: Share of the requests that may fail although gateways can serve them.
 FAILED_SHARE_ALLOWED = 0.02
 OK, NOT_RUN = steady_callers.OK, steady_callers.NOT_RUN
@@ -36,20 +36,24 @@
 
     def __init__(self, fleet: platform_fleet.PlatformFleet) -> None:
         super().__init__(fleet)
-        self.request_cost_s = 0.0
+        #: Processor time of all gateways in a second, without and with all callers.
+        self.idle_share = self.loaded_share = 0.0
         self.count_from = 0.0
 
-    async def measure_cost(self) -> None:
-        """Measure the processor time of a request, in seconds."""
+    async def measure(self) -> None:
+        """Measure the processor time without callers, then that with all of them."""
+        self.idle_share = await self._measure_share()
         self.rate = RATE
-        await self.play(self._measure_cost())
+        await self.play(self._measure_load())
         self.request_by_id.clear()
 
-    async def _measure_cost(self) -> None:
-        before_s, sent = self._processor_s(), len(self.request_by_id)
+    async def _measure_load(self) -> None:
+        self.loaded_share = await self._measure_share()
+
+    async def _measure_share(self) -> float:
+        before_s = self._processor_s()
         await asyncio.sleep(MEASURED_S)
-        sent = len(self.request_by_id) - sent
-        self.request_cost_s = (self._processor_s() - before_s) / sent
+        return (self._processor_s() - before_s) / MEASURED_S
 
     async def slow(self, served_share: float) -> None:
         """Let gateways be able to serve a share of what callers send."""
@@ -75,8 +79,8 @@
 
     def _slowed(self, served_share: float) -> typing.Any:
         pids = [process.pid for process in self.fleet.process_by_node.values()]
-        needed = RATE * self.request_cost_s / len(pids)
-        return slow_hosts.slowed(pids, served_share * needed)
+        needed = served_share * (self.loaded_share - self.idle_share)
+        return slow_hosts.slowed(pids, (self.idle_share + needed) / len(pids))
 
     def _processor_s(self) -> float:
         processes = self.fleet.process_by_node.values()
@@ -89,26 +93,27 @@
 
 
 @behave.given(
-    "{workers:d} workers and {gateways:d} gateways whose processor time"
-    " for a request is known"
+    "{workers:d} workers and {gateways:d} gateways whose processor time is known"
 )
 def start_fleet(context: typing.Any, workers: int, gateways: int) -> None:
     fleet = fleet_of(context)
     run(context, steady_callers.start(fleet, workers, gateways, TIMEOUT_S))
     context.play = Play(fleet)
-    run(context, play_of(context).measure_cost())
+    run(context, play_of(context).measure())
 
 
-@behave.when("hosts become so slow that gateways can serve half of what callers send")
-def slow_to_half(context: typing.Any) -> None:
-    _play(context, play_of(context).slow(0.5))
+@behave.when(
+    "hosts become so slow that gateways can serve a third of what callers send"
+)
+def slow_to_a_third(context: typing.Any) -> None:
+    _play(context, play_of(context).slow(A_THIRD))
 
 
 @behave.when(
-    "all gateways are killed, and hosts can then serve half of what callers send"
+    "all gateways are killed, and hosts can then serve a third of what callers send"
 )
 def kill_and_slow(context: typing.Any) -> None:
-    _play(context, play_of(context).kill_and_slow(0.5))
+    _play(context, play_of(context).kill_and_slow(A_THIRD))
 
 
 @behave.when(
--- a/features/support/slow_hosts.py
+++ b/features/support/slow_hosts.py
@@ -1,8 +1,9 @@
 """
 Hosts that give a process a share of a processor only, as a quota does.
 
-``python -m features.support.slow_hosts SHARE PID...`` lets processes run for that share
-of each tenth of a second, until its standard input ends. Then they run on.
+``python -m features.support.slow_hosts SHARE PID...`` lets each process use that share
+of the time, until its standard input ends. Then they run on. What other processes on
+the machine use does not count: a process that was not run keeps its quota.
 """
 
 import asyncio
@@ -17,8 +18,8 @@
 
 from features.support import processes
 
-#: Period of the quota, in seconds.
-PERIOD_S = 0.1
+#: Period whose quota a process may use at once, and between two looks, in seconds.
+PERIOD_S, LOOK_EVERY_S = 0.1, 0.005
 NS_PER_S = 1e9
 
 
@@ -33,7 +34,7 @@
 
 @contextlib.asynccontextmanager
 async def slowed(pids: abc.Iterable[int], share: float) -> abc.AsyncIterator[None]:
-    """Let processes run for ``share`` of the time while the context lasts."""
+    """Let each process use ``share`` of the time while the context lasts."""
     child = await asyncio.create_subprocess_exec(
         sys.executable,
         *("-m", "features.support.slow_hosts", str(share)),
@@ -49,23 +50,43 @@
         await child.wait()
 
 
-def _signal(pids: abc.Iterable[int], number: signal.Signals) -> None:
-    for pid in pids:
-        with contextlib.suppress(ProcessLookupError):
-            os.kill(pid, number)
+class Quota:
+    """The processor time that one process may still use."""
+
+    def __init__(self, pid: int, share: float) -> None:
+        self.pid = pid
+        self._share = share
+        self._left_s = 0.0
+        self._used_s = processor_s(pid)
+
+    def apply(self, elapsed_s: float) -> None:
+        """Add the share of the time that has passed; stop a process that used it up."""
+        used_s = processor_s(self.pid)
+        earned_s = self._share * elapsed_s
+        self._left_s += earned_s - (used_s - self._used_s)
+        self._left_s = min(self._share * PERIOD_S, self._left_s)
+        self._used_s = used_s
+        send_signal(self.pid, signal.SIGCONT if self._left_s > 0.0 else signal.SIGSTOP)
+
+
+def send_signal(pid: int, number: signal.Signals) -> None:
+    """Send a signal to a process that may have ended."""
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(pid, number)
 
 
 def _slow(pids: abc.Sequence[int], share: float) -> None:
     over = threading.Event()
     threading.Thread(target=lambda: (sys.stdin.read(), over.set())).start()
-    due = time.monotonic()
-    while not over.is_set():
-        _signal(pids, signal.SIGCONT)
-        time.sleep(max(0.0, due + share * PERIOD_S - time.monotonic()))
-        _signal(pids, signal.SIGSTOP)
-        due += PERIOD_S
-        time.sleep(max(0.0, due - time.monotonic()))
-    _signal(pids, signal.SIGCONT)
+    quotas = [Quota(pid, share) for pid in pids]
+    applied_at = time.monotonic()
+    while not over.wait(LOOK_EVERY_S):
+        now = time.monotonic()
+        for quota in quotas:
+            quota.apply(now - applied_at)
+        applied_at = now
+    for pid in pids:
+        send_signal(pid, signal.SIGCONT)
 
 
 if __name__ == "__main__":
