Soak: end all gateways at once beside other faults, and a mutant for the check "recovery"

The check had no mutant. The new one applies a configuration from the store only where no peer address is registered there, so a fleet starts once and never again; it is caught: "not within 15.0 s after the last fault". The fault waits until no other step has a gateway's process in hand, so it is not left out.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -36,6 +36,11 @@
     Then the play has no violation
     And nothing that it started still runs
 
+  Scenario: A play in which all gateways end at once is clean
+    When all gateways end at once, twice, beside other faults
+    Then the play has no violation
+    And nothing that it started still runs
+
   Scenario: A play that is interrupted ends what it started
     When a play is interrupted while its gateways run
     Then nothing that it started still runs
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -16,7 +16,7 @@
 assert versions.version_ordered in faults.FAULTS.factory_by_name.values()
 #: Faults that came after the seed of the short play was chosen, or take longer than it.
 LATER_FAULTS = ("version-ordered", "poison-request", "gateway-suspended")
-LATER_FAULTS += ("upstreams-stand-still", "gateways-cut-off")
+LATER_FAULTS += ("upstreams-stand-still", "gateways-cut-off", "all-gateways-killed")
 #: A request that ends upstreams, while hosts are suspended and gateways start again.
 POISON_STEPS = (
     "0.5 3 poison-request 11",
@@ -56,6 +56,15 @@
     "5.50 1.50 gateways-cut-off 4",
     "6.00 1.00 gateways-killed 3",
 )
+#: All gateways end at once while the store fails, upstreams drain and load jumps; again
+#: just after they have returned.
+RETURN_STEPS = (
+    "0.50 1.00 all-gateways-killed 1",
+    "0.60 3.00 store-fails 3",
+    "1.00 2.00 upstream-drains 2",
+    "4.00 3.00 burst 1",
+    "5.00 0.50 all-gateways-killed 2",
+)
 #: How a log line of the event begins that tells of a suspension.
 HOST_SUSPENDED = '"event":109,'
 #: Longest time until a play that is interrupted has ended, in seconds.
@@ -112,6 +121,12 @@
     _play(context, settings, tuple(plans.read(step) for step in CUT_STEPS))
 
 
+@behave.when("all gateways end at once, twice, beside other faults")
+def returns_played(context: typing.Any) -> None:
+    settings, _ = drawn(1, 10.0)
+    _play(context, settings, tuple(plans.read(step) for step in RETURN_STEPS))
+
+
 def _play(
     context: typing.Any, settings: plans.Settings, steps: tuple[plans.Step, ...]
 ) -> None:
--- a/tools/soak_processes/faults.py
+++ b/tools/soak_processes/faults.py
@@ -27,6 +27,9 @@
 MIN_LOST_REVISIONS = 300
 #: Time allowed for gateways to publish a list to each other, in seconds.
 PUBLISH_WAIT_S = 0.3
+#: Longest wait for other steps to have done with the gateways, and how long all of them
+#: are away at most, in seconds.
+LONGEST_WAIT_S, MOST_AWAY_S = 8.0, 2.0
 #: HTTP status of each call while the store is down.
 DOWN = 503
 #: A zone without upstreams; evacuating it makes gateways publish a new list.
@@ -72,6 +75,17 @@
         await asyncio.gather(*(world.start_gateway(node) for node in nodes))
 
 
+@FAULTS.register("all-gateways-killed")
+async def all_gateways_killed(world: World, rng: random.Random, for_s: float) -> None:
+    """All gateways are killed at once, beside other faults, and return together."""
+    nodes = world.nodes
+    await world.until_free(*nodes, of="process", limit_s=LONGEST_WAIT_S)
+    with world.trouble("all-gateways-killed", *nodes, of="process"):
+        await asyncio.gather(*(world.kill_gateway(node) for node in nodes))
+        await asyncio.sleep(min(for_s, MOST_AWAY_S))
+        await asyncio.gather(*(world.start_gateway(node) for node in nodes))
+
+
 @FAULTS.register("gateway-stopped")
 async def gateway_stopped(world: World, rng: random.Random, for_s: float) -> None:
     """One gateway is stopped as planned and started again."""
--- a/tools/soak_processes/mutants.py
+++ b/tools/soak_processes/mutants.py
@@ -171,6 +171,14 @@
         held_by="a planned stop cuts nothing",
         steps=("0.1 6 upstreams-treat-badly 132", "1 1 gateway-stopped 2"),
     ),
+    mutant_table.Mutant(
+        "a configuration is read only where no peer address is in the store yet",
+        "gateway/state",
+        "if snapshot.configuration is not None:",
+        "if snapshot.configuration is not None and not snapshot.discovery_records:",
+        held_by="recovery",
+        steps=("7 1 all-gateways-killed 1",),
+    ),
     mutant_table.Mutant(
         "the limit that an upstream names is not heeded",
         "kernel/backpressure",
--- a/tools/soak_processes/world.py
+++ b/tools/soak_processes/world.py
@@ -181,6 +181,13 @@
             trouble.ended_at = time.monotonic()
             log.info("ended")
 
+    async def until_free(self, *subjects: str, of: str, limit_s: float) -> None:
+        """Wait, for ``limit_s`` at most, until no step has that part ``of`` them."""
+        until = time.monotonic() + limit_s
+        keys = {f"{of} of {subject}" for subject in subjects}
+        while keys & self._taken and time.monotonic() < until:
+            await asyncio.sleep(0.05)
+
     def is_in_hand(self, upstream: str) -> bool:
         """Tell whether a step has the life of an upstream in hand."""
         return f"life of {upstream}" in self._taken
