--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -34,6 +34,7 @@
     "-added-8",
     "-added-9",
     "-added-10",
+    "-added-11",
 )
 #: Fields that came after the first record, each with the sample that tells it: the
 #: samples recorded before can't hold them.
