--- a/features/support/recorded_names.py
+++ b/features/support/recorded_names.py
@@ -22,8 +22,8 @@
 def name_samples() -> list[Sample]:
     """Return the samples of names in logs, metrics, answers and registries."""
     return [
-        *recorded.grown_table("events", recorded_logs.event_rows, 10),
-        *recorded.grown_table("log-fields", recorded_logs.line_fields, 10),
+        *recorded.grown_table("events", recorded_logs.event_rows, 11),
+        *recorded.grown_table("log-fields", recorded_logs.line_fields, 11),
         Sample(
             "log-lines.jsonl",
             "lines",
@@ -34,7 +34,7 @@
         *recorded.grown_table("metrics", recorded_words.metric_rows, 5),
         *recorded.grown_table("gateway-state", recorded_state.gateway_dump, 4),
         recorded.table("entry-state", recorded_state.entry_dump),
-        *recorded.grown_table("words", recorded_words.word_lists, 3),
+        *recorded.grown_table("words", recorded_words.word_lists, 4),
         recorded.table("headers", recorded_words.header_names),
         recorded.table("dialects", recorded_words.dialects),
         recorded.table("registries", recorded_words.registered),
