--- a/tools/recovery/__main__.py
+++ b/tools/recovery/__main__.py
@@ -6,7 +6,9 @@
 Prints one line of JSON: the settings, and what callers saw.
 """
 
+import asyncio
 import json
+import signal
 import sys
 import typing
 
@@ -72,7 +74,7 @@
         deployed=deployed,
         logs=logs,
     )
-    result = uvloop.run(play.Play(settings).run())
+    result = uvloop.run(_until_signal(play.Play(settings)))
     print(
         json.dumps(
             {"settings": msgspec.to_builtins(settings)} | msgspec.to_builtins(result)
@@ -81,5 +83,13 @@
     return 0 if result.attempts_served >= 0.25 * result.attempts else 1
 
 
+async def _until_signal(one: play.Play) -> play.Result:
+    """Play; SIGTERM ends it as an interrupt does, with all that it started."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await one.run()
+
+
 if __name__ == "__main__":
     sys.exit(app())
