Listen on IPv6 addresses as before

The listener that accepts all waiting connections took IPv4 addresses only; create_server, which it replaced, took both. Seen while the change was read again; a connection to [::1] is accepted now.

--- a/spindlenotch/drivers/listener.py
+++ b/spindlenotch/drivers/listener.py
@@ -40,7 +40,8 @@
 
     def start(self, host: str, port: int) -> None:
         """Listen; raises ``OSError`` if the address can't be bound."""
-        listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listening = socket.socket(family, socket.SOCK_STREAM)
         try:
             listening.setblocking(False)
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -113,5 +114,5 @@
     """Listen on ``address``; raises ``OSError`` if it can't be bound."""
     host, _, port = address.rpartition(":")
     listener = Listener(create_protocol, backlog)
-    listener.start(host, int(port))
+    listener.start(host.strip("[]"), int(port))
     return listener
