--- a/tools/recovery/play.py
+++ b/tools/recovery/play.py
@@ -25,6 +25,7 @@
 BEFORE_S, AWAY_S = 6.0, 1.0
 #: Seconds after the return until which requests are sent, and from which they count.
 AFTER_S, RECOVERY_S = 24.0, 15.0
+#: Longest time until all gateways are ready at first, in seconds.
 START_LIMIT_S = 60.0
 #: Longest time of a play, in seconds.
 LIMIT_S = 180.0
@@ -43,8 +44,6 @@
 #: Seed address of gateways where all seeds are gone for good.
 GONE_SEED = "127.0.2.99"
 
-Node = typing.NewType("Node", str)
-
 
 class Loss(enum.Enum):
     """How gateways are lost."""
