Write the refusal of an overload once, and make no system call twice for a connection

The gate formatted a response that refusals already describes, and both ways of refusing repeated how it is counted and logged: refusals.render_not_run and OverloadGate.refuse have it now. is_closed and is_limiting say what check did not.

--- a/spindlenotch/drivers/listener.py
+++ b/spindlenotch/drivers/listener.py
@@ -19,8 +19,8 @@
 
 #: Maximum number of connections accepted in one iteration.
 MAX_ACCEPTS = 256
-#: Errors of a process or host that lacks descriptors or memory.
-LACKING = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+#: Errors of a process or host that has no descriptors or memory left.
+EXHAUSTION_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 #: Seconds until the next attempt to accept after such an error.
 RETRY_S = 0.1
 
@@ -71,7 +71,7 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                if error.errno not in LACKING:
+                if error.errno not in EXHAUSTION_ERRORS:
                     # The caller has closed its connection before it was accepted.
                     continue
                 self._pause()
@@ -79,8 +79,6 @@
             self._open(connection)
 
     def _open(self, connection: socket.socket) -> None:
-        connection.setblocking(False)
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         protocol = self._create_protocol(connection)
         if protocol is None:
             return
--- a/spindlenotch/gateway/serving/caller_listener.py
+++ b/spindlenotch/gateway/serving/caller_listener.py
@@ -83,7 +83,7 @@
 
     def _accept_gated(self, connection: socket.socket) -> asyncio.BaseProtocol | None:
         """Create the protocol of a new connection; None if its request is refused."""
-        if not self._gate.check():
+        if not self._gate.is_closed():
             return self._accept()
         match self._gate.judge(connection):
             case overload_gate.Verdict.ADMITTED:
--- a/spindlenotch/gateway/serving/overload_gate.py
+++ b/spindlenotch/gateway/serving/overload_gate.py
@@ -1,8 +1,8 @@
 """
-Refuses the first request of connections accepted while processor time is lacking.
+Refuses requests while processor time is lacking, by the decision of ``overload_guard``.
 
-Holds no state. Relies on ``overload_guard`` for the decision, and logs and counts as
-``request_processing`` does.
+Connections that are accepted meanwhile pass the gate with their first request; later
+requests are refused by ``request_processing``. Holds no state.
 """
 
 import enum
@@ -17,18 +17,6 @@
 )
 from spindlenotch.kernel import outcomes
 
-RESPONSE = (
-    "HTTP/1.1 {status} Service Unavailable\r\n"
-    "Retry-After: {wait_s:.3f}\r\n"
-    "Content-Type: text/plain; charset=utf-8\r\n"
-    "Content-Length: {length}\r\n"
-    "Connection: close\r\n"
-    "\r\n"
-    "{body}"
-)
-#: Body of each refusal.
-BODY = f"{outcomes.Reason.OVERLOADED.value}\n"
-
 
 class Verdict(enum.Enum):
     """What becomes of a connection."""
@@ -54,9 +42,16 @@
         self._log = log
         self._id_field = f"\r\n{gateway_dialect.request_id}:".lower().encode()
 
-    def check(self) -> bool:
+    def is_closed(self) -> bool:
         """Return whether a connection that is accepted now has to pass the gate."""
-        return self._guard.check()
+        return self._guard.is_limiting()
+
+    def refuse(self, request_id: str) -> float:
+        """Log and count a refused request; return its Retry-After in seconds."""
+        wait_s = self._guard.retry_after_s()
+        self.state.demand.count_refused()
+        self._log.overloaded(request_id, wait_s, is_logged=self._guard.may_log())
+        return wait_s
 
     def judge(self, connection: socket.socket) -> Verdict:
         """Decide on a connection that was accepted; closes it if it is refused."""
@@ -64,6 +59,7 @@
             return self._judge(connection)
 
     def _judge(self, connection: socket.socket) -> Verdict:
+        connection.setblocking(False)
         try:
             received = connection.recv(gated_connection.MAX_HEAD_BYTES, socket.MSG_PEEK)
         except BlockingIOError:
@@ -84,19 +80,9 @@
         """Return the response that refuses a request; None if it is admitted."""
         if self._guard.admits():
             return None
-        wait_s = self._guard.retry_after_s()
-        self._log.overloaded(
-            self._request_id(head), wait_s, is_logged=self._guard.may_log()
-        )
         self.state.demand.count(0)
-        self.state.demand.count_refused()
-        response = RESPONSE.format(
-            status=refusals.NOT_RUN_STATUS,
-            wait_s=wait_s,
-            length=len(BODY),
-            body=BODY,
-        )
-        return response.encode()
+        wait_s = self.refuse(self._request_id(head))
+        return refusals.render_not_run(outcomes.Reason.OVERLOADED, wait_s)
 
     def _request_id(self, head: bytes) -> str:
         """Return the request id in a head, empty if there is none."""
--- a/spindlenotch/gateway/serving/overload_guard.py
+++ b/spindlenotch/gateway/serving/overload_guard.py
@@ -19,8 +19,8 @@
 #: The time to retry is drawn from the mean times 1 minus to 1 plus this share, so that
 #: callers who were refused together do not return together.
 RETRY_SPREAD = 0.5
-#: Maximum number of refusals logged per second; the others are only counted, since
-#: writing a line takes longer than refusing a request.
+#: Maximum number of refusals logged per second; the others are only counted, so that
+#: processor time is left for serving.
 MAX_LOGGED_PER_S = 20
 #: Decimal places of logged durations and limits.
 DIGITS = 3
@@ -44,8 +44,8 @@
         self._refusing_s = 0.0
         self._is_measuring = False
 
-    def check(self) -> bool:
-        """Return whether processor time is lacking; called for each connection."""
+    def is_limiting(self) -> bool:
+        """Return whether processor time is lacking; asked for each connection."""
         self._measure_iteration()
         return self.limit.is_limited
 
@@ -57,6 +57,10 @@
         self._refused += 1
         return False
 
+    def add_timeout(self, timeout_s: float) -> None:
+        """Record the timeout of a request; it decides how long iterations may take."""
+        self.limit.add_timeout(timeout_s)
+
     @contextlib.contextmanager
     def in_progress(self) -> abc.Iterator[None]:
         """Count a request while the context lasts."""
--- a/spindlenotch/gateway/serving/refusals.py
+++ b/spindlenotch/gateway/serving/refusals.py
@@ -52,6 +52,19 @@
     )
 
 
+def render_not_run(reason: outcomes.Reason, wait_s: float) -> bytes:
+    """Return the response of ``not_run`` as it is sent before the connection closes."""
+    body = f"{reason.value}\n"
+    return (
+        f"HTTP/1.1 {NOT_RUN_STATUS} Service Unavailable\r\n"
+        f"Retry-After: {wait_s:.3f}\r\n"
+        "Content-Type: text/plain; charset=utf-8\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        "Connection: close\r\n"
+        f"\r\n{body}"
+    ).encode()
+
+
 def not_ready() -> web_response.Response:
     """Return the response before the first configuration and late in a stop."""
     return not_run(outcomes.Reason.NOT_READY, queueing.MIN_RETRY_AFTER_S)
--- a/spindlenotch/gateway/serving/request_processing.py
+++ b/spindlenotch/gateway/serving/request_processing.py
@@ -95,11 +95,7 @@
     def _refuse_overload(
         self, request: web_request.BaseRequest
     ) -> web_response.Response:
-        wait_s = self.overload.retry_after_s()
-        self.state.demand.count_refused()
-        self.log.overloaded(
-            self._request_id(request), wait_s, is_logged=self.overload.may_log()
-        )
+        wait_s = self.overload_gate.refuse(self._request_id(request))
         return refusals.not_run(outcomes.Reason.OVERLOADED, wait_s)
 
     def _refuse_route(
@@ -129,7 +125,7 @@
         startup_wait_s: float,
     ) -> pipelining.PendingResponse:
         job = self._jobs.create(request, route, body, startup_wait_s)
-        self.overload.limit.add_timeout(job.call.deadline - job.call.arrived_at)
+        self.overload.add_timeout(job.call.deadline - job.call.arrived_at)
         try:
             async with self.state.deadlines.until(job.call.deadline):
                 response = await self._respond(request, job)
