Recovery plays: split by subject, and use what the project had

The entries of upstreams, the wait until a gateway is ready, processor time and the end by SIGTERM are those of features/support now; the last two were in the soak.

--- a/features/steps/slow_hosts.py
+++ b/features/steps/slow_hosts.py
@@ -9,6 +9,7 @@
 from features.support import (
     platform_context,
     platform_fleet,
+    processor_time,
     slow_hosts,
     steady_callers,
 )
@@ -84,7 +85,7 @@
 
     def _processor_s(self) -> float:
         processes = self.fleet.process_by_node.values()
-        return sum(slow_hosts.processor_s(process.pid) for process in processes)
+        return sum(processor_time.used_s(process.pid) for process in processes)
 
 
 def play_of(context: typing.Any) -> Play:
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -248,14 +248,16 @@
             os.sched_setaffinity(self.process_by_node[node].pid, self.gateway_cores)
         return node
 
-    async def until_ready(self, node: str) -> None:
+    async def until_ready(self, node: str, limit_s: float = LIMIT_S) -> None:
         """Wait until a gateway says that it is ready."""
         url = self.url(node, "ready", "/readiness")
-        await self.until(lambda: self._answers_200(url))
+        await self.until(lambda: self._answers_200(url), limit_s)
 
-    async def until(self, test: typing.Callable[[], typing.Any]) -> None:
+    async def until(
+        self, test: typing.Callable[[], typing.Any], limit_s: float = LIMIT_S
+    ) -> None:
         """Wait until ``test`` is true."""
-        async with asyncio.timeout(LIMIT_S):
+        async with asyncio.timeout(limit_s):
             while not await test():
                 await asyncio.sleep(0.05)
 
--- a/features/support/slow_hosts.py
+++ b/features/support/slow_hosts.py
@@ -9,27 +9,16 @@
 import asyncio
 import contextlib
 import os
-import pathlib
 import signal
 import sys
 import threading
 import time
 from collections import abc
 
-from features.support import processes
+from features.support import processes, processor_time
 
 #: Period whose quota a process may use at once, and between two looks, in seconds.
 PERIOD_S, LOOK_EVERY_S = 0.1, 0.005
-NS_PER_S = 1e9
-
-
-def processor_s(pid: int) -> float:
-    """Return the processor time that a process has used, in seconds; 0: it ended."""
-    try:
-        text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
-    except OSError:
-        return 0.0
-    return int(text.split()[0]) / NS_PER_S
 
 
 @contextlib.asynccontextmanager
@@ -57,11 +46,11 @@
         self.pid = pid
         self._share = share
         self._left_s = 0.0
-        self._used_s = processor_s(pid)
+        self._used_s = processor_time.used_s(pid)
 
     def apply(self, elapsed_s: float) -> None:
         """Add the share of the time that has passed; stop a process that used it up."""
-        used_s = processor_s(self.pid)
+        used_s = processor_time.used_s(self.pid)
         earned_s = self._share * elapsed_s
         self._left_s += earned_s - (used_s - self._used_s)
         self._left_s = min(self._share * PERIOD_S, self._left_s)
--- a/tools/recovery/__main__.py
+++ b/tools/recovery/__main__.py
@@ -6,9 +6,7 @@
 Prints one line of JSON: the settings, and what callers saw.
 """
 
-import asyncio
 import json
-import signal
 import sys
 import typing
 
@@ -17,7 +15,8 @@
 import uvloop
 from cyclopts import validators
 
-from tools.recovery import play
+from features.support import sigterm
+from tools.recovery import losses, play as plays, results
 
 app = cyclopts.App(help="Play the loss and return of real gateways.")
 GATEWAYS = cyclopts.Parameter(validator=validators.Number(gte=3, lte=18))
@@ -26,9 +25,9 @@
 @app.default
 def run(
     *,
-    loss: play.Loss = play.Loss.KILLED,
+    loss: plays.Loss = plays.Loss.KILLED,
     beside: str = "nothing",
-    returns: play.Return = play.Return.AT_ONCE,
+    returns: plays.Return = plays.Return.AT_ONCE,
     gateways: typing.Annotated[int, GATEWAYS] = 18,
     upstreams: int = 36,
     rate: float = 180.0,
@@ -59,9 +58,8 @@
     deployed: start gateways as ``deploy/system.toml`` does, after its build.
     logs: folder for the gateways' logs; not kept where it is not given.
     """
-    settings = play.Settings(
+    settings = plays.Settings(
         loss=loss,
-        beside=beside,
         returns=returns,
         gateways=gateways,
         upstreams=upstreams,
@@ -74,21 +72,13 @@
         deployed=deployed,
         logs=logs,
     )
-    result = uvloop.run(_until_signal(play.Play(settings)))
-    print(
-        json.dumps(
-            {"settings": msgspec.to_builtins(settings)} | msgspec.to_builtins(result)
-        )
-    )
-    return 0 if result.attempts_served >= 0.25 * result.attempts else 1
-
-
-async def _until_signal(one: play.Play) -> play.Result:
-    """Play; SIGTERM ends it as an interrupt does, with all that it started."""
-    task = asyncio.current_task()
-    assert task is not None
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await one.run()
+    one = plays.Play(settings)
+    attempts = uvloop.run(sigterm.cancelling(one.run(losses.BESIDE.get(beside))))
+    result = results.judge(attempts, one.returned_at)
+    played = {"beside": beside} | msgspec.to_builtins(settings)
+    print(json.dumps({"settings": played} | msgspec.to_builtins(result)))
+    least = results.MIN_SERVED_SHARE * result.attempts
+    return 0 if result.attempts_served >= least else 1
 
 
 if __name__ == "__main__":
--- a/tools/recovery/play.py
+++ b/tools/recovery/play.py
@@ -17,20 +17,20 @@
 
 import msgspec
 
-from features.support import platform_fleet
-from spindlenotch import registry
-from tools.recovery import callers
+from features.support import platform_fleet, platform_worker
+from tools.recovery import callers, results, upstreams
 
 #: Seconds of traffic before the loss, and for which gateways stay away.
 BEFORE_S, AWAY_S = 6.0, 1.0
-#: Seconds after the return until which requests are sent, and from which they count.
-AFTER_S, RECOVERY_S = 24.0, 15.0
+#: Seconds for which gateways are paused, between those that are killed in series, from
+#: a return to the next loss, and from the first to the last that returns later.
+PAUSED_S, SERIES_S, AGAIN_S, RETURN_S = 9.0, 0.3, 0.7, 6.0
 #: Longest time until all gateways are ready at first, in seconds.
 START_LIMIT_S = 60.0
+#: Maximum length of a line that a child process prints.
+MAX_LINE_BYTES = 1 << 20
 #: Longest time of a play, in seconds.
 LIMIT_S = 180.0
-#: Seconds after the return for which trouble with the store lasts.
-STORE_TROUBLE_S = 4.0
 SIDE_SERVICE, SERVICES = "side", ("core", "side")
 #: Every sixth upstream belongs to the second service.
 SIDE_EVERY = 6
@@ -66,7 +66,7 @@
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
     """
-    What is played.
+    How a play is laid out, and how its gateways are lost.
 
     ``cores`` are the processors that all gateways share, empty: all. ``factor`` is the
     rate of callers from the loss on, relative to before. ``logs`` is a folder for the
@@ -74,7 +74,6 @@
     """
 
     loss: Loss = Loss.KILLED
-    beside: str = "nothing"
     returns: Return = Return.AT_ONCE
     gateways: int = 18
     upstreams: int = 36
@@ -89,23 +88,8 @@
     logs: str = ""
 
 
-class Result(msgspec.Struct, frozen=True, kw_only=True):
-    """
-    What callers saw; times in seconds from the last start of a gateway.
-
-    ``served`` and ``sent`` count the first attempts from ``RECOVERY_S`` on;
-    ``attempts_served`` and ``attempts`` all of them.
-    """
-
-    first_served_s: float | None
-    most_served_s: float | None
-    served: int
-    sent: int
-    attempts_served: int
-    attempts: int
-    refused: int
-    deadlines_passed: int
-    served_by_second: list[tuple[int, int]]
+#: Loses and returns the gateways of a play, and whatever else.
+Lose = abc.Callable[["Play"], abc.Coroutine[typing.Any, typing.Any, None]]
 
 
 class Play:
@@ -132,11 +116,11 @@
         """Return the numbers of all gateways."""
         return list(range(1, self.settings.gateways + 1))
 
-    async def run(self) -> Result:
-        """Play, and return what callers saw."""
+    async def run(self, lose: Lose) -> list[callers.Attempt]:
+        """Play, and return the attempts of callers."""
         try:
             async with asyncio.timeout(LIMIT_S):
-                return await self._run()
+                return await self._run(lose)
         finally:
             if self.settings.logs:
                 self._keep_logs(pathlib.Path(self.settings.logs))
@@ -151,13 +135,13 @@
         for path in self.fleet.logs.values():
             shutil.copy(path, folder)
 
-    async def _run(self) -> Result:
+    async def _run(self, lose: Lose) -> list[callers.Attempt]:
         await self._start()
         await asyncio.sleep(BEFORE_S)
         await self._change_rate(self.settings.factor)
-        await BESIDE.get(self.settings.beside)(self, self._lose_and_return())
-        await asyncio.sleep(AFTER_S)
-        return _judge(await self._attempts(), self.returned_at)
+        await lose(self)
+        await asyncio.sleep(results.AFTER_S)
+        return await self._attempts()
 
     async def _start(self) -> None:
         if self.settings.other_cores:
@@ -178,12 +162,8 @@
         self.fleet.store.put("op/config", configuration)
         await self.start_upstreams("a")
         await self.start_gateways(self.numbers)
-        async with asyncio.timeout(START_LIMIT_S):
-            for node in list(self.fleet.process_by_node):
-                while not await self.fleet._answers_200(
-                    self.fleet.url(node, "ready", "/readiness")
-                ):
-                    await asyncio.sleep(0.1)
+        for node in list(self.fleet.process_by_node):
+            await self.fleet.until_ready(node, START_LIMIT_S)
         for number in range(CALLER_PROCESSES):
             await self._start_callers(f"c{number}")
 
@@ -208,12 +188,18 @@
             assert child.stdout is not None
             addresses = msgspec.json.decode(await child.stdout.readline())
             for upstream, address in addresses.items():
-                service = SERVICES[number % SIDE_EVERY == SIDE_EVERY - 1]
-                self.fleet.store.put(
-                    f"servers/{upstream}", _entry(service, address, number)
-                )
+                self._list_upstream(upstream, address, number)
                 number += 1
 
+    def _list_upstream(self, upstream: str, address: str, number: int) -> None:
+        """Write the entry of an upstream that runs in another process."""
+        listed = platform_worker.PlatformWorker(upstream)
+        listed.listed_address = address
+        listed.slots = upstreams.SLOTS
+        service = SERVICES[number % SIDE_EVERY == SIDE_EVERY - 1]
+        zone = platform_fleet.ZONES[number % len(platform_fleet.ZONES)]
+        self.fleet.list_worker(listed, service, zone)
+
     async def end_upstreams(self) -> None:
         """End all upstreams; their entries go, as their leases do."""
         for child in self._upstream_processes:
@@ -267,18 +253,19 @@
             cwd=platform_fleet.ROOT,
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
-            limit=1 << 20,
+            limit=MAX_LINE_BYTES,
         )
         self._children.append(child)
         return child
 
-    async def _lose_and_return(self) -> None:
+    async def lose_and_return(self) -> None:
+        """Lose all gateways, and let them return, as the settings say."""
         match self.settings.loss:
             case Loss.NOT:
                 self.returned_at = time.monotonic()
             case Loss.PAUSED:
                 self._signal(signal.SIGSTOP)
-                await asyncio.sleep(9.0)
+                await asyncio.sleep(PAUSED_S)
                 self._signal(signal.SIGCONT)
                 self.returned_at = time.monotonic()
             case Loss.STOPPED:
@@ -290,13 +277,13 @@
             case Loss.IN_SERIES:
                 for number in self.numbers:
                     await self._kill([number])
-                    await asyncio.sleep(0.3)
+                    await asyncio.sleep(SERIES_S)
                 await self._return()
             case Loss.KILLED | Loss.TWICE:
                 await self._kill(self.numbers)
                 await self._return()
                 if self.settings.loss is Loss.TWICE:
-                    await asyncio.sleep(0.7)
+                    await asyncio.sleep(AGAIN_S)
                     await self._kill(self.numbers)
                     await self._return()
 
@@ -320,136 +307,8 @@
             case Return.SLOWLY:
                 for number in self.numbers:
                     await self.start_gateways([number])
-                    await asyncio.sleep(6.0 / len(self.numbers))
+                    await asyncio.sleep(RETURN_S / len(self.numbers))
             case Return.ONE_FIRST:
                 await self.start_gateways([first])
-                await asyncio.sleep(6.0)
+                await asyncio.sleep(RETURN_S)
                 await self.start_gateways(others)
-
-
-Loses = abc.Coroutine[typing.Any, typing.Any, None]
-Beside = abc.Callable[[Play, Loses], abc.Coroutine[typing.Any, typing.Any, None]]
-#: What else is lost, with the coroutine that loses and returns the gateways.
-BESIDE: registry.Registry[Beside] = registry.Registry("loss beside the gateways'")
-
-
-@BESIDE.register("nothing")
-async def nothing(play: Play, loses: Loses) -> None:
-    """Only the gateways are lost."""
-    await loses
-
-
-@BESIDE.register("store-down")
-async def store_down(play: Play, loses: Loses) -> None:
-    """The store refuses all calls until some seconds after the return."""
-    play.fleet.store.trouble.refuse = 503
-    await loses
-    await asyncio.sleep(STORE_TROUBLE_S)
-    play.fleet.store.trouble.refuse = 0
-
-
-@BESIDE.register("store-silent")
-async def store_silent(play: Play, loses: Loses) -> None:
-    """The store does not answer until some seconds after the return."""
-    play.fleet.store.trouble.silent = True
-    await loses
-    await asyncio.sleep(STORE_TROUBLE_S)
-    play.fleet.store.trouble.silent = False
-
-
-@BESIDE.register("store-restored")
-async def store_restored(play: Play, loses: Loses) -> None:
-    """The store is restored from a backup while the gateways are away."""
-    backup = play.fleet.store.backup()
-    await play.end_upstreams()
-    await play.start_upstreams("b")
-    await loses
-    lost = play.fleet.store.restore(backup)
-    await asyncio.sleep(1.0)
-    play.fleet.store.rewrite(lost)
-
-
-@BESIDE.register("upstreams")
-async def upstreams_lost(play: Play, loses: Loses) -> None:
-    """All upstreams are lost too, and return under other ids and addresses."""
-    await play.end_upstreams()
-    await loses
-    await play.start_upstreams("b")
-
-
-@BESIDE.register("seeds")
-async def seeds_gone(play: Play, loses: Loses) -> None:
-    """The seeds that the settings name never return."""
-    play.forget_seeds()
-    await loses
-
-
-@BESIDE.register("clock")
-async def clock_set_back(play: Play, loses: Loses) -> None:
-    """Gateways start again with the time of day 30 s behind."""
-    play.fleet.more_variables["CLOCK_BEHIND_S"] = "30"
-    for number in play.numbers:
-        program = "tools/recovery/clock_behind.py"
-        play.fleet.program_by_node[f"node-{number}"] = program
-    await loses
-
-
-@BESIDE.register("clock-of-every-other")
-async def every_other_clock_set_back(play: Play, loses: Loses) -> None:
-    """Every other gateway starts again with the time of day 30 s behind."""
-    play.fleet.more_variables["CLOCK_BEHIND_S"] = "30"
-    for number in play.numbers[::2]:
-        program = "tools/recovery/clock_behind.py"
-        play.fleet.program_by_node[f"node-{number}"] = program
-    await loses
-
-
-def _entry(service: str, address: str, number: int) -> dict[str, typing.Any]:
-    """Return an upstream's entry as it lies in the store."""
-    return {
-        "service": service,
-        "address": address,
-        "zone": platform_fleet.ZONES[number % len(platform_fleet.ZONES)],
-        "version": "v1",
-        "slots": 6,
-        "state": "ready",
-        "coldLeftS": 0.0,
-        "callSeq": 1,
-    }
-
-
-def _judge(attempts: list[callers.Attempt], returned_at: float) -> Result:
-    first = [one for one in attempts if one.number == 0]
-    since = [one for one in first if one.sent_at >= returned_at]
-    served_at = [one.ended_at for one in since if _is_served(one)]
-    counted = [one for one in first if one.sent_at >= returned_at + RECOVERY_S]
-    all_counted = [one for one in attempts if one.sent_at >= returned_at + RECOVERY_S]
-    by_second = [
-        [one for one in since if second <= one.sent_at - returned_at < second + 1]
-        for second in range(int(AFTER_S))
-    ]
-    most = [
-        second
-        for second in range(int(AFTER_S))
-        if all(
-            sum(map(_is_served, later)) >= 0.9 * len(later)
-            for later in by_second[second:]
-        )
-    ]
-    return Result(
-        first_served_s=round(min(served_at) - returned_at, 2) if served_at else None,
-        most_served_s=float(most[0]) if most else None,
-        served=sum(map(_is_served, counted)),
-        sent=len(counted),
-        attempts_served=sum(map(_is_served, all_counted)),
-        attempts=len(all_counted),
-        refused=sum(one.status == callers.NOT_RUN for one in all_counted),
-        deadlines_passed=sum(one.status in (0, 504) for one in all_counted),
-        served_by_second=[
-            (sum(map(_is_served, second)), len(second)) for second in by_second
-        ],
-    )
-
-
-def _is_served(attempt: callers.Attempt) -> bool:
-    return attempt.status == callers.OK and attempt.is_stamped
--- a/tools/soak_processes/__main__.py
+++ b/tools/soak_processes/__main__.py
@@ -8,7 +8,6 @@
 import contextlib
 import json
 import pathlib
-import signal
 import sys
 import time
 import typing
@@ -20,6 +19,7 @@
 import uvloop
 from cyclopts import validators
 
+from features.support import sigterm
 from tools.soak_processes import cases, faults, plan as plans, play, summary
 
 app = cyclopts.App(help="Play faults from outside on real gateways; judge the play.")
@@ -95,7 +95,7 @@
     one = play.Play(settings, steps, folder)
     with _progress(steps), asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         try:
-            outcome = runner.run(_until_signal(one))
+            outcome = runner.run(sigterm.cancelling(one.run()))
         except (asyncio.CancelledError, KeyboardInterrupt):
             print("interrupted; everything that was started has ended")
             return INTERRUPTED
@@ -119,14 +119,6 @@
     file.flush()
 
 
-async def _until_signal(one: play.Play) -> play.Outcome:
-    """Play; SIGTERM ends it as an interrupt does."""
-    task = asyncio.current_task()
-    assert task is not None
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await one.run()
-
-
 @contextlib.contextmanager
 def _progress(steps: abc.Sequence[plans.Step]) -> abc.Iterator[None]:
     """Show how far the play is where there is a terminal."""
--- a/tools/soak_processes/play.py
+++ b/tools/soak_processes/play.py
@@ -15,6 +15,7 @@
 
 import loguru
 
+from features.support import processor_time
 from tools.soak_processes import (
     asking,  # noqa: F401  (registers its faults and its checks)
     callers as all_callers,
@@ -126,7 +127,7 @@
             is_late = now - began_at > LOOK_EVERY_S + LAG_S
             starved = {ledgers.ALL} if is_late or is_busy else set()
             for node, process in self.world.fleet.process_by_node.items():
-                waited_s = waited_for_processor_s(process.pid)
+                waited_s = processor_time.waited_s(process.pid)
                 if waited_s - waited_by_node.get(node, waited_s) > LAG_S:
                     starved.add(node)
                 waited_by_node[node] = waited_s
@@ -137,15 +138,6 @@
                 self.world.ledger.troubles.append(trouble)
 
 
-def waited_for_processor_s(pid: int) -> float:
-    """Return how long a process has been ready to run and did not; 0: it ended."""
-    try:
-        text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
-    except OSError:
-        return 0.0
-    return int(text.split()[1]) / 1e9
-
-
 @contextlib.asynccontextmanager
 async def beside(work: abc.Coroutine[object, object, None]) -> abc.AsyncIterator[None]:
     """Let ``work`` run while the context lasts; its failure is the context's."""
