Name the rule of overloads and its constants on the decisions page

The page is made from tables that a new rule has to enter; it had been left out. Constants that stood two in a line have a line and a comment each, as the page needs them.

--- a/spindlenotch/gateway/cluster/load_exchange.py
+++ b/spindlenotch/gateway/cluster/load_exchange.py
@@ -21,10 +21,12 @@
 from spindlenotch.kernel import backpressure, shared_rate, upstreams
 from spindlenotch.peers import gossip, messages, peer_link, workload
 
-#: Seconds between two rounds of sending, and the most while processor time is lacking.
-SEND_PERIOD_S, MAX_SEND_PERIOD_S = 0.04, 0.2
-#: Maximum share of its time that a gateway spends on rounds, up to that period.
+#: Seconds between two rounds of sending.
+SEND_PERIOD_S = 0.04
+#: Maximum share of its time that a gateway spends on rounds of sending.
 MAX_SENDING_SHARE = 0.1
+#: Maximum of the period in seconds, whatever a round takes.
+MAX_SEND_PERIOD_S = 0.2
 #: The same for a gateway that has nothing to send, as most in a large fleet: idle loops
 #: take CPU time.
 IDLE_PERIOD_S = 0.2
--- a/spindlenotch/gateway/serving/overload_guard.py
+++ b/spindlenotch/gateway/serving/overload_guard.py
@@ -14,8 +14,10 @@
 from spindlenotch import clock, events, ids
 from spindlenotch.kernel import concurrency_limit
 
-#: Bounds in seconds of the time after which refused callers retry.
-MIN_RETRY_S, MAX_RETRY_S = 0.05, 1.0
+#: Shortest mean time in seconds after which refused callers retry.
+MIN_RETRY_S = 0.05
+#: Longest mean time in seconds after which refused callers retry.
+MAX_RETRY_S = 1.0
 #: The time to retry is drawn from the mean times 1 minus to 1 plus this share, so that
 #: callers who were refused together do not return together.
 RETRY_SPREAD = 0.5
--- a/spindlenotch/kernel/concurrency_limit.py
+++ b/spindlenotch/kernel/concurrency_limit.py
@@ -16,8 +16,10 @@
 #: Share of a request's timeout that one iteration may take: some seven of them pass
 #: until a request has been served, and the upstream needs time too.
 LONG_ITERATION_SHARE = 0.05
-#: Bounds of a long iteration's duration, in seconds.
-MIN_LONG_ITERATION_S, MAX_LONG_ITERATION_S = 0.03, 0.25
+#: Minimum duration of a long iteration in seconds, for routes with short timeouts.
+MIN_LONG_ITERATION_S = 0.03
+#: Maximum duration of a long iteration in seconds, for routes with long timeouts.
+MAX_LONG_ITERATION_S = 0.25
 #: Weight of the newest request in the mean timeout.
 TIMEOUT_WEIGHT = 0.05
 #: Consecutive long iterations that lower the limit: a single one may be a standstill of
@@ -27,8 +29,9 @@
 DECREASE = 0.7
 #: Smallest limit, so that the effect of serving can be observed.
 MIN_LIMIT = 2.0
-#: Rise of the limit per second, as a share of it and in requests.
+#: Rise of the limit per second, as a share of the limit.
 INCREASE_SHARE_PER_S = 0.5
+#: Rise of the limit per second besides that, in requests.
 INCREASE_PER_S = 10.0
 #: Longest time in seconds between two iterations for which the limit rises.
 MAX_INTERVAL_S = 0.1
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -157,6 +157,63 @@
             ),
         ),
     ),
+    Rule(
+        question="When a request is refused because the gateway lacks processor time",
+        functions=(
+            "kernel/concurrency_limit.ConcurrencyLimit.add_iteration",
+            "kernel/concurrency_limit.ConcurrencyLimit.admits",
+            "gateway/serving/overload_guard.OverloadGuard.retry_after_s",
+            "gateway/serving/overload_gate.OverloadGate.judge",
+            "drivers/listener.Listener",
+        ),
+        inputs="duration of the event loop's iterations while callers send (s), without"
+        " the time in which connections are refused; requests in progress; timeouts of"
+        " requests (s).",
+        reason="Each request takes several iterations, so without a limit all of them"
+        " become too late together. The limit falls while iterations are long and"
+        " rises otherwise; slow upstreams do not lower it. What is beyond it is refused"
+        " in one step on connections that are accepted meanwhile.",
+        constants=(
+            "kernel/concurrency_limit.LONG_ITERATION_SHARE",
+            "kernel/concurrency_limit.MIN_LONG_ITERATION_S",
+            "kernel/concurrency_limit.MAX_LONG_ITERATION_S",
+            "kernel/concurrency_limit.TIMEOUT_WEIGHT",
+            "kernel/concurrency_limit.LONG_ITERATIONS",
+            "kernel/concurrency_limit.DECREASE",
+            "kernel/concurrency_limit.MIN_LIMIT",
+            "kernel/concurrency_limit.INCREASE_SHARE_PER_S",
+            "kernel/concurrency_limit.INCREASE_PER_S",
+            "kernel/concurrency_limit.RELEASE_S",
+            "gateway/serving/overload_guard.MIN_RETRY_S",
+            "gateway/serving/overload_guard.MAX_RETRY_S",
+            "gateway/serving/overload_guard.RETRY_SPREAD",
+            "drivers/listener.MAX_ACCEPTS",
+        ),
+        events=("OVERLOADED", "OVERLOAD_OVER", "REQUEST_REFUSED"),
+        tests=(
+            Scenario(
+                "slow_hosts",
+                "Overloaded gateways serve what they can and refuse the rest at once",
+            ),
+            Scenario(
+                "slow_hosts",
+                "Gateways that were all killed return on hosts that can't serve all"
+                " callers",
+            ),
+            Scenario(
+                "slow_hosts", "Hosts that are slow, but not too slow, refuse nothing"
+            ),
+            Scenario(
+                "gateway", "the limit falls while iterations are long, then is lifted"
+            ),
+            Scenario(
+                "gateway", "slow upstreams and standstills do not lower the limit"
+            ),
+            Scenario(
+                "gateway", "all waiting connections are accepted in one iteration"
+            ),
+        ),
+    ),
     Rule(
         question="When a request waits, how long, and when it is given up",
         functions=(
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -93,7 +93,8 @@
         " the fleet (the same), setting `entries_per_zone`.",
         reason="The strongest of each zone, and more while an even share of the demand"
         " is more than the weakest can carry. Few gateways see most of what an"
-        " upstream does.",
+        " upstream does. A request counts for more where a host refuses some for lack"
+        " of processor time, by what it was to serve and what it serves.",
         constants=(
             "gateway/cluster/active_set.PROCESSOR_SHARE",
             "gateway/cluster/active_set.LINK_SHARE",
@@ -103,12 +104,17 @@
             "gateway/cluster/demand_meter.INTERVAL_S",
             "gateway/cluster/demand_meter.INTERVALS_KEPT",
             "gateway/cluster/demand_meter.REPORTED_CHANGE_SHARE",
+            "gateway/cluster/demand_meter.COST_DECAY",
+            "gateway/cluster/demand_meter.MAX_COST",
         ),
         events=("PEER_SEEN", "PEER_GONE"),
         tests=(
             Scenario(
                 "gateway", "callers are sent to the strongest gateways of each zone"
             ),
+            Scenario(
+                "gateway", "more gateways step in where some refuse for lack of time"
+            ),
             Scenario(
                 "gateway", "more gateways step in where the weakest is overloaded"
             ),
