--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,4 @@
-"""Workers that leave after the store was away keep getting work; see claim.txt."""
+"""Workers that leave after a watch was cut keep getting work; see claim.txt."""
 
 import asyncio
 import pathlib
@@ -13,15 +13,19 @@
 ZONES = ["ub-hall-a", "ub-hall-b", "ub-hall-c"]
 GATEWAYS = ["127.0.22.1", "127.0.22.2", "127.0.22.3"]
 STORE, WORKERS = "127.0.22.99", "127.0.22.50"
-#: Workers of the service, and how many of them leave at once.
-WORKER_COUNT = 6
-LEAVING_COUNT = 2
-WORK_S = 0.29
+#: Workers of the service, and how many of them are replaced at once: `release` with a
+#: share of 0.5 and x = 2.
+WORKER_COUNT = 4
+REPLACED_COUNT = 2
+WORK_S = 0.26
 REQUESTS_PER_S = 60.0
 #: Seconds from the start of traffic.
-SILENT_FROM_S, SILENT_S = 2.0, 4.5
-TOUCH_S, DRAIN_S = 3.0, 2.0
-LEAVE_AT_S = SILENT_FROM_S + SILENT_S + TOUCH_S + 0.1
+START_AT_S = 2.0
+CUT_AT_S = 4.0
+LEAVE_AT_S = 5.0
+#: For so long a worker that has just started is slow.
+COLD_S = 3.0
+DRAIN_S = 2.0
 #: What the leaving workers serve on for after ``DRAIN_S``.
 LONGER_S = 0.4
 LENGTH_S = LEAVE_AT_S + 6.0
@@ -35,16 +39,19 @@
     await platform.start(STORE)
     workers = [
         worker.Worker(f"i-{n:08x}", "content-hub", ZONES[n % 3], work_s=WORK_S)
-        for n in range(WORKER_COUNT)
+        for n in range(WORKER_COUNT + REPLACED_COUNT)
     ]
+    first, new = workers[:WORKER_COUNT], workers[WORKER_COUNT:]
     routes = [fleet.route("media-push", "content-hub", "unsafe", timeoutS=2.5)]
     platform.put("op/config", fleet.configuration(routes, ["content-hub"]))
     for one in workers:
         await one.start(WORKERS)
+    for one in first:
         platform.put(f"servers/{one.id}", one.entry())
     gateways = fleet.Fleet(folder, GATEWAYS, platform.address)
-    leaving = workers[:LEAVING_COUNT]
+    leaving = workers[:REPLACED_COUNT]
     lines: list[ledger.Line] = []
+    cuts: list[int] = []
     try:
         for number, ip in enumerate(GATEWAYS):
             await gateways.start(ip, ZONES[number], ZONES)
@@ -72,11 +79,12 @@
             )
 
         async def trouble() -> None:
+            await asyncio.sleep(START_AT_S)
+            for one in new:
+                platform.put(f"servers/{one.id}", {**one.entry(), "coldLeftS": COLD_S})
+            await asyncio.sleep(CUT_AT_S - START_AT_S)
             if is_disrupted:
-                await asyncio.sleep(SILENT_FROM_S)
-                platform.silence()
-                await asyncio.sleep(SILENT_S)
-                platform.speak()
+                cuts.append(platform.cut_watches())
             await asyncio.sleep(max(0.0, gone_at - time.monotonic()))
             platform.remove(*(f"servers/{one.id}" for one in leaving))
             await asyncio.sleep(DRAIN_S + LONGER_S)
@@ -110,10 +118,13 @@
     summary = {
         "requests": len(lines),
         "served": sum(line["answer"] == 200 for line in lines),
-        "entries_went_s": round(LEAVE_AT_S, 3),
+        "watches_cut": cuts,
         "reached_a_leaving_worker_after_drainS": len(late),
         "of_these_lost": len(lost),
-        "latest_s": max((x["after_entry_went_s"] for x in late), default=None),
+        "last_reached_s": max(
+            (x["after_entry_went_s"] for x in lines if "after_entry_went_s" in x),
+            default=None,
+        ),
     }
     if summary["served"] < 0.8 * len(lines):
         return ledger.COULD_NOT_RUN, lines, summary
--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -1,8 +1,8 @@
 """
 Stand-in for the platform's metadata store, by its page in PROTOCOL.md.
 
-Ranges, watches and conditional writes of keys with revisions. ``silence`` makes it
-say nothing more on the open connections and answer no new call until ``speak``.
+Ranges, watches and conditional writes of keys with revisions. ``cut_watches`` cuts the
+watches that wait, as the page says may happen at any time.
 """
 
 import asyncio
@@ -29,10 +29,8 @@
         self.items: dict[str, Json] = {}
         self.events: list[Json] = []
         self._changed = asyncio.Event()
-        self._speaks = asyncio.Event()
-        self._speaks.set()
-        self._deaf: set[asyncio.StreamWriter] = set()
-        self._open: set[asyncio.StreamWriter] = set()
+        #: Connections on which a watch waits.
+        self._watching: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str) -> None:
@@ -63,14 +61,12 @@
             del self.items[key]
             self._add_event({"key": key, "revision": self.revision, "gone": True})
 
-    def silence(self) -> None:
-        """Answer nothing more, on open connections and on new ones."""
-        self._speaks.clear()
-        self._deaf.update(self._open)
-
-    def speak(self) -> None:
-        """Answer again; a connection on which an answer was lost says nothing."""
-        self._speaks.set()
+    def cut_watches(self) -> int:
+        """Close the connections of the watches that wait; return how many."""
+        waiting = list(self._watching)
+        for writer in waiting:
+            writer.close()
+        return len(waiting)
 
     def _add_event(self, event: Json) -> None:
         self.events.append(event)
@@ -80,18 +76,16 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._open.add(writer)
-        if not self._speaks.is_set():
-            self._deaf.add(writer)
         try:
             while True:
                 request = await http11.read_request(reader)
                 body = await http11.read_body(reader, request.fields)
-                if writer not in self._deaf:
+                if request.path == "/kv-watch":
+                    self._watching.add(writer)
+                try:
                     status, content = await self._answer(request, body)
-                if writer in self._deaf:
-                    await reader.read(-1)
-                    return
+                finally:
+                    self._watching.discard(writer)
                 data = json.dumps(content).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
@@ -105,8 +99,6 @@
             # The run is over.
             pass
         finally:
-            self._open.discard(writer)
-            self._deaf.discard(writer)
             writer.close()
 
     async def _answer(self, request: http11.Request, body: bytes) -> tuple[int, Json]:
--- a/review/lab/worker.py
+++ b/review/lab/worker.py
@@ -131,6 +131,8 @@
             writer.write(self._head("200 OK", "") + b"Content-Length: 0\r\n\r\n")
             return True
         arrived_at = time.monotonic()
+        if request.fields.get("expect", "").lower() == "100-continue":
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         content = await http11.read_body(reader, request.fields)
         request_id = request.fields.get("x-spindlenotch-request-id", "")
         self.arrivals.append((arrived_at, request_id))
