--- a/review/lab/ledger.py
+++ b/review/lab/ledger.py
@@ -26,7 +26,8 @@
     with tempfile.TemporaryDirectory() as name:
         try:
             code, lines, summary = asyncio.run(_play(play, name, is_disrupted))
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            # Whatever kept it from running: the record says so.
             code, lines, summary = COULD_NOT_RUN, [], {"error": repr(error)}
     summary = {"disrupted": is_disrupted, "exit": code, **summary}
     with (here / "record.txt").open("w") as record:
