--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,78 +1,143 @@
 """
-A worker leaves without a notice some seconds after the store has cut the watches.
+A route whose ``targetLatencyS`` is 0 is added: its whole service is refused for good.
 
-Three zones with a gateway each, three workers. Judged: requests that reach the worker
-later than ``drainS`` after the store had taken its leaving.
+The claim is in ``claim.txt``. Ends with 1 if the rule was broken, 0 if it held and 2 if
+the case could not run.
 """
 
 import asyncio
+import itertools
+import pathlib
+import sys
+import typing
 
-from review.lab2 import proxy, stage
-
-#: Between the cut of the waiting watches and the worker's leaving: all machines are in
-#: touch again, touchS is 3 s.
-BEFORE_LEAVING_S = 3.2
-WATCHED_S = 6.0
-REQUESTS_PER_S = 100
-LEAVING = "w-1"
-
-
-async def play(on: stage.Stage, has_trouble: bool) -> list[str]:
-    """Play the case; return what was broken."""
-    on.configure(1, [stage.route("peek", "/peek/", "safe", "core")], ["core"])
-    for name, zone in zip(("w-0", LEAVING, "w-2"), stage.ZONES, strict=True):
-        await on.add_worker(name, "core", zone, work_s=0.02)
-    path_to_store = proxy.Proxy(on.store.address)
-    await path_to_store.start()
-    nodes = [f"front-{number}" for number in (1, 2, 3)]
-    for number, node in enumerate(nodes, 1):
-        on.store_by_node[node] = path_to_store.address
-        await on.start_gateway(number)
-    for node in nodes:
-        await on.until_ready(node)
-    await asyncio.sleep(6.0)
-    stopped = asyncio.Event()
-    load = asyncio.create_task(clients(on, nodes, stopped))
-    await asyncio.sleep(1.0)
-    if has_trouble:
-        on.record.add(f"store: cuts the watches, {path_to_store.cut()} connections")
-    await asyncio.sleep(BEFORE_LEAVING_S)
-    left_at = on.remove_worker(LEAVING)
-    await asyncio.sleep(WATCHED_S)
-    stopped.set()
-    await load
-    await path_to_store.close()
-    return judge(on, left_at)
-
-
-async def clients(on: stage.Stage, nodes: list[str], stopped: asyncio.Event) -> None:
-    """Send requests to all gateways, each of which the directory names."""
-    sends = set()
-    count = 0
-    while not stopped.is_set():
-        count += 1
-        node = nodes[count % len(nodes)]
-        send = asyncio.create_task(on.send(node, f"/peek/{count}", on.new_id()))
-        sends.add(send)
-        send.add_done_callback(sends.discard)
-        await asyncio.sleep(1 / REQUESTS_PER_S)
-    await asyncio.gather(*sends)
-
-
-def judge(on: stage.Stage, left_at: float) -> list[str]:
-    """Return the requests that reached the worker too late."""
-    late = [
-        run.at - left_at
-        for run in on.worker_by_id[LEAVING].runs
-        if run.at > left_at + stage.DRAIN_S
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+
+from lab2 import client, fleet, record, store, worker
+
+IP = "127.0.0.1"
+ZONES = ("hall-a", "hall-b", "hall-c")
+#: ``configApplyS`` of the settings.
+APPLY_S = 2.0
+SERVICES = ["resv-core", "content-hub"]
+#: Requests on the new route that the rule asks for, and the share that it allows.
+LEAST_REQUESTS, LEAST_SHARE = 20, 0.25
+#: Seconds for which requests go on after the change.
+WATCHED_S = 12.0
+
+
+class Served(typing.NamedTuple):
+    """How many of so many requests got a success."""
+
+    count: int
+    sent: int
+
+    @property
+    def share(self) -> float:
+        """Return the share that was served."""
+        return self.count / max(1, self.sent)
+
+    def __str__(self) -> str:
+        return f"{self.count} of {self.sent}"
+
+
+def served(
+    got: typing.Iterable[client.Got], prefixes: tuple[str, ...], since: float
+) -> Served:
+    """Count the requests on some routes that were sent after an instant."""
+    found = [g for g in got if g.path.startswith(prefixes) and g.sent_at > since]
+    return Served(sum(g.status == 200 for g in found), len(found))
+
+
+async def play(notes: record.Record) -> tuple[int, str]:
+    """Play the case once."""
+    platform = store.Store()
+    await platform.start(IP)
+    workers = [worker.Worker(name, zone) for name in SERVICES for zone in ZONES]
+    for one in workers:
+        await one.start(IP)
+        one.enter(platform)
+    first = [
+        fleet.route("/avail/", "resv-core"),
+        fleet.route("/rates/", "content-hub"),
+        fleet.route("/push/", "content-hub", "unsafe"),
     ]
-    if not late:
-        return []
-    return [
-        f"DRAIN: {len(late)} requests reached {LEAVING} later than {stage.DRAIN_S} s"
-        f" after the store had taken its leaving, the last after {max(late):.2f} s"
+    platform.put("op/config", fleet.configuration(7, SERVICES, first))
+    machines = fleet.Fleet(platform.address, ZONES, per_zone=2)
+    try:
+        machines.start()
+        if not await machines.until_ready():
+            return record.UNABLE, "the gateways were not ready in time"
+        await asyncio.sleep(2.0)
+        numbers = itertools.count()
+        is_added = False
+
+        def pick() -> tuple[str, str]:
+            number = next(numbers)
+            paths = ["GET /avail/", "GET /avail/", "GET /rates/", "POST /push/"]
+            if is_added:
+                paths.append("POST /quote/")
+            method, prefix = paths[number // 6 % len(paths)].split()
+            return method, f"{prefix}{number}"
+
+        fronts = [gateway.at("front") for gateway in machines.gateways]
+        callers = client.Steady(fronts, 120.0, pick)
+        callers.start()
+        await asyncio.sleep(4.0)
+        target_s = 0 if notes.trouble else 0.6
+        added = fleet.route("/quote/", "content-hub", "unsafe", targetLatencyS=target_s)
+        config = fleet.configuration(9, SERVICES, [*first, added])
+        taken_at = platform.put("op/config", config)
+        notes.note(
+            f"the store has taken version 9; it adds the route /quote/ of content-hub,"
+            f" with targetLatencyS {target_s}",
+            taken_at,
+        )
+        is_added = True
+        await asyncio.sleep(WATCHED_S)
+        await callers.stop()
+    finally:
+        machines.close()
+        for one in workers:
+            one.end()
+    before = [got for got in callers.got if got.sent_at < taken_at]
+    for prefix in ("/avail/", "/rates/", "/push/"):
+        notes.note(f"{prefix} before: {served(before, (prefix,), 0.0)} served")
+    for since_s in (0.0, APPLY_S, WATCHED_S / 2, WATCHED_S - 2.0):
+        since = taken_at + since_s
+        parts = [
+            f"{prefix} {served(callers.got, (prefix,), since)}"
+            for prefix in ("/avail/", "/rates/", "/push/", "/quote/")
+        ]
+        notes.note(f"served from here on: {', '.join(parts)}", since)
+    ran = {a.request_id for one in workers for a in one.arrivals if a.ran}
+    lost = [
+        got
+        for got in callers.got
+        if got.path.startswith("/quote/")
+        and got.request_id in ran
+        and got.status != 200
     ]
+    notes.note(
+        f"{len(lost)} requests on /quote/ ran at a worker, whose answer 200 did not"
+        f" reach the client; statuses instead: {sorted({got.status for got in lost})}"
+    )
+    statuses: dict[int, int] = {}
+    for got in callers.got:
+        statuses[got.status] = statuses.get(got.status, 0) + 1
+    notes.note(f"answers by status (0: none): {dict(sorted(statuses.items()))}")
+    bound_at = taken_at + APPLY_S
+    later = served(callers.got, ("/quote/",), bound_at)
+    earlier = served(callers.got, ("/avail/", "/rates/", "/push/"), bound_at)
+    is_broken = (
+        later.sent >= LEAST_REQUESTS and later.share < LEAST_SHARE * earlier.share
+    )
+    text = (
+        f"{later} requests on the added route were served, {earlier} on the first ones"
+    )
+    return (record.BROKEN if is_broken else record.HELD), text
 
 
 if __name__ == "__main__":
-    stage.main(__file__, play)
+    notes_of_this_run = record.Record(__file__)
+    notes_of_this_run.play(play(notes_of_this_run))
