--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,15 +1,14 @@
 """
-A part of a split route has its weight set to 0, and still gets requests later.
+A route whose ``targetLatencyS`` is 0 is added: its whole service is refused for good.
 
 The claim is in ``claim.txt``. Ends with 1 if the rule was broken, 0 if it held and 2 if
 the case could not run.
 """
 
 import asyncio
+import itertools
 import pathlib
-import random
 import sys
-import time
 import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
@@ -20,98 +19,123 @@
 ZONES = ("hall-a", "hall-b", "hall-c")
 #: ``configApplyS`` of the settings.
 APPLY_S = 2.0
-ROUTES = 10
-#: The parts of each route: services and their weights before and after the change.
-PARTS = {"core-new": (8, 1), "core-old": (8, 0), "core-spare": (2, 3)}
-OLD = "core-old"
-#: Requests on each route at each gateway before the change, and after it.
-BEFORE, AFTER = (5, 40), 6
-
-
-def configuration(version: int, number: int) -> dict[str, typing.Any]:
-    """Return a configuration with the weights of that number."""
-    routes = []
-    for n in range(ROUTES):
-        route = fleet.route(f"/book{n}/", "", "unsafe")
-        del route["service"]
-        route["backends"] = [
-            {"service": name, "weight": weights[number]}
-            for name, weights in PARTS.items()
-        ]
-        routes.append(route)
-    return fleet.configuration(version, list(PARTS), routes)
+SERVICES = ["resv-core", "content-hub"]
+#: Requests on the new route that the rule asks for, and the share that it allows.
+LEAST_REQUESTS, LEAST_SHARE = 20, 0.25
+#: Seconds for which requests go on after the change.
+WATCHED_S = 12.0
+
+
+class Served(typing.NamedTuple):
+    """How many of so many requests got a success."""
+
+    count: int
+    sent: int
 
+    @property
+    def share(self) -> float:
+        """Return the share that was served."""
+        return self.count / max(1, self.sent)
 
-async def send(
-    gateway: fleet.Gateway, number: int, count: int, got: list[client.Got]
-) -> None:
-    """Send requests on one route to one gateway, one after the other."""
-    for n in range(count):
-        path = f"/book{number}/{n}"
-        got.append(await client.once(gateway.at("front"), "POST", path, body=b"x"))
+    def __str__(self) -> str:
+        return f"{self.count} of {self.sent}"
+
+
+def served(
+    got: typing.Iterable[client.Got], prefixes: tuple[str, ...], since: float
+) -> Served:
+    """Count the requests on some routes that were sent after an instant."""
+    found = [g for g in got if g.path.startswith(prefixes) and g.sent_at > since]
+    return Served(sum(g.status == 200 for g in found), len(found))
 
 
 async def play(notes: record.Record) -> tuple[int, str]:
     """Play the case once."""
     platform = store.Store()
     await platform.start(IP)
-    workers = [
-        worker.Worker(name, zone, work_s=0.005) for name in PARTS for zone in ZONES
-    ]
+    workers = [worker.Worker(name, zone) for name in SERVICES for zone in ZONES]
     for one in workers:
         await one.start(IP)
         one.enter(platform)
-    first = 0 if notes.trouble else 1
-    platform.put("op/config", configuration(7, first))
-    weights = {name: pair[first] for name, pair in PARTS.items()}
-    notes.note(f"the store has taken version 7, with weights {weights}")
+    first = [
+        fleet.route("/avail/", "resv-core"),
+        fleet.route("/rates/", "content-hub"),
+        fleet.route("/push/", "content-hub", "unsafe"),
+    ]
+    platform.put("op/config", fleet.configuration(7, SERVICES, first))
     machines = fleet.Fleet(platform.address, ZONES, per_zone=2)
-    before: list[client.Got] = []
-    after: list[client.Got] = []
     try:
         machines.start()
         if not await machines.until_ready():
             return record.UNABLE, "the gateways were not ready in time"
         await asyncio.sleep(2.0)
-        for gateway in machines.gateways:
-            counts = [random.randint(*BEFORE) for _ in range(ROUTES)]
-            await asyncio.gather(
-                *(send(gateway, n, count, before) for n, count in enumerate(counts))
-            )
-        taken_at = platform.put("op/config", configuration(9, 1))
-        weights = {name: pair[1] for name, pair in PARTS.items()}
-        notes.note(f"the store has taken version 9, with weights {weights}", taken_at)
-        await asyncio.sleep(APPLY_S + 1.0)
-        notes.note(f"{time.monotonic() - taken_at:.1f} s later requests begin again")
-        for gateway in machines.gateways:
-            await asyncio.gather(
-                *(send(gateway, n, AFTER, after) for n in range(ROUTES))
-            )
+        numbers = itertools.count()
+        is_added = False
+
+        def pick() -> tuple[str, str]:
+            number = next(numbers)
+            paths = ["GET /avail/", "GET /avail/", "GET /rates/", "POST /push/"]
+            if is_added:
+                paths.append("POST /quote/")
+            method, prefix = paths[number // 6 % len(paths)].split()
+            return method, f"{prefix}{number}"
+
+        fronts = [gateway.at("front") for gateway in machines.gateways]
+        callers = client.Steady(fronts, 120.0, pick)
+        callers.start()
+        await asyncio.sleep(4.0)
+        target_s = 0 if notes.trouble else 0.6
+        added = fleet.route("/quote/", "content-hub", "unsafe", targetLatencyS=target_s)
+        config = fleet.configuration(9, SERVICES, [*first, added])
+        taken_at = platform.put("op/config", config)
+        notes.note(
+            f"the store has taken version 9; it adds the route /quote/ of content-hub,"
+            f" with targetLatencyS {target_s}",
+            taken_at,
+        )
+        is_added = True
+        await asyncio.sleep(WATCHED_S)
+        await callers.stop()
     finally:
         machines.close()
         for one in workers:
             one.end()
-    service_by_id = {
-        arrival.request_id: one.service
-        for one in workers
-        for arrival in one.arrivals
-        if arrival.ran
-    }
-    for name, got in (("before", before), ("after", after)):
-        runs: dict[str, int] = {}
-        for one_got in got:
-            service = service_by_id.get(one_got.request_id, "nowhere")
-            runs[service] = runs.get(service, 0) + 1
-        notes.note(f"{len(got)} requests {name} it ran at {dict(sorted(runs.items()))}")
-    late = [got for got in after if service_by_id.get(got.request_id) == OLD]
-    for got in late:
-        notes.note(
-            f"POST {got.path} as {got.request_id}, sent {got.sent_at - taken_at:.3f} s"
-            f" after version 9 to {got.gateway}, ran at {OLD}",
-            got.sent_at,
-        )
-    text = f"{len(late)} of {len(after)} requests ran at {OLD}, whose weight is 0"
-    return (record.BROKEN if late else record.HELD), text
+    before = [got for got in callers.got if got.sent_at < taken_at]
+    for prefix in ("/avail/", "/rates/", "/push/"):
+        notes.note(f"{prefix} before: {served(before, (prefix,), 0.0)} served")
+    for since_s in (0.0, APPLY_S, WATCHED_S / 2, WATCHED_S - 2.0):
+        since = taken_at + since_s
+        parts = [
+            f"{prefix} {served(callers.got, (prefix,), since)}"
+            for prefix in ("/avail/", "/rates/", "/push/", "/quote/")
+        ]
+        notes.note(f"served from here on: {', '.join(parts)}", since)
+    ran = {a.request_id for one in workers for a in one.arrivals if a.ran}
+    lost = [
+        got
+        for got in callers.got
+        if got.path.startswith("/quote/")
+        and got.request_id in ran
+        and got.status != 200
+    ]
+    notes.note(
+        f"{len(lost)} requests on /quote/ ran at a worker, whose answer 200 did not"
+        f" reach the client; statuses instead: {sorted({got.status for got in lost})}"
+    )
+    statuses: dict[int, int] = {}
+    for got in callers.got:
+        statuses[got.status] = statuses.get(got.status, 0) + 1
+    notes.note(f"answers by status (0: none): {dict(sorted(statuses.items()))}")
+    bound_at = taken_at + APPLY_S
+    later = served(callers.got, ("/quote/",), bound_at)
+    earlier = served(callers.got, ("/avail/", "/rates/", "/push/"), bound_at)
+    is_broken = (
+        later.sent >= LEAST_REQUESTS and later.share < LEAST_SHARE * earlier.share
+    )
+    text = (
+        f"{later} requests on the added route were served, {earlier} on the first ones"
+    )
+    return (record.BROKEN if is_broken else record.HELD), text
 
 
 if __name__ == "__main__":
