--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.." && exec python3 review/9/play.py
+# Plays the case; see claim.txt. TROUBLE=0 leaves the disruption out.
+exec python3 "$(dirname "$0")/play.py"
