Accept late in a planned stop only what it can complete

Cause: stop_schedule accepted requests until 3 s before the limit of the stop, whatever their deadline. The platform tolerates aborts only of requests sent in the first 3 s; the two are the same for a limit of 6 s only. The fixed margin of 0.4 s at the end is more than the tolerated sixth for limits below 2.4 s.

Why this works: after 2.8 s (3 s less the delay of a signal) a request is accepted only if its deadline is before the end, so that none accepted later can be aborted; a property holds this over limits of 1 to 3600 s. What waits for an upstream when listening ends and may outlast the stop is refused as not run. For a limit of 6 s only the time from 2.8 to 3 s changes.

--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -8,12 +8,11 @@
 
 import asyncio
 
-from spindlenotch import clock, events, ids, ports
+from spindlenotch import clock, events, ports
 from spindlenotch.drivers import upstream_http
 from spindlenotch.forwarding import data_path
 from spindlenotch.gateway import (
     dialect,
-    lifecycle,
     limit_report,
     loop_lateness,
     retry_budget_report,
@@ -163,23 +162,25 @@
         Stop gracefully: requests in flight complete, within the limit of a stop.
 
         The directory stops listing this gateway at once, but requests are accepted
-        until callers' cached directory responses that list it have expired. Requests
-        still in flight shortly before the limit are aborted.
+        until callers' cached directory responses that list it have expired; after some
+        seconds only those whose deadline is before the end of the stop. Requests still
+        in flight shortly before the limit are aborted.
         """
         config = self.state.config
         events.emit(events.Event.LEAVING, host=config.host)
-        self.state.leave()
+        schedule = self.state.leave()
         self.membership.announce()
         now = self.state.clock.now
-        schedule = lifecycle.stop_schedule(config.hand_out_s, config.stop_limit_s)
-        end = ids.later(now(), schedule.end_s)
-        await asyncio.sleep(schedule.listen_s)
+        await asyncio.sleep(schedule.listen_until - now())
         self.ingress.stop_listening()
-        while self.ingress.in_flight and now() < end:
+        self.ingress.processor.handover.withdraw_waiting(
+            lambda job: not schedule.outlasts(job.call.deadline)
+        )
+        while self.ingress.in_flight and now() < schedule.end:
             await asyncio.sleep(DRAIN_CHECK_S)
         if self.ingress.in_flight:
             events.emit(events.Event.STOP_FORCED, in_flight=self.ingress.in_flight)
-        await self.ingress.stop(max(MIN_CLOSE_S, end - now()))
+        await self.ingress.stop(max(MIN_CLOSE_S, schedule.end - now()))
         await self.close()
 
     async def close(self) -> None:
--- a/spindlenotch/gateway/serving/handover.py
+++ b/spindlenotch/gateway/serving/handover.py
@@ -76,6 +76,7 @@
             gateway_state, self._offers
         )
         self._job_by_timeout: dict[asyncio.Timeout, jobs.Job] = {}
+        self._reason_by_timeout: dict[asyncio.Timeout, outcomes.Reason] = {}
 
     def is_possible(self, job: jobs.Job) -> bool:
         """Return whether an isolated gateway can hand over a request."""
@@ -123,9 +124,7 @@
 
     @contextlib.asynccontextmanager
     async def interruptible(self, job: jobs.Job) -> abc.AsyncIterator[None]:
-        """
-        Run the body; raise ``WithdrawnError`` when ``interrupt`` withdraws the job.
-        """
+        """Run the body; raise ``WithdrawnError`` when the job is withdrawn."""
         try:
             async with asyncio.timeout(None) as timeout:
                 self._job_by_timeout[timeout] = job
@@ -133,10 +132,11 @@
                     yield
                 finally:
                     del self._job_by_timeout[timeout]
+                    reason = self._reason_by_timeout.pop(timeout, None)
         except TimeoutError:
-            if not timeout.expired():
+            if reason is None or not timeout.expired():
                 raise
-            raise WithdrawnError(_refusal_of_withdrawn(job)) from None
+            raise WithdrawnError(_refusal_of_withdrawn(job, reason)) from None
 
     def interrupt(self) -> None:
         """
@@ -149,14 +149,24 @@
                 continue
             can_repeat = job.call.repeatable and job.is_body_buffered
             if can_repeat or not _was_sent(job):
-                timeout.reschedule(asyncio.get_running_loop().time())
+                self._withdraw(timeout, outcomes.Reason.NO_UPSTREAM)
+
+    def withdraw_waiting(self, is_due: abc.Callable[[jobs.Job], bool]) -> None:
+        """Refuse the requests that have not been sent yet and are due to be."""
+        for timeout, job in self._job_by_timeout.items():
+            if not _was_sent(job) and is_due(job):
+                self._withdraw(timeout, outcomes.Reason.NOT_READY)
+
+    def _withdraw(self, timeout: asyncio.Timeout, reason: outcomes.Reason) -> None:
+        self._reason_by_timeout[timeout] = reason
+        timeout.reschedule(asyncio.get_running_loop().time())
 
 
 def _was_sent(job: jobs.Job) -> bool:
     return job.call.id in job.balancer.attempted_by_call
 
 
-def _refusal_of_withdrawn(job: jobs.Job) -> outcomes.Refusal:
+def _refusal_of_withdrawn(job: jobs.Job, reason: outcomes.Reason) -> outcomes.Refusal:
     if _was_sent(job):
         return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
-    return outcomes.not_run(outcomes.Reason.NO_UPSTREAM)
+    return outcomes.not_run(reason)
--- a/spindlenotch/gateway/serving/request_processing.py
+++ b/spindlenotch/gateway/serving/request_processing.py
@@ -125,6 +125,12 @@
         startup_wait_s: float,
     ) -> pipelining.PendingResponse:
         job = self._jobs.create(request, route, body, startup_wait_s)
+        schedule = self.state.stop_schedule
+        now = self.state.clock.now()
+        if schedule is not None and not schedule.accepts(now, job.call.deadline):
+            return self._refuse(
+                request, job, outcomes.not_run(outcomes.Reason.NOT_READY)
+            )
         self.overload.add_timeout(job.call.deadline - job.call.arrived_at)
         try:
             async with self.state.deadlines.until(job.call.deadline):
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -69,6 +69,7 @@
         self.wakeups = wakeups.Wakeups(self.rng)
         self.metrics = metrics.Metrics()
         self.phase = lifecycle.Phase.STARTING
+        self.stop_schedule: lifecycle.StopSchedule | None = None
         self.started_at = gateway_clock.now()
         self._can_serve = asyncio.Event()
         self.table: routing.RouteTable | None = None
@@ -311,10 +312,15 @@
         """Apply the settings that may change without a restart."""
         self.config = reloading.reloaded(self.config, config)
 
-    def leave(self) -> None:
-        """Begin a planned stop."""
+    def leave(self) -> lifecycle.StopSchedule:
+        """Begin a planned stop; return its schedule."""
+        schedule = lifecycle.stop_schedule(
+            self.clock.now(), self.config.hand_out_s, self.config.stop_limit_s
+        )
+        self.stop_schedule = schedule
         self.phase = lifecycle.Phase.LEAVING
         self.publish_status()
+        return schedule
 
     def publish_status(self) -> None:
         """Update the phase and the version in this gateway's gossip record."""
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -387,17 +387,22 @@
         functions=(
             "gateway/lifecycle.phase_after",
             "gateway/lifecycle.stop_schedule",
+            "gateway/lifecycle.StopSchedule.accepts",
             "gateway/gateway.Gateway.stop",
         ),
         inputs="whether both documents are known, settings `hand_out_s` and"
-        " `stop_limit_s` (s).",
+        " `stop_limit_s` (s), deadlines of requests.",
         reason="Ready with both documents. When stopping it serves on while callers"
-        " may keep its address, then refuses, and ends when what it took has ended.",
+        " may keep its address, soon only what its deadline ends before the stop"
+        " does, then refuses, and ends when what it took has ended.",
         constants=(
             "gateway/lifecycle.ADDRESS_CACHE_FACTOR",
             "gateway/lifecycle.IN_TRANSIT_S",
             "gateway/lifecycle.FINAL_DRAIN_S",
+            "gateway/lifecycle.UNCONDITIONAL_ACCEPT_S",
             "gateway/lifecycle.FORCED_STOP_MARGIN_S",
+            "gateway/lifecycle.MAX_FORCED_STOP_SHARE",
+            "gateway/lifecycle.RESPONSE_S",
         ),
         events=("READY", "LEAVING", "STOP_FORCED", "STOPPED"),
         tests=(
@@ -406,6 +411,10 @@
                 "What comes late in a planned stop on an open connection is refused,"
                 " not cut",
             ),
+            Scenario(
+                "planned_stops",
+                "A stop of 10 s answers what it accepts late, and refuses the rest",
+            ),
             Scenario(
                 "platform",
                 "Callers are told ready gateways, and a stopping one is told no more",
--- a/tools/soak_processes/mutants.py
+++ b/tools/soak_processes/mutants.py
@@ -166,7 +166,7 @@
     mutant_table.Mutant(
         "a planned stop cuts what is in flight",
         "gateway/gateway",
-        "        self.state.leave()\n        self.membership.announce()\n",
+        "        schedule = self.state.leave()\n",
         "        import os\n        os._exit(0)\n",
         held_by="a planned stop cuts nothing",
         steps=("0.1 6 upstreams-treat-badly 132", "1 1 gateway-stopped 2"),
