Take a failed call to the store for an outage only if leases can expire in it

Cause: lease_expiry took any failed call of the last 4 s for an outage in which leases expire, and kept upstreams for 2.2 s from when each vanished. A lease expires three renewals after the last write, so an outage shorter than two renewals (3 s) ends none, and live upstreams are back about 2 s after the store is, not after their entries went.

Why this works: whether leases can have expired follows from how long the store gave no response, which is now measured; the grace ends 2.2 s after the store is back, before it counts as stable again. A reader without an earlier response assumes an outage, as before. The set-up of four existing properties names the end of the outage now, where it named the failed call; their checks are unchanged.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -36,6 +36,11 @@
       | a saturated service learns that it is crowded              |
       | entries that lapse with the store are kept for a while     |
       | entries that leave a sound store are dropped at once       |
+      | a watch that was cut is no outage of the source            |
+      | the first watch after a failed one waits for no change     |
+      | leases that expire in an outage are kept for a while       |
+      | the grace after an outage counts from its end              |
+      | a new reader whose call fails takes it for an outage       |
       | the last slots stay empty where filling them slows work    |
       | callers are sent to the strongest gateways of each zone    |
       | callers are not told of a gateway that died                |
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -151,8 +151,8 @@
 def lapse() -> None:
     found = listing.Listing()
     found.replace([listed(f"w{n}") for n in range(6)], NOW)
-    found.note_fault(NOW)
     back = ids.later(NOW, 1.0)
+    found.note_outage_end(back)
     found.replace([listed("w0")], back)
     assert len(found.specs(NOW)[SERVICE]) == 6
     # Those that live are back about two seconds after the store is.
@@ -169,7 +169,7 @@
     found.remove([ids.UpstreamId("w1")], NOW)
     found.add([listed("w2", "draining")], NOW)
     assert {spec.id for spec in found.specs(NOW)[SERVICE]} == {"w0", "w3", "w4", "w5"}
-    found.note_fault(NOW)
+    found.note_outage_end(NOW)
     # One that vanishes alone after an outage has left.
     found.remove([ids.UpstreamId("w3")], ids.later(NOW, 1.0))
     assert {spec.id for spec in found.specs(NOW)[SERVICE]} == {"w0", "w4", "w5"}
--- a/features/steps/gateway_bad_entries.py
+++ b/features/steps/gateway_bad_entries.py
@@ -104,14 +104,14 @@
 def no_grace() -> None:
     for anew in (True, False):
         playing = store_reading.Reading()
-        playing.state.listing.note_fault(playing.clock.now())
+        playing.state.listing.note_outage_end(playing.clock.now())
         playing.clock.advance(0.5)
         change = playing.read if anew else playing.follow
         change(*(store_reading.item(name, b"odd") for name in store_reading.NAMES))
         assert playing.in_use() == set()
         # Those that only vanish are kept for a while.
         kept = store_reading.Reading()
-        kept.state.listing.note_fault(kept.clock.now())
+        kept.state.listing.note_outage_end(kept.clock.now())
         kept.clock.advance(0.5)
         change = kept.read if anew else kept.follow
         change(
--- a/features/steps/gateway_reborn.py
+++ b/features/steps/gateway_reborn.py
@@ -256,7 +256,7 @@
             if how == "drained":
                 playing.tell(state="draining")
             elif how == "outage":
-                playing.state.listing.note_fault(playing.clock.now())
+                playing.state.listing.note_outage_end(playing.clock.now())
                 playing.follow(
                     *(store_reading.item(n, None) for n in store_reading.NAMES)
                 )
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -41,7 +41,7 @@
         self._retained_zones: frozenset[ids.ZoneName] = frozenset()
         self._next_leave_at = ids.NEVER
         self.lease_by_id: dict[ids.UpstreamId, leases.Lease] = {}
-        self.fault_at = ids.Instant(float("-inf"))
+        self.grace_until = ids.Instant(float("-inf"))
         self.revision = 0
         self.era: int | None = None
         self.withdrawals = withdrawals.Withdrawals()
@@ -64,9 +64,9 @@
             return self.era > era
         return self.revision > revision
 
-    def note_fault(self, now: ids.Instant) -> None:
-        """Record that the source could not be read."""
-        self.fault_at = now
+    def note_outage_end(self, now: ids.Instant) -> None:
+        """Record that the source is back after an outage in which leases may expire."""
+        self.grace_until = ids.later(now, lease_expiry.GRACE_S)
 
     def replace(
         self, listed: abc.Iterable[sources.ListedUpstream], now: ids.Instant
@@ -203,11 +203,11 @@
         ]
         for lease in vanished:
             if not lease_expiry.is_in_outage(
-                lease, vanished, self.lease_by_id.values(), self.fault_at, now
+                lease, vanished, self.lease_by_id.values(), self.grace_until, now
             ):
                 lease.drop_at = now
             elif lease.drop_at == ids.NEVER:
-                lease.drop_at = ids.later(now, lease_expiry.GRACE_S)
+                lease.drop_at = self.grace_until
         self.drop_expired(now)
 
     def drop_expired(self, now: ids.Instant) -> bool:
--- a/spindlenotch/gateway/source/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -9,14 +9,17 @@
 import asyncio
 import typing
 
-from spindlenotch import events
+from spindlenotch import events, ids
 from spindlenotch.gateway import state
-from spindlenotch.gateway.source import sources
+from spindlenotch.gateway.source import lease_expiry, sources
 from spindlenotch.kernel import backoff
 
 #: Maximum time in seconds that a call waits for changes; also the time until a lost
 #: response is noticed. A longer wait needs fewer calls.
 FOLLOW_TIMEOUT_S = 2.4
+#: The same for the first call after a failed one, which shows soon whether the source
+#: is back.
+CHECK_TIMEOUT_S = 0.1
 #: Seconds to wait after a change before the next call, so that changes in quick
 #: succession are fetched together. The number of calls is in docs/CAPACITY.md, "The
 #: gateway on the grown site".
@@ -65,6 +68,8 @@
         self.revision: int | None = None
         self.era: int | None = None
         self.is_unreachable = False
+        self._has_failed = False
+        self._responded_at = ids.Instant(float("-inf"))
         self._backoff = backoff.Backoff(gateway_state.rng, MIN_BACKOFF_S, MAX_BACKOFF_S)
 
     async def run(self) -> None:
@@ -106,7 +111,7 @@
             # The source has discarded changes since the last revision: read a snapshot.
             self.revision = None
         else:
-            self.state.listing.note_fault(self.state.clock.now())
+            self._has_failed = True
             self._report(is_unreachable=True, reason=fault.value)
             await asyncio.sleep(self._backoff.next())
 
@@ -122,6 +127,7 @@
         snapshot = await self.source.read()
         if isinstance(snapshot, sources.SourceFault):
             return snapshot
+        self._note_response()
         self.revision = snapshot.revision
         self.era = snapshot.era
         # Only if a peer's list was applied during the call: otherwise a lower revision
@@ -136,9 +142,11 @@
 
     async def _follow(self, after: int) -> sources.SourceFault | None:
         self.state.metrics.store_calls.labels("follow").inc()
-        changes = await self.source.follow(after, FOLLOW_TIMEOUT_S)
+        wait_s = CHECK_TIMEOUT_S if self._has_failed else FOLLOW_TIMEOUT_S
+        changes = await self.source.follow(after, wait_s)
         if isinstance(changes, sources.SourceFault):
             return changes
+        self._note_response()
         if changes.era != self.era:
             # The source was restored: changes up to revision ``after`` would be missed.
             return sources.SourceFault.HISTORY_GONE
@@ -148,6 +156,19 @@
             await asyncio.sleep(BATCH_WINDOW_S)
         return None
 
+    def _note_response(self) -> None:
+        """
+        Record a response of the source, and whether it ends an outage.
+
+        A reader that has had none before can't tell how long the source was away.
+        """
+        now = self.state.clock.now()
+        silent_s = now - self._responded_at
+        if self._has_failed and silent_s >= lease_expiry.MIN_OUTAGE_S:
+            self.state.listing.note_outage_end(now)
+        self._has_failed = False
+        self._responded_at = now
+
     def _report(self, *, is_unreachable: bool, reason: str) -> None:
         """Log when the source becomes unreachable or reachable again."""
         if is_unreachable == self.is_unreachable:
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -264,12 +264,13 @@
             "gateway/source/listing.Listing.remove",
             "gateway/source/lease_expiry.is_in_outage",
         ),
-        inputs="when the store last failed (instant), the share that vanished"
-        " at once, state in the list.",
+        inputs="when the store was back after an outage (instant), how long it was away"
+        " (s), the share that vanished at once, state in the list.",
         reason="Leases that expire together right after the store was out of reach more"
-        " likely expired in its outage than by a stop of the upstreams.",
+        " likely expired in its outage than by a stop of the upstreams. One failed call"
+        " is no outage: no lease expires in so short a time.",
         constants=(
-            "gateway/source/lease_expiry.OUTAGE_WINDOW_S",
+            "gateway/source/lease_expiry.MIN_OUTAGE_S",
             "gateway/source/lease_expiry.GRACE_S",
             "gateway/source/lease_expiry.MASS_EXPIRY_SHARE",
         ),
@@ -279,6 +280,8 @@
                 "gateway", "entries that lapse with the store are kept for a while"
             ),
             Scenario("gateway", "entries that leave a sound store are dropped at once"),
+            Scenario("gateway", "a watch that was cut is no outage of the source"),
+            Scenario("gateway", "the grace after an outage counts from its end"),
         ),
     ),
     Rule(
