Let a settled list of upstreams replace one of the same revision that retains more

Cause: the version of a list was the store's revision, while a reader may retain upstreams that the store does not list: those in their grace period, and after a restore withheld ones, zones and orders. The next reader offered the right list under the version that everyone held already, and nothing replaced the wrong one until the store changed.

Why this works: of the 256 versions of a revision, settled lists have the upper half, so that equal versions mean equal content and a settled list always wins. grace_s in a list lets each gateway end a grace period without a reader, and lets a gateway that starts to read keep to it; the settled list of a gateway that has seen no outage would otherwise end it for all. The revision is the version divided by 256 as before; earlier releases ignore grace_s.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -68,6 +68,11 @@
       | the first reading begins when the wait for a peer ends     |
       | a fleet that starts has one reader a zone                  |
       | only who reads the source passes news on at once           |
+      | the next reader's list replaces one that retains upstreams |
+      | peers end the grace of retained upstreams by themselves    |
+      | a reader that starts after an outage ends no grace early   |
+      | the list after the grace is settled and of its revision    |
+      | gateways of earlier releases read lists with grace         |
       | lists are ordered by era, then by version within it        |
       | peers accept the list of a restored source                 |
       | a list of an earlier era does not overtake a snapshot      |
--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -58,6 +58,7 @@
     "ListedUpstream.version": "upstreams-added-2.json",
     "ListedUpstream.born": "upstreams-added-2.json",
     "ListedUpstream.rollout": "upstreams-added-2.json",
+    "ListedUpstream.grace_s": "upstreams-added-4.json",
     "Message.rollout_phases": "gossip-added-4.msgpack.hex",
     "Message.evidence": "gossip-added-4.msgpack.hex",
     "Message.crashes": "gossip-added-5.msgpack.hex",
--- a/features/support/recorded_gateway.py
+++ b/features/support/recorded_gateway.py
@@ -163,6 +163,17 @@
     )
 
 
+#: The remaining grace period in the sample that contains one, in seconds.
+GRACE_S = 1.25
+
+
+def listed_in_grace() -> tuple[sources.ListedUpstream, ...]:
+    """Return that list with upstreams whose leases have expired."""
+    return tuple(
+        msgspec.structs.replace(one, grace_s=GRACE_S) for one in listed_with_era()
+    )
+
+
 def rollout_mark() -> sources.RolloutAnnotation:
     """Return what is told of an order to change the version of "core"."""
     core, target = ids.ServiceName("core"), ids.SoftwareVersion("v2")
--- a/features/support/recorded_peers.py
+++ b/features/support/recorded_peers.py
@@ -50,8 +50,14 @@
     )
 
 
-def handed_out_last(kind: documents.DocumentKind, era: int | None = None) -> bytes:
-    """Return the same with what the earlier records do not hold."""
+def handed_out_last(
+    kind: documents.DocumentKind, era: int | None = None, grace_s: float | None = None
+) -> bytes:
+    """
+    Return the same with what the earlier records do not hold.
+
+    With ``grace_s``, the leases of all upstreams have expired.
+    """
     by_id = {
         one.id: msgspec.structs.replace(plain, version=one.version, born=one.born)
         for one, plain in zip(
@@ -72,15 +78,23 @@
             status_by_service={mark.status.service: mark.status},
             era=era,
         ),
+        grace_s,
     )
 
 
-def published(kind: documents.DocumentKind, snapshot: sources.Snapshot) -> bytes:
+def published(
+    kind: documents.DocumentKind,
+    snapshot: sources.Snapshot,
+    grace_s: float | None = None,
+) -> bytes:
     """Return the document that a gateway hands out of what it read."""
 
     async def publish() -> bytes:
         state, passing = recorded_gateway.gateway()
         state.apply_snapshot(snapshot)
+        if grace_s is not None:
+            for lease in state.listing.lease_by_id.values():
+                lease.drop_at = ids.later(state.clock.now(), grace_s)
         passing.publish(5)
         return passing.link.on_frame(recorded_messages.frame(kind, b"")).body
 
@@ -227,6 +241,16 @@
             lambda data: taken_in(hosts_kind, data),
             strangers="passed over",
         ),
+        Sample(
+            "upstreams-added-4.json",
+            "json",
+            recorded_gateway.listed_in_grace(),
+            lambda: handed_out_last(
+                hosts_kind, recorded_gateway.ERA, recorded_gateway.GRACE_S
+            ),
+            lambda data: taken_in(hosts_kind, data),
+            strangers="passed over",
+        ),
         Sample(
             "configuration-added.json",
             "json",
--- a/spindlenotch/gateway/rollout/orders.py
+++ b/spindlenotch/gateway/rollout/orders.py
@@ -92,6 +92,11 @@
             self._set_order(service, None, now)
         return bool(due)
 
+    @property
+    def is_retaining(self) -> bool:
+        """Return whether orders that a restored source lacks are kept for a while."""
+        return bool(self._drop_at_by_service)
+
     def written(self, status: sources.RolloutStatus) -> None:
         """Record a status that this gateway has written."""
         known = self.status_by_service.get(status.service)
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -87,7 +87,8 @@
         """
         Replace the known upstreams by a peer's full list.
 
-        The peer has applied the rule on expired leases already.
+        The peer has applied the rule on expired leases already; ``grace_s`` tells which
+        upstreams it keeps although their leases have expired, and for how long.
         """
         listed_by_id = {
             upstream.id: leases.with_known_start(
@@ -110,13 +111,29 @@
             ],
             now,
         )
+        drop_at_by_id = {
+            entry.id: ids.later(now, entry.grace_s)
+            for entry in listed_by_id.values()
+            if entry.grace_s > 0.0
+        }
+        for upstream_id in drop_at_by_id:
+            listed_by_id[upstream_id] = msgspec.structs.replace(
+                listed_by_id[upstream_id], grace_s=sources.NO_GRACE_S
+            )
+            known = self.lease_by_id.get(upstream_id)
+            if known is not None:
+                drop_at_by_id[upstream_id] = min(
+                    known.drop_at, drop_at_by_id[upstream_id]
+                )
         self.add(listed_by_id.values(), now)
+        for upstream_id, drop_at in drop_at_by_id.items():
+            self.lease_by_id[upstream_id].drop_at = drop_at
         for lease in self.lease_by_id.values():
             # Peers of earlier releases omit the start.
             lease.is_start_known = lease.listed.born is not None
 
     def listed(self, now: ids.Instant) -> tuple[sources.ListedUpstream, ...]:
-        """Return the full list for a peer; ``cold_s`` counts from ``now``."""
+        """Return the full list for a peer; its durations count from ``now``."""
         return tuple(self._for_peer(lease, now) for lease in self.lease_by_id.values())
 
     def evacuate(self, zones: frozenset[ids.ZoneName], now: ids.Instant) -> None:
@@ -180,6 +197,12 @@
         self._schedule_leaving(now)
         return True
 
+    def is_settled(self, now: ids.Instant) -> bool:
+        """Tell whether the list for peers holds just what the source lists."""
+        if self._retained_zones or self.withdrawals.is_withholding(now):
+            return False
+        return all(lease.drop_at == ids.NEVER for lease in self.lease_by_id.values())
+
     def add(
         self, listed: abc.Iterable[sources.ListedUpstream], now: ids.Instant
     ) -> None:
@@ -202,11 +225,14 @@
             if upstream_id in self.lease_by_id
         ]
         for lease in vanished:
+            if lease.drop_at != ids.NEVER:
+                # It is in its grace period, perhaps by a peer's list.
+                continue
             if not lease_expiry.is_in_outage(
                 lease, vanished, self.lease_by_id.values(), self.grace_until, now
             ):
                 lease.drop_at = now
-            elif lease.drop_at == ids.NEVER:
+            else:
                 lease.drop_at = self.grace_until
         self.drop_expired(now)
 
@@ -292,6 +318,9 @@
         listed = msgspec.structs.replace(
             lease.listed, cold_s=max(0.0, lease.spec.warming_up_until - now)
         )
+        if lease.drop_at != ids.NEVER:
+            grace_s = max(0.0, lease.drop_at - now)
+            listed = msgspec.structs.replace(listed, grace_s=grace_s)
         if self.withdrawals.is_withheld(lease.listed, now):
             return msgspec.structs.replace(listed, state=sources.UpstreamState.DRAINING)
         is_ready = listed.state is sources.UpstreamState.READY
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -38,6 +38,10 @@
 #: Number of list versions reserved for each revision of the source: leases that expire
 #: between two revisions change the list too.
 EXPIRIES_PER_REVISION = 256
+#: Offset among these versions of a settled list, which holds what the source lists and
+#: nothing else. Lists that retain more have lower ones: readers of the same revision
+#: may retain different upstreams, and the settled list must replace all of those.
+SETTLED_OFFSET = 128
 
 
 class Relay:
@@ -139,6 +143,8 @@
     def publish(self, revision: int, era: int | None = None) -> None:
         """Offer the peers what was read up to ``revision`` of the source."""
         version = revision * EXPIRIES_PER_REVISION
+        if self.state.is_listing_settled:
+            version += SETTLED_OFFSET
         if era is None:
             self._publish(version, None)
         else:
@@ -148,9 +154,20 @@
         """Offer the peers the list after a lease expired without a new revision."""
         held = self.state.fence.held(documents.DocumentKind.HOSTS)
         position = held.position
-        if position is not None:
-            position = documents.SourcePosition(position.era, position.version + 1)
-        self._publish(held.version + 1, position)
+        held_version = held.version if position is None else position.version
+        offset = held_version % EXPIRIES_PER_REVISION
+        next_version = held_version + 1
+        if self.state.is_listing_settled:
+            next_version += max(0, SETTLED_OFFSET - offset - 1)
+        elif offset + 1 >= SETTLED_OFFSET:
+            # The list held is settled, and this gateway's is not.
+            return
+        if position is None:
+            self._publish(next_version, None)
+        else:
+            self._publish(
+                next_version, documents.SourcePosition(position.era, next_version)
+            )
 
     def _publish(
         self, listing_version: int, position: documents.SourcePosition | None
--- a/spindlenotch/gateway/source/sources.py
+++ b/spindlenotch/gateway/source/sources.py
@@ -89,6 +89,11 @@
     status: RolloutStatus | None = None
 
 
+#: Grace period in seconds of an upstream that is listed. Fields are omitted on the wire
+#: if they are the default value itself, not only equal to it.
+NO_GRACE_S = 0.0
+
+
 class ListedUpstream(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     An upstream as the source lists it.
@@ -99,7 +104,9 @@
     start in ms, None if it reports none; the same id with another ``born`` is another
     upstream. ``is_evacuated``: it gets no new work because its zone is evacuated; a
     peer's list gives its state as draining then, so that gateways which do not know
-    this field send no requests to it. ``rollout`` is set only in a peer's list.
+    this field send no requests to it. ``grace_s`` is for how many seconds after the
+    list was made it is kept although its lease has expired; zero if it is listed.
+    ``rollout`` and ``grace_s`` are set only in a peer's list.
     """
 
     id: ids.UpstreamId
@@ -113,6 +120,7 @@
     version: ids.SoftwareVersion = ids.SoftwareVersion("")
     born: int | None = None
     rollout: RolloutAnnotation | None = None
+    grace_s: float = NO_GRACE_S
 
 
 class BadItem(msgspec.Struct, frozen=True):
--- a/spindlenotch/gateway/state.py
+++ b/spindlenotch/gateway/state.py
@@ -272,6 +272,12 @@
         now = self.clock.now()
         return self.rollouts.orders.with_marks(self.listing.listed(now), now)
 
+    @property
+    def is_listing_settled(self) -> bool:
+        """Return whether the list holds just what the source lists."""
+        is_settled = self.listing.is_settled(self.clock.now())
+        return is_settled and not self.rollouts.orders.is_retaining
+
     def apply_rollout_status(self, status: sources.RolloutStatus) -> None:
         """Apply a rollout status that this gateway has written to the source."""
         self.rollouts.orders.written(status)
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -263,6 +263,7 @@
         functions=(
             "gateway/source/listing.Listing.remove",
             "gateway/source/lease_expiry.is_in_outage",
+            "gateway/source/relay.Relay.publish",
         ),
         inputs="when the store was back after an outage (instant), how long it was away"
         " (s), the share that vanished at once, state in the list.",
@@ -273,6 +274,7 @@
             "gateway/source/lease_expiry.MIN_OUTAGE_S",
             "gateway/source/lease_expiry.GRACE_S",
             "gateway/source/lease_expiry.MASS_EXPIRY_SHARE",
+            "gateway/source/relay.SETTLED_OFFSET",
         ),
         events=("UPSTREAM_LEAVING",),
         tests=(
@@ -282,6 +284,9 @@
             Scenario("gateway", "entries that leave a sound store are dropped at once"),
             Scenario("gateway", "a watch that was cut is no outage of the source"),
             Scenario("gateway", "the grace after an outage counts from its end"),
+            Scenario(
+                "gateway", "the next reader's list replaces one that retains upstreams"
+            ),
         ),
     ),
     Rule(
