Serve routes whatever their numbers are, and free slots whatever raises

Cause: the assumed latency of a route is a share of its target, and results are divided by it. The ZeroDivisionError left Balancer.finish before the slot was given back.

Why this works: assumed latencies and estimates stay above zero, so nothing is divided by zero whatever the configuration holds; and a balancer now knows which upstreams hold a call, so that the slot is freed even if recording a result raises (E113), and on every unexpected end of a request. The properties cover 0, the least float and the largest accepted value of each number of a route, a service, a load report and a signal.

--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -35,6 +35,7 @@
     "-added-9",
     "-added-10",
     "-added-11",
+    "-added-12",
 )
 #: Fields that came after the first record, each with the sample that tells it: the
 #: samples recorded before can't hold them.
--- a/features/support/recorded_names.py
+++ b/features/support/recorded_names.py
@@ -22,8 +22,8 @@
 def name_samples() -> list[Sample]:
     """Return the samples of names in logs, metrics, answers and registries."""
     return [
-        *recorded.grown_table("events", recorded_logs.event_rows, 11),
-        *recorded.grown_table("log-fields", recorded_logs.line_fields, 11),
+        *recorded.grown_table("events", recorded_logs.event_rows, 12),
+        *recorded.grown_table("log-fields", recorded_logs.line_fields, 12),
         Sample(
             "log-lines.jsonl",
             "lines",
--- a/spindlenotch/decisions/balancer.py
+++ b/spindlenotch/decisions/balancer.py
@@ -43,8 +43,9 @@
     Decides on the calls of one service in one process.
 
     Invariants: a grant names an upstream that is listed, not leaving and not
-    ejected; a call is never granted twice to the same upstream; a call that may
-    have run is granted again only if it is repeatable; every further grant is
+    ejected; a call is never granted twice to the same upstream; each grant occupies its
+    slot until ``finish`` or ``release``, even if recording its result fails; a call
+    that may have run is granted again only if it is repeatable; every further grant is
     taken from a budget, except those that ``ExtraBudgets.charges_drain_retries``
     exempts. ``split`` is None unless the service is rolling out a version.
     """
@@ -66,6 +67,7 @@
         self.hedges = self.extra.hedges
         self.copies = copy_tracker.CopyTracker(self.extra)
         self.attempted_by_call: dict[ids.CallId, set[ids.UpstreamId]] = {}
+        self._sent_to_by_call: dict[ids.CallId, list[upstreams.Upstream]] = {}
         self._unreached_by_call: collections.Counter[ids.CallId] = collections.Counter()
         self.decisions: collections.deque[verdicts.Decision] = collections.deque(
             maxlen=DECISIONS_KEPT
@@ -104,6 +106,48 @@
         now: ids.Instant,
     ) -> list[verdicts.Settlement]:
         """Record the result of a grant and place waiting calls on the freed slot."""
+        try:
+            self._record(grant, result, report, now)
+        finally:
+            self._free(grant.call.id, grant.upstream, now)
+        return self.settle(now)
+
+    def release(
+        self, call_id: ids.CallId, now: ids.Instant
+    ) -> list[verdicts.Settlement]:
+        """
+        Free the slots of a call's grants that nobody will finish.
+
+        Waiting calls are placed on them. Does nothing if all grants are finished.
+        """
+        if call_id not in self._sent_to_by_call:
+            return []
+        for upstream in list(self._sent_to_by_call[call_id]):
+            self._free(call_id, upstream, now)
+        return self.settle(now)
+
+    def _free(
+        self, call_id: ids.CallId, upstream: upstreams.Upstream, now: ids.Instant
+    ) -> None:
+        """Free the slot of a grant; does nothing if it is free already."""
+        sent_to = self._sent_to_by_call.get(call_id)
+        if sent_to is None or upstream not in sent_to:
+            return
+        if len(sent_to) == 1:
+            del self._sent_to_by_call[call_id]
+        else:
+            sent_to.remove(upstream)
+        self.pool.in_flight -= 1
+        if call_id in upstream.sent_at_by_call:
+            upstream.ended(call_id, upstreams.Result.CANCELLED, 0.0, now)
+
+    def _record(
+        self,
+        grant: verdicts.Grant,
+        result: upstreams.Result,
+        report: upstreams.LoadReport | None,
+        now: ids.Instant,
+    ) -> None:
         upstream = grant.upstream
         answered = result is upstreams.Result.ANSWERED
         took_s = now - grant.sent_at
@@ -127,14 +171,12 @@
         if answered:
             latency_ratio = took_s / expected_s
             self.pool.latency_ratio.add(min(upstreams.MAX_LATENCY_RATIO, latency_ratio))
-        self.pool.in_flight -= 1
         self.pool.completions.add(now)
         if self.split is None or not self.split.is_canary(upstream):
             # Otherwise seven failures in a row of a canary version would stop all
             # retries of the service.
             self.pool.record_service_result(result)
         self.pool.record_result(upstream, grant.call.latency_key, result, took_s, now)
-        return self.settle(now)
 
     def _record_contention(
         self, grant: verdicts.Grant, report: upstreams.LoadReport, latency_ratio: float
@@ -353,10 +395,11 @@
             return None
         upstream = choice.upstream
         load = self.pool.estimated_load(upstream, now) + 1
-        self.attempted_by_call.setdefault(call.id, set()).add(upstream.spec.id)
-        upstream.sent(call.id, now)
         slowdown = upstream.slowdown(now)
+        self.attempted_by_call.setdefault(call.id, set()).add(upstream.spec.id)
+        self._sent_to_by_call.setdefault(call.id, []).append(upstream)
         self.pool.in_flight += 1
+        upstream.sent(call.id, now)
         self.decisions.append(
             verdicts.Decision(
                 at=now,
--- a/spindlenotch/decisions/start_limit.py
+++ b/spindlenotch/decisions/start_limit.py
@@ -14,6 +14,8 @@
 #: Share of the target for which a request may wait that can't meet it any more. Short,
 #: so that its caller learns soon that there is no room, and retries when there is.
 LATE_WAIT_SHARE = 0.2
+#: Minimum of that wait in seconds, for targets too short to be met at all.
+MIN_LATE_WAIT_S = 0.02
 #: Seconds for which a request may wait if its route has no target.
 WAIT_WITHOUT_TARGET_S = 0.1
 #: Seconds allowed for an answer to reach its caller: a one-way delay of some
@@ -65,4 +67,5 @@
     used_s = age_s + typical_s + RESPONSE_TRANSIT_S
     if used_s < target_s:
         return StartLimit(ids.later(now, target_s - used_s), late=False)
-    return StartLimit(ids.later(now, LATE_WAIT_SHARE * target_s), late=True)
+    wait_s = max(MIN_LATE_WAIT_S, LATE_WAIT_SHARE * target_s)
+    return StartLimit(ids.later(now, wait_s), late=True)
--- a/spindlenotch/events.py
+++ b/spindlenotch/events.py
@@ -67,6 +67,12 @@
         "the event loop was late; ran_s is the processor time used meanwhile",
         "if it used little of that time, find out what keeps it from running",
     )
+    INTERNAL_ERROR = CatalogueRow(
+        113,
+        "ERROR",
+        "recording the result of a request failed; the request is not affected",
+        "report the error",
+    )
     OVERLOADED = CatalogueRow(
         111,
         "WARNING",
--- a/spindlenotch/forwarding/data_path.py
+++ b/spindlenotch/forwarding/data_path.py
@@ -73,6 +73,10 @@
         finally:
             self.forget(job)
 
+    def release(self, job: jobs.Job) -> None:
+        """Return the upstream slots of a request that failed unexpectedly."""
+        self._grants.release(job)
+
     def forget(self, job: jobs.Job) -> None:
         """Drop the state that is kept for further attempts of a request."""
         job.balancer.forget(job.call.id)
@@ -100,6 +104,9 @@
                 self._grants.finish(job, verdict, upstreams.Result.CANCELLED, None)
                 return refusal
             return await self._attempts(job).run(verdict)
+        except Exception:
+            self._grants.release(job)
+            raise
         finally:
             self._trials.end_trial(job)
 
@@ -117,6 +124,9 @@
             if grant is None:
                 return outcomes.unknown(outcomes.Reason.CONNECTION_LOST)
             return await self._attempts(job).run(grant)
+        except Exception:
+            self._grants.release(job)
+            raise
         finally:
             self._trials.end_trial(job)
 
--- a/spindlenotch/forwarding/granting.py
+++ b/spindlenotch/forwarding/granting.py
@@ -9,7 +9,7 @@
 import typing
 from collections import abc
 
-from spindlenotch import clock, ids
+from spindlenotch import clock, events, ids
 from spindlenotch.decisions import balancer, verdicts
 from spindlenotch.forwarding import crash_watch, jobs
 from spindlenotch.kernel import outcomes, upstreams
@@ -80,7 +80,26 @@
         """Return a grant with its result; the slot may go to a waiting call."""
         now = self.state.clock.now()
         self.crash_detector.snapshots.drop(grant)
-        self._settle(job.balancer.finish(grant, result, report, now))
+        try:
+            settlements = job.balancer.finish(grant, result, report, now)
+        except Exception as error:
+            # The slot is free. The request still gets the response of its upstream,
+            # which may have run it.
+            self._report(job, grant, error)
+            settlements = job.balancer.settle(now)
+        self._settle(settlements)
+
+    def release(self, job: jobs.Job) -> None:
+        """Return the grants of a request that failed before it finished them."""
+        self._settle(job.balancer.release(job.call.id, self.state.clock.now()))
+
+    def _report(self, job: jobs.Job, grant: verdicts.Grant, error: Exception) -> None:
+        events.emit(
+            events.Event.INTERNAL_ERROR,
+            service=job.balancer.service.name,
+            upstream=grant.upstream.spec.id,
+            error=repr(error),
+        )
 
     def _settle(self, settlements: list[verdicts.Settlement]) -> None:
         for settlement in settlements:
--- a/spindlenotch/gateway/service_defaults.py
+++ b/spindlenotch/gateway/service_defaults.py
@@ -16,6 +16,10 @@
 #: Assumed typical latency of a route's requests until one has completed, as a share of
 #: the route's latency target.
 TYPICAL_SHARE_OF_TARGET = 0.35
+#: Minimum and maximum of that latency in seconds, for targets that tell nothing of how
+#: long requests take.
+MIN_TYPICAL_S = 0.001
+MAX_TYPICAL_S = 60.0
 #: Assumed typical latency of a service, and of a route without a latency target, in
 #: seconds.
 DEFAULT_TYPICAL_S = 0.1
@@ -45,7 +49,8 @@
     """Return the assumed typical latency of a route's requests, in seconds."""
     if route.target_s is None:
         return DEFAULT_TYPICAL_S
-    return TYPICAL_SHARE_OF_TARGET * route.target_s
+    typical_s = TYPICAL_SHARE_OF_TARGET * route.target_s
+    return min(MAX_TYPICAL_S, max(MIN_TYPICAL_S, typical_s))
 
 
 def extra_reserve(
--- a/spindlenotch/gateway/serving/answer_stream.py
+++ b/spindlenotch/gateway/serving/answer_stream.py
@@ -53,10 +53,10 @@
     the caller times out, and aiohttp's connection errors if the caller disconnects.
     """
     exchange = streamed.exchange
-    response = _prepare_head(exchange)
-    if close_connection:
-        response.force_close()
     try:
+        response = _prepare_head(exchange)
+        if close_connection:
+            response.force_close()
         await response.prepare(request)
         await response.write(streamed.received)
         await _copy_remaining(exchange, response)
--- a/spindlenotch/gateway/serving/request_processing.py
+++ b/spindlenotch/gateway/serving/request_processing.py
@@ -137,6 +137,9 @@
                 response = await self._respond(request, job)
         except TimeoutError:
             return self._fail(request, job, outcomes.Reason.DEADLINE_PASSED)
+        except Exception:
+            self.path.release(job)
+            raise
         finally:
             self.path.forget(job)
         if isinstance(response, outcomes.Refusal):
--- a/spindlenotch/kernel/latency_table.py
+++ b/spindlenotch/kernel/latency_table.py
@@ -18,6 +18,8 @@
 KEY_WEIGHT = 0.05
 #: Quantile of the latency above which a call counts as slow: 95 in 100 are faster.
 SLOW_QUANTILE = 0.95
+#: Minimum of a latency in seconds, so that estimates can be divided by.
+MIN_LATENCY_S = 1e-6
 #: Initial estimate of that quantile, as a multiple of the typical latency.
 SLOW_FACTOR = 3.0
 
@@ -34,10 +36,12 @@
     Estimates by latency key, and one over all calls.
 
     For a key that is not tracked, the estimate over all calls is used.
+
+    Invariant: all estimates are above zero.
     """
 
     def __init__(self, typical_s: float, keys: abc.Iterable[str]) -> None:
-        self.overall = latency.Mean(typical_s, OVERALL_WEIGHT)
+        self.overall = latency.Mean(max(MIN_LATENCY_S, typical_s), OVERALL_WEIGHT)
         self.latency_by_key: dict[str, KeyLatency] = {}
         for key in keys:
             self.track(key, typical_s)
@@ -45,6 +49,7 @@
     def track(self, key: str, typical_s: float) -> None:
         """Start to track a kind of call; do nothing if it is tracked already."""
         if key not in self.latency_by_key:
+            typical_s = max(MIN_LATENCY_S, typical_s)
             self.latency_by_key[key] = KeyLatency(
                 latency.Mean(typical_s, KEY_WEIGHT),
                 latency.QuantileTracker(SLOW_QUANTILE, typical_s * SLOW_FACTOR),
@@ -64,6 +69,7 @@
 
     def add(self, key: str, took_s: float) -> None:
         """Update the estimates with the latency of one answer."""
+        took_s = max(MIN_LATENCY_S, took_s)
         self.overall.add(took_s)
         known = self.latency_by_key.get(key)
         if known is not None:
--- a/tools/decision_table.py
+++ b/tools/decision_table.py
@@ -235,6 +235,7 @@
         " refused as soon as it can't make its deadline, or its target.",
         constants=(
             "decisions/start_limit.LATE_WAIT_SHARE",
+            "decisions/start_limit.MIN_LATE_WAIT_S",
             "decisions/start_limit.WAIT_WITHOUT_TARGET_S",
             "decisions/start_limit.RESPONSE_TRANSIT_S",
             "gateway/serving/caller_age.BUCKET_RATIO",
