--- a/spindlenotch/gateway/cluster/fleet.py
+++ b/spindlenotch/gateway/cluster/fleet.py
@@ -46,6 +46,11 @@
         """Return the number of gateways in view, including those that are starting."""
         return len(self.ready) + len(self.starting)
 
+    @functools.cached_property
+    def zones(self) -> frozenset[ids.ZoneName]:
+        """Return the zones of all gateways in view."""
+        return frozenset(record.zone for record in (*self.ready, *self.starting))
+
     @functools.cached_property
     def standby_by_zone(self) -> duties.HostsByZone:
         """Return the gateways of each zone that are eligible for its duties."""
@@ -200,6 +205,25 @@
                 self._readers = view.region_readers(self.state.region)
         return self._readers
 
+    def first_readers(self) -> list[ids.HostId]:
+        """Return the most preferred reader of each other zone of this region."""
+        if self.state.links is not None:
+            return []
+        view = self.view()
+        return [
+            host
+            for zone in view.zones
+            if zone != self.state.config.zone
+            for host in view.readers(zone)[:1]
+        ]
+
+    def reader_slot(self) -> tuple[int, int]:
+        """Return this zone's number among those with a reader, and their count."""
+        if self.state.links is not None:
+            return 0, 1
+        zones = sorted({self.state.config.zone, *self.view().zones})
+        return zones.index(self.state.config.zone), len(zones)
+
     def shares_reader(self, zone: ids.ZoneName) -> bool:
         """Tell whether the reader of this gateway's zone also reads for ``zone``."""
         if self.state.links is None:
--- a/spindlenotch/gateway/source/lease_expiry.py
+++ b/spindlenotch/gateway/source/lease_expiry.py
@@ -13,7 +13,7 @@
 #: Minimum time in seconds without a response of the source, in which calls failed, to
 #: count as an outage. A lease expires three renewals of 1.5 s after the last one, so
 #: not before the source was away for two of them; a long poll that is cut and repeated
-#: takes less (``source_reader.FOLLOW_TIMEOUT_S``).
+#: takes less (``reader_duty.FOLLOW_TIMEOUT_S``).
 MIN_OUTAGE_S = 2.8
 #: Seconds after the source is back for which an upstream whose lease expired in the
 #: outage still gets work. Live ones are listed again about two seconds after that,
--- a/spindlenotch/gateway/source/reader_duty.py
+++ b/spindlenotch/gateway/source/reader_duty.py
@@ -11,6 +11,7 @@
 of each gateway of the zone.
 """
 
+import math
 from collections import abc
 
 import msgspec
@@ -21,6 +22,14 @@
 #: Seconds without a message from a reader after which the next in rank takes over: two
 #: polls (``relay.POLL_PERIOD_S``) went unanswered, as a single answer may be lost.
 READER_TIMEOUT_S = 1.0
+#: Maximum time in seconds that a reader's call waits for changes. A longer wait needs
+#: fewer calls.
+FOLLOW_TIMEOUT_S = 2.4
+#: Seconds within which some reader's call must end. A reader that is cut off from the
+#: source notices only then, and the others read the source themselves no sooner.
+MAX_UNCHECKED_S = 0.9
+#: Minimum wait for changes in seconds, so that calls do not end right after each other.
+MIN_FOLLOW_S = 0.1
 #: Additional seconds that a gateway waits for each rank ahead of it: one read and its
 #: announcement take less than 0.1 s.
 TAKEOVER_STEP_S = 0.2
@@ -61,6 +70,21 @@
     return 2.0 * mean_s * active_set.precedence(local_host)
 
 
+def follow_wait_s(unix_s: float, slot: int, readers: int) -> float:
+    """
+    Return how many seconds the next call of a reader waits for changes.
+
+    The calls of ``readers`` readers end in turns, so that one ends every
+    ``MAX_UNCHECKED_S`` seconds; ``slot`` is this reader's number among them. The turns
+    are derived from the time of day ``unix_s``: if a clock is wrong, some calls end
+    together.
+    """
+    period_s = min(FOLLOW_TIMEOUT_S, MAX_UNCHECKED_S * readers)
+    phase_s = period_s * slot / readers
+    turns = math.ceil((unix_s + MIN_FOLLOW_S - phase_s) / period_s)
+    return min(period_s, turns * period_s + phase_s - unix_s)
+
+
 class _LastMessage(msgspec.Struct, frozen=True):
     """Time of a gateway's last message, and whether that gateway reads the source."""
 
@@ -80,7 +104,10 @@
         self.local_host = local_host
         self._message_by_host: dict[ids.HostId, _LastMessage] = {}
         self._peer_heard_at = ids.Instant(float("-inf"))
-        self._reader_heard_at = started_at
+        # The second one is for gateways that are no candidates: they first have to hear
+        # that the candidates failed.
+        self._takeover_from = ids.later(started_at, READER_TIMEOUT_S)
+        self._fallback_from = self._takeover_from
         self._is_reading = False
         self._poll_count = 0
 
@@ -95,7 +122,7 @@
 
         Other regions may hold newer documents then.
         """
-        return self._is_stale(self._reader_heard_at, now)
+        return now > self._takeover_from
 
     def note_peer(self, now: ids.Instant) -> None:
         """Record a message from any gateway of the fleet."""
@@ -103,11 +130,24 @@
 
     def note_zone_peer(
         self, host: ids.HostId, now: ids.Instant, *, reads: bool
-    ) -> None:
-        """Record a message from a gateway of this zone, and whether it reads."""
+    ) -> bool:
+        """
+        Record a message from a gateway of this zone, and whether it reads.
+
+        Returns whether the only reader no longer reads; the next in rank then takes
+        over at once.
+        """
+        has_read = self._reads(host, now)
         self._message_by_host[host] = _LastMessage(now, reads)
         if reads:
-            self._reader_heard_at = now
+            self._takeover_from = ids.later(now, READER_TIMEOUT_S)
+            self._fallback_from = self._takeover_from
+            return False
+        if not has_read or self._has_reader(now):
+            return False
+        self._takeover_from = now
+        self._fallback_from = ids.later(now, READER_TIMEOUT_S)
+        return True
 
     def must_read(self, order: abc.Sequence[ids.HostId], now: ids.Instant) -> bool:
         """
@@ -149,12 +189,12 @@
             return False
         if self._is_reading:
             return True
-        wait_s = READER_TIMEOUT_S + TAKEOVER_STEP_S * (
-            min(rank, TAKEOVER_CANDIDATES) - 1
-        )
-        if now - self._reader_heard_at <= wait_s:
+        if rank < TAKEOVER_CANDIDATES:
+            return now >= ids.later(self._takeover_from, TAKEOVER_STEP_S * (rank - 1))
+        last_s = TAKEOVER_STEP_S * (TAKEOVER_CANDIDATES - 1)
+        if now < ids.later(self._fallback_from, last_s):
             return False
-        return rank < TAKEOVER_CANDIDATES or not self._have_takeovers_failed(order, now)
+        return not self._have_takeovers_failed(order, now)
 
     def _rank(self, order: abc.Sequence[ids.HostId]) -> int:
         """Return this gateway's index in ``order``, or its length if not in it."""
@@ -173,6 +213,9 @@
         ]
         return len(heard) >= MIN_FAILED_TAKEOVERS
 
+    def _has_reader(self, now: ids.Instant) -> bool:
+        return any(self._reads(host, now) for host in self._message_by_host)
+
     def _reads(self, host: ids.HostId, now: ids.Instant) -> bool:
         heard = self._message_by_host.get(host)
         return heard is not None and heard.reads and not self._is_stale(heard.at, now)
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -72,6 +73,7 @@
         )
         self._announce_rounds = 0
         self._is_announcing = False
+        self._takeover = asyncio.Event()
         self._last_era: int | None = None
         self.election = reader_duty.ReaderElection(
             gateway_state.config.host, self.started_at
@@ -108,6 +110,21 @@
         """Announce to the zone that this gateway reads the source from now on."""
         self._begin_announcing()
 
+    def announce_lost_source(self) -> None:
+        """Announce to the zone that this gateway does not read the source any more."""
+        self.link.send(self.state.gossip.compose(), sorted(self._zone_addresses()))
+
+    def follow_wait_s(self, unix_s: float) -> float:
+        """Return how many seconds to wait for changes, from a time of day on."""
+        return reader_duty.follow_wait_s(unix_s, *self.fleet.reader_slot())
+
+    async def wait_for_takeover(self, limit_s: float) -> None:
+        """Wait ``limit_s`` seconds, or until this gateway takes over as reader."""
+        self._takeover.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._takeover.wait()
+
     def _awaits_first_peer(self) -> bool:
         """
         Tell whether this gateway still waits for a peer before its first read.
@@ -243,11 +260,21 @@
                 self._announce_rounds -= 1
                 targets = set(self.state.gossip.random_targets(probing.FANOUT))
                 targets.update(self._zone_addresses())
+                targets.update(self._other_readers())
                 self.link.send(self.state.gossip.compose(), sorted(targets))
                 await asyncio.sleep(ANNOUNCE_PAUSE_S)
         finally:
             self._is_announcing = False
 
+    def _other_readers(self) -> list[ids.Address]:
+        """Return the addresses of the other zones' first gateways that may read."""
+        known_by_host = self.state.gossip.known_by_host
+        return [
+            known_by_host[host].record.peer_address
+            for host in self.fleet.first_readers()
+            if host in known_by_host
+        ]
+
     def _zone_addresses(self) -> list[ids.Address]:
         return [
             peer.record.peer_address
@@ -265,7 +292,11 @@
         now = self.state.clock.now()
         self.election.note_peer(now)
         if self.fleet.shares_reader(sender.zone):
-            self.election.note_zone_peer(sender.host, now, reads=message.reads_source)
+            is_reader_lost = self.election.note_zone_peer(
+                sender.host, now, reads=message.reads_source
+            )
+            if is_reader_lost and self.must_read():
+                self._takeover.set()
         if not self.state.is_remote(sender.zone) or (
             self.election.lacks_reader(now) and not self.state.reads_source
         ):
--- a/spindlenotch/gateway/source/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -7,19 +7,25 @@
 """
 
 import asyncio
+import contextlib
+import time
 import typing
+from collections import abc
 
 from spindlenotch import events, ids
 from spindlenotch.gateway import state
 from spindlenotch.gateway.source import lease_expiry, sources
 from spindlenotch.kernel import backoff
 
-#: Maximum time in seconds that a call waits for changes; also the time until a lost
-#: response is noticed. A longer wait needs fewer calls.
-FOLLOW_TIMEOUT_S = 2.4
-#: The same for the first call after a failed one, which shows soon whether the source
-#: is back.
+#: Seconds that the first call after a failed one waits for changes; it shows soon
+#: whether the source is back.
 CHECK_TIMEOUT_S = 0.1
+#: Seconds that a full read usually takes at most.
+READ_S = 0.4
+#: Seconds by which a response is late before this gateway stops to count as a reader,
+#: in addition to twice the last delay: a slow source is not an unreachable one.
+OVERDUE_S = 0.3
+DELAY_FACTOR = 2.0
 #: Seconds to wait after a change before the next call, so that changes in quick
 #: succession are fetched together. The number of calls is in docs/CAPACITY.md, "The
 #: gateway on the grown site".
@@ -44,6 +50,15 @@
     def announce_reading(self) -> None:
         """Announce to the zone that this gateway reads the source from now on."""
 
+    async def wait_for_takeover(self, limit_s: float) -> None:
+        """Wait ``limit_s`` seconds, or until this gateway takes over as reader."""
+
+    def announce_lost_source(self) -> None:
+        """Announce to the zone that this gateway does not read the source any more."""
+
+    def follow_wait_s(self, unix_s: float) -> float:
+        """Return how many seconds to wait for changes, from a time of day on."""
+
     def publish(self, revision: int, era: int | None) -> None:
         """Offer the peers what was read up to ``revision`` of the source."""
 
@@ -52,8 +67,9 @@
     """
     Reads one source and follows its changes.
 
-    Invariant: a fault of the source drops nothing that was in force; changes made in
-    the meantime are read when the source is reachable again.
+    Invariants: this gateway counts as a reader only while no response is overdue and
+    at most one call in a row has failed; a fault of the source drops nothing that was
+    in force; changes made in the meantime are read when the source is reachable again.
     """
 
     def __init__(
@@ -70,6 +86,8 @@
         self.is_unreachable = False
         self._has_failed = False
         self._responded_at = ids.Instant(float("-inf"))
+        self._due_at = ids.NEVER
+        self._delay_s = 0.0
         self._backoff = backoff.Backoff(gateway_state.rng, MIN_BACKOFF_S, MAX_BACKOFF_S)
 
     async def run(self) -> None:
@@ -95,22 +113,25 @@
         if 0.0 < start_wait_s < STANDBY_CHECK_S:
             await asyncio.sleep(start_wait_s)
         else:
-            await self.state.wakeups.sleep(STANDBY_CHECK_S)
+            limit_s = self.state.wakeups.delay_s(STANDBY_CHECK_S)
+            await self.publisher.wait_for_takeover(limit_s)
 
     async def _read_or_wait(self) -> None:
         """Make one call to the source; back off if it fails."""
         fault = await self._call()
-        is_starting = fault is None and not self.state.reads_source
-        self.state.reads_source = fault is None
-        if is_starting:
-            self.publisher.announce_reading()
         if fault is None:
+            if not self.state.reads_source:
+                self.state.reads_source = True
+                self.publisher.announce_reading()
             self._backoff.reset()
             self._report(is_unreachable=False, reason="")
         elif fault is sources.SourceFault.HISTORY_GONE:
             # The source has discarded changes since the last revision: read a snapshot.
             self.revision = None
         else:
+            # A call may be cut off at any time; the next one shows more.
+            if self._has_failed:
+                self._note_lost_source()
             self._has_failed = True
             self._report(is_unreachable=True, reason=fault.value)
             await asyncio.sleep(self._backoff.next())
@@ -124,7 +145,8 @@
         self.state.metrics.store_calls.labels("read").inc()
         listing = self.state.listing
         before = (listing.era, listing.revision)
-        snapshot = await self.source.read()
+        with self._expected_within(READ_S):
+            snapshot = await self.source.read()
         if isinstance(snapshot, sources.SourceFault):
             return snapshot
         self._note_response()
@@ -142,8 +164,11 @@
 
     async def _follow(self, after: int) -> sources.SourceFault | None:
         self.state.metrics.store_calls.labels("follow").inc()
-        wait_s = CHECK_TIMEOUT_S if self._has_failed else FOLLOW_TIMEOUT_S
-        changes = await self.source.follow(after, wait_s)
+        wait_s = CHECK_TIMEOUT_S
+        if not self._has_failed:
+            wait_s = self.publisher.follow_wait_s(time.time())
+        with self._expected_within(wait_s):
+            changes = await self.source.follow(after, wait_s)
         if isinstance(changes, sources.SourceFault):
             return changes
         self._note_response()
@@ -156,6 +181,24 @@
             await asyncio.sleep(BATCH_WINDOW_S)
         return None
 
+    @contextlib.contextmanager
+    def _expected_within(self, limit_s: float) -> abc.Iterator[None]:
+        """Stop to count as a reader if the response to a call is overdue."""
+        self._due_at = ids.later(self.state.clock.now(), limit_s)
+        overdue_s = OVERDUE_S + DELAY_FACTOR * self._delay_s
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(limit_s + overdue_s, self._note_lost_source)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+    def _note_lost_source(self) -> None:
+        """Stop to count as a reader, so that the next in rank reads."""
+        if self.state.reads_source:
+            self.state.reads_source = False
+            self.publisher.announce_lost_source()
+
     def _note_response(self) -> None:
         """
         Record a response of the source, and whether it ends an outage.
@@ -163,6 +206,7 @@
         A reader that has had none before can't tell how long the source was away.
         """
         now = self.state.clock.now()
+        self._delay_s = max(0.0, now - self._due_at)
         silent_s = now - self._responded_at
         if self._has_failed and silent_s >= lease_expiry.MIN_OUTAGE_S:
             self.state.listing.note_outage_end(now)
--- a/spindlenotch/gateway/wakeups.py
+++ b/spindlenotch/gateway/wakeups.py
@@ -25,8 +25,12 @@
 
     async def sleep(self, period_s: float) -> None:
         """Sleep until the wake-up instant nearest to ``period_s`` seconds from now."""
+        await asyncio.sleep(self.delay_s(period_s))
+
+    def delay_s(self, period_s: float) -> float:
+        """Return the seconds until the instant nearest to ``period_s`` from now."""
         now_s = asyncio.get_running_loop().time()
-        await asyncio.sleep(self.next_wakeup_s(now_s, period_s) - now_s)
+        return self.next_wakeup_s(now_s, period_s) - now_s
 
     def next_wakeup_s(self, now_s: float, period_s: float) -> float:
         """Return that instant, at least half an interval from now, in seconds."""
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -221,6 +221,7 @@
             "gateway/cluster/duties.is_prober",
             "gateway/source/reader_duty.ReaderElection.must_read",
             "gateway/source/reader_duty.start_wait_s",
+            "gateway/source/reader_duty.follow_wait_s",
             "gateway/source/discovery.DiscoveryWriter.due",
         ),
         inputs="ready gateways by zone, which of them are active, when the zone's"
@@ -230,6 +231,12 @@
         " is heard, the next in the order step in one after the other.",
         constants=(
             "gateway/source/reader_duty.READER_TIMEOUT_S",
+            "gateway/source/reader_duty.FOLLOW_TIMEOUT_S",
+            "gateway/source/reader_duty.MAX_UNCHECKED_S",
+            "gateway/source/reader_duty.MIN_FOLLOW_S",
+            "gateway/source/source_reader.CHECK_TIMEOUT_S",
+            "gateway/source/source_reader.OVERDUE_S",
+            "gateway/source/source_reader.DELAY_FACTOR",
             "gateway/source/reader_duty.TAKEOVER_STEP_S",
             "gateway/source/reader_duty.TAKEOVER_CANDIDATES",
             "gateway/source/reader_duty.MIN_FAILED_TAKEOVERS",
@@ -256,6 +263,11 @@
             ),
             Scenario("gateway", "a probed upstream has one prober with equal views"),
             Scenario("platform", "Few gateways read the store, and the others step in"),
+            Scenario("readers_cut_off", "calls of readers end in turns"),
+            Scenario(
+                "readers_cut_off",
+                "the next in rank reads at once where the reader stops",
+            ),
         ),
     ),
     Rule(
