--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -308,7 +308,7 @@
             return
         try:
             self._apply(document)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             # A peer of another release may encode the document in another form; the
             # one in force is kept.
             reason = f"{document.kind.name}: {error}"
--- a/spindlenotch/gateway/source/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -137,9 +137,15 @@
             await asyncio.sleep(self._backoff.next())
 
     async def _call(self) -> sources.SourceFault | None:
-        if self.revision is None:
-            return await self._read()
-        return await self._follow(self.revision)
+        try:
+            if self.revision is None:
+                return await self._read()
+            return await self._follow(self.revision)
+        except Exception as error:
+            # Following from the same revision would fail in the same way each time.
+            events.emit(events.Event.LOOP_FAILED, error=repr(error))
+            self.revision = None
+            return sources.SourceFault.UNAVAILABLE
 
     async def _read(self) -> sources.SourceFault | None:
         self.state.metrics.store_calls.labels("read").inc()
