Bound interim responses and the bodies that are read whole

Cause: the HTTP library queues interim responses without limit and discards them one after the other; with enough of them the event loop gets to nothing else, deadlines included. Bodies of health checks and of the store were read whole without a limit of their size.

Why this works: the 17th interim response in a row ends the connection before it is queued, in every session that this process opens, so what a peer can make it hold before a final response is bounded; RFC 9110 names no use for more than a few. A body that is read whole ends at 64 KiB or 32 MiB.

--- /dev/null
+++ b/features/steps/hostile_responses.py
@@ -0,0 +1,229 @@
+"""Properties of responses of peers that are broken, or never end."""
+
+import asyncio
+import time
+import typing
+from collections import abc
+from unittest import mock
+
+from features.steps import kernel
+from spindlenotch import ids, ports
+from spindlenotch.drivers import http_client, upstream_http
+from spindlenotch.gateway.source import sources
+from spindlenotch_platform import http_dialect, store_client
+
+REQUEST_ID = "9c41d07be2a35f68"
+STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
+#: Interim responses in one block, and the seconds between two blocks.
+BLOCK = 2000
+BLOCK_EVERY_S = 0.01
+#: Time within which a request to such a peer must have failed, and the longest time for
+#: which others may wait meanwhile, in seconds.
+FAILS_WITHIN_S = 1.0
+LONGEST_PAUSE_S = 0.25
+INTERIM = (
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n",
+)
+HEAD = (
+    "HTTP/1.1 200 OK\r\n"
+    f"X-Spindlenotch-Request-Id: {REQUEST_ID}\r\n"
+    f"X-Spindlenotch-Server-Stamp: {STAMP}\r\n"
+)
+#: Complete responses, by framing.
+RESPONSES = (
+    f"{HEAD}Content-Length: 5\r\n\r\nhello".encode(),
+    f"{HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n".encode(),
+    b"HTTP/1.1 100 Continue\r\n\r\n" + f"{HEAD}Content-Length: 5\r\n\r\nhello".encode(),
+)
+
+Writing = abc.Callable[[asyncio.StreamWriter], abc.Awaitable[None]]
+
+
+class Peer:
+    """A peer that answers each request as ``write`` does."""
+
+    def __init__(self, write: Writing) -> None:
+        self.write = write
+        self.address = ids.Address("")
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> typing.Self:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = ids.Address(f"127.0.0.1:{port}")
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            await self.write(writer)
+            await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+def endless(interim: bytes) -> Writing:
+    """Return how a peer sends interim responses until its connection is closed."""
+
+    async def write(writer: asyncio.StreamWriter) -> None:
+        while not writer.is_closing():
+            writer.write(interim * BLOCK)
+            await writer.drain()
+            await asyncio.sleep(BLOCK_EVERY_S)
+
+    return write
+
+
+def request(address: ids.Address) -> ports.UpstreamRequest:
+    """Return a request to an upstream."""
+    return ports.UpstreamRequest(
+        address=address,
+        method="POST",
+        target="/x",
+        headers=[("X-Spindlenotch-Request-Id", REQUEST_ID)],
+        body=b"x",
+        request_id=REQUEST_ID,
+        needs_new_connection=True,
+        may_send=lambda: True,
+    )
+
+
+def upstream_port() -> upstream_http.HttpUpstreamPort:
+    """Return a port that speaks as the platform's upstreams do."""
+    return upstream_http.HttpUpstreamPort(http_dialect.platform().upstream)
+
+
+async def longest_pause_s(work: abc.Awaitable[object]) -> tuple[object, float]:
+    """Return a result and the longest pause of the loop until it was there."""
+    task = asyncio.ensure_future(work)
+    longest_s = 0.0
+    started_at = time.monotonic()
+    while not task.done():
+        before = time.monotonic()
+        await asyncio.sleep(0.005)
+        longest_s = max(longest_s, time.monotonic() - before)
+        if time.monotonic() - started_at > FAILS_WITHIN_S:
+            task.cancel()
+            raise AssertionError(f"no result within {FAILS_WITHIN_S} s")
+    return task.result(), longest_s
+
+
+# Guards against a peer whose interim responses without end took the process up.
+@kernel.PROPERTIES.register("interim responses without end fail the request soon")
+def endless_interim() -> None:
+    async def play() -> None:
+        for interim in INTERIM:
+            port = upstream_port()
+            async with Peer(endless(interim)) as peer:
+                found, longest_s = await longest_pause_s(
+                    port.send(request(peer.address))
+                )
+            await port.close()
+            assert found is ports.UpstreamFault.CONNECTION_LOST, found
+            assert longest_s < LONGEST_PAUSE_S, longest_s
+
+    asyncio.run(play())
+
+
+@kernel.PROPERTIES.register("interim responses without end fail a health check soon")
+def endless_probe() -> None:
+    async def play() -> None:
+        for interim in INTERIM:
+            port = upstream_port()
+            async with Peer(endless(interim)) as peer:
+                probe = port.probe(peer.address, 5.0, "/health")
+                found, longest_s = await longest_pause_s(probe)
+            await port.close()
+            assert found is ports.UpstreamFault.CONNECTION_LOST, found
+            assert longest_s < LONGEST_PAUSE_S, longest_s
+
+    asyncio.run(play())
+
+
+@kernel.PROPERTIES.register("interim responses without end fail a call of the store")
+def endless_store() -> None:
+    async def play() -> None:
+        for interim in INTERIM:
+            async with Peer(endless(interim)) as peer:
+                client = store_client.StoreClient(f"http://{peer.address}")
+                found, longest_s = await longest_pause_s(client.watch(1, 5.0))
+                await client.close()
+            assert found is sources.SourceFault.UNAVAILABLE, found
+            assert longest_s < LONGEST_PAUSE_S, longest_s
+
+    asyncio.run(play())
+
+
+@kernel.PROPERTIES.register("some interim responses before a final one do no harm")
+def some_interim() -> None:
+    async def play() -> None:
+        count = http_client.MAX_INTERIM_RESPONSES
+
+        async def write(writer: asyncio.StreamWriter) -> None:
+            writer.write(INTERIM[0] * count + RESPONSES[0])
+
+        port = upstream_port()
+        async with Peer(write) as peer:
+            found = await port.send(request(peer.address))
+            assert not isinstance(found, ports.UpstreamFault), found
+            assert await found.chunk() == b"hello"
+        await port.close()
+
+    asyncio.run(play())
+
+
+@kernel.PROPERTIES.register("a response that is cut at any byte is no success")
+def cut_anywhere() -> None:
+    async def play() -> None:
+        port = upstream_port()
+        for response in RESPONSES:
+            for length in range(len(response)):
+
+                async def write(
+                    writer: asyncio.StreamWriter, cut: bytes = response[:length]
+                ) -> None:
+                    writer.write(cut)
+
+                async with Peer(write) as peer:
+                    found = await port.send(request(peer.address))
+                    chunk: object = found
+                    while isinstance(found, upstream_http.HttpAnswer):
+                        chunk = await found.chunk()
+                        if not chunk or isinstance(chunk, ports.UpstreamFault):
+                            break
+                    assert isinstance(chunk, ports.UpstreamFault), response[:length]
+        await port.close()
+
+    asyncio.run(play())
+
+
+@kernel.PROPERTIES.register("a body without end is not read for ever")
+def endless_body() -> None:
+    async def play() -> None:
+        async def write(writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            while not writer.is_closing():
+                writer.write(b"x" * 65536)
+                await writer.drain()
+
+        port = upstream_port()
+        async with Peer(write) as peer:
+            found, _ = await longest_pause_s(port.probe(peer.address, 5.0, "/health"))
+            assert found is ports.UpstreamFault.CONNECTION_LOST
+            client = store_client.StoreClient(f"http://{peer.address}")
+            with mock.patch.object(store_client, "CALL_TIMEOUT_S", 60.0):
+                answer = await client.read_page(None)
+            assert answer is sources.SourceFault.UNAVAILABLE
+            await client.close()
+        await port.close()
+
+    asyncio.run(play())
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 import select
 import socket
 import typing
@@ -15,6 +16,7 @@
 
 import aiohttp
 import aiohttp.client_proto
+import aiohttp.http
 
 from spindlenotch import ids
 
@@ -33,6 +35,16 @@
 USER_TIMEOUT_MS = 1500
 
 
+#: Maximum number of interim responses (RFC 9110, section 15.2) before a final one. A
+#: peer that sends them without end would take the process up.
+MAX_INTERIM_RESPONSES = 16
+SWITCHING_PROTOCOLS = 101
+MIN_FINAL_STATUS = 200
+#: Maximum size of a response that is read as a whole, in bytes, and of one read of it.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+READ_BYTES = 64 * 1024
+
+
 class StaleConnectionError(Exception):
     """Raised before the first byte if a keep-alive connection is unusable."""
 
@@ -74,6 +86,32 @@
     return bool(poll.poll(0))
 
 
+_Response = tuple[aiohttp.http.RawResponseMessage, aiohttp.StreamReader]
+
+
+class BoundedResponseHandler(aiohttp.client_proto.ResponseHandler):
+    """Ends a connection on which too many interim responses arrive in a row."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._interim_responses = 0
+
+    def feed_data(self, data: _Response, size: int = 0) -> None:
+        """Queue a response for whoever waits for it."""
+        status = data[0].code
+        if status >= MIN_FINAL_STATUS or status == SWITCHING_PROTOCOLS:
+            self._interim_responses = 0
+            super().feed_data(data, size)
+            return
+        self._interim_responses += 1
+        if self._interim_responses <= MAX_INTERIM_RESPONSES:
+            super().feed_data(data, size)
+        elif self.transport is not None:
+            error = aiohttp.ClientPayloadError("too many interim responses")
+            self.set_exception(error)
+            self.transport.abort()
+
+
 def new_session(
     *,
     connections: int = DEFAULT_CONNECTIONS,
@@ -99,21 +137,25 @@
     polls would not notice until their timeout. ``timeout`` None is aiohttp's
     default, for sessions whose calls all set their own.
     """
+    connector = aiohttp.TCPConnector(
+        limit=connections,
+        use_dns_cache=caches_addresses,
+        force_close=closes_connections,
+        socket_factory=_new_keepalive_socket if detects_silence else None,
+    )
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=connections,
-            use_dns_cache=caches_addresses,
-            force_close=closes_connections,
-            socket_factory=_new_keepalive_socket if detects_silence else None,
-        ),
+        connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=decompresses,
         timeout=timeout,
         request_class=request_class,
         trace_configs=list(traces),
     )
+    # aiohttp has no public option for this, nor for the next.
+    typing.cast(typing.Any, connector)._factory = functools.partial(
+        BoundedResponseHandler, loop=asyncio.get_running_loop()
+    )
     if not retries_idempotent:
-        # aiohttp has no public option for this.
         session._retry_connection = False
     return session
 
@@ -134,23 +176,40 @@
 
 
 async def read_response(
-    session: aiohttp.ClientSession, method: str, url: str, **options: typing.Any
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    max_bytes: int = MAX_RESPONSE_BYTES,
+    **options: typing.Any,
 ) -> tuple[aiohttp.ClientResponse, bytes]:
     """
     Return the response to a request and its body, over a usable connection.
 
     For sessions of ``CheckedRequest``; ``options`` are those of aiohttp's ``request``,
-    whose errors are raised.
+    whose errors are raised. A body of more than ``max_bytes`` raises
+    ``aiohttp.ClientPayloadError``.
     """
     while True:
         try:
             async with session.request(method, url, **options) as response:
-                return response, await response.read()
+                return response, await _read_body(response, max_bytes)
         except StaleConnectionError:
             # aiohttp has closed the connection, and nothing was sent.
             continue
 
 
+async def _read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    chunks: list[bytes] = []
+    size = 0
+    while chunk := await response.content.read(READ_BYTES):
+        size += len(chunk)
+        if size > max_bytes:
+            response.close()
+            raise aiohttp.ClientPayloadError(f"a body of more than {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 class LazySession:
     """Opens its session at first use, as a session belongs to the running loop."""
 
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -29,6 +29,8 @@
 TIMER_DELAY_TOLERANCE_S = 0.15
 #: Upper bound of a chunk of a body, in bytes.
 CHUNK_BYTES = 64 * 1024
+#: Maximum size of a response to a probe, in bytes.
+MAX_PROBE_BYTES = 64 * 1024
 #: Share of the time for a liveness check in which the connection must be established.
 LIVENESS_CONNECT_SHARE = 0.8
 OK = 200
@@ -177,6 +179,7 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
                 allow_redirects=False,
                 trace_request_ctx=types.SimpleNamespace(may_send=lambda: True),
+                max_bytes=MAX_PROBE_BYTES,
             )
         except (aiohttp.ClientError, OSError, TimeoutError):
             # Callers count every cause as a failed probe.
