Take no host that no resolver takes, and send it nothing

Cause: the form of an address allowed empty and overlong labels, and the driver took the UnicodeError of the resolver for a connection that was lost after sending.

Evidence: "hosts that no resolver takes are refused before sending" failed on the commit before: connection-lost for "..".

Why this works: such an entry is unusable, so its upstream gets no requests at all; where an address comes from elsewhere, the error is raised before connecting and counts as not connected, so that the request goes to another upstream.

Measured: the property holds for six such hosts, and five sound ones are still taken.

--- a/features/hostile_responses.feature
+++ b/features/hostile_responses.feature
@@ -11,3 +11,4 @@
       | some interim responses before a final one do no harm       |
       | a response that is cut at any byte is no success           |
       | a body without end is not read for ever                    |
+      | hosts that no resolver takes are refused before sending    |
--- a/features/steps/hostile_responses.py
+++ b/features/steps/hostile_responses.py
@@ -7,10 +7,11 @@
 from unittest import mock
 
 from features.steps import kernel
+from features.support import store_reading
 from spindlenotch import ids, ports
 from spindlenotch.drivers import http_client, upstream_http
 from spindlenotch.gateway.source import sources
-from spindlenotch_platform import http_dialect, store_client
+from spindlenotch_platform import http_dialect, records, store_client
 
 REQUEST_ID = "9c41d07be2a35f68"
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
@@ -227,3 +228,34 @@
         await port.close()
 
     asyncio.run(play())
+
+
+@kernel.PROPERTIES.register("hosts that no resolver takes are refused before sending")
+def unresolvable() -> None:
+    hosts = ("..", "a..b", "x" * 64, "x" * 200, ".a", "-" * 200)
+
+    async def play() -> None:
+        port = upstream_port()
+        for host in hosts:
+            address = ids.Address(f"{host}:80")
+            found = await port.send(request(address))
+            assert found is ports.UpstreamFault.CONNECT_FAILED, (host, found)
+            probed = await port.probe(address, 1.0, "/health")
+            assert probed is ports.UpstreamFault.CONNECTION_LOST, (host, probed)
+            assert await port.liveness(address, 1.0) is ports.Liveness.REFUSED, host
+        await port.close()
+
+    asyncio.run(play())
+    for host in hosts:
+        entry = store_reading.entry(address=f"{host}:80")
+        found = records.read_upstream("servers/u", platform_json(entry))
+        assert isinstance(found, sources.BadItem), host
+    for host in ("10.0.0.1", "w-1", "a.b.example", "a.", "x" * 63):
+        entry = store_reading.entry(address=f"{host}:80")
+        found = records.read_upstream("servers/u", platform_json(entry))
+        assert isinstance(found, sources.ListedUpstream), host
+
+
+def platform_json(value: object) -> bytes:
+    """Return a value as its writer encodes it."""
+    return store_client.msgspec.json.encode(value)
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -112,8 +112,14 @@
             response = await self._respond(request)
         except _TooLateError:
             return ports.UpstreamFault.TOO_LATE
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            # The only failures that occur before anything was sent.
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            aiohttp.InvalidURL,
+            UnicodeError,
+        ):
+            # The only failures that occur before anything was sent; the last two are of
+            # host names that no resolver takes.
             return ports.UpstreamFault.CONNECT_FAILED
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
             # Whatever the cause, the request may have been executed.
@@ -181,7 +187,7 @@
                 trace_request_ctx=types.SimpleNamespace(may_send=lambda: True),
                 max_bytes=MAX_PROBE_BYTES,
             )
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except (aiohttp.ClientError, OSError, TimeoutError, UnicodeError):
             # Callers count every cause as a failed probe.
             return ports.UpstreamFault.CONNECTION_LOST
         if self.dialect.is_draining(response.status, response.headers):
@@ -210,7 +216,7 @@
             return ports.Liveness.UNCONNECTED
         except TimeoutError:
             return ports.Liveness.SILENT
-        except aiohttp.ClientConnectorError:
+        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL, UnicodeError):
             return ports.Liveness.REFUSED
         except (http_client.StaleConnectionError, aiohttp.ClientError, OSError):
             # Reset or closed.
