Keep the wait of late requests as it was for targets of 0.05 s and more

The minimum of 0.02 s that came with the targets of 0 changed the wait of late requests for targets below 0.1 s; "a request waits for what its target leaves beside its work" failed at 0.05 s. A minimum of 0.01 s leaves that range as it was. The property and extreme_numbers.feature pass.

--- a/spindlenotch/decisions/start_limit.py
+++ b/spindlenotch/decisions/start_limit.py
@@ -15,7 +15,7 @@
 #: so that its caller learns soon that there is no room, and retries when there is.
 LATE_WAIT_SHARE = 0.2
 #: Minimum of that wait in seconds, for targets too short to be met at all.
-MIN_LATE_WAIT_S = 0.02
+MIN_LATE_WAIT_S = 0.01
 #: Seconds for which a request may wait if its route has no target.
 WAIT_WITHOUT_TARGET_S = 0.1
 #: Seconds allowed for an answer to reach its caller: a one-way delay of some
