Return slots that are granted to a request in the moment of its cancellation

Cause: a client that leaves cancels the future on which its request waits; until the task runs, the call stays in the queue and can be granted a slot. That grant was dropped, as its future was done, and nobody returned it. Only a grant that comes before the cancellation was handled.

Why this works: the task that was cancelled runs after both events in either order; it now releases what its call holds in the balancer, whatever became of the future.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -16,3 +16,4 @@
       | only a late request fails as late                          |
       | an answer is whole, too long or cut short by how it ends   |
       | requests are held while a gateway starts, not for long     |
+      | a slot granted to a request that is cancelled is returned  |
--- a/spindlenotch/forwarding/granting.py
+++ b/spindlenotch/forwarding/granting.py
@@ -51,8 +51,9 @@
     """
     The grants of one process.
 
-    Invariants: a waiting request gets exactly one verdict; a grant that arrives
-    together with the cancellation of its request is finished here.
+    Invariants: a waiting request gets exactly one verdict; a grant that is made in the
+    same iteration of the event loop in which its request is cancelled, before or after
+    that, is returned here.
     """
 
     def __init__(
@@ -117,17 +118,13 @@
         try:
             return await future
         except asyncio.CancelledError:
-            self._withdraw(job, future)
+            self._withdraw(job)
             raise
 
-    def _withdraw(self, job: jobs.Job, future: asyncio.Future[Verdict]) -> None:
+    def _withdraw(self, job: jobs.Job) -> None:
         self._future_by_call.pop(job.call.id, None)
         job.balancer.withdraw(job.call.id)
-        # The grant may have arrived in the same iteration of the event loop.
-        if future.done() and not future.cancelled():
-            verdict = future.result()
-            if isinstance(verdict, verdicts.Grant):
-                self.finish(job, verdict, upstreams.Result.CANCELLED, None)
+        self.release(job)
 
     def _schedule_queue_check(self) -> None:
         if self._queue_check is None:
