Pass bodies with a content coding on unchanged

Other codings got 400, invalid gzip 500.

Cause: the HTTP library decompresses bodies of requests by default; it was switched off for responses only.

Why this works: the gateway gets the bytes of the body as they arrive, whatever the header says.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -17,3 +17,4 @@
       | an answer is whole, too long or cut short by how it ends   |
       | requests are held while a gateway starts, not for long     |
       | a slot granted to a request that is cancelled is returned  |
+      | bodies with a content coding are passed on unchanged       |
--- a/spindlenotch/gateway/serving/caller_listener.py
+++ b/spindlenotch/gateway/serving/caller_listener.py
@@ -116,4 +116,6 @@
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_FIELD_BYTES,
             access_log=None,
+            # Upstreams get bodies as callers sent them.
+            auto_decompress=False,
         )
