Count an error while the store's content is applied as a failed call

A gateway that could read the store but not apply what it read went on to speak for its zone: each response cleared the note of the failed call before, so that two never came in a row.

The name of the check whether a request ends within a planned stop says what it does.

--- a/features/odd_items.feature
+++ b/features/odd_items.feature
@@ -20,3 +20,6 @@
   # Guards against a store that is not read any more after one error.
   Scenario: An error while changes are applied is followed by a full read
     Then the property "an error while changes are applied leads to a full read" holds
+
+  Scenario: What is read can't be applied
+    Then the property "a gateway that can't apply what it reads is no reader" holds
--- a/features/steps/odd_items.py
+++ b/features/steps/odd_items.py
@@ -50,6 +50,26 @@
     assert reading.in_use() == {"u1", "u2", "u3"}
 
 
+# Guards against a reader that goes on to speak for its zone while it applies nothing.
+@kernel.PROPERTIES.register("a gateway that can't apply what it reads is no reader")
+def no_reader() -> None:
+    reading = store_reading.Reading()
+    reader = reading.reader(reading.source)
+    asyncio.run(reader._read_or_wait())
+    assert reading.state.reads_source
+    with (
+        mock.patch.object(reading.state, "apply_changes", side_effect=ValueError),
+        mock.patch.object(reading.state, "apply_snapshot", side_effect=ValueError),
+        captured_events.capture() as captured,
+    ):
+        for _ in range(4):
+            asyncio.run(reader._read_or_wait())
+    assert not reading.state.reads_source
+    assert len(captured.of(events.Event.LOOP_FAILED)) == 1
+    asyncio.run(reader._read_or_wait())
+    assert reading.state.reads_source
+
+
 @behave.when('the store holds a deeply nested item under "{key}"')
 def nested_item(context: typing.Any, key: str) -> None:
     fleet_of(context).store.put(key, NESTED)
--- a/spindlenotch/gateway/gateway.py
+++ b/spindlenotch/gateway/gateway.py
@@ -174,7 +174,7 @@
         await asyncio.sleep(schedule.listen_until - now())
         self.ingress.stop_listening()
         self.ingress.processor.handover.withdraw_waiting(
-            lambda job: not schedule.outlasts(job.call.deadline)
+            lambda job: not schedule.covers(job.call.deadline)
         )
         while self.ingress.in_flight and now() < schedule.end:
             await asyncio.sleep(DRAIN_CHECK_S)
--- a/spindlenotch/gateway/lifecycle.py
+++ b/spindlenotch/gateway/lifecycle.py
@@ -58,9 +58,9 @@
 
     def accepts(self, now: ids.Instant, deadline: ids.Instant) -> bool:
         """Return whether a request with this deadline may be sent to an upstream."""
-        return now < self.accept_any_until or self.outlasts(deadline)
+        return now < self.accept_any_until or self.covers(deadline)
 
-    def outlasts(self, deadline: ids.Instant) -> bool:
+    def covers(self, deadline: ids.Instant) -> bool:
         """Return whether a request with this deadline gets its response in the stop."""
         return ids.later(deadline, RESPONSE_S) <= self.end
 
--- a/spindlenotch/gateway/source/source_reader.py
+++ b/spindlenotch/gateway/source/source_reader.py
@@ -123,6 +123,7 @@
             if not self.state.reads_source:
                 self.state.reads_source = True
                 self.publisher.announce_reading()
+            self._has_failed = False
             self._backoff.reset()
             self._report(is_unreachable=False, reason="")
         elif fault is sources.SourceFault.HISTORY_GONE:
@@ -143,7 +144,8 @@
             return await self._follow(self.revision)
         except Exception as error:
             # Following from the same revision would fail in the same way each time.
-            events.emit(events.Event.LOOP_FAILED, error=repr(error))
+            if not self.is_unreachable:
+                events.emit(events.Event.LOOP_FAILED, error=repr(error))
             self.revision = None
             return sources.SourceFault.UNAVAILABLE
 
@@ -216,7 +218,6 @@
         silent_s = now - self._responded_at
         if self._has_failed and silent_s >= lease_expiry.MIN_OUTAGE_S:
             self.state.listing.note_outage_end(now)
-        self._has_failed = False
         self._responded_at = now
 
     def _report(self, *, is_unreachable: bool, reason: str) -> None:
