Send the requests of the planned stops' scenarios in one place

Two steps wrote the same request; the page of decisions says more plainly which requests a stop accepts.

--- a/features/steps/planned_stops.py
+++ b/features/steps/planned_stops.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+import aiohttp
 import behave
 
 from features.steps import kernel
@@ -71,6 +72,23 @@
                 assert schedule.accepts(sent_at, deadline)
 
 
+async def book(
+    fleet: platform_fleet.PlatformFleet, number: int
+) -> platform_fleet.Answer:
+    """Send a request that may run once; status 0: the connection was closed."""
+    try:
+        return await fleet.send(
+            "node-1",
+            f"/book/{number}",
+            f"b{number}",
+            method="POST",
+            body=b"x",
+            deadline_ms=DEADLINE_MS,
+        )
+    except (OSError, aiohttp.ClientError):
+        return platform_fleet.Answer(0, {}, b"")
+
+
 async def start_stopping_gateway(
     context: typing.Any, *, grace_s: float, work_s: float, slots: int
 ) -> None:
@@ -107,18 +125,7 @@
 
     async def send(number: int, after_s: float) -> tuple[float, int]:
         await asyncio.sleep(after_s)
-        try:
-            answer = await fleet.send(
-                "node-1",
-                f"/book/{number}",
-                f"b{number}",
-                method="POST",
-                body=b"x",
-                deadline_ms=DEADLINE_MS,
-            )
-        except (OSError, platform_fleet.aiohttp.ClientError):
-            return after_s, 0
-        return after_s, answer.status
+        return after_s, (await book(fleet, number)).status
 
     async def play() -> list[tuple[float, int]]:
         process.send_signal(signal.SIGTERM)
@@ -157,17 +164,7 @@
     fleet = fleet_of(context)
 
     async def send(number: int) -> tuple[int, float, dict[str, str]]:
-        try:
-            answer = await fleet.send(
-                "node-1",
-                f"/book/{number}",
-                f"b{number}",
-                method="POST",
-                body=b"x",
-                deadline_ms=DEADLINE_MS,
-            )
-        except (OSError, platform_fleet.aiohttp.ClientError):
-            return 0, time.monotonic(), {}
+        answer = await book(fleet, number)
         return answer.status, time.monotonic(), answer.headers
 
     async def play() -> list[tuple[int, float, dict[str, str]]]:
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -413,8 +413,8 @@
         inputs="whether both documents are known, settings `hand_out_s` and"
         " `stop_limit_s` (s), deadlines of requests.",
         reason="Ready with both documents. When stopping it serves on while callers"
-        " may keep its address, soon only what its deadline ends before the stop"
-        " does, then refuses, and ends when what it took has ended.",
+        " may keep its address, soon only requests whose deadline is before its end,"
+        " then refuses, and ends when what it took has ended.",
         constants=(
             "gateway/lifecycle.ADDRESS_CACHE_FACTOR",
             "gateway/lifecycle.IN_TRANSIT_S",
