--- a/features/support/recorded.py
+++ b/features/support/recorded.py
@@ -381,6 +381,18 @@
     return bool(value)
 
 
+class Body:
+    """The body of an answer, which is read in one piece."""
+
+    def __init__(self, answer: "Answer") -> None:
+        self._answer: Answer | None = answer
+
+    async def read(self, size: int) -> bytes:
+        """Return the whole body, then nothing."""
+        answer, self._answer = self._answer, None
+        return b"" if answer is None else await answer.read()
+
+
 class Answer:
     """What a recorded session answers with."""
 
@@ -388,6 +400,7 @@
         self.status = status
         self.headers = headers
         self._body = body
+        self.content = Body(self)
 
     async def __aenter__(self) -> "Answer":
         return self
