Let the one reader of a region poll for 1.8 s

A region's reader notifies all of its gateways itself, so nothing is waited for beyond the overdue response and the takeover: 2.3 s at most, by reading, where its deployments allow 2.5 s or more. The property of the turns covers it.

--- a/features/steps/readers_cut_off.py
+++ b/features/steps/readers_cut_off.py
@@ -150,6 +150,10 @@
             first = min(end - unix_s for number, unix_s, end in ends if number == start)
             # A call that would end at once ends a turn later.
             assert first <= reader_duty.MAX_UNCHECKED_S + reader_duty.MIN_FOLLOW_S
+    for start in range(40):
+        limit_s = reader_duty.MAX_UNCHECKED_IN_REGION_S
+        wait_s = reader_duty.follow_wait_s(1.7e9 + start * 0.37, 0, 1, limit_s)
+        assert 0.0 < wait_s <= limit_s + reader_duty.MIN_FOLLOW_S
 
 
 class HangingSource:
--- a/spindlenotch/gateway/source/reader_duty.py
+++ b/spindlenotch/gateway/source/reader_duty.py
@@ -28,6 +28,9 @@
 #: Seconds within which some reader's call must end. A reader that is cut off from the
 #: source notices only then, and the others read the source themselves no sooner.
 MAX_UNCHECKED_S = 0.9
+#: The same where one reader serves a whole region, all of whose gateways it notifies
+#: itself.
+MAX_UNCHECKED_IN_REGION_S = 1.8
 #: Minimum wait for changes in seconds, so that calls do not end right after each other.
 MIN_FOLLOW_S = 0.1
 #: Additional seconds that a gateway waits for each rank ahead of it: one read and its
@@ -70,16 +73,18 @@
     return 2.0 * mean_s * active_set.precedence(local_host)
 
 
-def follow_wait_s(unix_s: float, slot: int, readers: int) -> float:
+def follow_wait_s(
+    unix_s: float, slot: int, readers: int, max_unchecked_s: float = MAX_UNCHECKED_S
+) -> float:
     """
     Return how many seconds the next call of a reader waits for changes.
 
     The calls of ``readers`` readers end in turns, so that one ends every
-    ``MAX_UNCHECKED_S`` seconds; ``slot`` is this reader's number among them. The turns
+    ``max_unchecked_s`` seconds; ``slot`` is this reader's number among them. The turns
     are derived from the time of day ``unix_s``: if a clock is wrong, some calls end
     together.
     """
-    period_s = min(FOLLOW_TIMEOUT_S, MAX_UNCHECKED_S * readers)
+    period_s = min(FOLLOW_TIMEOUT_S, max_unchecked_s * readers)
     phase_s = period_s * slot / readers
     turns = math.ceil((unix_s + MIN_FOLLOW_S - phase_s) / period_s)
     return min(period_s, turns * period_s + phase_s - unix_s)
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -116,7 +116,11 @@
 
     def follow_wait_s(self, unix_s: float) -> float:
         """Return how many seconds to wait for changes, from a time of day on."""
-        return reader_duty.follow_wait_s(unix_s, *self.fleet.reader_slot())
+        slot, readers = self.fleet.reader_slot()
+        max_unchecked_s = reader_duty.MAX_UNCHECKED_S
+        if self.state.links is not None:
+            max_unchecked_s = reader_duty.MAX_UNCHECKED_IN_REGION_S
+        return reader_duty.follow_wait_s(unix_s, slot, readers, max_unchecked_s)
 
     async def wait_for_takeover(self, limit_s: float) -> None:
         """Wait ``limit_s`` seconds, or until this gateway takes over as reader."""
--- a/tools/fleet_decision_table.py
+++ b/tools/fleet_decision_table.py
@@ -233,6 +233,7 @@
             "gateway/source/reader_duty.READER_TIMEOUT_S",
             "gateway/source/reader_duty.FOLLOW_TIMEOUT_S",
             "gateway/source/reader_duty.MAX_UNCHECKED_S",
+            "gateway/source/reader_duty.MAX_UNCHECKED_IN_REGION_S",
             "gateway/source/reader_duty.MIN_FOLLOW_S",
             "gateway/source/source_reader.CHECK_TIMEOUT_S",
             "gateway/source/source_reader.OVERDUE_S",
