Leave upstreams whose grace is over out of lists, and say versions more plainly

Found when the change was read again: a list made between the end of a grace period and the tick that drops the upstream, 0.2 s at most, named it without grace_s, so that peers took it for one that the source lists. "a list leaves out upstreams whose grace is over" failed before this change.

How the version after an expired lease is chosen, and where a position is made, stand once and are said in versions; the report of an error has its own name. No behaviour else changes.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -72,6 +72,7 @@
       | peers end the grace of retained upstreams by themselves    |
       | a reader that starts after an outage ends no grace early   |
       | the list after the grace is settled and of its revision    |
+      | a list leaves out upstreams whose grace is over            |
       | gateways of earlier releases read lists with grace         |
       | lists are ordered by era, then by version within it        |
       | peers accept the list of a restored source                 |
--- a/features/steps/gateway_settled_lists.py
+++ b/features/steps/gateway_settled_lists.py
@@ -134,6 +134,17 @@
         assert peer.state.listing.revision == REVISION
 
 
+# Guards against an upstream in a list made between the end of its grace and the tick
+# that drops it, which peers took for one that the source lists.
+@kernel.PROPERTIES.register("a list leaves out upstreams whose grace is over")
+def grace_over() -> None:
+    reader, peer = gateway(None), gateway(None)
+    read_after_outage(reader)
+    reader.clock.advance(lease_expiry.GRACE_S + 0.01)
+    receive(peer, publish(reader))
+    assert peer.in_use() == LEFT
+
+
 @kernel.PROPERTIES.register("gateways of earlier releases read lists with grace")
 def read_by_earlier() -> None:
     reader = gateway(None)
--- a/spindlenotch/forwarding/granting.py
+++ b/spindlenotch/forwarding/granting.py
@@ -86,7 +86,7 @@
         except Exception as error:
             # The slot is free. The request still gets the response of its upstream,
             # which may have run it.
-            self._report(job, grant, error)
+            self._report_error(job, grant, error)
             settlements = job.balancer.settle(now)
         self._settle(settlements)
 
@@ -94,7 +94,9 @@
         """Return the grants of a request that failed before it finished them."""
         self._settle(job.balancer.release(job.call.id, self.state.clock.now()))
 
-    def _report(self, job: jobs.Job, grant: verdicts.Grant, error: Exception) -> None:
+    def _report_error(
+        self, job: jobs.Job, grant: verdicts.Grant, error: Exception
+    ) -> None:
         events.emit(
             events.Event.INTERNAL_ERROR,
             service=job.balancer.service.name,
--- a/spindlenotch/gateway/source/listing.py
+++ b/spindlenotch/gateway/source/listing.py
@@ -111,20 +111,14 @@
             ],
             now,
         )
-        drop_at_by_id = {
-            entry.id: ids.later(now, entry.grace_s)
-            for entry in listed_by_id.values()
-            if entry.grace_s > 0.0
-        }
-        for upstream_id in drop_at_by_id:
-            listed_by_id[upstream_id] = msgspec.structs.replace(
-                listed_by_id[upstream_id], grace_s=sources.NO_GRACE_S
+        drop_at_by_id: dict[ids.UpstreamId, ids.Instant] = {}
+        for entry in [one for one in listed_by_id.values() if one.grace_s > 0.0]:
+            known = self.lease_by_id.get(entry.id)
+            known_drop_at = ids.NEVER if known is None else known.drop_at
+            drop_at_by_id[entry.id] = min(known_drop_at, ids.later(now, entry.grace_s))
+            listed_by_id[entry.id] = msgspec.structs.replace(
+                entry, grace_s=sources.NO_GRACE_S
             )
-            known = self.lease_by_id.get(upstream_id)
-            if known is not None:
-                drop_at_by_id[upstream_id] = min(
-                    known.drop_at, drop_at_by_id[upstream_id]
-                )
         self.add(listed_by_id.values(), now)
         for upstream_id, drop_at in drop_at_by_id.items():
             self.lease_by_id[upstream_id].drop_at = drop_at
@@ -134,7 +128,11 @@
 
     def listed(self, now: ids.Instant) -> tuple[sources.ListedUpstream, ...]:
         """Return the full list for a peer; its durations count from ``now``."""
-        return tuple(self._for_peer(lease, now) for lease in self.lease_by_id.values())
+        return tuple(
+            self._for_peer(lease, now)
+            for lease in self.lease_by_id.values()
+            if lease.drop_at > now
+        )
 
     def evacuate(self, zones: frozenset[ids.ZoneName], now: ids.Instant) -> None:
         """
@@ -319,8 +317,7 @@
             lease.listed, cold_s=max(0.0, lease.spec.warming_up_until - now)
         )
         if lease.drop_at != ids.NEVER:
-            grace_s = max(0.0, lease.drop_at - now)
-            listed = msgspec.structs.replace(listed, grace_s=grace_s)
+            listed = msgspec.structs.replace(listed, grace_s=lease.drop_at - now)
         if self.withdrawals.is_withheld(lease.listed, now):
             return msgspec.structs.replace(listed, state=sources.UpstreamState.DRAINING)
         is_ready = listed.state is sources.UpstreamState.READY
--- a/spindlenotch/gateway/source/relay.py
+++ b/spindlenotch/gateway/source/relay.py
@@ -166,33 +166,27 @@
         version = revision * EXPIRIES_PER_REVISION
         if self.state.is_listing_settled:
             version += SETTLED_OFFSET
-        if era is None:
-            self._publish(version, None)
-        else:
-            self._publish(version, documents.SourcePosition(era, version))
+        self._publish(version, era)
 
     def publish_expiry(self) -> None:
         """Offer the peers the list after a lease expired without a new revision."""
         held = self.state.fence.held(documents.DocumentKind.HOSTS)
         position = held.position
         held_version = held.version if position is None else position.version
-        offset = held_version % EXPIRIES_PER_REVISION
+        revision = held_version // EXPIRIES_PER_REVISION
+        settled_version = revision * EXPIRIES_PER_REVISION + SETTLED_OFFSET
         next_version = held_version + 1
         if self.state.is_listing_settled:
-            next_version += max(0, SETTLED_OFFSET - offset - 1)
-        elif offset + 1 >= SETTLED_OFFSET:
+            next_version = max(next_version, settled_version)
+        elif next_version >= settled_version:
             # The list held is settled, and this gateway's is not.
             return
-        if position is None:
-            self._publish(next_version, None)
-        else:
-            self._publish(
-                next_version, documents.SourcePosition(position.era, next_version)
-            )
+        self._publish(next_version, None if position is None else position.era)
 
-    def _publish(
-        self, listing_version: int, position: documents.SourcePosition | None
-    ) -> None:
+    def _publish(self, listing_version: int, era: int | None) -> None:
+        position = None
+        if era is not None:
+            position = documents.SourcePosition(era, listing_version)
         gateway_state = self.state
         if gateway_state.table is not None:
             configuration = gateway_state.table.configuration
