--- a/features/steps/hostile_responses.py
+++ b/features/steps/hostile_responses.py
@@ -2,19 +2,16 @@
 
 import asyncio
 import time
-import typing
 from collections import abc
 from unittest import mock
 
 from features.steps import kernel
-from features.support import store_reading
+from features.support import scripted_peer, store_reading
 from spindlenotch import ids, ports
 from spindlenotch.drivers import http_client, upstream_http
 from spindlenotch.gateway.source import sources
-from spindlenotch_platform import http_dialect, records, store_client
+from spindlenotch_platform import records, store_client
 
-REQUEST_ID = "9c41d07be2a35f68"
-STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 #: Interim responses in one block, and the seconds between two blocks.
 BLOCK = 2000
 BLOCK_EVERY_S = 0.01
@@ -28,8 +25,8 @@
 )
 HEAD = (
     "HTTP/1.1 200 OK\r\n"
-    f"X-Spindlenotch-Request-Id: {REQUEST_ID}\r\n"
-    f"X-Spindlenotch-Server-Stamp: {STAMP}\r\n"
+    f"X-Spindlenotch-Request-Id: {scripted_peer.REQUEST_ID}\r\n"
+    f"X-Spindlenotch-Server-Stamp: {scripted_peer.STAMP}\r\n"
 )
 #: Complete responses, by framing.
 RESPONSES = (
@@ -38,41 +35,8 @@
     b"HTTP/1.1 100 Continue\r\n\r\n" + f"{HEAD}Content-Length: 5\r\n\r\nhello".encode(),
 )
 
-Writing = abc.Callable[[asyncio.StreamWriter], abc.Awaitable[None]]
 
-
-class Peer:
-    """A peer that answers each request as ``write`` does."""
-
-    def __init__(self, write: Writing) -> None:
-        self.write = write
-        self.address = ids.Address("")
-        self._server: asyncio.Server | None = None
-
-    async def __aenter__(self) -> typing.Self:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = ids.Address(f"127.0.0.1:{port}")
-        return self
-
-    async def __aexit__(self, *error: object) -> None:
-        assert self._server is not None
-        self._server.close()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            await self.write(writer)
-            await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
-
-def endless(interim: bytes) -> Writing:
+def endless(interim: bytes) -> scripted_peer.Writing:
     """Return how a peer sends interim responses until its connection is closed."""
 
     async def write(writer: asyncio.StreamWriter) -> None:
@@ -84,25 +48,6 @@
     return write
 
 
-def request(address: ids.Address) -> ports.UpstreamRequest:
-    """Return a request to an upstream."""
-    return ports.UpstreamRequest(
-        address=address,
-        method="POST",
-        target="/x",
-        headers=[("X-Spindlenotch-Request-Id", REQUEST_ID)],
-        body=b"x",
-        request_id=REQUEST_ID,
-        needs_new_connection=True,
-        may_send=lambda: True,
-    )
-
-
-def upstream_port() -> upstream_http.HttpUpstreamPort:
-    """Return a port that speaks as the platform's upstreams do."""
-    return upstream_http.HttpUpstreamPort(http_dialect.platform().upstream)
-
-
 async def longest_pause_s(work: abc.Awaitable[object]) -> tuple[object, float]:
     """Return a result and the longest pause of the loop until it was there."""
     task = asyncio.ensure_future(work)
@@ -123,10 +68,10 @@
 def endless_interim() -> None:
     async def play() -> None:
         for interim in INTERIM:
-            port = upstream_port()
-            async with Peer(endless(interim)) as peer:
+            port = scripted_peer.upstream_port()
+            async with scripted_peer.Peer(endless(interim)) as peer:
                 found, longest_s = await longest_pause_s(
-                    port.send(request(peer.address))
+                    port.send(scripted_peer.request(peer.address))
                 )
             await port.close()
             assert found is ports.UpstreamFault.CONNECTION_LOST, found
@@ -139,8 +84,8 @@
 def endless_probe() -> None:
     async def play() -> None:
         for interim in INTERIM:
-            port = upstream_port()
-            async with Peer(endless(interim)) as peer:
+            port = scripted_peer.upstream_port()
+            async with scripted_peer.Peer(endless(interim)) as peer:
                 probe = port.probe(peer.address, 5.0, "/health")
                 found, longest_s = await longest_pause_s(probe)
             await port.close()
@@ -154,7 +99,7 @@
 def endless_store() -> None:
     async def play() -> None:
         for interim in INTERIM:
-            async with Peer(endless(interim)) as peer:
+            async with scripted_peer.Peer(endless(interim)) as peer:
                 client = store_client.StoreClient(f"http://{peer.address}")
                 found, longest_s = await longest_pause_s(client.watch(1, 5.0))
                 await client.close()
@@ -172,9 +117,9 @@
         async def write(writer: asyncio.StreamWriter) -> None:
             writer.write(INTERIM[0] * count + RESPONSES[0])
 
-        port = upstream_port()
-        async with Peer(write) as peer:
-            found = await port.send(request(peer.address))
+        port = scripted_peer.upstream_port()
+        async with scripted_peer.Peer(write) as peer:
+            found = await port.send(scripted_peer.request(peer.address))
             assert not isinstance(found, ports.UpstreamFault), found
             assert await found.chunk() == b"hello"
         await port.close()
@@ -185,7 +130,7 @@
 @kernel.PROPERTIES.register("a response that is cut at any byte is no success")
 def cut_anywhere() -> None:
     async def play() -> None:
-        port = upstream_port()
+        port = scripted_peer.upstream_port()
         for response in RESPONSES:
             for length in range(len(response)):
 
@@ -194,8 +139,8 @@
                 ) -> None:
                     writer.write(cut)
 
-                async with Peer(write) as peer:
-                    found = await port.send(request(peer.address))
+                async with scripted_peer.Peer(write) as peer:
+                    found = await port.send(scripted_peer.request(peer.address))
                     chunk: object = found
                     while isinstance(found, upstream_http.HttpAnswer):
                         chunk = await found.chunk()
@@ -216,8 +161,8 @@
                 writer.write(b"x" * 65536)
                 await writer.drain()
 
-        port = upstream_port()
-        async with Peer(write) as peer:
+        port = scripted_peer.upstream_port()
+        async with scripted_peer.Peer(write) as peer:
             found, _ = await longest_pause_s(port.probe(peer.address, 5.0, "/health"))
             assert found is ports.UpstreamFault.CONNECTION_LOST
             client = store_client.StoreClient(f"http://{peer.address}")
@@ -235,10 +180,10 @@
     hosts = ("..", "a..b", "x" * 64, "x" * 200, ".a", "-" * 200)
 
     async def play() -> None:
-        port = upstream_port()
+        port = scripted_peer.upstream_port()
         for host in hosts:
             address = ids.Address(f"{host}:80")
-            found = await port.send(request(address))
+            found = await port.send(scripted_peer.request(address))
             assert found is ports.UpstreamFault.CONNECT_FAILED, (host, found)
             probed = await port.probe(address, 1.0, "/health")
             assert probed is ports.UpstreamFault.CONNECTION_LOST, (host, probed)
