Take a response with an invalid status line for none

Callers got a status of 000 of an upstream as `HTTP/1.1 0 `, and 001, 099, 600 and above with the upstream's stamp and body; after 101, which nobody had asked for, their connection stayed open without the end of a body. Responses of other protocols and versions (RTSP, ICE, HTTP/0.9, HTTP/2.0) and with control bytes in the reason were passed on.

Cause: the HTTP library's parser accepts any three digits as a status and the names of two other protocols, and skips empty lines before the status line. Nothing in this project checked more, and statuses above 599 passed for errors of the upstream.

Why this works: the handler of connections that all sessions share checks each status line by RFC 9112, section 4, before the parser gets what follows it; lines of interim responses are parsed one at a time, as another status line may follow. So a request, a health check, a hand-over and a call of the store fail as they do on any bytes that are no response: what may be repeated goes to another upstream, the rest gets 502. Statuses of 600 and above are invalid by RFC 9110, section 15, so they are refused too, although three digits fit the grammar.

--- /dev/null
+++ b/features/broken_responses.feature
@@ -0,0 +1,43 @@
+Feature: Responses that are not valid HTTP are no answers
+
+  Scenario Outline: <property>
+    Then the property "<property>" holds
+
+    Examples:
+      | property                                             |
+      | a response with an invalid status line is no answer  |
+      | a valid response is read whole however it is split   |
+      | no reader takes an invalid status line for an answer |
+      | each reader takes a valid response                   |
+
+  Scenario Outline: <what> from one worker is covered for requests that may be repeated
+    Given a platform store with a configuration and 3 workers
+    And 2 gateways
+    And one worker sends "<what>" in place of each second answer
+    When requests GET "/read/x" are sent until the worker has sent some of these
+    Then all of them get status 200 with their own target
+
+    Examples:
+      | what                        |
+      | status 000                  |
+      | status 000 without a reason |
+      | status 101                  |
+      | status 600                  |
+      | another protocol            |
+
+  Scenario Outline: <what> is never an answer to what may run once
+    Given a platform store with a configuration and 3 workers
+    And 1 gateways
+    And all workers send "<what>" in place of their answers
+    When a client sends POST "/book/x" as "booking"
+    Then the client gets status 502
+    And "booking" ran 1 times
+    And the answer bears a stamp only if a worker gave that status
+
+    Examples:
+      | what                        |
+      | status 000                  |
+      | status 000 without a reason |
+      | status 101                  |
+      | status 600                  |
+      | another protocol            |
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -13,11 +13,17 @@
 import struct
 import time
 import typing
+from collections import abc
 
 from features.support import upstream_cuts, worker_records
 
 LOOPBACK = "127.0.0.1"
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
+#: Seconds between two pieces of a scripted answer.
+PIECE_EVERY_S = 0.05
+
+#: From a request's id and the body of its answer to the pieces that are sent instead.
+Script = abc.Callable[[str, bytes], abc.Iterable[bytes] | None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,6 +51,9 @@
     workers of a fleet. ``names_limit`` is the text of the limit that its answers name,
     None where they name none; ``says_leaving`` that by which they say that it leaves.
     While ``asks_rest`` is a text, it turns requests away and asks for so much rest.
+    ``script`` returns the pieces of what it sends for a request's id in place of an
+    answer with this body, None: its own answer; after an empty piece it closes the
+    connection.
     """
 
     def __init__(
@@ -74,6 +83,7 @@
         self.names_limit: str | None = None
         self.says_leaving: str | None = None
         self.asks_rest: str | None = None
+        self.script: Script = _own_answer
         #: The requests that it turned away asking for rest.
         self.rests: list[worker_records.Rest] = []
         self.accepted = 0
@@ -282,6 +292,9 @@
                 await self._reads.wait()
             return False
         await self.cuts.until_it_passes(_ip_of(writer), reader)
+        pieces = self.script(run.request_id, run.target.encode())
+        if pieces is not None:
+            return await _write_pieces(writer, pieces)
         return self._reply(writer, run)
 
     async def _work(
@@ -396,6 +409,23 @@
         writer.write(data)
 
 
+def _own_answer(request_id: str, body: bytes) -> abc.Iterable[bytes] | None:
+    return None
+
+
+async def _write_pieces(
+    writer: asyncio.StreamWriter, pieces: abc.Iterable[bytes]
+) -> bool:
+    """Send pieces; return whether the connection stays open."""
+    for piece in pieces:
+        if not piece:
+            return False
+        writer.write(piece)
+        await writer.drain()
+        await asyncio.sleep(PIECE_EVERY_S)
+    return True
+
+
 def _parse(data: bytes) -> Head:
     first, *lines = data.decode("latin-1").split("\r\n")
     method, target, _ = first.split(" ")
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -7,7 +7,9 @@
 """
 
 import asyncio
+import enum
 import functools
+import re
 import select
 import socket
 import typing
@@ -17,6 +19,7 @@
 import aiohttp
 import aiohttp.client_proto
 import aiohttp.http
+import aiohttp.http_exceptions
 
 from spindlenotch import ids
 
@@ -38,7 +41,6 @@
 #: Maximum number of interim responses (RFC 9110, section 15.2) before a final one. A
 #: peer that sends them without end would take the process up.
 MAX_INTERIM_RESPONSES = 16
-SWITCHING_PROTOCOLS = 101
 MIN_FINAL_STATUS = 200
 #: Maximum size of a response that is read as a whole, in bytes, and of one read of it.
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
@@ -88,27 +90,104 @@
 
 _Response = tuple[aiohttp.http.RawResponseMessage, aiohttp.StreamReader]
 
+#: A status line (RFC 9112, section 4) that can begin a response to this process. The
+#: blank before an empty reason may be missing, as that section allows. Statuses below
+#: 100 and above 599 are invalid (RFC 9110, section 15), and no request asks for another
+#: protocol (101).
+STATUS_LINE = re.compile(
+    rb"HTTP/1\.[01] (?!101)([1-5])[0-9]{2}(?: [\t -~\x80-\xff]*)?\r\n"
+)
+INTERIM_CLASS = b"1"
+
+
+class Expected(enum.Enum):
+    """What the next bytes from a peer belong to."""
+
+    STATUS_LINE = "status-line"
+    INTERIM_FIELDS = "interim-fields"
+    #: What follows the status line of a final response.
+    REMAINDER = "remainder"
+
+
+class StrictResponseHandler(aiohttp.client_proto.ResponseHandler):
+    """
+    Ends a connection on which something other than a valid response arrives.
 
-class BoundedResponseHandler(aiohttp.client_proto.ResponseHandler):
-    """Ends a connection on which too many interim responses arrive in a row."""
+    Checks what aiohttp's parser does not: the status line, and the number of interim
+    responses in a row. Whoever waits for the response gets an ``aiohttp.ClientError``.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self._expected = Expected.REMAINDER
+        #: The part of the status line that has arrived.
+        self._status_line = b""
         self._interim_responses = 0
 
+    def set_response_params(self, **options: typing.Any) -> None:
+        """Expect the response to a request."""
+        self._expect_status_line()
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Check the status lines in the data, and parse it."""
+        while data and self._expected is not Expected.REMAINDER:
+            data = self._receive_head(data)
+        if self._expected is Expected.REMAINDER:
+            super().data_received(data)
+
     def feed_data(self, data: _Response, size: int = 0) -> None:
         """Queue a response for whoever waits for it."""
-        status = data[0].code
-        if status >= MIN_FINAL_STATUS or status == SWITCHING_PROTOCOLS:
-            self._interim_responses = 0
-            super().feed_data(data, size)
+        if self._exception is not None:
+            # What is queued would be read before the exception.
             return
-        self._interim_responses += 1
-        if self._interim_responses <= MAX_INTERIM_RESPONSES:
-            super().feed_data(data, size)
-        elif self.transport is not None:
-            error = aiohttp.ClientPayloadError("too many interim responses")
-            self.set_exception(error)
+        if data[0].code >= MIN_FINAL_STATUS:
+            self._interim_responses = 0
+        else:
+            self._expect_status_line()
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                self._fail("too many interim responses")
+                return
+        super().feed_data(data, size)
+
+    def _expect_status_line(self) -> None:
+        self._expected = Expected.STATUS_LINE
+        self._status_line = b""
+
+    def _receive_head(self, data: bytes) -> bytes:
+        """
+        Receive data before the fields of a final response; return the data not parsed.
+
+        The parser gets interim responses line by line: with more data it could parse
+        another response whose status line has not been checked.
+        """
+        if self._exception is not None:
+            return b""
+        if self._expected is Expected.INTERIM_FIELDS:
+            end = data.find(b"\n") + 1 or len(data)
+        else:
+            line = self._status_line + data
+            status_line = STATUS_LINE.match(line)
+            if status_line is None:
+                if b"\n" in line:
+                    self._fail("invalid status line")
+                    return b""
+                # The parser refuses at once what cannot become a status line.
+                self._status_line = line
+                end = len(data)
+            elif status_line[1] != INTERIM_CLASS:
+                self._expected = Expected.REMAINDER
+                return data
+            else:
+                self._expected = Expected.INTERIM_FIELDS
+                end = status_line.end() - len(self._status_line)
+        super().data_received(data[:end])
+        return data[end:]
+
+    def _fail(self, message: str) -> None:
+        self.set_exception(aiohttp.http_exceptions.BadHttpMessage(message))
+        if self.transport is not None:
             self.transport.abort()
 
 
@@ -153,7 +232,7 @@
     )
     # aiohttp has no public option for this, nor for the next.
     typing.cast(typing.Any, connector)._factory = functools.partial(
-        BoundedResponseHandler, loop=asyncio.get_running_loop()
+        StrictResponseHandler, loop=asyncio.get_running_loop()
     )
     if not retries_idempotent:
         session._retry_connection = False
