Take a response with an unknown transfer coding for none

Callers got bodies that were not the upstream's: sizes of chunks and coded bytes as they stood, complete, with a Content-Length of the gateway and without a word of the coding.

Cause: the parser takes a body with any transfer coding whose end is not "chunked" as one that ends with its connection (`gzip`, `identity`, `chunked, gzip`, `chunked;`, an empty one, `chunked` with a tab behind it). The coding is a matter of one connection and is not passed on, so nobody could decode it later.

Why this works: a final response is refused when its head is there unless it has no transfer coding, or exactly the chunked one, decoded by the parser, in HTTP/1.1 (RFC 9112, section 6.1: in HTTP/1.0 its framing is faulty).

--- a/features/broken_responses.feature
+++ b/features/broken_responses.feature
@@ -4,13 +4,16 @@
     Then the property "<property>" holds
 
     Examples:
-      | property                                             |
-      | a response with an invalid status line is no answer  |
-      | a response with an invalid field line is no answer   |
-      | a valid response is read whole however it is split   |
-      | no reader takes an invalid status line for an answer |
-      | no reader takes an invalid field line for an answer  |
-      | each reader takes a valid response                   |
+      | property                                                 |
+      | a response with an invalid status line is no answer      |
+      | a response with an invalid field line is no answer       |
+      | a response with an unknown transfer coding is no answer  |
+      | a valid response is read whole however it is split       |
+      | what is read as a response is one by RFC 9112            |
+      | no reader takes an invalid status line for an answer     |
+      | no reader takes an invalid field line for an answer      |
+      | no reader takes an unknown transfer coding for an answer |
+      | each reader takes a valid response                       |
 
   Scenario Outline: <what> from one worker is covered for requests that may be repeated
     Given a platform store with a configuration and 3 workers
@@ -33,6 +36,7 @@
       | a blank in a name            |
       | a control byte in a name     |
       | a control byte in a value    |
+      | the coding gzip              |
 
   Scenario Outline: <what> is never an answer to what may run once
     Given a platform store with a configuration and 3 workers
@@ -57,3 +61,4 @@
       | a blank in a name            |
       | a control byte in a name     |
       | a control byte in a value    |
+      | the coding gzip              |
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -106,6 +106,7 @@
     rb"HTTP/1\.[01] (?!101)([1-5])[0-9]{2}(?: [\t -~\x80-\xff]*)?\r\n"
 )
 INTERIM_CLASS = b"1"
+CHUNKED = "chunked"
 
 
 class Expected(enum.Enum):
@@ -121,8 +122,9 @@
     """
     Ends a connection on which something other than a valid response arrives.
 
-    Checks what aiohttp's parser does not: the status line, and the number of interim
-    responses in a row. Whoever waits for the response gets an ``aiohttp.ClientError``.
+    Checks what aiohttp's parser does not: the status line, the transfer coding, and the
+    number of interim responses in a row. Whoever waits for the response gets an
+    ``aiohttp.ClientError``.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -149,8 +151,12 @@
         if self._exception is not None:
             # What is queued would be read before the exception.
             return
-        if data[0].code >= MIN_FINAL_STATUS:
+        message = data[0]
+        if message.code >= MIN_FINAL_STATUS:
             self._interim_responses = 0
+            if not _is_body_readable(message):
+                self._fail("unknown transfer coding")
+                return
         else:
             self._expect_status_line()
             self._interim_responses += 1
@@ -199,6 +205,19 @@
             self.transport.abort()
 
 
+def _is_body_readable(message: aiohttp.http.RawResponseMessage) -> bool:
+    """
+    Return whether the body has no transfer coding but the chunked one.
+
+    Others would have to be decoded (RFC 9112, section 6.1); in HTTP/1.0 there is none.
+    """
+    coding = message.headers.get(aiohttp.hdrs.TRANSFER_ENCODING)
+    if coding is None:
+        return True
+    is_chunked = message.chunked and coding.lower() == CHUNKED
+    return is_chunked and message.version >= aiohttp.HttpVersion11
+
+
 def new_session(
     *,
     connections: int = DEFAULT_CONNECTIONS,
