Fail the reader of a body as soon as its rest is invalid

Callers waited until their deadline, and got 504, when an upstream's chunk or trailer was invalid and came later than the head; requests that may be repeated went to no other upstream. Health checks and calls of the store waited for their whole timeout. When all came at once the response was refused at once.

Cause: if the parser refuses data, aiohttp closes the connection and fails whoever waits for the next response, but not the reader of the body that is under way; the parser has dropped that body by then, so the end of the connection does not fail it either.

Why this works: the handler, which sees the parser's error in the same call, fails the body that has been handed out and is not complete. A reader gets the error it gets for a connection that breaks.

--- a/features/broken_responses.feature
+++ b/features/broken_responses.feature
@@ -8,11 +8,13 @@
       | a response with an invalid status line is no answer      |
       | a response with an invalid field line is no answer       |
       | a response with an unknown transfer coding is no answer  |
+      | a response with a broken chunk or trailer is not whole   |
       | a valid response is read whole however it is split       |
       | what is read as a response is one by RFC 9112            |
       | no reader takes an invalid status line for an answer     |
       | no reader takes an invalid field line for an answer      |
       | no reader takes an unknown transfer coding for an answer |
+      | no reader waits for the rest of a broken body            |
       | each reader takes a valid response                       |
 
   Scenario Outline: <what> from one worker is covered for requests that may be repeated
@@ -37,6 +39,7 @@
       | a control byte in a name     |
       | a control byte in a value    |
       | the coding gzip              |
+      | a broken chunk               |
 
   Scenario Outline: <what> is never an answer to what may run once
     Given a platform store with a configuration and 3 workers
@@ -62,3 +65,4 @@
       | a control byte in a name     |
       | a control byte in a value    |
       | the coding gzip              |
+      | a broken chunk               |
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -123,8 +123,8 @@
     Ends a connection on which something other than a valid response arrives.
 
     Checks what aiohttp's parser does not: the status line, the transfer coding, and the
-    number of interim responses in a row. Whoever waits for the response gets an
-    ``aiohttp.ClientError``.
+    number of interim responses in a row. Whoever waits for the response, or for the
+    rest of its body, gets an ``aiohttp.ClientError``.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -145,6 +145,8 @@
             data = self._receive_head(data)
         if self._expected is Expected.REMAINDER:
             super().data_received(data)
+            if self._exception is not None:
+                self._fail_body(self._exception)
 
     def feed_data(self, data: _Response, size: int = 0) -> None:
         """Queue a response for whoever waits for it."""
@@ -204,6 +206,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _fail_body(self, error: BaseException) -> None:
+        """Fail whoever reads a body whose rest is invalid; aiohttp does not."""
+        body = self._payload
+        if body is not None and not body.is_eof():
+            body.set_exception(aiohttp.ClientPayloadError(str(error)), error)
+
 
 def _is_body_readable(message: aiohttp.http.RawResponseMessage) -> bool:
     """
