Take an upstream that sends no valid response for alive

Callers' requests were counted as ones that end their upstreams (E606; three such quarantine a request, which is then refused), and the upstream as ended, when an upstream sent bytes that are no valid response to requests and to the liveness check that follows. When all upstreams of a service did so, gateways took themselves for cut off from them and handed requests over (E306). Seen with garbage on (one of three upstreams, 60 requests: E606 on both gateways); since invalid responses are refused, all of their forms would have this effect.

Cause: the liveness check reports any error of the connection but a timeout as an upstream that has gone, also that of a response which cannot be parsed.

Why this works: the check asks whether a process runs and can be reached, and bytes of whatever kind show both. Only the error for an invalid response is told apart; a reset or an end of the connection counts as before. Health checks still fail on such a response, and so do requests, which eject the upstream.

--- a/features/broken_responses.feature
+++ b/features/broken_responses.feature
@@ -16,6 +16,7 @@
       | no reader takes an unknown transfer coding for an answer |
       | no reader waits for the rest of a broken body            |
       | each reader takes a valid response                       |
+      | an upstream that sends no valid response is alive        |
 
   Scenario Outline: <what> from one worker is covered for requests that may be repeated
     Given a platform store with a configuration and 3 workers
@@ -66,3 +67,18 @@
       | a control byte in a value    |
       | the coding gzip              |
       | a broken chunk               |
+
+  Scenario Outline: A worker that sends <what> even to health checks has not ended
+    Given a platform store with a configuration and 3 workers
+    And 2 gateways
+    And <count> of the workers send "<what>" to requests and health checks
+    When 60 requests GET "/read/x" are sent
+    Then no request is suspected of having ended its worker
+    And no gateway takes itself for cut off from its workers
+
+    Examples:
+      | what                      | count |
+      | status 000                | 1     |
+      | status 000                | 3     |
+      | a control byte in a value | 1     |
+      | a control byte in a value | 3     |
--- a/features/steps/broken_responses.py
+++ b/features/steps/broken_responses.py
@@ -35,6 +35,8 @@
 #: Requests that a worker must have run of which each second one gets a broken response,
 #: and the most that are sent until it has.
 MIN_ALTERNATING_RUNS, MAX_REQUESTS = 4, 1000
+#: Numbers of the log events: a gateway is isolated, an upstream ended under a request.
+ISOLATED, ENDED_UNDER_REQUEST = 306, 606
 ERRORS = (aiohttp.ClientError, aiohttp.http_exceptions.HttpProcessingError)
 
 # A response by RFC 9112, written apart from the product.
@@ -274,6 +276,14 @@
         await store.close()
 
 
+async def _is_alive(address: ids.Address) -> object:
+    port = scripted_peer.upstream_port()
+    try:
+        return await port.liveness(address, 5.0)
+    finally:
+        await port.close()
+
+
 LOST = ports.UpstreamFault.CONNECTION_LOST
 FAULT_BY_READER: dict[Reader, object] = {
     _request: LOST,
@@ -380,6 +390,30 @@
         worker.script = _script(name, alternates=False)
 
 
+@behave.given('{count:d} of the workers send "{name}" to requests and health checks')
+def some_workers_send(context: typing.Any, count: int, name: str) -> None:
+    workers = platform_context.fleet_of(context).worker_by_id
+    for number in range(count):
+        workers[f"i-{number}"].script = _script(name, alternates=False)
+        workers[f"i-{number}"].breaks_health = True
+
+
+@behave.then("no request is suspected of having ended its worker")
+def none_suspected(context: typing.Any) -> None:
+    _require_no_event(context, ENDED_UNDER_REQUEST)
+
+
+@behave.then("no gateway takes itself for cut off from its workers")
+def none_isolated(context: typing.Any) -> None:
+    _require_no_event(context, ISOLATED)
+
+
+def _require_no_event(context: typing.Any, event: int) -> None:
+    logs = platform_context.fleet_of(context).logs.values()
+    lines = [line for log in logs for line in log.read_text().splitlines()]
+    assert lines and not [line for line in lines if f'"event":{event},' in line]
+
+
 @behave.when('requests GET "{target}" are sent until the worker has sent some of these')
 def sends_until_broken(context: typing.Any, target: str) -> None:
     fleet = platform_context.fleet_of(context)
@@ -396,3 +430,16 @@
 
     context.answers = platform_context.run(context, send())
     context.target = target
+
+
+# Guards against requests that were quarantined as ones that end their upstreams.
+@kernel.PROPERTIES.register("an upstream that sends no valid response is alive")
+def broken_is_alive() -> None:
+    async def play() -> None:
+        for _, one in [*broken_responses.broken()][::SAMPLED]:
+            found = await _read_from_peer(_is_alive, [one.data])
+            assert found is ports.Liveness.ALIVE, (one.data, found)
+        found = await _read_from_peer(_is_alive, [b"\x16\x03 no response"])
+        assert found is ports.Liveness.ALIVE, found
+
+    asyncio.run(play())
--- a/features/support/platform_worker.py
+++ b/features/support/platform_worker.py
@@ -53,7 +53,7 @@
     While ``asks_rest`` is a text, it turns requests away and asks for so much rest.
     ``script`` returns the pieces of what it sends for a request's id in place of an
     answer with this body, None: its own answer; after an empty piece it closes the
-    connection.
+    connection. With ``breaks_health`` it sends them to health checks too.
     """
 
     def __init__(
@@ -84,6 +84,7 @@
         self.says_leaving: str | None = None
         self.asks_rest: str | None = None
         self.script: Script = _own_answer
+        self.breaks_health = False
         #: The requests that it turned away asking for rest.
         self.rests: list[worker_records.Rest] = []
         self.accepted = 0
@@ -215,6 +216,8 @@
         head.ip = _ip_of(writer)
         if head.target.startswith("/health"):
             self.probed_at.append(head.at)
+            if self.breaks_health and (pieces := self.script("", b"")) is not None:
+                return await _write_pieces(writer, pieces)
             status = "503 Service Unavailable" if self.says_leaving else "200 OK"
             writer.write(self._head(status, "", 0, extra=self._cold_header()))
             return True
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -218,6 +218,9 @@
             return ports.Liveness.SILENT
         except (aiohttp.ClientConnectorError, aiohttp.InvalidURL, UnicodeError):
             return ports.Liveness.REFUSED
+        except aiohttp.ClientResponseError:
+            # An invalid response, which a process has sent all the same.
+            return ports.Liveness.ALIVE
         except (http_client.StaleConnectionError, aiohttp.ClientError, OSError):
             # Reset or closed.
             return ports.Liveness.GONE
--- a/spindlenotch/ports.py
+++ b/spindlenotch/ports.py
@@ -122,7 +122,7 @@
 class Liveness(enum.Enum):
     """What a new connection to an upstream shows of its process."""
 
-    #: It responded, whatever the response.
+    #: It responded, whatever the response, be it an invalid one.
     ALIVE = "alive"
     #: The connection was closed without a response.
     GONE = "gone"
