Check responses in the client library and in "explain" like everywhere else

Callers of the client library got, as an answer, a status of 000 or 101, the bytes of an unknown transfer coding, and what an entry had sent of another protocol; "explain" printed such a response.

Cause: both opened an HTTP session of their own, past the place at which all others get theirs, so nothing was checked but what the library's parser refuses.

Why this works: both sessions come from http_client.new_session, with the options that they had before (no retries, no decoding and no limit of connections in the library), so no session of the product is left that is created elsewhere.

--- a/features/broken_responses.feature
+++ b/features/broken_responses.feature
@@ -17,6 +17,7 @@
       | no reader waits for the rest of a broken body            |
       | each reader takes a valid response                       |
       | an upstream that sends no valid response is alive        |
+      | the client library takes no invalid response for one     |
 
   Scenario Outline: <what> from one worker is covered for requests that may be repeated
     Given a platform store with a configuration and 3 workers
--- a/features/steps/broken_responses.py
+++ b/features/steps/broken_responses.py
@@ -21,8 +21,9 @@
     platform_worker,
     scripted_peer,
 )
-from spindlenotch import ids, ports
-from spindlenotch.drivers import http_client, store_http, upstream_http
+from spindlenotch import client as clients, ids, ports
+from spindlenotch.cli import explain_entry
+from spindlenotch.drivers import hostlist_http, http_client, store_http, upstream_http
 from spindlenotch.gateway.source import sources
 from spindlenotch_platform import http_dialect, store_client
 
@@ -276,6 +277,21 @@
         await store.close()
 
 
+async def _read_host_list(address: ids.Address) -> object:
+    hosts = hostlist_http.HttpHostList(f"http://{address}")
+    try:
+        return await hosts.fetch(1)
+    finally:
+        await hosts.close()
+
+
+async def _explain(address: ids.Address) -> object:
+    try:
+        return await explain_entry.fetch(address)
+    except explain_entry.FetchError:
+        return explain_entry.FetchError
+
+
 async def _is_alive(address: ids.Address) -> object:
     port = scripted_peer.upstream_port()
     try:
@@ -293,6 +309,8 @@
     _watch_store: sources.SourceFault.UNAVAILABLE,
     _write_store: sources.SourceFault.UNAVAILABLE,
     _read_own_store: ports.StoreFault.UNAVAILABLE,
+    _read_host_list: ports.HostListFault.UNAVAILABLE,
+    _explain: explain_entry.FetchError,
 }
 
 
@@ -360,6 +378,45 @@
     asyncio.run(play())
 
 
+# Guards against responses that callers of the client library got as answers.
+@kernel.PROPERTIES.register("the client library takes no invalid response for one")
+def client_library() -> None:
+    async def play() -> None:
+        for _, one in [*broken_responses.broken()][::SAMPLED]:
+            found = await _call_entry(one.data)
+            assert isinstance(found, clients.NoAnswer), (one.data, found)
+        found = await _call_entry(broken_responses.response())
+        assert isinstance(found, clients.Answer), found
+
+    asyncio.run(play())
+
+
+async def _call_entry(data: bytes) -> clients.Answer | clients.NoAnswer:
+    """Return what a caller gets if its only entry sends this to requests."""
+    listing = iter([True])
+
+    async def write(writer: asyncio.StreamWriter) -> None:
+        if next(listing, False):
+            entry = f'{{"address":"{peer.address}","zone":"z"}}'
+            body = f'{{"entries":[{entry}],"valid_for_ms":60000}}'.encode()
+            framing = b"Content-Length: %d\r\nConnection: close\r\n" % len(body)
+            writer.write(broken_responses.response(framing=framing, body=body))
+        else:
+            writer.write(data)
+            await writer.drain()
+            await is_read.wait()
+
+    is_read = asyncio.Event()
+    async with scripted_peer.Peer(write) as peer:
+        client = clients.Client([peer.address])
+        try:
+            async with asyncio.timeout(NOTICED_WITHIN_S):
+                return await client.call(clients.Request("resv", timeout_s=0.5))
+        finally:
+            is_read.set()
+            await client.close()
+
+
 # The whole path
 
 
--- a/spindlenotch/cli/explain_entry.py
+++ b/spindlenotch/cli/explain_entry.py
@@ -11,6 +11,8 @@
 import aiohttp
 import msgspec
 
+from spindlenotch.drivers import http_client
+
 #: Longest wait for the operator port.
 TIMEOUT_S = 3.0
 
@@ -76,7 +78,7 @@
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     url = f"http://{operator}/explain"
     try:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with http_client.new_session(timeout=timeout) as session:
             async with session.get(url, params=params) as response:
                 if response.status != 200:
                     raise FetchError((await response.text()).strip())
--- a/spindlenotch/client.py
+++ b/spindlenotch/client.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from spindlenotch import clock, entry_directory, headers, ids
+from spindlenotch.drivers import http_client
 from spindlenotch.kernel import outcomes
 
 #: Upper bound of the attempts at one request, each at one entry.
@@ -192,14 +193,13 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                cookie_jar=aiohttp.DummyCookieJar(),
-                auto_decompress=False,
-                connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
+            self._session = http_client.new_session(
+                connections=0,
+                caches_addresses=False,
+                # All retries are decided in this class.
+                retries_idempotent=False,
+                decompresses=False,
             )
-            # aiohttp would retry some requests by itself; all retries are decided
-            # in this class.
-            self._session._retry_connection = False
         return self._session
 
 
