Parse strictly in the sessions of this project only

An application that embeds the client library would have had all its own aiohttp sessions parse strictly, too, since the library gets its session from the place that sets this for the process.

Why this works: the constant is set while the handler of our own sessions creates a parser, which is a synchronous call, and restored.

--- a/features/steps/broken_responses.py
+++ b/features/steps/broken_responses.py
@@ -169,6 +169,21 @@
     asyncio.run(play())
 
 
+# Guards against applications that embed the client library and whose own sessions
+# refused responses from then on.
+@kernel.PROPERTIES.register("sessions of others in the same process stay lenient")
+def other_sessions() -> None:
+    line = b" X-Ab: c\r\n"
+    data = broken_responses.response(fields=line + broken_responses.FIELDS)
+
+    async def play() -> None:
+        async with http_client.new_session() as own, aiohttp.ClientSession() as other:
+            assert await read(own, [data]) is None
+            assert await read(other, [data]) == broken_responses.BODY
+
+    asyncio.run(play())
+
+
 @kernel.PROPERTIES.register("what is read as a response is one by RFC 9112")
 def no_more_than_the_grammar() -> None:
     odd = b'\0\x01\t\n\x0b\r\x1b "(,/:;=@\x7f\x80\xff019AaHT+-_{}'
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -19,6 +19,7 @@
 
 import aiohttp
 import aiohttp.client_proto
+import aiohttp.helpers
 import aiohttp.http
 import aiohttp.http_exceptions
 import aiohttp.http_parser
@@ -92,11 +93,10 @@
 
 _Response = tuple[aiohttp.http.RawResponseMessage, aiohttp.StreamReader]
 
-# aiohttp has no public option for this: its parser accepts more of a response than RFC
-# 9112 does, unless this is set when it is created. That of requests is always strict.
-typing.cast(
-    typing.Any, sys.modules[aiohttp.http_parser.HttpResponseParser.__module__]
-).DEBUG = True
+#: The module that creates aiohttp's parser of responses.
+_PARSER_MODULE: typing.Any = sys.modules[
+    aiohttp.http_parser.HttpResponseParser.__module__
+]
 
 #: A status line (RFC 9112, section 4) that can begin a response to this process. The
 #: blank before an empty reason may be missing, as that section allows. Statuses below
@@ -135,9 +135,16 @@
         self._interim_responses = 0
 
     def set_response_params(self, **options: typing.Any) -> None:
-        """Expect the response to a request."""
+        """Expect the response to a request, and create a strict parser for it."""
         self._expect_status_line()
-        super().set_response_params(**options)
+        # aiohttp has no public option for this: its parser accepts more of a response
+        # than RFC 9112 does unless this is set when it is created. Other sessions in
+        # the process of an embedding application are not affected.
+        _PARSER_MODULE.DEBUG = True
+        try:
+            super().set_response_params(**options)
+        finally:
+            _PARSER_MODULE.DEBUG = aiohttp.helpers.DEBUG
 
     def data_received(self, data: bytes) -> None:
         """Check the status lines in the data, and parse it."""
