Bound the bodies that the product's own store and host list send

Cause: these two drivers read bodies whole without a limit; health checks and the platform's store have one.

Why this works: both read through the function that ends a body at 32 MiB and closes its connection.

--- a/features/hostile_responses.feature
+++ b/features/hostile_responses.feature
@@ -11,4 +11,6 @@
       | some interim responses before a final one do no harm       |
       | a response that is cut at any byte is no success           |
       | a body without end is not read for ever                    |
+      | an own store's body without end is not read for ever       |
+      | bytes without end that are no response are not kept        |
       | hosts that no resolver takes are refused before sending    |
--- a/features/steps/hostile_responses.py
+++ b/features/steps/hostile_responses.py
@@ -1,6 +1,9 @@
 """Properties of responses of peers that are broken, or never end."""
 
 import asyncio
+import contextlib
+import os
+import pathlib
 import time
 from collections import abc
 from unittest import mock
@@ -8,7 +11,12 @@
 from features.steps import kernel
 from features.support import scripted_peer, store_reading
 from spindlenotch import ids, ports
-from spindlenotch.drivers import http_client, upstream_http
+from spindlenotch.drivers import (
+    hostlist_http,
+    http_client,
+    store_http,
+    upstream_http,
+)
 from spindlenotch.gateway.source import sources
 from spindlenotch_platform import records, store_client
 
@@ -35,6 +43,26 @@
     b"HTTP/1.1 100 Continue\r\n\r\n" + f"{HEAD}Content-Length: 5\r\n\r\nhello".encode(),
 )
 
+#: Bytes in one write of an endless response, and seconds for which one is read.
+BLOCK_BYTES, ENDLESS_S = 65536, 0.3
+#: Memory that the process may take for one, in bytes.
+MAX_KEPT_BYTES = 32 * 1024 * 1024
+#: The beginnings of endless responses, and the bytes that are repeated after them.
+ENDLESS = (
+    ("", b"x"),
+    ("", b"\r\n"),
+    ("HTTP/1.1 200 ", b"x"),
+    ("HTTP/1.1 100 ", b"x"),
+    ("HTTP/1.1 100 Continue\r\n", b"A: b\r\n"),
+    (HEAD, b"x"),
+    (HEAD, b"A: b\r\n"),
+    (f"{HEAD}A: ", b"x"),
+    (f"{HEAD}Transfer-Encoding: chunked\r\n\r\n", b"0"),
+    (f"{HEAD}Transfer-Encoding: chunked\r\n\r\n5;", b"x"),
+    (f"{HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n", b"A: b\r\n"),
+    (f"{HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", b"x"),
+)
+
 
 def endless(interim: bytes) -> scripted_peer.Writing:
     """Return how a peer sends interim responses until its connection is closed."""
@@ -48,6 +76,18 @@
     return write
 
 
+def endless_after(beginning: bytes, repeated: bytes = b"x") -> scripted_peer.Writing:
+    """Return how a peer repeats some bytes after others until it is closed."""
+
+    async def write(writer: asyncio.StreamWriter) -> None:
+        writer.write(beginning)
+        while not writer.is_closing():
+            writer.write(repeated * (BLOCK_BYTES // len(repeated)))
+            await writer.drain()
+
+    return write
+
+
 async def longest_pause_s(work: abc.Awaitable[object]) -> tuple[object, float]:
     """Return a result and the longest pause of the loop until it was there."""
     task = asyncio.ensure_future(work)
@@ -155,12 +195,7 @@
 @kernel.PROPERTIES.register("a body without end is not read for ever")
 def endless_body() -> None:
     async def play() -> None:
-        async def write(writer: asyncio.StreamWriter) -> None:
-            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
-            while not writer.is_closing():
-                writer.write(b"x" * 65536)
-                await writer.drain()
-
+        write = endless_after(b"HTTP/1.1 200 OK\r\n\r\n")
         port = scripted_peer.upstream_port()
         async with scripted_peer.Peer(write) as peer:
             found, _ = await longest_pause_s(port.probe(peer.address, 5.0, "/health"))
@@ -175,6 +210,73 @@
     asyncio.run(play())
 
 
+# Guards against a store or host list whose body without end took the process up.
+@kernel.PROPERTIES.register("an own store's body without end is not read for ever")
+def endless_own_store() -> None:
+    async def play() -> None:
+        async with scripted_peer.Peer(
+            endless_after(b"HTTP/1.1 200 OK\r\n\r\n")
+        ) as peer:
+            store = store_http.HttpStore(f"http://{peer.address}")
+            hosts = hostlist_http.HttpHostList(f"http://{peer.address}")
+            found, _ = await longest_pause_s(store.watch("key", 1, 60.0))
+            assert found is ports.StoreFault.UNAVAILABLE, found
+            with (
+                mock.patch.object(store_http, "CALL_TIMEOUT_S", 60.0),
+                mock.patch.object(hostlist_http, "CALL_TIMEOUT_S", 60.0),
+            ):
+                found, _ = await longest_pause_s(store.get("key"))
+                assert found is ports.StoreFault.UNAVAILABLE, found
+                found, _ = await longest_pause_s(
+                    store.compare_and_swap("key", b"value", 1)
+                )
+                assert found is ports.StoreFault.UNAVAILABLE, found
+                found, _ = await longest_pause_s(hosts.fetch(1))
+                assert found is ports.HostListFault.UNAVAILABLE, found
+            await store.close()
+            await hosts.close()
+
+    asyncio.run(play())
+
+
+@kernel.PROPERTIES.register("bytes without end that are no response are not kept")
+def endless_garbage() -> None:
+    async def play() -> None:
+        for beginning, repeated in ENDLESS:
+            port = scripted_peer.upstream_port()
+            write = endless_after(beginning.encode(), repeated)
+            async with scripted_peer.Peer(write) as peer:
+                before = resident_bytes()
+                for call in (
+                    port.send(scripted_peer.request(peer.address)),
+                    port.probe(peer.address, ENDLESS_S, "/health"),
+                    port.liveness(peer.address, ENDLESS_S),
+                ):
+                    await until_failed(call)
+                kept = resident_bytes() - before
+                assert kept < MAX_KEPT_BYTES, (beginning, repeated, kept)
+            await port.close()
+
+    asyncio.run(play())
+
+
+async def until_failed(call: abc.Awaitable[object]) -> None:
+    """Wait for the end of a call and of the body of its answer, not for long."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(ENDLESS_S):
+            answer = await call
+            while isinstance(answer, upstream_http.HttpAnswer):
+                chunk = await answer.chunk()
+                if not chunk or isinstance(chunk, ports.UpstreamFault):
+                    return
+
+
+def resident_bytes() -> int:
+    """Return the memory that this process takes."""
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGESIZE")
+
+
 @kernel.PROPERTIES.register("hosts that no resolver takes are refused before sending")
 def unresolvable() -> None:
     hosts = ("..", "a..b", "x" * 64, "x" * 200, ".a", "-" * 200)
--- a/spindlenotch/drivers/hostlist_http.py
+++ b/spindlenotch/drivers/hostlist_http.py
@@ -36,7 +36,7 @@
                 timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body = await http_client.read_body(response)
         except (aiohttp.ClientError, TimeoutError, OSError):
             # Callers treat every cause alike: they keep the list they have.
             return ports.HostListFault.UNAVAILABLE
--- a/spindlenotch/drivers/http_client.py
+++ b/spindlenotch/drivers/http_client.py
@@ -313,13 +313,20 @@
     while True:
         try:
             async with session.request(method, url, **options) as response:
-                return response, await _read_body(response, max_bytes)
+                return response, await read_body(response, max_bytes)
         except StaleConnectionError:
             # aiohttp has closed the connection, and nothing was sent.
             continue
 
 
-async def _read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+async def read_body(
+    response: aiohttp.ClientResponse, max_bytes: int = MAX_RESPONSE_BYTES
+) -> bytes:
+    """
+    Return the body of a response, up to a maximum size in bytes.
+
+    A longer one raises ``aiohttp.ClientPayloadError``, and aiohttp's errors are raised.
+    """
     chunks: list[bytes] = []
     size = 0
     while chunk := await response.content.read(READ_BYTES):
--- a/spindlenotch/drivers/store_http.py
+++ b/spindlenotch/drivers/store_http.py
@@ -60,7 +60,7 @@
                 allow_redirects=False,
             ) as response:
                 revision = int(response.headers.get(REVISION, "0"))
-                await response.read()
+                await http_client.read_body(response)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             # Whatever the cause, the write may have taken effect.
             self.session.close_idle()
@@ -92,7 +92,7 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body = await http_client.read_body(response)
                 revision = int(response.headers.get(REVISION, "0"))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             # Callers treat every cause alike: they keep the value they have. Idle
