Take a response with two request ids or stamps for foreign

Callers got responses with two request ids, of which only the first had been compared, and with two stamps of different upstreams, all in valid lines.

Cause: the driver compares the first field of that name; the others are passed on unseen.

Why this works: a field that is not a list may occur once (RFC 9110, section 5.3); a dialect names those of its own by which a response is told, and the driver refuses a response that has one of them twice, as it refuses one with another request's id. It may be the response to either.

--- a/features/broken_responses.feature
+++ b/features/broken_responses.feature
@@ -17,6 +17,7 @@
       | no reader takes an unknown transfer coding for an answer |
       | no reader waits for the rest of a broken body            |
       | each reader takes a valid response                       |
+      | a response that names two requests or stamps is foreign  |
       | an upstream that sends no valid response is alive        |
       | the client library takes no invalid response for one     |
 
--- a/features/steps/broken_responses.py
+++ b/features/steps/broken_responses.py
@@ -348,6 +348,30 @@
             is_read.set()
 
 
+# Guards against a response of which only the first of two request ids was compared.
+@kernel.PROPERTIES.register("a response that names two requests or stamps is foreign")
+def named_twice() -> None:
+    foreign = ports.UpstreamFault.FOREIGN_ANSWER
+
+    async def play() -> None:
+        for name, value in (
+            ("X-Spindlenotch-Request-Id", scripted_peer.REQUEST_ID),
+            ("X-Spindlenotch-Server-Stamp", scripted_peer.STAMP),
+        ):
+            for other in ("another", value):
+                line = f"{name}: {other}\r\n".encode()
+                for fields in (
+                    line + broken_responses.FIELDS,
+                    broken_responses.FIELDS + line,
+                ):
+                    data = broken_responses.response(fields=fields)
+                    for reader in (_request, _handed_over):
+                        found = await _read_from_peer(reader, [data])
+                        assert found is foreign, (reader, data, found)
+
+    asyncio.run(play())
+
+
 def _each_reader_refuses(kind: broken_responses.Kind) -> None:
     async def play() -> None:
         for reader, fault in FAULT_BY_READER.items():
--- a/spindlenotch/drivers/upstream_dialect.py
+++ b/spindlenotch/drivers/upstream_dialect.py
@@ -37,10 +37,12 @@
     of a response: ``read_signals`` returns its backpressure signals, ``is_genuine``
     tells whether it was made by an upstream, ``is_not_run`` whether it says that the
     request was not executed and never will be, ``is_draining`` whether the upstream
-    addressed accepts no more requests.
+    addressed accepts no more requests. A response in which one of ``single_fields``
+    occurs twice does not tell whose it is.
     """
 
     request_id: str
+    single_fields: tuple[str, ...]
     probe_path: str
     read_load: abc.Callable[[Fields], upstreams.LoadReport | None]
     read_cold_s: abc.Callable[[Fields], float | None]
@@ -80,6 +82,7 @@
 
 NATIVE = UpstreamDialect(
     request_id=headers.REQUEST_ID,
+    single_fields=(headers.REQUEST_ID,),
     probe_path=PROBE_PATH,
     read_load=lambda fields: read_load(fields.get(headers.LOAD)),
     read_cold_s=lambda fields: None,
--- a/spindlenotch/drivers/upstream_http.py
+++ b/spindlenotch/drivers/upstream_http.py
@@ -136,6 +136,9 @@
         fields = response.headers
         if fields.get(self.dialect.request_id) != request.request_id:
             return False
+        for name in self.dialect.single_fields:
+            if len(fields.getall(name, ())) > 1:
+                return False
         return self.dialect.is_genuine(response.status, fields)
 
     async def _respond(self, request: ports.UpstreamRequest) -> aiohttp.ClientResponse:
