Give the checks of responses a module of their own

drivers/response_handler checks what arrives on a connection, drivers/http_client creates sessions. No behaviour changes; broken_responses.feature and hostile_responses.feature pass.

--- a/features/steps/hostile_responses.py
+++ b/features/steps/hostile_responses.py
@@ -13,7 +13,7 @@
 from spindlenotch import ids, ports
 from spindlenotch.drivers import (
     hostlist_http,
-    http_client,
+    response_handler,
     store_http,
     upstream_http,
 )
@@ -152,7 +152,7 @@
 @kernel.PROPERTIES.register("some interim responses before a final one do no harm")
 def some_interim() -> None:
     async def play() -> None:
-        count = http_client.MAX_INTERIM_RESPONSES
+        count = response_handler.MAX_INTERIM_RESPONSES
 
         async def write(writer: asyncio.StreamWriter) -> None:
             writer.write(INTERIM[0] * count + RESPONSES[0])
