Tests: hold responses to HEAD to the same as all others

"a response to HEAD is checked like any other" fails on (status 000) and holds since invalid status and field lines are refused: the checks come before the parser knows of a body.

--- a/features/broken_responses.feature
+++ b/features/broken_responses.feature
@@ -10,6 +10,7 @@
       | a response with an unknown transfer coding is no answer  |
       | a response with a broken chunk or trailer is not whole   |
       | a valid response is read whole however it is split       |
+      | a response to HEAD is checked like any other             |
       | sessions of others in the same process stay lenient      |
       | what is read as a response is one by RFC 9112            |
       | no reader takes an invalid status line for an answer     |
--- a/features/steps/broken_responses.py
+++ b/features/steps/broken_responses.py
@@ -31,13 +31,18 @@
 
 
 async def read(
-    session: aiohttp.ClientSession, pieces: abc.Iterable[bytes]
+    session: aiohttp.ClientSession,
+    pieces: abc.Iterable[bytes],
+    *,
+    to_head: bool = False,
 ) -> bytes | None:
     """Return the body that a session reads from a connection; None if it fails."""
     handler = typing.cast(typing.Any, session.connector)._factory()
     transport = mock.Mock(spec=asyncio.Transport)
     handler.connection_made(transport)
-    handler.set_response_params(read_until_eof=True, auto_decompress=False)
+    handler.set_response_params(
+        read_until_eof=True, auto_decompress=False, skip_payload=to_head
+    )
     for piece in pieces:
         if transport.abort.called or transport.close.called:
             break
@@ -109,6 +114,23 @@
     asyncio.run(play())
 
 
+@kernel.PROPERTIES.register("a response to HEAD is checked like any other")
+def responses_to_head() -> None:
+    kinds = (broken_responses.Kind.STATUS_LINE, broken_responses.Kind.FIELD_LINE)
+
+    async def play() -> None:
+        async with http_client.new_session() as session:
+            for kind in kinds:
+                for one in broken_responses.of_kind(kind):
+                    head = one.data.removesuffix(broken_responses.BODY)
+                    found = await read(session, [head], to_head=True)
+                    assert found is None, (head, found)
+            head = broken_responses.response(body=b"")
+            assert await read(session, [head], to_head=True) == b""
+
+    asyncio.run(play())
+
+
 # Guards against applications that embed the client library and whose own sessions
 # refused responses from then on.
 @kernel.PROPERTIES.register("sessions of others in the same process stay lenient")
