--- a/features/steps/response_readers.py
+++ b/features/steps/response_readers.py
@@ -15,7 +15,7 @@
 NOTICED_WITHIN_S = 1.0
 #: Seconds between the valid beginning of a response and its rest.
 PAUSE_S = 0.02
-#: Each so many broken responses of a kind are sent to each reader.
+#: One in this many broken responses of a kind is sent to each reader.
 SAMPLED = 19
 
 Reader = abc.Callable[[ids.Address], abc.Awaitable[object]]
--- a/features/support/broken_responses.py
+++ b/features/support/broken_responses.py
@@ -33,7 +33,6 @@
 #: The control bytes but HTAB; LF and CR end a line and are tried apart.
 NOT_IN_VALUES = bytes(byte for byte in (*range(0x20), 0x7F) if byte not in b"\t\r\n")
 
-
 #: From a worker's field lines and body to the pieces of what it sends; an empty piece
 #: closes the connection.
 Script = abc.Callable[[bytes, bytes], list[bytes]]
@@ -161,7 +160,7 @@
         yield Kind.STATUS_LINE, Response(response(line))
     yield (
         Kind.STATUS_LINE,
-        Response(response(b"HTTP/1.1 000 OK\r\n") + response(), valid_bytes=0),
+        Response(response(b"HTTP/1.1 000 OK\r\n") + response()),
     )
     for line in _field_lines():
         for fields in (line + FIELDS, FIELDS + line):
