--- a/spindlenotch/drivers/response_handler.py
+++ b/spindlenotch/drivers/response_handler.py
@@ -34,7 +34,9 @@
 STATUS_LINE = re.compile(
     rb"HTTP/1\.[01] (?!101)([1-5])[0-9]{2}(?: [\t -~\x80-\xff]*)?\r\n"
 )
+#: The first digit of an interim response's status.
 INTERIM_CLASS = b"1"
+#: The only transfer coding that is decoded; compared in lower case.
 CHUNKED = "chunked"
 
 _Response = tuple[aiohttp.http.RawResponseMessage, aiohttp.StreamReader]
